--- /dev/null
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load, experiments, reports and plots. */
+package org.masticweir.bench;
--- /dev/null
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.masticweir.cli;
--- /dev/null
+++ b/masticweir-daemon/src/main/java/org/masticweir/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The thin daemon around the library: reads settings, wires adapters, starts and stops. */
+package org.masticweir.daemon;
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/error/package-info.java
@@ -0,0 +1,2 @@
+/** Unchecked exceptions with codes, and the verdict on whether a request may have run. */
+package org.masticweir.error;
