Serve callers: one generation through the loss of its engine

Cause: the path from a caller to an engine and back did not exist. Ruled out: releasing straight from the engine's stream, since a superseded engine that wakes could then write to a caller; and restarting from the first token after each reset, which recomputes all of it. Change: assembler and recovery machine as pure decisions; runner, engine stream and caller interface around them.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -0,0 +1,223 @@
+package org.masticweir.callers;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.SameThreadExecutor;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.error.Verdict;
+import org.masticweir.generation.RequestSpec;
+import org.masticweir.id.RequestId;
+import org.masticweir.id.TeamId;
+import org.masticweir.serving.RequestService;
+import org.masticweir.serving.RunningRequest;
+
+/** Answers callers; thread-safe, each exchange stays on its I/O thread. */
+public final class CallerHandler implements HttpHandler {
+    private static final Logger LOG = LogManager.getLogger(CallerHandler.class);
+    private static final String REQUESTS = "/v1/requests";
+    private static final String READY = "/v1/ready";
+    private static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-ID");
+
+    private final RequestService service;
+    private final CallerLimits limits;
+
+    private CallerHandler(RequestService service, CallerLimits limits) {
+        this.service = checkNotNull(service, "service");
+        this.limits = checkNotNull(limits, "limits");
+    }
+
+    public static CallerHandler of(RequestService service, CallerLimits limits) {
+        return new CallerHandler(service, limits);
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        guarded(exchange, () -> route(exchange));
+    }
+
+    private void route(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        if (path.equals(READY)) {
+            answerReady(exchange);
+            return;
+        }
+        checkHead(exchange);
+        HttpString method = exchange.getRequestMethod();
+        if (path.equals(REQUESTS) && method.equals(Methods.POST)) {
+            receiveSubmission(exchange);
+        } else if (path.startsWith(REQUESTS + "/") && method.equals(Methods.GET)) {
+            readAgain(exchange, path);
+        } else if (path.startsWith(REQUESTS + "/") && method.equals(Methods.DELETE)) {
+            cancel(exchange, path);
+        } else if (path.startsWith(REQUESTS)) {
+            throw notRun(ErrorCode.METHOD_NOT_ALLOWED, "this path does not take " + method);
+        } else {
+            throw notRun(ErrorCode.NOT_FOUND, "no such path");
+        }
+    }
+
+    private void answerReady(HttpServerExchange exchange) {
+        if (!service.view().ready()) {
+            throw notRun(ErrorCode.NO_CONFIGURATION, "the router takes no new requests");
+        }
+        exchange.getResponseSender().send("ready\n");
+    }
+
+    private void checkHead(HttpServerExchange exchange) {
+        long bytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            for (String value : values) {
+                bytes += values.getHeaderName().length() + value.length();
+            }
+        }
+        if (bytes > limits.maxHeaderBytes()) {
+            throw notRun(
+                    ErrorCode.HEADERS_TOO_LARGE,
+                    "the head is longer than " + limits.maxHeaderBytes() + " bytes");
+        }
+    }
+
+    private void receiveSubmission(HttpServerExchange exchange) {
+        TeamId team = authenticate(exchange);
+        if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
+            exchange.setPersistent(false);
+            throw tooLarge();
+        }
+        exchange.setMaxEntitySize(limits.maxBodyBytes());
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (ex, bytes) -> guarded(ex, () -> submit(ex, team, bytes)),
+                        (ex, e) -> ErrorAnswer.send(ex, tooLarge()));
+    }
+
+    private void submit(HttpServerExchange exchange, TeamId team, byte[] bytes) {
+        SubmitBody body = SubmitBody.parse(bytes);
+        RequestSpec spec = body.toSpec(team, limits);
+        RunningRequest request = service.submit(spec, exchange.getIoThread());
+        answer(exchange, request, body.streams(), Optional.empty());
+    }
+
+    private void readAgain(HttpServerExchange exchange, String path) {
+        RunningRequest request = ownRequest(exchange, path);
+        Optional<String> last =
+                Optional.ofNullable(exchange.getRequestHeaders().getFirst(LAST_EVENT_ID));
+        Optional<EventId> id = last.flatMap(EventId::parse);
+        if (last.isPresent() && id.isEmpty()) {
+            throw notRun(ErrorCode.BAD_REQUEST, "Last-Event-ID is not generation:index");
+        }
+        String accept =
+                Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.ACCEPT))
+                        .orElse("");
+        answer(exchange, request, !accept.contains("application/json"), id);
+    }
+
+    private void cancel(HttpServerExchange exchange, String path) {
+        ownRequest(exchange, path).cancel();
+        exchange.setStatusCode(202);
+        exchange.endExchange();
+    }
+
+    private RunningRequest ownRequest(HttpServerExchange exchange, String path) {
+        TeamId team = authenticate(exchange);
+        RequestId id;
+        try {
+            id = RequestId.of(path.substring(REQUESTS.length() + 1));
+        } catch (IllegalArgumentException e) {
+            throw notRun(ErrorCode.BAD_REQUEST, "not a request id");
+        }
+        // Another team's request is answered like one that does not exist.
+        return service.registry()
+                .find(id)
+                .filter(r -> r.spec().team().equals(team))
+                .orElseThrow(
+                        () ->
+                                MasticweirException.of(
+                                        ErrorCode.NOT_FOUND,
+                                        Verdict.MAY_HAVE_RUN,
+                                        "no request of this id is known here"));
+    }
+
+    private TeamId authenticate(HttpServerExchange exchange) {
+        return Authenticator.authenticate(
+                exchange,
+                service.view()
+                        .deployment()
+                        .orElseThrow(
+                                () ->
+                                        notRun(
+                                                ErrorCode.NO_CONFIGURATION,
+                                                "the router has no configuration yet")));
+    }
+
+    private void answer(
+            HttpServerExchange exchange,
+            RunningRequest request,
+            boolean streams,
+            Optional<EventId> last) {
+        String id = request.spec().id().value();
+        Runnable onGone = () -> watchForOrphan(exchange, request);
+        // Dispatched on the same thread, so that the exchange stays open after this call returns.
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> {
+                    if (streams) {
+                        new EventStreamWriter(
+                                        exchange, request.log(), last, limits.stallMs(), onGone)
+                                .start(id);
+                    } else {
+                        new WholeAnswerWriter(exchange, request.log(), id, onGone).start();
+                    }
+                });
+    }
+
+    /** A caller that left and does not come back must not keep an engine busy for ever. */
+    private void watchForOrphan(HttpServerExchange exchange, RunningRequest request) {
+        if (request.log().ended() || request.log().readers() > 0) {
+            return;
+        }
+        exchange.getIoThread()
+                .executeAfter(
+                        () -> {
+                            if (request.log().readers() == 0) {
+                                request.cancel();
+                            }
+                        },
+                        service.tuning().orphanMs(),
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private static void guarded(HttpServerExchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (MasticweirException e) {
+            ErrorAnswer.send(exchange, e);
+        } catch (RuntimeException e) {
+            LOG.error("callers: request failed inside the router", e);
+            ErrorAnswer.send(
+                    exchange,
+                    MasticweirException.of(
+                            ErrorCode.INTERNAL, Verdict.MAY_HAVE_RUN, "internal error"));
+        }
+    }
+
+    private MasticweirException tooLarge() {
+        return notRun(
+                ErrorCode.BODY_TOO_LARGE,
+                "the body is longer than " + limits.maxBodyBytes() + " bytes");
+    }
+
+    private static MasticweirException notRun(ErrorCode code, String message) {
+        return MasticweirException.notRun(code, message);
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
@@ -0,0 +1,196 @@
+package org.masticweir.callers;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.masticweir.generation.AnswerEnd;
+import org.masticweir.generation.AnswerLog;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Streams one answer to one caller as server-sent events.
+ *
+ * <p>It pulls from the log whenever the connection takes bytes, so that a slow caller holds no more
+ * than one part of the answer here. Runs on the connection's I/O thread.
+ */
+final class EventStreamWriter {
+    static final HttpString REQUEST = new HttpString("Masticweir-Request");
+
+    private static final int TOKENS_A_PART = 256;
+
+    private final HttpServerExchange exchange;
+    private final XnioIoThread thread;
+    private final AnswerLog log;
+    private final long stallMs;
+    private final Runnable onGone;
+    private final Runnable wake = this::wake;
+    private final AtomicBoolean scheduled = new AtomicBoolean();
+
+    private StreamSinkChannel sink;
+    private ByteBuffer part = ByteBuffer.wrap(EventText.accepted());
+    private Optional<XnioExecutor.Key> stall = Optional.empty();
+    private int generation;
+    private int next;
+    private boolean lastPart;
+    private boolean closed;
+
+    /**
+     * Creates a writer that goes on after what the caller has.
+     *
+     * @param onGone run once when the caller has left or has all of the answer
+     */
+    EventStreamWriter(
+            HttpServerExchange exchange,
+            AnswerLog log,
+            Optional<EventId> last,
+            long stallMs,
+            Runnable onGone) {
+        this.exchange = checkNotNull(exchange, "exchange");
+        this.log = checkNotNull(log, "log");
+        this.stallMs = stallMs;
+        this.onGone = checkNotNull(onGone, "onGone");
+        thread = exchange.getIoThread();
+        generation = last.map(EventId::generation).orElse(1);
+        next = last.map(id -> id.index() + 1).orElse(0);
+    }
+
+    /** Sends the answer headers and starts; call on the connection's I/O thread. */
+    void start(String requestId) {
+        exchange.setStatusCode(200);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+        exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
+        exchange.getResponseHeaders().put(REQUEST, requestId);
+        sink = exchange.getResponseChannel();
+        sink.getWriteSetter().set(ch -> pump());
+        exchange.getConnection().addCloseListener(c -> close());
+        log.listen(wake);
+        pump();
+    }
+
+    private void wake() {
+        if (scheduled.compareAndSet(false, true)) {
+            thread.execute(
+                    () -> {
+                        scheduled.set(false);
+                        pump();
+                    });
+        }
+    }
+
+    private void pump() {
+        if (closed) {
+            return;
+        }
+        try {
+            while (writePart()) {
+                if (lastPart) {
+                    finish();
+                    return;
+                }
+                if (!nextPart()) {
+                    sink.suspendWrites();
+                    flush();
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            abort();
+        }
+    }
+
+    private boolean writePart() throws IOException {
+        while (part.hasRemaining()) {
+            if (sink.write(part) == 0) {
+                watchForStall();
+                sink.resumeWrites();
+                return false;
+            }
+        }
+        stall.ifPresent(XnioExecutor.Key::remove);
+        stall = Optional.empty();
+        return true;
+    }
+
+    private boolean nextPart() {
+        AnswerLog.View view = log.read(next, TOKENS_A_PART);
+        if (view.generation() != generation) {
+            generation = view.generation();
+            next = 0;
+            part = ByteBuffer.wrap(EventText.reset(generation));
+            return true;
+        }
+        if (!view.tokens().isEmpty()) {
+            part = ByteBuffer.wrap(EventText.tokens(generation, next, view.tokens()));
+            next += view.tokens().length();
+            return true;
+        }
+        if (view.end().isEmpty()) {
+            return false;
+        }
+        part = ByteBuffer.wrap(endOf(view.end().get(), view.released()));
+        lastPart = true;
+        return true;
+    }
+
+    private byte[] endOf(AnswerEnd end, int tokens) {
+        if (end instanceof AnswerEnd.Failed failed) {
+            return EventText.error(failed.error());
+        }
+        return EventText.end(generation, tokens);
+    }
+
+    private void flush() throws IOException {
+        if (!sink.flush()) {
+            watchForStall();
+            sink.resumeWrites();
+        }
+    }
+
+    private void finish() throws IOException {
+        leave();
+        sink.shutdownWrites();
+        if (!sink.flush()) {
+            sink.getWriteSetter()
+                    .set(
+                            ChannelListeners.flushingChannelListener(
+                                    null, ChannelListeners.closingChannelExceptionHandler()));
+            sink.resumeWrites();
+        }
+    }
+
+    /** A caller that takes no byte for too long would hold its connection for ever. */
+    private void watchForStall() {
+        if (stall.isEmpty()) {
+            stall = Optional.of(thread.executeAfter(this::abort, stallMs, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    private void abort() {
+        close();
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    private void close() {
+        if (!closed) {
+            leave();
+        }
+    }
+
+    private void leave() {
+        closed = true;
+        stall.ifPresent(XnioExecutor.Key::remove);
+        log.unlisten(wake);
+        onGone.run();
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/callers/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface of callers: submit a request, read its answer, cancel it. */
+package org.masticweir.callers;
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/generation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One request's answer: what was asked, the frames that arrive and the tokens accepted from them.
+ */
+package org.masticweir.generation;
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -0,0 +1,426 @@
+package org.masticweir.recovery;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.error.Verdict;
+import org.masticweir.generation.Acceptance;
+import org.masticweir.generation.Assembler;
+import org.masticweir.generation.Frame;
+import org.masticweir.id.AttemptId;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.GenerationId;
+
+/**
+ * Carries one request from its first attempt to its one final outcome.
+ *
+ * <p>Feed it what happened with {@link #on}; it returns what to do. A broken stream is first read
+ * again from the same engine, which costs no token; only an engine that is gone, silent past its
+ * probes, or without the generation makes it move. Not thread-safe: owned by one thread.
+ */
+public final class RecoveryMachine {
+    /** Pause before the router is asked again for an engine, while none has room. */
+    static final long CHOOSE_AGAIN_MS = 100;
+
+    /** Probes answered without progress after which a live but stuck engine is left. */
+    static final int STUCK_PROBES = 20;
+
+    /** How long a non-idempotent request follows an engine that answers no probe. */
+    static final long NON_IDEMPOTENT_PATIENCE_MS = 3_000;
+
+    private enum Phase {
+        CHOOSING,
+        STARTING,
+        STREAMING,
+        DONE
+    }
+
+    private final RecoveryPlan plan;
+    private final SilenceBounds bounds;
+    private final Set<EngineId> excluded = new HashSet<>();
+    private final List<RecoveryAction> out = new ArrayList<>();
+    private final Assembler assembler;
+
+    private Phase phase = Phase.CHOOSING;
+    private EngineId engine;
+    private boolean rereading;
+    private boolean probing;
+    private boolean currentInDoubt;
+    private boolean earlierInDoubt;
+    private boolean firstTokenSeen;
+    private int fruitlessAttempts;
+    private int probesFailed;
+    private int probesStuck;
+    private long quietSinceMs;
+    private long lostAtMs = Long.MIN_VALUE;
+    private long advisedRetryMs = CHOOSE_AGAIN_MS;
+
+    private RecoveryMachine(RecoveryPlan plan, SilenceBounds bounds, Assembler assembler) {
+        this.plan = checkNotNull(plan, "plan");
+        this.bounds = checkNotNull(bounds, "bounds");
+        this.assembler = assembler;
+    }
+
+    /** Returns the machine of a request of which nothing was sent yet. */
+    public static RecoveryMachine of(RecoveryPlan plan, SilenceBounds bounds) {
+        AttemptId first = AttemptId.of(plan.generation(), 1);
+        return new RecoveryMachine(plan, bounds, Assembler.startingAt(first, 0));
+    }
+
+    /**
+     * Returns the machine of a request taken over from another router, as its copy describes it.
+     *
+     * @param last the last attempt that the copy names
+     * @param accepted count of the tokens that the copy holds
+     */
+    public static RecoveryMachine takenOver(
+            RecoveryPlan plan, SilenceBounds bounds, AttemptId last, EngineId on, int accepted) {
+        RecoveryMachine machine =
+                new RecoveryMachine(plan, bounds, Assembler.startingAt(last, accepted));
+        machine.engine = checkNotNull(on, "on");
+        machine.earlierInDoubt = true;
+        return machine;
+    }
+
+    /** Returns the first actions. */
+    public ImmutableList<RecoveryAction> start(long nowMs) {
+        out.add(new RecoveryAction.WakeAt(plan.deadlineAtMs()));
+        if (engine == null) {
+            out.add(new RecoveryAction.ChooseEngine(excluded, false));
+        } else {
+            lostAtMs = nowMs;
+            rereadSameEngine(nowMs);
+        }
+        return drain();
+    }
+
+    /** Takes one event and returns what to do about it. */
+    public ImmutableList<RecoveryAction> on(RecoveryEvent event, long nowMs) {
+        checkNotNull(event, "event");
+        if (phase == Phase.DONE) {
+            return ImmutableList.of();
+        }
+        if (event instanceof RecoveryEvent.Received received) {
+            onReceived(received, nowMs);
+        } else if (event instanceof RecoveryEvent.EngineChosen chosen) {
+            onChosen(chosen.engine(), nowMs);
+        } else if (event instanceof RecoveryEvent.NoEngine none) {
+            onNoEngine(none, nowMs);
+        } else if (event instanceof RecoveryEvent.Refused refused) {
+            onRefused(refused, nowMs);
+        } else if (event instanceof RecoveryEvent.LinkLost lost) {
+            onLinkLost(lost, nowMs);
+        } else if (event instanceof RecoveryEvent.Unknown unknown) {
+            onUnknown(unknown.attempt(), nowMs);
+        } else if (event instanceof RecoveryEvent.ProbeAnswered answered) {
+            onProbeAnswered(answered, nowMs);
+        } else if (event instanceof RecoveryEvent.ProbeFailed failed) {
+            onProbeFailed(failed.attempt(), nowMs);
+        } else if (event instanceof RecoveryEvent.Cancelled) {
+            abandon();
+            fail(ErrorCode.CANCELLED, "the request was cancelled");
+        } else {
+            onTick(nowMs);
+        }
+        return drain();
+    }
+
+    /** Returns the count of tokens accepted so far. */
+    public int accepted() {
+        return assembler.next();
+    }
+
+    public AttemptId attempt() {
+        return assembler.current();
+    }
+
+    /** Tells whether the request has had its final outcome. */
+    public boolean done() {
+        return phase == Phase.DONE;
+    }
+
+    /** Returns what is known about whether the request ran, were it given up now. */
+    public Verdict verdict() {
+        return mayHaveRun() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+    }
+
+    private boolean mayHaveRun() {
+        return currentInDoubt || earlierInDoubt;
+    }
+
+    private void onChosen(EngineId chosen, long nowMs) {
+        if (phase != Phase.CHOOSING) {
+            return;
+        }
+        if (engine != null) {
+            assembler.supersedeWith(assembler.current().next());
+        }
+        engine = chosen;
+        // From here the engine may run it, whatever answer comes back or is lost.
+        currentInDoubt = true;
+        rereading = false;
+        beginAttempt(nowMs);
+        out.add(new RecoveryAction.Send(assembler.current(), engine, assembler.next()));
+    }
+
+    private void onNoEngine(RecoveryEvent.NoEngine none, long nowMs) {
+        if (phase != Phase.CHOOSING) {
+            return;
+        }
+        advisedRetryMs = Math.max(none.retryAfterMs(), CHOOSE_AGAIN_MS);
+        if (none.versionGone() && startNewGeneration()) {
+            return;
+        }
+        boolean underWay = lostAtMs != Long.MIN_VALUE;
+        if (underWay && nowMs - lostAtMs < plan.noEngineWaitMs()) {
+            // An engine left out before may be back: a pause looks like a loss.
+            excluded.clear();
+            wakeAt(nowMs + CHOOSE_AGAIN_MS);
+            return;
+        }
+        fail(ErrorCode.NO_ENGINE, "no engine can take the request");
+    }
+
+    private boolean startNewGeneration() {
+        boolean released = assembler.next() > 0;
+        if (!plan.idempotent() && mayHaveRun() || released && !plan.allowReset()) {
+            return false;
+        }
+        int number = assembler.generation().number() + 1;
+        GenerationId generation = GenerationId.of(assembler.generation().request(), number);
+        assembler.supersedeWith(AttemptId.of(generation, 1));
+        engine = null;
+        out.add(new RecoveryAction.NewGeneration(number, released));
+        out.add(new RecoveryAction.ChooseEngine(excluded, released));
+        return true;
+    }
+
+    private void onRefused(RecoveryEvent.Refused refused, long nowMs) {
+        if (!refused.attempt().equals(assembler.current())) {
+            return;
+        }
+        advisedRetryMs = Math.max(refused.retryAfterMs(), CHOOSE_AGAIN_MS);
+        // Refused before admission: this attempt did not run, whatever became of earlier ones.
+        currentInDoubt = false;
+        chooseAgain(nowMs);
+    }
+
+    private void onLinkLost(RecoveryEvent.LinkLost lost, long nowMs) {
+        if (!lost.attempt().equals(assembler.current())) {
+            return;
+        }
+        if (!lost.sent() && !rereading) {
+            currentInDoubt = false;
+            chooseAgain(nowMs);
+            return;
+        }
+        noteLoss(nowMs);
+        if (rereading && phase == Phase.STARTING) {
+            move(nowMs);
+        } else {
+            rereadSameEngine(nowMs);
+        }
+    }
+
+    private void onUnknown(AttemptId attempt, long nowMs) {
+        if (attempt.equals(assembler.current())) {
+            noteLoss(nowMs);
+            move(nowMs);
+        }
+    }
+
+    private void onReceived(RecoveryEvent.Received received, long nowMs) {
+        boolean expected = received.stream().equals(assembler.current());
+        if (!expected || phase == Phase.CHOOSING) {
+            // A superseded engine woke up and still sends: its stream no longer counts.
+            return;
+        }
+        Frame frame = received.frame();
+        Acceptance acceptance = assembler.accept(frame);
+        if (acceptance instanceof Acceptance.Accepted accepted) {
+            onProgress(nowMs);
+            out.add(new RecoveryAction.Release(accepted.from(), accepted.tokens()));
+        } else if (acceptance instanceof Acceptance.Started) {
+            phase = Phase.STREAMING;
+            earlierInDoubt = true;
+            quietSinceMs = nowMs;
+        } else if (acceptance instanceof Acceptance.Whole whole) {
+            phase = Phase.DONE;
+            out.add(new RecoveryAction.Finish(whole.count()));
+        } else if (acceptance instanceof Acceptance.Gap) {
+            noteLoss(nowMs);
+            rereadSameEngine(nowMs);
+        } else if (acceptance instanceof Acceptance.WrongEcho) {
+            noteLoss(nowMs);
+            move(nowMs);
+        }
+    }
+
+    private void onProgress(long nowMs) {
+        quietSinceMs = nowMs;
+        if (!firstTokenSeen) {
+            firstTokenSeen = true;
+            wakeAt(nowMs + bound());
+        }
+        lostAtMs = Long.MIN_VALUE;
+        fruitlessAttempts = 0;
+        probesFailed = 0;
+        probesStuck = 0;
+        if (!excluded.isEmpty()) {
+            excluded.clear();
+        }
+    }
+
+    private void onTick(long nowMs) {
+        if (nowMs >= plan.deadlineAtMs()) {
+            abandon();
+            fail(ErrorCode.DEADLINE_EXCEEDED, "the class's total time is over");
+            return;
+        }
+        if (phase == Phase.CHOOSING) {
+            out.add(new RecoveryAction.ChooseEngine(excluded, lostAtMs != Long.MIN_VALUE));
+            return;
+        }
+        long dueMs = quietSinceMs + bound();
+        if (nowMs < dueMs) {
+            wakeAt(dueMs);
+        } else if (!probing) {
+            probing = true;
+            out.add(new RecoveryAction.Probe(assembler.current(), engine));
+            wakeAt(nowMs + bound());
+        }
+    }
+
+    private void onProbeAnswered(RecoveryEvent.ProbeAnswered answered, long nowMs) {
+        if (!answered.attempt().equals(assembler.current())) {
+            return;
+        }
+        probing = false;
+        probesFailed = 0;
+        if (answered.next() > assembler.next()) {
+            // The engine went on but its frames do not arrive: the link is cut one way.
+            noteLoss(nowMs);
+            rereadSameEngine(nowMs);
+            return;
+        }
+        probesStuck++;
+        if (probesStuck >= STUCK_PROBES) {
+            noteLoss(nowMs);
+            move(nowMs);
+            return;
+        }
+        quietSinceMs = nowMs;
+        wakeAt(nowMs + bound());
+    }
+
+    private void onProbeFailed(AttemptId attempt, long nowMs) {
+        if (!attempt.equals(assembler.current())) {
+            return;
+        }
+        probing = false;
+        if (nowMs - quietSinceMs < bound()) {
+            probesFailed = 0;
+            wakeAt(quietSinceMs + bound());
+            return;
+        }
+        probesFailed++;
+        boolean patient = !plan.idempotent() && nowMs - quietSinceMs < NON_IDEMPOTENT_PATIENCE_MS;
+        if (patient || probesFailed < plan.preset().probesBeforeMove()) {
+            probing = true;
+            out.add(new RecoveryAction.Probe(assembler.current(), engine));
+            return;
+        }
+        noteLoss(nowMs);
+        move(nowMs);
+    }
+
+    private void rereadSameEngine(long nowMs) {
+        if (tooManyAttempts()) {
+            return;
+        }
+        assembler.supersedeWith(assembler.current().next());
+        rereading = true;
+        beginAttempt(nowMs);
+        out.add(new RecoveryAction.Reread(assembler.current(), engine, assembler.next()));
+    }
+
+    private void move(long nowMs) {
+        abandon();
+        if (!plan.idempotent()) {
+            // The engine may have run it to the end: a second send could run it twice.
+            fail(ErrorCode.ENGINE_LOST, "the engine was lost after the request may have run");
+            return;
+        }
+        chooseAgain(nowMs);
+    }
+
+    private void chooseAgain(long nowMs) {
+        if (tooManyAttempts()) {
+            return;
+        }
+        excluded.add(engine);
+        probing = false;
+        phase = Phase.CHOOSING;
+        out.add(new RecoveryAction.ChooseEngine(excluded, lostAtMs != Long.MIN_VALUE));
+    }
+
+    private boolean tooManyAttempts() {
+        fruitlessAttempts++;
+        if (fruitlessAttempts <= plan.maxAttempts()) {
+            return false;
+        }
+        abandon();
+        fail(ErrorCode.ENGINE_LOST, "attempts without a new token: " + plan.maxAttempts());
+        return true;
+    }
+
+    private void beginAttempt(long nowMs) {
+        phase = Phase.STARTING;
+        firstTokenSeen = false;
+        probing = false;
+        probesFailed = 0;
+        probesStuck = 0;
+        quietSinceMs = nowMs;
+        wakeAt(nowMs + bound());
+    }
+
+    private void noteLoss(long nowMs) {
+        earlierInDoubt = true;
+        if (lostAtMs == Long.MIN_VALUE) {
+            lostAtMs = nowMs;
+        }
+    }
+
+    private void abandon() {
+        if (engine != null && phase != Phase.CHOOSING) {
+            out.add(new RecoveryAction.Abandon(assembler.current(), engine));
+        }
+    }
+
+    private void fail(ErrorCode code, String message) {
+        phase = Phase.DONE;
+        MasticweirException error =
+                MasticweirException.of(code, verdict(), message).retryAfterMs(advisedRetryMs);
+        out.add(new RecoveryAction.Fail(error));
+    }
+
+    private long bound() {
+        return bounds.boundMs(engine, !firstTokenSeen && !rereading);
+    }
+
+    private void wakeAt(long atMs) {
+        out.add(new RecoveryAction.WakeAt(Math.min(atMs, plan.deadlineAtMs())));
+    }
+
+    private ImmutableList<RecoveryAction> drain() {
+        ImmutableList<RecoveryAction> actions = ImmutableList.copyOf(out);
+        out.clear();
+        return actions;
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/serving/GapBounds.java
@@ -0,0 +1,97 @@
+package org.masticweir.serving;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.masticweir.config.RecoveryPreset;
+import org.masticweir.id.EngineId;
+import org.masticweir.recovery.SilenceBounds;
+
+/**
+ * Learns each engine's pace and bounds its silence by it; thread-safe.
+ *
+ * <p>The bound is a multiple of the engine's own p99, never under a floor, so that an engine with
+ * long steps is not probed at each of them and a quick one is missed soon.
+ */
+public final class GapBounds {
+    private static final long HIGHEST_MS = 60_000;
+    private static final int DIGITS = 2;
+    private static final int ENOUGH_GAPS = 50;
+    private static final int REFRESH_EVERY = 64;
+    private static final double QUANTILE = 99.0;
+
+    private final ConcurrentMap<EngineId, Pace> paces = new ConcurrentHashMap<>();
+    private final long floorMs;
+    private final long startMs;
+
+    private GapBounds(long floorMs, long startMs) {
+        this.floorMs = floorMs;
+        this.startMs = startMs;
+    }
+
+    /** Returns bounds that are at least {@code floorMs}, and {@code startMs} while unknown. */
+    public static GapBounds of(long floorMs, long startMs) {
+        return new GapBounds(floorMs, startMs);
+    }
+
+    /** Learns that {@code engine} took {@code ms} between two frames of one generation. */
+    public void gap(EngineId engine, long ms) {
+        pace(engine).gaps.record(ms);
+    }
+
+    /** Learns that {@code engine} took {@code ms} to the first token of an attempt. */
+    public void firstToken(EngineId engine, long ms) {
+        pace(engine).firsts.record(ms);
+    }
+
+    /** Returns the bounds for requests of {@code preset}. */
+    public SilenceBounds forPreset(RecoveryPreset preset) {
+        checkNotNull(preset, "preset");
+        return (engine, first) -> bound(preset, engine, first);
+    }
+
+    private long bound(RecoveryPreset preset, EngineId engine, boolean first) {
+        Pace pace = pace(engine);
+        Learned learned = first ? pace.firsts : pace.gaps;
+        if (!learned.known()) {
+            return startMs;
+        }
+        return Math.max(floorMs, preset.silenceFactor() * learned.quantileMs());
+    }
+
+    private Pace pace(EngineId engine) {
+        return paces.computeIfAbsent(checkNotNull(engine, "engine"), id -> new Pace());
+    }
+
+    /** What is learned of one engine. */
+    private static final class Pace {
+        private final Learned gaps = new Learned();
+        private final Learned firsts = new Learned();
+    }
+
+    /** A histogram whose quantile is worked out only now and then. */
+    private static final class Learned {
+        private final ConcurrentHistogram histogram = new ConcurrentHistogram(HIGHEST_MS, DIGITS);
+        private volatile long quantileMs;
+        private volatile long count;
+
+        void record(long ms) {
+            histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, ms)));
+            long total = histogram.getTotalCount();
+            if (total < ENOUGH_GAPS || total % REFRESH_EVERY == 0) {
+                quantileMs = histogram.getValueAtPercentile(QUANTILE);
+            }
+            count = total;
+        }
+
+        boolean known() {
+            return count >= ENOUGH_GAPS;
+        }
+
+        long quantileMs() {
+            return quantileMs;
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -0,0 +1,364 @@
+package org.masticweir.serving;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.primitives.ImmutableIntArray;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.config.Deployment;
+import org.masticweir.config.Model;
+import org.masticweir.config.WorkClass;
+import org.masticweir.engine.AttemptRequest;
+import org.masticweir.engine.BackEnd;
+import org.masticweir.engine.EngineStream;
+import org.masticweir.engine.StreamListener;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.generation.AnswerEnd;
+import org.masticweir.generation.Frame;
+import org.masticweir.generation.GenerationSpec;
+import org.masticweir.id.AttemptId;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.GenerationId;
+import org.masticweir.recovery.RecoveryAction;
+import org.masticweir.recovery.RecoveryEvent;
+import org.masticweir.recovery.RecoveryMachine;
+import org.masticweir.recovery.RecoveryPlan;
+import org.masticweir.routing.EngineView;
+import org.masticweir.routing.PrefixBlocks;
+import org.masticweir.routing.RouteChoice;
+import org.masticweir.routing.RouteQuery;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * Carries out what one request's {@link RecoveryMachine} decides.
+ *
+ * <p>Everything runs on the one I/O thread that the request was accepted on.
+ */
+final class GenerationRunner {
+    private static final Logger LOG = LogManager.getLogger(GenerationRunner.class);
+
+    private final ServingContext context;
+    private final RunningRequest request;
+    private final WorkClass workClass;
+    private final XnioIoThread thread;
+    private final RecoveryMachine machine;
+    private final ResumeTimer timer;
+    private final EngineProbe probes;
+    private final Deque<RecoveryAction> pending = new ArrayDeque<>();
+    private final Map<EngineId, BackEnd> seen = new HashMap<>();
+
+    private GenerationSpec generation;
+    private Optional<EngineStream> stream = Optional.empty();
+    private Optional<XnioExecutor.Key> wakeUp = Optional.empty();
+    private Optional<EngineId> counted = Optional.empty();
+    private boolean recovering;
+    private boolean running;
+
+    private GenerationRunner(
+            ServingContext context,
+            RunningRequest request,
+            WorkClass workClass,
+            GenerationSpec generation,
+            XnioIoThread thread) {
+        this.context = checkNotNull(context, "context");
+        this.request = checkNotNull(request, "request");
+        this.workClass = checkNotNull(workClass, "workClass");
+        this.generation = checkNotNull(generation, "generation");
+        this.thread = checkNotNull(thread, "thread");
+        timer = new ResumeTimer(request.acceptedAtMs());
+        probes = new EngineProbe(context.calls(), context.tuning().probeTimeoutMs());
+        machine = RecoveryMachine.of(plan(), context.gaps().forPreset(workClass.recovery()));
+    }
+
+    /** Returns the runner of a request just accepted, on {@code thread}. */
+    static GenerationRunner of(
+            ServingContext context,
+            RunningRequest request,
+            WorkClass workClass,
+            Model model,
+            XnioIoThread thread) {
+        GenerationId first = GenerationId.of(request.spec().id(), 1);
+        GenerationSpec pinned = GenerationSpec.pin(first, model);
+        return new GenerationRunner(context, request, workClass, pinned, thread);
+    }
+
+    /** Starts the request; call once, on its thread. */
+    void start() {
+        request.cancelWith(() -> thread.execute(() -> feed(new RecoveryEvent.Cancelled())));
+        run(machine.start(now()));
+    }
+
+    private RecoveryPlan plan() {
+        return new RecoveryPlan(
+                generation.id(),
+                request.spec().idempotent(),
+                request.spec().allowReset(),
+                workClass.recovery(),
+                request.acceptedAtMs() + workClass.totalMs(),
+                context.tuning().maxAttempts(),
+                context.tuning().noEngineWaitMs());
+    }
+
+    private void feed(RecoveryEvent event) {
+        run(machine.on(event, now()));
+    }
+
+    private void run(List<RecoveryAction> actions) {
+        pending.addAll(actions);
+        if (running) {
+            return;
+        }
+        running = true;
+        try {
+            while (!pending.isEmpty()) {
+                carryOut(pending.removeFirst());
+            }
+        } finally {
+            running = false;
+        }
+    }
+
+    private void carryOut(RecoveryAction action) {
+        if (action instanceof RecoveryAction.Release release) {
+            release(release);
+        } else if (action instanceof RecoveryAction.WakeAt wake) {
+            wakeAt(wake.atMs());
+        } else if (action instanceof RecoveryAction.ChooseEngine choose) {
+            choose(choose);
+        } else if (action instanceof RecoveryAction.Send send) {
+            send(send);
+        } else if (action instanceof RecoveryAction.Reread reread) {
+            reread(reread);
+        } else if (action instanceof RecoveryAction.Probe probe) {
+            probe(probe);
+        } else if (action instanceof RecoveryAction.Abandon abandon) {
+            abandon(abandon);
+        } else if (action instanceof RecoveryAction.NewGeneration next) {
+            newGeneration(next);
+        } else if (action instanceof RecoveryAction.Finish finish) {
+            finish(finish.tokens());
+        } else if (action instanceof RecoveryAction.Fail fail) {
+            fail(fail.error());
+        }
+    }
+
+    private void release(RecoveryAction.Release release) {
+        long nowMs = now();
+        request.log().append(release.from(), release.tokens());
+        request.log().releaseTo(release.from() + release.tokens().length());
+        report(timer.tokens(nowMs));
+        recovering = false;
+    }
+
+    private void report(ResumeTimer.Progress progress) {
+        EngineId engine = counted.orElseThrow();
+        if (progress instanceof ResumeTimer.Progress.First first) {
+            context.gaps().firstToken(engine, first.sinceSentMs());
+            context.observer().firstToken(request.spec(), first.sinceAcceptedMs());
+        } else if (progress instanceof ResumeTimer.Progress.Next next) {
+            context.gaps().gap(engine, next.gapMs());
+            context.observer().tokenGap(request.spec(), next.gapMs());
+        } else if (progress instanceof ResumeTimer.Progress.Resumed resumed) {
+            LOG.info(
+                    "recovery: request {} resumed on {} after {} ms, {}",
+                    request.spec().id(),
+                    engine,
+                    resumed.gapMs(),
+                    resumed.moved() ? "moved" : "read again");
+            context.observer()
+                    .resumed(
+                            request.spec(), resumed.gapMs(), resumed.moved(), resumed.recomputed());
+        }
+    }
+
+    private void choose(RecoveryAction.ChooseEngine choose) {
+        recovering = choose.recovering();
+        RouteQuery query =
+                new RouteQuery(
+                        request.spec().model(),
+                        generation.version(),
+                        workClass.id(),
+                        request.spec().prompt().length(),
+                        PrefixBlocks.hashesOf(request.spec().prompt().asList()),
+                        machine.accepted(),
+                        choose.excluded(),
+                        choose.recovering());
+        RouteChoice choice = context.chooser().choose(context.view().get().routing(), query, now());
+        if (choice instanceof RouteChoice.Chosen chosen) {
+            EngineView view = chosen.view();
+            seen.put(view.id(), view.backEnd());
+            feed(new RecoveryEvent.EngineChosen(view.id()));
+        } else {
+            RouteChoice.Reason reason = ((RouteChoice.None) choice).reason();
+            boolean gone = reason == RouteChoice.Reason.VERSION_NOT_LOADED && versionChanged();
+            feed(new RecoveryEvent.NoEngine(gone, workClass.firstTokenMs()));
+        }
+    }
+
+    private boolean versionChanged() {
+        return declaredModel().map(m -> !m.version().equals(generation.version())).orElse(false);
+    }
+
+    private Optional<Model> declaredModel() {
+        Optional<Deployment> deployment = context.view().get().deployment();
+        return deployment.flatMap(d -> d.model(request.spec().model()));
+    }
+
+    private void send(RecoveryAction.Send send) {
+        BackEnd backEnd = seen.get(send.engine());
+        ImmutableIntArray prefix = request.log().accepted(0, send.prefix());
+        AttemptRequest attempt =
+                new AttemptRequest(send.attempt(), request.spec(), generation, prefix, priority());
+        countOn(send.engine());
+        timer.sent(now(), request.spec().prompt().length() + prefix.length(), recovering);
+        note(send.engine(), send.attempt());
+        closeStream();
+        stream =
+                Optional.of(
+                        context.engines()
+                                .send(
+                                        thread,
+                                        backEnd.address(),
+                                        attempt,
+                                        new Listener(send.attempt())));
+    }
+
+    private int priority() {
+        return Math.max(0, Integer.MAX_VALUE - workClass.firstTokenMs());
+    }
+
+    private void reread(RecoveryAction.Reread reread) {
+        BackEnd backEnd = seen.get(reread.engine());
+        countOn(reread.engine());
+        timer.rereading(now());
+        note(reread.engine(), reread.attempt());
+        closeStream();
+        stream =
+                Optional.of(
+                        context.engines()
+                                .reread(
+                                        thread,
+                                        backEnd.address(),
+                                        reread.attempt(),
+                                        reread.from(),
+                                        new Listener(reread.attempt())));
+    }
+
+    private void note(EngineId engine, AttemptId attempt) {
+        request.placedAt(
+                new RunningRequest.Placement(
+                        engine.value(), attempt.generation().number(), attempt.number()));
+    }
+
+    private void probe(RecoveryAction.Probe probe) {
+        probes.probe(seen.get(probe.engine()).address(), probe.attempt())
+                .thenAccept(event -> thread.execute(() -> feed(event)));
+    }
+
+    private void abandon(RecoveryAction.Abandon abandon) {
+        closeStream();
+        uncount();
+        EngineCancel.send(context.calls(), seen.get(abandon.engine()).address(), abandon.attempt());
+    }
+
+    private void newGeneration(RecoveryAction.NewGeneration next) {
+        closeStream();
+        GenerationId id = GenerationId.of(request.spec().id(), next.number());
+        generation = GenerationSpec.pin(id, declaredModel().orElseThrow());
+        request.log().reset(next.number());
+    }
+
+    private void finish(int tokens) {
+        end();
+        request.log().finish(new AnswerEnd.Completed(""));
+        context.observer().completed(request.spec(), now() - request.acceptedAtMs(), tokens);
+    }
+
+    private void fail(MasticweirException error) {
+        end();
+        LOG.info(
+                "recovery: request {} given up, {} {}, {}",
+                request.spec().id(),
+                error.code(),
+                error.verdict(),
+                error.getMessage());
+        request.log().finish(new AnswerEnd.Failed(error));
+        context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
+    }
+
+    private void end() {
+        closeStream();
+        uncount();
+        wakeUp.ifPresent(XnioExecutor.Key::remove);
+        wakeUp = Optional.empty();
+        RequestEnd.retain(context, request, thread);
+    }
+
+    private void countOn(EngineId engine) {
+        uncount();
+        context.inFlight().sent(engine, now());
+        counted = Optional.of(engine);
+    }
+
+    private void uncount() {
+        counted.ifPresent(e -> context.inFlight().finished(e, now()));
+        counted = Optional.empty();
+    }
+
+    private void closeStream() {
+        stream.ifPresent(EngineStream::close);
+        stream = Optional.empty();
+    }
+
+    private void wakeAt(long atMs) {
+        wakeUp.ifPresent(XnioExecutor.Key::remove);
+        long delayMs = Math.max(1, atMs - now());
+        wakeUp =
+                Optional.of(
+                        thread.executeAfter(
+                                () -> feed(new RecoveryEvent.Tick()),
+                                delayMs,
+                                TimeUnit.MILLISECONDS));
+    }
+
+    private long now() {
+        return context.clock().nowMs();
+    }
+
+    /** Turns what one stream says into events of its attempt. */
+    private final class Listener implements StreamListener {
+        private final AttemptId attempt;
+
+        Listener(AttemptId attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void frame(Frame frame) {
+            feed(new RecoveryEvent.Received(attempt, frame));
+        }
+
+        @Override
+        public void refused(long retryAfterMs) {
+            feed(new RecoveryEvent.Refused(attempt, retryAfterMs));
+        }
+
+        @Override
+        public void unknown() {
+            feed(new RecoveryEvent.Unknown(attempt));
+        }
+
+        @Override
+        public void lost(boolean sent) {
+            feed(new RecoveryEvent.LinkLost(attempt, sent));
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
@@ -0,0 +1,185 @@
+package org.masticweir.serving;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import org.masticweir.config.Model;
+import org.masticweir.config.WorkClass;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.error.Verdict;
+import org.masticweir.generation.AnswerEnd;
+import org.masticweir.http.HttpAnswer;
+import org.masticweir.http.HttpCall;
+import org.masticweir.http.HttpOutcome;
+import org.masticweir.id.EngineId;
+import org.masticweir.routing.EngineView;
+import org.masticweir.routing.RouteChoice;
+import org.masticweir.routing.RouteQuery;
+import org.xnio.XnioIoThread;
+
+/**
+ * Carries one request to a plain service and back.
+ *
+ * <p>A call is made again only when the service said it was not run, or when it is idempotent. Runs
+ * on the I/O thread that the request was accepted on.
+ */
+final class ServiceRunner {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final ServingContext context;
+    private final RunningRequest request;
+    private final WorkClass workClass;
+    private final Model model;
+    private final XnioIoThread thread;
+    private final Set<EngineId> excluded = new HashSet<>();
+
+    private Verdict verdict = Verdict.NOT_RUN;
+    private long advisedRetryMs;
+    private int attempts;
+
+    private ServiceRunner(
+            ServingContext context,
+            RunningRequest request,
+            WorkClass workClass,
+            Model model,
+            XnioIoThread thread) {
+        this.context = checkNotNull(context, "context");
+        this.request = checkNotNull(request, "request");
+        this.workClass = checkNotNull(workClass, "workClass");
+        this.model = checkNotNull(model, "model");
+        this.thread = checkNotNull(thread, "thread");
+        advisedRetryMs = workClass.firstTokenMs();
+    }
+
+    static ServiceRunner of(
+            ServingContext context,
+            RunningRequest request,
+            WorkClass workClass,
+            Model model,
+            XnioIoThread thread) {
+        return new ServiceRunner(context, request, workClass, model, thread);
+    }
+
+    /** Starts the request; call once, on its thread. */
+    void start() {
+        tryNext();
+    }
+
+    private void tryNext() {
+        long leftMs = request.acceptedAtMs() + workClass.totalMs() - now();
+        attempts++;
+        if (leftMs <= 0 || attempts > context.tuning().maxAttempts()) {
+            fail(ErrorCode.DEADLINE_EXCEEDED, "no service answered in the class's total time");
+            return;
+        }
+        RouteChoice choice =
+                context.chooser().choose(context.view().get().routing(), query(), now());
+        if (choice instanceof RouteChoice.Chosen chosen) {
+            call(chosen.view(), leftMs);
+        } else {
+            fail(ErrorCode.NO_ENGINE, "no service instance can take the request");
+        }
+    }
+
+    private RouteQuery query() {
+        return new RouteQuery(
+                model.id(),
+                model.version(),
+                workClass.id(),
+                0,
+                ImmutableList.of(),
+                0,
+                excluded,
+                attempts > 1);
+    }
+
+    private void call(EngineView view, long leftMs) {
+        EngineId id = view.id();
+        request.placedAt(new RunningRequest.Placement(id.value(), 1, attempts));
+        context.inFlight().sent(id, now());
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        view.backEnd().address(),
+                        "/call",
+                        ImmutableMap.of(
+                                "Masticweir-Request",
+                                request.spec().id().value(),
+                                "Content-Type",
+                                "text/plain"),
+                        request.spec().input().getBytes(StandardCharsets.UTF_8));
+        context.calls()
+                .call(call, leftMs)
+                .thenAccept(outcome -> thread.execute(() -> onOutcome(id, outcome)));
+    }
+
+    private void onOutcome(EngineId service, HttpOutcome outcome) {
+        context.inFlight().finished(service, now());
+        excluded.add(service);
+        if (outcome instanceof HttpOutcome.NeverSent) {
+            tryNext();
+        } else if (outcome instanceof HttpOutcome.Answered answered) {
+            onAnswer(answered.answer());
+        } else {
+            onInDoubt();
+        }
+    }
+
+    private void onAnswer(HttpAnswer answer) {
+        if (answer.isSuccess()) {
+            complete(answer.text());
+        } else if (refused(answer)) {
+            tryNext();
+        } else {
+            onInDoubt();
+        }
+    }
+
+    private boolean refused(HttpAnswer answer) {
+        try {
+            JsonNode json = MAPPER.readTree(answer.text());
+            advisedRetryMs = Math.max(advisedRetryMs, json.path("retry_after_ms").asLong());
+            return json.has("admitted") && !json.get("admitted").asBoolean(true);
+        } catch (JsonProcessingException e) {
+            return false;
+        }
+    }
+
+    private void onInDoubt() {
+        verdict = Verdict.MAY_HAVE_RUN;
+        if (request.spec().idempotent()) {
+            tryNext();
+        } else {
+            // The service may have run the call and lost only its answer: a second call could run
+            // it twice.
+            fail(ErrorCode.ENGINE_LOST, "the service was lost after the call may have run");
+        }
+    }
+
+    private void complete(String result) {
+        context.observer().firstToken(request.spec(), now() - request.acceptedAtMs());
+        request.log().finish(new AnswerEnd.Completed(result));
+        context.observer().completed(request.spec(), now() - request.acceptedAtMs(), 0);
+        RequestEnd.retain(context, request, thread);
+    }
+
+    private void fail(ErrorCode code, String message) {
+        MasticweirException error =
+                MasticweirException.of(code, verdict, message).retryAfterMs(advisedRetryMs);
+        request.log().finish(new AnswerEnd.Failed(error));
+        context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
+        RequestEnd.retain(context, request, thread);
+    }
+
+    private long now() {
+        return context.clock().nowMs();
+    }
+}
