--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -0,0 +1,245 @@
+package org.masticweir.http;
+
+import com.google.common.collect.ImmutableMap;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One exchange under way; confined to the I/O thread of its connection. */
+final class PendingCall {
+    private final HttpCall call;
+    private final ConnectionPool pool;
+    private final int maxAnswerBytes;
+    private final CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
+    private final ByteArrayOutputStream answerBody = new ByteArrayOutputStream();
+
+    private ClientConnection connection;
+    private XnioExecutor.Key timer;
+    private boolean handedOver;
+    private boolean wholeRequestWritten;
+
+    PendingCall(HttpCall call, ConnectionPool pool, int maxAnswerBytes) {
+        this.call = call;
+        this.pool = pool;
+        this.maxAnswerBytes = maxAnswerBytes;
+    }
+
+    CompletableFuture<HttpOutcome> outcome() {
+        return outcome;
+    }
+
+    /** Starts the exchange on {@code idle} or on a new connection. */
+    void start(
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            Optional<ClientConnection> idle,
+            long timeoutMs) {
+        timer =
+                thread.executeAfter(
+                        () -> fail("no answer in " + timeoutMs + " ms"),
+                        timeoutMs,
+                        TimeUnit.MILLISECONDS);
+        if (idle.isPresent()) {
+            send(idle.get());
+            return;
+        }
+        UndertowClient.getInstance()
+                .connect(
+                        callback(this::connected, this::connectFailed),
+                        URI.create("http://" + hostAndPort()),
+                        thread,
+                        buffers,
+                        OptionMap.EMPTY);
+    }
+
+    private void connected(ClientConnection fresh) {
+        InetSocketAddress address = call.address();
+        fresh.addCloseListener(c -> pool.free(address));
+        if (outcome.isDone()) {
+            // The deadline passed while connecting: the call has been told as never sent, so
+            // nothing may leave on this connection for it.
+            pool.keep(address, fresh);
+            return;
+        }
+        send(fresh);
+    }
+
+    private void connectFailed(IOException e) {
+        pool.free(call.address());
+        fail("no connection: " + e.getMessage());
+    }
+
+    private void send(ClientConnection target) {
+        connection = target;
+        if (!target.isOpen()) {
+            fail("connection closed before use");
+            return;
+        }
+        // From here on the client may write at any time. A reset, a close or silence no longer
+        // tells whether the peer took the request, so every failure counts as perhaps sent.
+        handedOver = true;
+        target.sendRequest(request(), callback(this::exchangeStarted, this::exchangeFailed));
+    }
+
+    private ClientRequest request() {
+        ClientRequest request = new ClientRequest();
+        request.setMethod(HttpString.tryFromString(call.method())).setPath(call.path());
+        request.getRequestHeaders().put(Headers.HOST, hostAndPort());
+        call.headers().forEach((k, v) -> request.getRequestHeaders().put(new HttpString(k), v));
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        return request;
+    }
+
+    private void exchangeStarted(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::answerStarted, this::exchangeFailed));
+        ByteBuffer body = ByteBuffer.wrap(call.body());
+        StreamSinkChannel sink = exchange.getRequestChannel();
+        sink.getWriteSetter().set(c -> write(sink, body));
+        write(sink, body);
+    }
+
+    private void write(StreamSinkChannel sink, ByteBuffer body) {
+        try {
+            while (body.hasRemaining()) {
+                if (sink.write(body) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.resumeWrites();
+                return;
+            }
+            sink.suspendWrites();
+            wholeRequestWritten = true;
+        } catch (IOException e) {
+            exchangeFailed(e);
+        }
+    }
+
+    private void answerStarted(ClientExchange exchange) {
+        ClientResponse response = exchange.getResponse();
+        StreamSourceChannel source = exchange.getResponseChannel();
+        source.getReadSetter().set(c -> read(source, response));
+        read(source, response);
+    }
+
+    private void read(StreamSourceChannel source, ClientResponse response) {
+        try (PooledByteBuffer pooled = connection.getBufferPool().allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (!outcome.isDone()) {
+                buffer.clear();
+                int n = source.read(buffer);
+                if (n == 0) {
+                    source.resumeReads();
+                    return;
+                }
+                if (n < 0) {
+                    source.suspendReads();
+                    answered(response);
+                    return;
+                }
+                append(buffer.flip());
+            }
+        } catch (IOException e) {
+            exchangeFailed(e);
+        }
+    }
+
+    private void append(ByteBuffer chunk) {
+        if (answerBody.size() + chunk.remaining() > maxAnswerBytes) {
+            fail("answer longer than " + maxAnswerBytes + " bytes");
+            return;
+        }
+        byte[] bytes = new byte[chunk.remaining()];
+        chunk.get(bytes);
+        answerBody.writeBytes(bytes);
+    }
+
+    private void answered(ClientResponse response) {
+        if (outcome.isDone()) {
+            return;
+        }
+        timer.remove();
+        String wish = response.getResponseHeaders().getFirst(Headers.CONNECTION);
+        if (wholeRequestWritten && !"close".equalsIgnoreCase(wish)) {
+            pool.keep(call.address(), connection);
+        } else {
+            pool.discard(connection);
+        }
+        outcome.complete(new HttpOutcome.Answered(answer(response)));
+    }
+
+    private HttpAnswer answer(ClientResponse response) {
+        ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
+        for (HeaderValues values : response.getResponseHeaders()) {
+            String name = values.getHeaderName().toString().toLowerCase(Locale.ROOT);
+            headers.put(name, values.getFirst());
+        }
+        int status = response.getResponseCode();
+        return new HttpAnswer(status, headers.buildKeepingLast(), answerBody.toByteArray());
+    }
+
+    private void exchangeFailed(IOException e) {
+        fail(String.valueOf(e.getMessage()));
+    }
+
+    private void fail(String reason) {
+        if (outcome.isDone()) {
+            return;
+        }
+        timer.remove();
+        if (connection != null) {
+            // A late answer on this connection would be taken for the next call's.
+            pool.discard(connection);
+        }
+        outcome.complete(
+                handedOver
+                        ? new HttpOutcome.MayHaveBeenSent(reason)
+                        : new HttpOutcome.NeverSent(reason));
+    }
+
+    private String hostAndPort() {
+        String host = call.address().getAddress().getHostAddress();
+        String literal = host.contains(":") ? "[" + host + "]" : host;
+        return literal + ":" + call.address().getPort();
+    }
+
+    private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<IOException> failed) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(T result) {
+                done.accept(result);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                failed.accept(e);
+            }
+        };
+    }
+}
