Stand in for a model engine and a plain service with real processes

Cause: failures of engines can only be tested against processes that batch, stream, pause and lose readers. Ruled out: a worker thread per stream, since dozens of engines share a machine; streams are pulled by I/O threads. Ruled out: stopping the process for a pause, since control has to answer meanwhile; exchanges are held back.

--- /dev/null
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineRecords.java
@@ -0,0 +1,82 @@
+package org.masticweir.standins.engine;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What an engine really ran, for checkers; kept for the life of the process.
+ *
+ * <p>Not thread-safe: the engine's lock guards it.
+ */
+final class EngineRecords {
+    /** One run: its first index, and how many tokens it computed after that. */
+    record Generation(
+            String request,
+            int generation,
+            int attempt,
+            long seed,
+            int first,
+            int produced,
+            boolean cancelled) {}
+
+    /** All of it, as the control interface shows it. */
+    record Snapshot(
+            ImmutableList<Generation> generations,
+            long prefillTokens,
+            long decodeTokens,
+            ImmutableList<Orders.Recorded> orders) {}
+
+    /** One run while it goes on. */
+    static final class Run {
+        private final String request;
+        private final int generation;
+        private final int attempt;
+        private final long seed;
+        private final int first;
+        private int produced;
+        private boolean cancelled;
+
+        private Run(GenerationRequest spec) {
+            request = spec.request();
+            generation = spec.generation();
+            attempt = spec.attempt();
+            seed = spec.seed();
+            first = spec.prefix().size();
+        }
+
+        void cancelled() {
+            cancelled = true;
+        }
+
+        private Generation view() {
+            return new Generation(request, generation, attempt, seed, first, produced, cancelled);
+        }
+    }
+
+    private final List<Run> runs = new ArrayList<>();
+    private long prefillTokens;
+    private long decodeTokens;
+
+    /** Returns the record of a run that has been admitted just now. */
+    Run open(GenerationRequest spec) {
+        Run run = new Run(spec);
+        runs.add(run);
+        return run;
+    }
+
+    void prefilled(int tokens) {
+        prefillTokens += tokens;
+    }
+
+    void decoded(Run run) {
+        run.produced++;
+        decodeTokens++;
+    }
+
+    Snapshot snapshot(ImmutableList<Orders.Recorded> orders) {
+        ImmutableList<Generation> generations =
+                runs.stream().map(Run::view).collect(ImmutableList.toImmutableList());
+        return new Snapshot(generations, prefillTokens, decodeTokens, orders);
+    }
+}
