--- a/masticweir/src/main/java/org/masticweir/routing/ExpectedDelay.java
+++ b/masticweir/src/main/java/org/masticweir/routing/ExpectedDelay.java
@@ -14,10 +14,10 @@
         this.inFlight = inFlight;
     }
 
-    /** Returns queue wait, prefill of tokens not cached, and one step at the load expected. */
-    double ms(EngineView e, RouteQuery query, boolean preferred, long nowMs) {
+    /** Returns the wait for a place, for prompts sent before, and for one step at that load. */
+    double beforePrefillMs(EngineView e, long nowMs) {
         double load = inFlight.expectedLoad(e, nowMs);
-        return queueMs(e, load) + prefillMs(e, query, preferred) + stepMs(e, load);
+        return queueMs(e, load) + inFlight.prefillBacklogMs(e.id(), nowMs) + stepMs(e, load);
     }
 
     private static double queueMs(EngineView e, double load) {
@@ -26,7 +26,8 @@
         return ahead * e.speed().holdMs() / capacity;
     }
 
-    private static double prefillMs(EngineView e, RouteQuery query, boolean preferred) {
+    /** Returns the time to compute the tokens of the prompt that are not believed cached. */
+    static double prefillMs(EngineView e, RouteQuery query, boolean preferred) {
         double cached = Math.min(query.contextTokens(), cachedTokens(e, query, preferred));
         return (query.contextTokens() - cached) / e.speed().prefillTokensPerMs();
     }
--- a/masticweir/src/main/java/org/masticweir/routing/ExpectedDelayChooser.java
+++ b/masticweir/src/main/java/org/masticweir/routing/ExpectedDelayChooser.java
@@ -52,9 +52,7 @@
                 .forEach(e -> best.offer(e, 0, false));
         Draw.from(candidates.remote(), x -> x.engine().id(), query, SAMPLES, r)
                 .forEach(x -> best.offer(x.engine(), x.extraDelayMs() + SPILL_MARGIN_MS, false));
-        return best.engine == null
-                ? new None(Draw.whyNone(snapshot, query))
-                : new Chosen(best.engine, best.ms);
+        return best.engine == null ? new None(Draw.whyNone(snapshot, query)) : best.chosen();
     }
 
     /** The best engine seen during one choice; lives on the stack of that choice. */
@@ -63,6 +61,7 @@
         private final long nowMs;
         private EngineView engine;
         private double ms = Double.POSITIVE_INFINITY;
+        private double prefillMs;
 
         Best(RouteQuery query, long nowMs) {
             this.query = query;
@@ -70,11 +69,17 @@
         }
 
         void offer(EngineView e, double extraMs, boolean preferred) {
-            double t = delay.ms(e, query, preferred, nowMs) + extraMs;
+            double prefill = ExpectedDelay.prefillMs(e, query, preferred);
+            double t = delay.beforePrefillMs(e, nowMs) + prefill + extraMs;
             if (t < ms) {
                 engine = e;
                 ms = t;
+                prefillMs = prefill;
             }
         }
+
+        Chosen chosen() {
+            return new Chosen(engine, ms, prefillMs);
+        }
     }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/routing/HealthChange.java
@@ -0,0 +1,22 @@
+package org.masticweir.routing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.masticweir.id.EngineId;
+
+/**
+ * A change of an engine's state, for the log and the next snapshot; immutable.
+ *
+ * @param gapMs the engine's token gap when it changed, in ms; 0 when unknown
+ * @param limitMs the gap that its peers allow, in ms; 0 when unknown
+ */
+public record HealthChange(EngineId engine, EngineState state, double gapMs, double limitMs) {
+    public HealthChange {
+        checkNotNull(engine, "engine");
+        checkNotNull(state, "state");
+    }
+
+    static HealthChange to(EngineId engine, EngineState state) {
+        return new HealthChange(engine, state, 0, 0);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/routing/InFlight.java
+++ b/masticweir/src/main/java/org/masticweir/routing/InFlight.java
@@ -26,14 +26,12 @@
 
     /** Counts an attempt that is about to be sent to {@code engine}. */
     public void sent(EngineId engine, long nowMs) {
-        checkNotNull(engine, "engine");
-        engines.compute(
-                engine,
-                (id, old) -> {
-                    RecentSends sends = old == null ? new RecentSends() : old;
-                    sends.add(nowMs, 1);
-                    return sends;
-                });
+        count(engine, 0, nowMs);
+    }
+
+    /** Counts an attempt that is about to be sent where {@code choice} says. */
+    public void sent(RouteChoice.Chosen choice, long nowMs) {
+        count(choice.view().id(), choice.prefillMs(), nowMs);
     }
 
     /** Counts an attempt on {@code engine} as over, in whatever way; call once for each sent. */
@@ -77,4 +75,22 @@
         double corrected = reported + sends.netSince(engine.reportedAtMs(), nowMs);
         return Math.max(corrected, sends.outstanding());
     }
+
+    /** Returns how long the engine still computes on prompts that this router sent, in ms. */
+    double prefillBacklogMs(EngineId engine, long nowMs) {
+        RecentSends sends = engines.get(engine);
+        return sends == null ? 0 : sends.prefillBacklogMs(nowMs);
+    }
+
+    private void count(EngineId engine, double prefillMs, long nowMs) {
+        checkNotNull(engine, "engine");
+        engines.compute(
+                engine,
+                (id, old) -> {
+                    RecentSends sends = old == null ? new RecentSends() : old;
+                    sends.add(nowMs, 1);
+                    sends.addPrefill(nowMs, prefillMs);
+                    return sends;
+                });
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/routing/LeastReportedChooser.java
+++ b/masticweir/src/main/java/org/masticweir/routing/LeastReportedChooser.java
@@ -18,7 +18,7 @@
         return snapshot.candidates(query.model(), query.version()).all().stream()
                 .filter(e -> !query.excluded().contains(e.id()))
                 .min(comparingDouble(LeastReportedChooser::reportedShare))
-                .<RouteChoice>map(e -> new Chosen(e, 0))
+                .<RouteChoice>map(e -> new Chosen(e, 0, 0))
                 .orElseGet(() -> new None(Draw.whyNone(snapshot, query)));
     }
 
--- a/masticweir/src/main/java/org/masticweir/routing/RecentSends.java
+++ b/masticweir/src/main/java/org/masticweir/routing/RecentSends.java
@@ -1,6 +1,7 @@
 package org.masticweir.routing;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
 
 /**
@@ -20,6 +21,10 @@
     private static final long COUNT_MASK = 0xffff_ffffL;
 
     private final AtomicInteger outstanding = new AtomicInteger();
+
+    /** When the engine will have computed the prompts sent to it; no bound before the first. */
+    private final AtomicLong prefillDoneAtMs = new AtomicLong(Long.MIN_VALUE);
+
     private final AtomicLongArray slots = new AtomicLongArray(SLOTS);
 
     RecentSends() {
@@ -35,6 +40,15 @@
         slots.updateAndGet(slot(interval), s -> tagOf(s) == tag ? s + delta : pack(tag, delta));
     }
 
+    void addPrefill(long nowMs, double prefillMs) {
+        long ms = Math.round(prefillMs);
+        prefillDoneAtMs.updateAndGet(t -> Math.max(t, nowMs) + ms);
+    }
+
+    long prefillBacklogMs(long nowMs) {
+        return Math.max(nowMs, prefillDoneAtMs.get()) - nowMs;
+    }
+
     int outstanding() {
         return outstanding.get();
     }
--- a/masticweir/src/main/java/org/masticweir/routing/RoundRobinChooser.java
+++ b/masticweir/src/main/java/org/masticweir/routing/RoundRobinChooser.java
@@ -23,7 +23,7 @@
         for (int i = 0; i < all.size(); i++) {
             EngineView e = all.get(Math.floorMod(next.getAndIncrement(), all.size()));
             if (!query.excluded().contains(e.id())) {
-                return new Chosen(e, 0);
+                return new Chosen(e, 0, 0);
             }
         }
         return new None(Draw.whyNone(snapshot, query));
--- a/masticweir/src/main/java/org/masticweir/routing/RouteChoice.java
+++ b/masticweir/src/main/java/org/masticweir/routing/RouteChoice.java
@@ -14,8 +14,9 @@
      * An engine to send to.
      *
      * @param expectedMs expected time from the send to the next token, in ms
+     * @param prefillMs the part of it that the engine computes on the attempt's own prompt, in ms
      */
-    record Chosen(EngineView view, double expectedMs) implements RouteChoice {
+    record Chosen(EngineView view, double expectedMs, double prefillMs) implements RouteChoice {
         public Chosen {
             checkNotNull(view, "view");
         }
