Read a daemon's settings from one table of settings

Cause: a process learns its addresses and failure domain from its settings, and each tunable needs a name with unit, a range, a default and a line for operators. Ruled out: constants beside their use (no reference could be printed), and a map of texts (no types). Change: DaemonSetting is the table, DaemonSettings the typed result, SettingsReference prints the table as markdown. Conclusion: any fault is SETTINGS_INVALID with one sentence a fault; the daemon prints it and exits with 2.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -0,0 +1,282 @@
+package org.masticweir.settings;
+
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.RouterId;
+
+/**
+ * The table of a daemon's settings: name with unit, range, default and a sentence on each.
+ *
+ * <p>A new setting is one row here and one component in {@link DaemonSettings}.
+ */
+final class DaemonSetting {
+    private static final int MINUTE_MS = 60_000;
+    private static final int DAY_MS = 86_400_000;
+    private static final int WEEK_MS = 7 * DAY_MS;
+    private static final int MIB = 1 << 20;
+
+    private static final List<Setting<?>> ROWS = new ArrayList<>();
+
+    static final Setting<RouterId> ID =
+            add(
+                    Setting.required(
+                            "router",
+                            "id",
+                            ValueRule.id(RouterId::of),
+                            "Name of this router, unlike every other router's."));
+    static final Setting<DomainId> DOMAIN =
+            add(
+                    Setting.required(
+                            "router",
+                            "domain",
+                            ValueRule.id(DomainId::of),
+                            "Failure domain in which this router runs."));
+    static final Setting<InetSocketAddress> CALLER_ADDRESS =
+            address("router", "caller_address", "Where callers are served.");
+    static final Setting<InetSocketAddress> OPERATOR_ADDRESS =
+            address("router", "operator_address", "Where the command line is served.");
+    static final Setting<InetSocketAddress> PEER_ADDRESS =
+            address("router", "peer_address", "Where other routers connect.");
+    static final Setting<Integer> IO_THREADS =
+            integer("router", "io_threads", 2, 1, 64, "Threads that carry traffic.");
+
+    static final Setting<InetSocketAddress> PLATFORM_ADDRESS =
+            address("platform", "address", "Where the platform's service answers.");
+    static final Setting<Integer> PLATFORM_DEADLINE_MS =
+            integer(
+                    "platform",
+                    "deadline_ms",
+                    800,
+                    10,
+                    MINUTE_MS,
+                    "A platform call without an answer by then has an unknown outcome.");
+    static final Setting<Integer> CONFIG_POLL_MS =
+            integer(
+                    "platform",
+                    "config_poll_ms",
+                    1000,
+                    100,
+                    MINUTE_MS,
+                    "Time between two reads of the configuration's row.");
+    static final Setting<Integer> INSTANCES_POLL_MS =
+            integer(
+                    "platform",
+                    "instances_poll_ms",
+                    500,
+                    50,
+                    MINUTE_MS,
+                    "Time between two reads of the instance list.");
+
+    static final Setting<LogLayout> LOG_LAYOUT =
+            choice("log", "layout", LogLayout.class, LogLayout.TEXT, "Form of each log line.");
+    static final Setting<LogLevel> LOG_LEVEL =
+            choice("log", "level", LogLevel.class, LogLevel.INFO, "Lowest level that is logged.");
+
+    static final Setting<Integer> MAX_BODY_BYTES =
+            integer(
+                    "callers",
+                    "max_body_bytes",
+                    MIB,
+                    1024,
+                    64 * MIB,
+                    "Longest body of a caller's request.");
+    static final Setting<Integer> MAX_HEADER_BYTES =
+            integer(
+                    "callers",
+                    "max_header_bytes",
+                    16_384,
+                    1024,
+                    MIB,
+                    "Longest headers of a caller's request.");
+    static final Setting<Integer> MAX_REQUESTS =
+            integer(
+                    "callers",
+                    "max_requests",
+                    20_000,
+                    1,
+                    1_000_000,
+                    "Requests held at once; more are refused.");
+    static final Setting<Integer> STALL_MS =
+            integer(
+                    "callers",
+                    "stall_ms",
+                    15_000,
+                    100,
+                    10 * MINUTE_MS,
+                    "A caller that takes no byte for so long is dropped.");
+    static final Setting<Integer> ORPHAN_MS =
+            integer(
+                    "callers",
+                    "orphan_ms",
+                    10_000,
+                    0,
+                    10 * MINUTE_MS,
+                    "Generating goes on for so long without a caller.");
+    static final Setting<Integer> MAX_TEAMS_SHOWN =
+            integer(
+                    "callers",
+                    "max_teams_shown",
+                    50,
+                    1,
+                    10_000,
+                    "Teams that have histograms of their own; the rest share one.");
+
+    static final Setting<Integer> PROBE_TIMEOUT_MS =
+            integer(
+                    "recovery",
+                    "probe_timeout_ms",
+                    250,
+                    10,
+                    MINUTE_MS,
+                    "A probe of a silent engine without an answer by then has failed.");
+    static final Setting<Integer> SILENCE_FLOOR_MS =
+            integer(
+                    "recovery",
+                    "silence_floor_ms",
+                    150,
+                    10,
+                    MINUTE_MS,
+                    "Shortest silence between tokens that leads to a probe.");
+    static final Setting<Integer> SILENCE_START_MS =
+            integer(
+                    "recovery",
+                    "silence_start_ms",
+                    2000,
+                    10,
+                    10 * MINUTE_MS,
+                    "Silence that leads to a probe while an engine's gaps are not yet known.");
+    static final Setting<Integer> CONNECT_TIMEOUT_MS =
+            integer(
+                    "recovery",
+                    "connect_timeout_ms",
+                    500,
+                    10,
+                    MINUTE_MS,
+                    "A connection to an engine that is not open by then has failed.");
+    static final Setting<Integer> MAX_ATTEMPTS =
+            integer(
+                    "recovery",
+                    "max_attempts",
+                    8,
+                    1,
+                    100,
+                    "Attempts at one request, the first included.");
+    static final Setting<Integer> CONCURRENT_SHARE_PERCENT =
+            integer(
+                    "recovery",
+                    "concurrent_share_percent",
+                    50,
+                    1,
+                    100,
+                    "Share of an engine's slots that resumed generations may take.");
+
+    static final Setting<Integer> STATE_POLL_MS =
+            integer(
+                    "engines",
+                    "state_poll_ms",
+                    200,
+                    20,
+                    MINUTE_MS,
+                    "Time between two reads of an engine's load report.");
+
+    static final Setting<Integer> HEARTBEAT_MS =
+            integer("peers", "heartbeat_ms", 500, 50, MINUTE_MS, "Time between two heartbeats.");
+    static final Setting<Integer> SUSPECT_MS =
+            integer(
+                    "peers",
+                    "suspect_ms",
+                    1500,
+                    100,
+                    10 * MINUTE_MS,
+                    "A router silent for so long is suspect.");
+    static final Setting<Integer> DEAD_MS =
+            integer(
+                    "peers",
+                    "dead_ms",
+                    4000,
+                    100,
+                    10 * MINUTE_MS,
+                    "A router silent for so long counts as lost.");
+    static final Setting<List<InetSocketAddress>> SEEDS =
+            add(
+                    Setting.optional(
+                            "peers",
+                            "seeds",
+                            ValueRule.listOf(ValueRule.address()),
+                            "",
+                            "Peer addresses to try beside those of the instance list."));
+
+    static final Setting<Integer> BATCH_WAIT_MS =
+            integer(
+                    "claims",
+                    "batch_wait_ms",
+                    5,
+                    0,
+                    1000,
+                    "Longest wait of a claim for others to share its transaction.");
+    static final Setting<Integer> RETENTION_MS =
+            integer(
+                    "claims",
+                    "retention_ms",
+                    DAY_MS,
+                    MINUTE_MS,
+                    WEEK_MS,
+                    "Claims and verdicts are kept for so long.");
+
+    static final Setting<Integer> CONFIG_RETRY_MS =
+            integer(
+                    "config",
+                    "retry_ms",
+                    100,
+                    10,
+                    MINUTE_MS,
+                    "Time before a failed read or write of a change is tried again.");
+    static final Setting<Integer> SETTLE_WAIT_MS =
+            integer(
+                    "config",
+                    "settle_wait_ms",
+                    3000,
+                    100,
+                    MINUTE_MS,
+                    "A change not settled with the table by then is answered as unknown.");
+    static final Setting<Integer> DOMAIN_WAIT_MS =
+            integer(
+                    "config",
+                    "domain_wait_ms",
+                    5000,
+                    100,
+                    MINUTE_MS,
+                    "A written change some domain lacks by then is answered as pending.");
+
+    private DaemonSetting() {}
+
+    /** Returns every row in the order of the reference. */
+    static ImmutableList<Setting<?>> rows() {
+        return ImmutableList.copyOf(ROWS);
+    }
+
+    private static <T> Setting<T> add(Setting<T> row) {
+        ROWS.add(row);
+        return row;
+    }
+
+    private static Setting<InetSocketAddress> address(String section, String key, String doc) {
+        return add(Setting.required(section, key, ValueRule.address(), doc));
+    }
+
+    private static Setting<Integer> integer(
+            String section, String key, int standard, int min, int max, String doc) {
+        ValueRule<Integer> rule = ValueRule.integer(key, min, max);
+        return add(Setting.optional(section, key, rule, Integer.toString(standard), doc));
+    }
+
+    private static <E extends Enum<E>> Setting<E> choice(
+            String section, String key, Class<E> type, E standard, String doc) {
+        String word = Ascii.toLowerCase(standard.name());
+        return add(Setting.optional(section, key, ValueRule.enumOf(type), word, doc));
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -0,0 +1,176 @@
+package org.masticweir.settings;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.RouterId;
+
+/**
+ * A daemon's own settings, one component for each section of its file; immutable.
+ *
+ * <p>Every fault is a {@code SETTINGS_INVALID} error whose message holds one sentence a line; a
+ * program prints it and exits with {@link #INVALID_EXIT_CODE}.
+ */
+public record DaemonSettings(
+        Router router,
+        Platform platform,
+        Log log,
+        Callers callers,
+        Recovery recovery,
+        Engines engines,
+        Peers peers,
+        Claims claims,
+        Config config) {
+    /** Exit code of a program whose settings are invalid. */
+    public static final int INVALID_EXIT_CODE = 2;
+
+    /** Longest settings file accepted, in characters. */
+    public static final int MAX_CHARS = 65_536;
+
+    /** Returns the settings in {@code file}. */
+    public static DaemonSettings read(Path file) {
+        checkNotNull(file, "file");
+        try {
+            return parse(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            throw MasticweirException.notRun(
+                    ErrorCode.SETTINGS_INVALID, file + ": the file cannot be read: " + e);
+        }
+    }
+
+    /** Returns the settings that {@code text} holds; {@code source} names it in messages. */
+    public static DaemonSettings parse(String source, String text) {
+        return check(source, text).orElseThrow();
+    }
+
+    /** Returns the settings that {@code text} holds, or every problem with it. */
+    public static Checked<DaemonSettings> check(String source, String text) {
+        return SettingsReader.read(source, text, MAX_CHARS, DaemonSettings::from);
+    }
+
+    private static DaemonSettings from(SettingsReader in) {
+        in.checkOrder(DaemonSetting.HEARTBEAT_MS, DaemonSetting.SUSPECT_MS);
+        in.checkOrder(DaemonSetting.SUSPECT_MS, DaemonSetting.DEAD_MS);
+        return new DaemonSettings(
+                Router.from(in),
+                Platform.from(in),
+                new Log(in.get(DaemonSetting.LOG_LAYOUT), in.get(DaemonSetting.LOG_LEVEL)),
+                Callers.from(in),
+                Recovery.from(in),
+                new Engines(in.get(DaemonSetting.STATE_POLL_MS)),
+                Peers.from(in),
+                new Claims(in.get(DaemonSetting.BATCH_WAIT_MS), in.get(DaemonSetting.RETENTION_MS)),
+                Config.from(in));
+    }
+
+    /** Section {@code [router]}: who this router is and where it listens. */
+    public record Router(
+            RouterId id,
+            DomainId domain,
+            InetSocketAddress callerAddress,
+            InetSocketAddress operatorAddress,
+            InetSocketAddress peerAddress,
+            int ioThreads) {
+        private static Router from(SettingsReader in) {
+            return new Router(
+                    in.get(DaemonSetting.ID),
+                    in.get(DaemonSetting.DOMAIN),
+                    in.get(DaemonSetting.CALLER_ADDRESS),
+                    in.get(DaemonSetting.OPERATOR_ADDRESS),
+                    in.get(DaemonSetting.PEER_ADDRESS),
+                    in.get(DaemonSetting.IO_THREADS));
+        }
+    }
+
+    /** Section {@code [platform]}: the platform's service. */
+    public record Platform(
+            InetSocketAddress address, int deadlineMs, int configPollMs, int instancesPollMs) {
+        private static Platform from(SettingsReader in) {
+            return new Platform(
+                    in.get(DaemonSetting.PLATFORM_ADDRESS),
+                    in.get(DaemonSetting.PLATFORM_DEADLINE_MS),
+                    in.get(DaemonSetting.CONFIG_POLL_MS),
+                    in.get(DaemonSetting.INSTANCES_POLL_MS));
+        }
+    }
+
+    /** Section {@code [log]}. */
+    public record Log(LogLayout layout, LogLevel level) {}
+
+    /** Section {@code [callers]}: bounds on what callers may send and hold. */
+    public record Callers(
+            int maxBodyBytes,
+            int maxHeaderBytes,
+            int maxRequests,
+            int stallMs,
+            int orphanMs,
+            int maxTeamsShown) {
+        private static Callers from(SettingsReader in) {
+            return new Callers(
+                    in.get(DaemonSetting.MAX_BODY_BYTES),
+                    in.get(DaemonSetting.MAX_HEADER_BYTES),
+                    in.get(DaemonSetting.MAX_REQUESTS),
+                    in.get(DaemonSetting.STALL_MS),
+                    in.get(DaemonSetting.ORPHAN_MS),
+                    in.get(DaemonSetting.MAX_TEAMS_SHOWN));
+        }
+    }
+
+    /** Section {@code [recovery]}: how the loss of an engine is found and mended. */
+    public record Recovery(
+            int probeTimeoutMs,
+            int silenceFloorMs,
+            int silenceStartMs,
+            int connectTimeoutMs,
+            int maxAttempts,
+            int concurrentSharePercent) {
+        private static Recovery from(SettingsReader in) {
+            return new Recovery(
+                    in.get(DaemonSetting.PROBE_TIMEOUT_MS),
+                    in.get(DaemonSetting.SILENCE_FLOOR_MS),
+                    in.get(DaemonSetting.SILENCE_START_MS),
+                    in.get(DaemonSetting.CONNECT_TIMEOUT_MS),
+                    in.get(DaemonSetting.MAX_ATTEMPTS),
+                    in.get(DaemonSetting.CONCURRENT_SHARE_PERCENT));
+        }
+    }
+
+    /** Section {@code [engines]}: reading the engines' reports. */
+    public record Engines(int statePollMs) {}
+
+    /** Section {@code [peers]}: the links to other routers. */
+    public record Peers(int heartbeatMs, int suspectMs, int deadMs, List<InetSocketAddress> seeds) {
+        public Peers {
+            seeds = ImmutableList.copyOf(seeds);
+        }
+
+        private static Peers from(SettingsReader in) {
+            return new Peers(
+                    in.get(DaemonSetting.HEARTBEAT_MS),
+                    in.get(DaemonSetting.SUSPECT_MS),
+                    in.get(DaemonSetting.DEAD_MS),
+                    in.getOr(DaemonSetting.SEEDS, List.of()));
+        }
+    }
+
+    /** Section {@code [claims]}: claims of requests that run at most once. */
+    public record Claims(int batchWaitMs, int retentionMs) {}
+
+    /** Section {@code [config]}: changes of the deployment document. */
+    public record Config(int retryMs, int settleWaitMs, int domainWaitMs) {
+        private static Config from(SettingsReader in) {
+            return new Config(
+                    in.get(DaemonSetting.CONFIG_RETRY_MS),
+                    in.get(DaemonSetting.SETTLE_WAIT_MS),
+                    in.get(DaemonSetting.DOMAIN_WAIT_MS));
+        }
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/settings/IniSection.java
+++ b/masticweir/src/main/java/org/masticweir/settings/IniSection.java
@@ -43,6 +43,10 @@
         return name;
     }
 
+    boolean holds(String key) {
+        return values.containsKey(key);
+    }
+
     /** Returns the value of a key that must stand in the section. */
     public <T> T required(String key, ValueRule<T> rule) {
         return read(key, rule).orElseGet(() -> missing(key, rule));
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
@@ -0,0 +1,120 @@
+package org.masticweir.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.id.RouterId;
+
+/** A daemon's settings file, its faults and the printed reference. */
+class DaemonSettingsTest {
+    private static final String LEAST =
+            String.join(
+                    "\n",
+                    "[router]",
+                    "id = r1",
+                    "domain = north",
+                    "caller_address = 127.0.0.1:7080",
+                    "operator_address = 127.0.0.1:7081",
+                    "peer_address = [::1]:7082",
+                    "[platform]",
+                    "address = 127.0.0.1:7090",
+                    "");
+
+    private static List<String> problems(String text) {
+        return DaemonSettings.check("r.ini", text).sentences();
+    }
+
+    /** Files that are accepted. */
+    @Nested
+    class Valid {
+        @Test
+        void whatIsLeftOutHasItsDefault() {
+            DaemonSettings read = DaemonSettings.parse("r.ini", LEAST);
+            assertEquals(RouterId.of("r1"), read.router().id());
+            assertEquals(2, read.router().ioThreads());
+            assertEquals(800, read.platform().deadlineMs());
+            assertEquals(LogLayout.TEXT, read.log().layout());
+            assertEquals(1_048_576, read.callers().maxBodyBytes());
+            assertEquals(List.of(), read.peers().seeds());
+        }
+
+        @Test
+        void whatIsGivenIsRead() {
+            String seeds = LEAST + "[peers]\nseeds = 10.0.0.1:1, 10.0.0.2:2\n[log]\nlayout = json";
+            DaemonSettings read = DaemonSettings.parse("r.ini", seeds);
+            assertEquals(new InetSocketAddress("10.0.0.2", 2), read.peers().seeds().get(1));
+            assertEquals(LogLayout.JSON, read.log().layout());
+        }
+    }
+
+    /** Files with one fault each: one sentence tells it. */
+    @Nested
+    class Invalid {
+        private void assertTold(String part, String text) {
+            List<String> found = problems(text);
+            assertEquals(1, found.size(), found.toString());
+            assertTrue(found.get(0).contains(part), found.get(0));
+        }
+
+        @Test
+        void unknownKeyUnitSectionAndValue() {
+            assertTold("deadline_s = \"1\" is not allowed", LEAST + "deadline_s = 1");
+            assertTold("[platform] deadline_ms = \"1s\"", LEAST + "deadline_ms = 1s");
+            assertTold("section [plattform] is not allowed", LEAST + "[plattform]");
+            assertTold("one of text, json", LEAST + "[log]\nlayout = xml");
+            assertTold("io_threads = \"65\"", LEAST.replace("id = r1", "id = r1\nio_threads = 65"));
+        }
+
+        @Test
+        void missingValueAndHostName() {
+            assertTold("[router] id has no value", LEAST.replace("id = r1\n", ""));
+            assertTold("\"localhost:7080\"", LEAST.replace("127.0.0.1:7080", "localhost:7080"));
+            assertTold(
+                    "caller_address = \"127.0.0.1\"", LEAST.replace("127.0.0.1:7080", "127.0.0.1"));
+        }
+
+        @Test
+        void deathBeforeSuspicion() {
+            assertTold("at least suspect_ms", LEAST + "[peers]\nsuspect_ms = 900\ndead_ms = 800");
+        }
+
+        @Test
+        void orderIsCheckedAgainstDefaults() {
+            assertTold("at least suspect_ms, 1500", LEAST + "[peers]\ndead_ms = 1400");
+        }
+
+        @Test
+        void fileThatIsNotThere() {
+            MasticweirException e =
+                    assertThrows(
+                            MasticweirException.class,
+                            () -> DaemonSettings.read(Path.of("no-such-file.ini")));
+            assertEquals(ErrorCode.SETTINGS_INVALID, e.code());
+            assertFalse(e.getMessage().contains("\n"));
+        }
+    }
+
+    /** The table of settings itself. */
+    @Nested
+    class Reference {
+        @Test
+        void everyDefaultIsAllowedAndEveryRowPrinted() {
+            for (Setting<?> row : DaemonSetting.rows()) {
+                boolean none = row.required() || row.standard().isEmpty();
+                assertTrue(none || row.standardValue().isPresent(), row.key());
+            }
+            String page = SettingsReference.markdown();
+            assertEquals(DaemonSetting.rows().size() + 2, page.lines().count());
+            assertTrue(page.contains("| `[log]` | `layout` | `text` | one of text, json |"));
+        }
+    }
+}
