--- a/masticweir-standins/src/main/java/org/masticweir/standins/StandIns.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/StandIns.java
@@ -7,6 +7,7 @@
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.standins.engine.EngineCommand;
+import org.masticweir.standins.platform.PlatformCommand;
 import org.masticweir.standins.service.ServiceCommand;
 
 /** The program of all stand-ins: its first argument says which one to be. */
@@ -25,7 +26,7 @@
     }
 
     private static ImmutableList<StandInCommand> commands() {
-        return ImmutableList.of(new EngineCommand(), new ServiceCommand());
+        return ImmutableList.of(new EngineCommand(), new ServiceCommand(), new PlatformCommand());
     }
 
     /** Starts a stand-in and returns 0, or prints one sentence and returns the exit status. */
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformCommand.java
@@ -6,12 +6,13 @@
 import java.net.InetSocketAddress;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.standins.StandInCommand;
 import org.masticweir.standins.platform.http.Addresses;
 import org.masticweir.time.Clock;
 
 /** The command that runs a platform stand-in until the process ends; not thread-safe. */
 @Parameters(commandDescription = "Tables, objects, instance list and weight store, with faults")
-public final class PlatformCommand {
+public final class PlatformCommand implements StandInCommand {
     private static final Logger LOG = LogManager.getLogger(PlatformCommand.class);
 
     @Parameter(names = "--listen", description = "IP number and port to listen on")
@@ -34,6 +35,7 @@
     @Parameter(names = "--load-ms", description = "Time that loading weights takes")
     private long loadMs = 0;
 
+    @Override
     public String name() {
         return "platform";
     }
@@ -43,6 +45,7 @@
      *
      * @throws ParameterException if a flag is out of range or the port is in use
      */
+    @Override
     public void start() {
         try {
             PlatformServer server = PlatformServer.start(settings(), Clock.system());
