--- a/masticweir/src/main/java/org/masticweir/engine/EngineClient.java
+++ b/masticweir/src/main/java/org/masticweir/engine/EngineClient.java
@@ -2,12 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.undertow.client.ClientRequest;
+import com.google.common.collect.ImmutableMap;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import io.undertow.util.Methods;
 import java.net.InetSocketAddress;
+import org.masticweir.http.HttpCall;
 import org.masticweir.id.AttemptId;
 import org.masticweir.id.GenerationId;
 import org.xnio.XnioIoThread;
@@ -36,11 +34,14 @@
             InetSocketAddress address,
             AttemptRequest attempt,
             StreamListener listener) {
-        byte[] body = AttemptBody.of(attempt);
-        ClientRequest request = request(Methods.POST, "/v1/generations", address);
-        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
-        return open(thread, address, request, body, listener);
+        HttpCall call =
+                new HttpCall(
+                        "POST",
+                        address,
+                        "/v1/generations",
+                        ImmutableMap.of("Content-Type", "application/json"),
+                        AttemptBody.of(attempt));
+        return EngineStream.open(thread, buffers, call, connectTimeoutMs, listener);
     }
 
     /** Reads the stream of a generation that the engine may still hold, from {@code from} on. */
@@ -52,31 +53,12 @@
             StreamListener listener) {
         String path =
                 pathOf(attempt.generation()) + "?from=" + from + "&attempt=" + attempt.number();
-        ClientRequest request = request(Methods.GET, path, address);
-        return open(thread, address, request, new byte[0], listener);
+        HttpCall call = HttpCall.get(address, path);
+        return EngineStream.open(thread, buffers, call, connectTimeoutMs, listener);
     }
 
     /** Returns the path of a generation on an engine. */
     public static String pathOf(GenerationId generation) {
         return "/v1/generations/" + generation.request() + "/" + generation.number();
     }
-
-    private EngineStream open(
-            XnioIoThread thread,
-            InetSocketAddress address,
-            ClientRequest request,
-            byte[] body,
-            StreamListener listener) {
-        EngineStream stream = new EngineStream(thread, request, body, listener);
-        stream.open(address, buffers, connectTimeoutMs);
-        return stream;
-    }
-
-    private static ClientRequest request(
-            HttpString method, String path, InetSocketAddress address) {
-        ClientRequest request = new ClientRequest().setMethod(method).setPath(path);
-        String host = address.getAddress().getHostAddress() + ":" + address.getPort();
-        request.getRequestHeaders().put(Headers.HOST, host);
-        return request;
-    }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -0,0 +1,193 @@
+package org.masticweir.http;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One HTTP exchange on a connection of its own, whose answer is heard as it arrives.
+ *
+ * <p>All of it runs on one I/O thread; {@link #close} must be called there too. After {@code close}
+ * the listener hears nothing more.
+ */
+public final class HttpStream implements AutoCloseable {
+    private final XnioIoThread thread;
+    private final ByteBufferPool buffers;
+    private final HttpCall call;
+    private final HttpStreamListener listener;
+
+    private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
+    private Optional<ClientConnection> connection = Optional.empty();
+    private boolean sent;
+    private boolean over;
+
+    private HttpStream(
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            HttpCall call,
+            HttpStreamListener listener) {
+        this.thread = checkNotNull(thread, "thread");
+        this.buffers = checkNotNull(buffers, "buffers");
+        this.call = checkNotNull(call, "call");
+        this.listener = checkNotNull(listener, "listener");
+    }
+
+    /** Opens a connection, within {@code connectTimeoutMs}, and sends {@code call} on it. */
+    public static HttpStream open(
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            HttpCall call,
+            long connectTimeoutMs,
+            HttpStreamListener listener) {
+        HttpStream stream = new HttpStream(thread, buffers, call, listener);
+        stream.connect(connectTimeoutMs);
+        return stream;
+    }
+
+    @Override
+    public void close() {
+        over = true;
+        connectTimer.ifPresent(XnioExecutor.Key::remove);
+        connection.ifPresent(IoUtils::safeClose);
+    }
+
+    private void connect(long timeoutMs) {
+        URI uri = URI.create("http://" + host());
+        connectTimer =
+                Optional.of(thread.executeAfter(this::lost, timeoutMs, TimeUnit.MILLISECONDS));
+        OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
+        UndertowClient.getInstance()
+                .connect(callback(this::onConnected), uri, thread, buffers, options);
+    }
+
+    private String host() {
+        return call.address().getAddress().getHostAddress() + ":" + call.address().getPort();
+    }
+
+    private void onConnected(ClientConnection connected) {
+        connectTimer.ifPresent(XnioExecutor.Key::remove);
+        if (over) {
+            IoUtils.safeClose(connected);
+            return;
+        }
+        connection = Optional.of(connected);
+        connected.getCloseSetter().set(c -> lost());
+        sent = true;
+        connected.sendRequest(request(), callback(this::onSent));
+    }
+
+    private ClientRequest request() {
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
+        call.headers().forEach((k, v) -> request.getRequestHeaders().put(new HttpString(k), v));
+        request.getRequestHeaders().put(Headers.HOST, host());
+        if (call.body().length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        }
+        return request;
+    }
+
+    private void onSent(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::onResponse));
+        if (call.body().length > 0) {
+            writeBody(exchange.getRequestChannel(), ByteBuffer.wrap(call.body()));
+        }
+    }
+
+    private void writeBody(StreamSinkChannel sink, ByteBuffer left) {
+        try {
+            while (left.hasRemaining()) {
+                if (sink.write(left) == 0) {
+                    sink.getWriteSetter().set(ch -> writeBody(ch, left));
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.getWriteSetter()
+                        .set(ChannelListeners.flushingChannelListener(null, (ch, e) -> lost()));
+                sink.resumeWrites();
+            }
+        } catch (IOException e) {
+            lost();
+        }
+    }
+
+    private void onResponse(ClientExchange exchange) {
+        if (over) {
+            return;
+        }
+        listener.head(exchange.getResponse().getResponseCode());
+        StreamSourceChannel source = exchange.getResponseChannel();
+        source.getReadSetter().set(this::read);
+        source.resumeReads();
+        read(source);
+    }
+
+    private void read(StreamSourceChannel source) {
+        try (PooledByteBuffer pooled = buffers.allocate()) {
+            ByteBuffer buffer = pooled.getBuffer();
+            while (!over) {
+                buffer.clear();
+                int count = source.read(buffer);
+                if (count == 0) {
+                    return;
+                }
+                if (count < 0) {
+                    close();
+                    listener.end();
+                    return;
+                }
+                buffer.flip();
+                listener.bytes(buffer);
+            }
+        } catch (IOException e) {
+            lost();
+        }
+    }
+
+    private void lost() {
+        if (over) {
+            return;
+        }
+        close();
+        listener.lost(sent);
+    }
+
+    private <T> ClientCallback<T> callback(Consumer<T> step) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(T result) {
+                step.accept(result);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                lost();
+            }
+        };
+    }
+}
