Add the fault-injecting TCP proxy

Cause: tests with real processes need links that break, stall, lag or fail one way. Ruled out: a thread for each direction, 1000 stacks at 500 connections; closing the listener on cut, as its port could be taken before the route passes again; connecting to the target during a stall, which would tell it of a client that a partition hides.

--- /dev/null
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyMessages.java
@@ -0,0 +1,68 @@
+package org.masticweir.standins.proxy;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.masticweir.standins.platform.http.Addresses;
+
+/** The bodies of the proxy's control call and its answers. */
+final class ProxyMessages {
+    private ProxyMessages() {}
+
+    /** An answer that says only that the call was done. */
+    record Done() {}
+
+    /** One change, a list of changes, or a route to add; the fields left out are null in JSON. */
+    record Control(String route, Mode mode, Long delayMs, List<Change> changes, Add add) {
+        /** Returns the changes that this asks for, none if it only adds a route. */
+        ImmutableList<Change> allChanges() {
+            ImmutableList.Builder<Change> all = ImmutableList.builder();
+            if (route != null || mode != null) {
+                all.add(new Change(route, mode, delayMs));
+            }
+            if (changes != null) {
+                all.addAll(changes);
+            }
+            return all.build();
+        }
+    }
+
+    /** Sets the mode of one route; the delay counts for mode delay only, 0 if left out. */
+    record Change(String route, Mode mode, Long delayMs) {
+        Change {
+            checkArgument(route != null, "change without a route");
+            checkArgument(mode != null, "change without a mode");
+            delayMs = delayMs == null ? 0 : delayMs;
+            checkArgument(delayMs >= 0, "delay of %s ms", delayMs);
+        }
+    }
+
+    /** Adds a route. */
+    record Add(String name, String listen, String target) {
+        Add {
+            checkArgument(name != null, "route without a name");
+            checkArgument(listen != null, "route without an address to listen on");
+            checkArgument(target != null, "route without a target");
+        }
+
+        RouteSpec spec() {
+            return new RouteSpec(name, Addresses.parse(listen), Addresses.parse(target));
+        }
+    }
+
+    /** What the proxy saw, by route. */
+    record Records(ImmutableList<RouteRecord> routes) {}
+
+    /** What one route saw since it was added. */
+    record RouteRecord(
+            String route,
+            String listen,
+            String target,
+            Mode mode,
+            long delayMs,
+            long opened,
+            long open,
+            long bytesUp,
+            long bytesDown) {}
+}
