--- a/masticweir-standins/src/main/java/org/masticweir/standins/StandIns.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/StandIns.java
@@ -8,6 +8,7 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.standins.engine.EngineCommand;
 import org.masticweir.standins.platform.PlatformCommand;
+import org.masticweir.standins.proxy.ProxyCommand;
 import org.masticweir.standins.service.ServiceCommand;
 
 /** The program of all stand-ins: its first argument says which one to be. */
@@ -26,7 +27,11 @@
     }
 
     private static ImmutableList<StandInCommand> commands() {
-        return ImmutableList.of(new EngineCommand(), new ServiceCommand(), new PlatformCommand());
+        return ImmutableList.of(
+                new EngineCommand(),
+                new ServiceCommand(),
+                new PlatformCommand(),
+                new ProxyCommand());
     }
 
     /** Starts a stand-in and returns 0, or prints one sentence and returns the exit status. */
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyCommand.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.masticweir.standins.StandInCommand;
 import org.masticweir.standins.platform.http.Addresses;
 import org.masticweir.standins.platform.http.AnswerServer;
 import org.masticweir.standins.platform.http.Disruption;
@@ -14,7 +15,7 @@
 
 /** The command that runs a fault-injecting proxy until the process ends; not thread-safe. */
 @Parameters(commandDescription = "TCP proxy of many routes, with faults")
-public final class ProxyCommand {
+public final class ProxyCommand implements StandInCommand {
     @Parameter(names = "--control", description = "IP number and port of the HTTP control")
     private String control = "127.0.0.1:9100";
 
@@ -24,6 +25,7 @@
             splitter = WholeText.class)
     private List<String> routes = new ArrayList<>();
 
+    @Override
     public String name() {
         return "proxy";
     }
@@ -33,6 +35,7 @@
      *
      * @throws ParameterException if a flag is malformed or a port is in use
      */
+    @Override
     public void start() {
         try {
             InetSocketAddress address = Addresses.parse(control);
