--- a/masticweir-standins/src/main/java/org/masticweir/standins/StandInLogging.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/StandInLogging.java
@@ -1,5 +1,6 @@
 package org.masticweir.standins;
 
+import com.google.common.collect.ImmutableList;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.Configurator;
@@ -10,6 +11,8 @@
 /** Sends a stand-in's log lines to standard error, so that only the ready line is on output. */
 public final class StandInLogging {
     private static final String APPENDER = "stderr";
+    private static final ImmutableList<String> LIBRARIES =
+            ImmutableList.of("io.undertow", "org.xnio");
     private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level %msg%n%throwable";
 
     private StandInLogging() {}
@@ -23,6 +26,7 @@
                 builder.newAppender(APPENDER, ConsoleAppender.PLUGIN_NAME)
                         .addAttribute("target", ConsoleAppender.Target.SYSTEM_ERR)
                         .add(builder.newLayout("PatternLayout").addAttribute("pattern", PATTERN)));
+        LIBRARIES.forEach(name -> builder.add(builder.newLogger(name, Level.WARN)));
         builder.add(builder.newRootLogger(threshold).add(builder.newAppenderRef(APPENDER)));
         Configurator.reconfigure(builder.build(false));
     }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Batch.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Batch.java
@@ -109,7 +109,7 @@
         Sequence sequence = prefill.sequence();
         records.prefilled(prefill.tokens());
         if (sequence.prefill(prefill.tokens())) {
-            sequence.promptBlocks().forEach(block -> cache.store(block, nowMs));
+            cache.storeAll(sequence.promptBlocks(), nowMs);
         }
     }
 
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -18,6 +18,7 @@
  */
 final class Engine {
     private static final Logger LOG = LogManager.getLogger(Engine.class);
+    private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -92,8 +93,11 @@
         return sequence;
     }
 
-    /** Finds a generation to read again under {@code attempt}, which outranks lower ones. */
-    synchronized Admission reread(GenerationId id, int attempt) {
+    /**
+     * Finds a generation to read again from {@code from} on under {@code attempt}, which outranks
+     * lower ones.
+     */
+    synchronized Admission reread(GenerationId id, int from, int attempt) {
         Sequence sequence = known.get(id);
         if (sequence == null) {
             return Admission.refused(NOT_FOUND, "NOT_FOUND", 0);
@@ -101,6 +105,9 @@
         if (attempt < sequence.attempt()) {
             return Admission.refused(CONFLICT, "SUPERSEDED", 0);
         }
+        if (from > sequence.request().maxTokens()) {
+            return Admission.refused(BAD_REQUEST, "BAD_REQUEST", 0);
+        }
         sequence.raiseAttempt(attempt);
         return Admission.admitted(sequence);
     }
@@ -167,15 +174,27 @@
         recordLoad(clock.nowMs());
     }
 
+    /** Plays the faults that {@code control} asks for; no step ends once a pause has begun. */
+    synchronized void apply(ControlRequest control) {
+        faults.apply(control);
+        if (control.dropStreams()) {
+            dropStreams();
+        }
+    }
+
     /** Closes all streams without an end frame; their sequences go on for the keep time. */
-    synchronized void dropStreams() {
+    private void dropStreams() {
         long now = clock.nowMs();
         for (Sequence sequence : known.values()) {
-            sequence.reader().ifPresent(StreamReader::drop);
-            sequence.detach(now);
+            sequence.reader().ifPresent(reader -> cut(sequence, reader, now));
         }
     }
 
+    private static void cut(Sequence sequence, StreamReader reader, long now) {
+        reader.drop();
+        sequence.detach(now);
+    }
+
     /** Starts a step and returns what it will compute, or nothing when there is no work. */
     synchronized Optional<Batch.Step> beginStep() {
         long now = clock.nowMs();
@@ -185,12 +204,16 @@
         return step;
     }
 
-    /** Makes the tokens of a step readable, once its time has passed. */
-    synchronized void finishStep(Batch.Step step) {
+    /** Makes the tokens of a step readable, once its time has passed; false during a pause. */
+    synchronized boolean finishStep(Batch.Step step) {
+        if (faults.pause().active()) {
+            return false;
+        }
         long now = clock.nowMs();
         batch.finish(step, now);
         recordLoad(now);
         step.decodes().forEach(sequence -> sequence.reader().ifPresent(StreamReader::wake));
+        return true;
     }
 
     /** Has all readers look again, since they write nothing during a pause. */
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineApi.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineApi.java
@@ -77,7 +77,12 @@
     private void reread(HttpServerExchange exchange) {
         int attempt = intParameter(exchange, "attempt");
         int from = intParameter(exchange, "from");
-        stream(exchange, engine.reread(id(exchange), attempt), from, attempt, faults.wrongResume());
+        stream(
+                exchange,
+                engine.reread(id(exchange), from, attempt),
+                from,
+                attempt,
+                faults.wrongResume());
     }
 
     private void stream(
@@ -128,11 +133,7 @@
     }
 
     private void control(HttpServerExchange exchange, ControlRequest.Fields fields) {
-        ControlRequest control = ControlRequest.of(fields);
-        faults.apply(control);
-        if (control.dropStreams()) {
-            engine.dropStreams();
-        }
+        engine.apply(ControlRequest.of(fields));
         Json.send(exchange, OK, new Applied(true));
     }
 
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineCommand.java
@@ -1,8 +1,10 @@
 package org.masticweir.standins.engine;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.google.common.base.Ascii;
+import com.google.common.base.Enums;
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -77,11 +79,12 @@
         EngineStandIn.start(settings(), Clock.system()).printReady();
     }
 
-    private EngineSettings settings() {
+    /** Returns the settings that the parsed flags make; throws when one is out of range. */
+    EngineSettings settings() {
         return new EngineSettings(
                 listen,
                 id,
-                Vendor.valueOf(Ascii.toUpperCase(vendor)),
+                vendor(),
                 models.stream().map(LoadedModel::parse).collect(ImmutableList.toImmutableList()),
                 maxBatch,
                 maxWaiting,
@@ -96,4 +99,10 @@
                 checksFencing,
                 keepMs);
     }
+
+    private Vendor vendor() {
+        return Enums.getIfPresent(Vendor.class, Ascii.toUpperCase(vendor))
+                .toJavaUtil()
+                .orElseThrow(() -> new ParameterException("unknown vendor " + vendor));
+    }
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/PrefixCache.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/PrefixCache.java
@@ -1,5 +1,6 @@
 package org.masticweir.standins.engine;
 
+import com.google.common.collect.Lists;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -31,12 +32,18 @@
     /** Returns how many tokens at the head of {@code prefixes} need no prefill; marks them used. */
     int cachedTokens(List<String> prefixes) {
         int hits = 0;
-        while (hits < prefixes.size() && blocks.get(prefixes.get(hits)) != null) {
+        while (hits < prefixes.size() && blocks.containsKey(prefixes.get(hits))) {
             hits++;
         }
+        Lists.reverse(prefixes.subList(0, hits)).forEach(blocks::get);
         return hits * BlockChain.BLOCK_TOKENS;
     }
 
+    /** Keeps all of {@code prefixes}, shorter ones longer, since longer ones need them. */
+    void storeAll(List<String> prefixes, long nowMs) {
+        Lists.reverse(prefixes).forEach(prefix -> store(prefix, nowMs));
+    }
+
     /** Keeps {@code prefix} and evicts what no longer fits. */
     void store(String prefix, long nowMs) {
         if (maxBlocks == 0) {
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Ticker.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Ticker.java
@@ -72,9 +72,8 @@
         long us = Math.round(step.get().durationUs() * faults.slowFactor());
         dueUs = Math.max(dueUs, earliest) + us;
         waitUntilDue();
-        waitOutPause(engine);
-        if (closed.getCount() > 0) {
-            engine.finishStep(step.get());
+        while (closed.getCount() > 0 && !engine.finishStep(step.get())) {
+            waitOutPause(engine);
         }
     }
 
