limits: let work in by class targets, refuse early, meter recoveries

Cause: in overload a queue grows until all of it is answered too late, a large team's burst takes every place, and a lost rack's generations swamp survivors. Ruled out: refusing at the deadline (the caller has waited for nothing); plain deficit counters per visit (needs many rounds for requests of thousands of tokens; a virtual clock per team gives the same shares in one step). Change: Admission predicts first token and end from free places, own drain rate and what is queued before, by team; it refuses what would be late with booked, jittered return times. RecoveryAdmission meters starts until their first token.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/Admission.java
@@ -0,0 +1,221 @@
+package org.masticweir.limits;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.id.ModelId;
+import org.masticweir.id.RequestId;
+import org.masticweir.id.TeamId;
+import org.masticweir.limits.AdmissionDecision.Admit;
+import org.masticweir.limits.AdmissionDecision.Queued;
+import org.masticweir.limits.AdmissionDecision.Refused;
+
+/**
+ * Lets new work in, keeps it waiting or refuses it, by the targets of its class.
+ *
+ * <p>Use: {@link #offer} each request; send it on {@link Admit} and call {@link #sent} once {@code
+ * InFlight} knows of it; call {@link #tick} every few milliseconds for those queued; call {@link
+ * #finished} when an admitted request ends in whatever way.
+ *
+ * <p>Failure guarded against: in overload a queue grows until everything in it is answered too
+ * late. A request is refused as soon as the prediction says that it would miss its target, so what
+ * waits is what can still be served in time.
+ *
+ * <p>Thread-safe: each call holds one lock for a short time.
+ */
+public final class Admission {
+    private static final int MAX_QUEUED = 2_048;
+    private static final int MAX_QUEUED_OF_TEAM = MAX_QUEUED / 4;
+
+    /**
+     * Places beyond the bound for teams with nothing queued, so that others can't shut them out.
+     */
+    private static final int RESERVED_FOR_IDLE_TEAMS = 512;
+
+    private static final int MAX_RUNNING = 16_384;
+
+    /** Model versions with a queue; a deployment has few, so more of them are a caller's error. */
+    private static final int MAX_MODELS = 256;
+
+    private final CapacitySource capacity;
+    private final ToDoubleFunction<TeamId> weight;
+    private final ToIntFunction<ModelId> recoveriesWaiting;
+    private final RandomGenerator random;
+    private final Map<ModelVersion, ModelQueue> queues = new HashMap<>();
+    private final Map<RequestId, WorkRequest> queued = new HashMap<>();
+    private final Map<RequestId, Running> running = new HashMap<>();
+
+    private Admission(
+            CapacitySource capacity,
+            ToDoubleFunction<TeamId> weight,
+            ToIntFunction<ModelId> recoveriesWaiting,
+            RandomGenerator random) {
+        this.capacity = checkNotNull(capacity, "capacity");
+        this.weight = checkNotNull(weight, "weight");
+        this.recoveriesWaiting = checkNotNull(recoveriesWaiting, "recoveriesWaiting");
+        this.random = checkNotNull(random, "random");
+    }
+
+    /**
+     * Returns an admission that has let nothing in yet.
+     *
+     * @param weight each team's weight, above 0, for example {@link TeamShares#weight}
+     * @param recoveriesWaiting recoveries of a model that go ahead of new work, for example {@link
+     *     RecoveryAdmission#waiting}
+     */
+    public static Admission create(
+            CapacitySource capacity,
+            ToDoubleFunction<TeamId> weight,
+            ToIntFunction<ModelId> recoveriesWaiting,
+            RandomGenerator random) {
+        return new Admission(capacity, weight, recoveriesWaiting, random);
+    }
+
+    /** Decides on {@code r}; a request offered before and not finished is an error. */
+    public synchronized AdmissionDecision offer(WorkRequest r, long nowMs) {
+        checkNotNull(r, "r");
+        checkArgument(!knows(r.id()), "request %s offered twice", r.id());
+        Capacity c = capacity.of(r.model(), r.version(), nowMs);
+        ModelQueue queue = queue(r);
+        queue.see(r);
+        Prediction p = queue.predict(r, c, reserved(r));
+        Optional<ErrorCode> refusal = refusal(r, p, c, queue, nowMs);
+        if (refusal.isPresent()) {
+            return refuse(r, refusal.get(), p, c, queue, nowMs);
+        }
+        if (p.waitMs() == 0) {
+            return admit(r, queue, nowMs);
+        }
+        queue.add(r);
+        queued.put(r.id(), r);
+        return new Queued(r.id(), Math.round(p.waitMs()));
+    }
+
+    /** Counts an admitted request as sent, once the capacity source counts it too. */
+    public synchronized void sent(RequestId id) {
+        Running run = running.get(checkNotNull(id, "id"));
+        if (run != null && !run.sent) {
+            run.sent = true;
+            queue(run.request).load().sent();
+        }
+    }
+
+    /** Takes note that {@code id} has ended or was cancelled, whether it was let in or waits. */
+    public synchronized void finished(RequestId id, long nowMs) {
+        WorkRequest waiting = queued.remove(checkNotNull(id, "id"));
+        if (waiting != null) {
+            queue(waiting).remove(waiting);
+        }
+        Running run = running.remove(id);
+        if (run != null) {
+            queue(run.request).load().finished(run.sent, nowMs - run.admittedAtMs);
+        }
+    }
+
+    /** Decides on what waits: refuses what would be late, then lets in what there is room for. */
+    public synchronized ImmutableList<AdmissionDecision> tick(long nowMs) {
+        ImmutableList.Builder<AdmissionDecision> decisions = ImmutableList.builder();
+        queues.forEach((key, queue) -> tick(key, queue, nowMs, decisions));
+        queues.values().removeIf(q -> q.size() == 0 && q.load().running() == 0 && tooMany());
+        return decisions.build();
+    }
+
+    /** Returns the counts of what waits and runs. */
+    public synchronized AdmissionStatus status() {
+        return new AdmissionStatus(queued.size(), running.size());
+    }
+
+    private void tick(
+            ModelVersion key,
+            ModelQueue queue,
+            long nowMs,
+            ImmutableList.Builder<AdmissionDecision> decisions) {
+        if (queue.size() == 0) {
+            return;
+        }
+        Capacity c = capacity.of(key.model(), key.version(), nowMs);
+        int reserved = recoveriesWaiting.applyAsInt(key.model());
+        List<WorkRequest> late = new ArrayList<>();
+        queue.dropLate(c, reserved, nowMs, late);
+        for (WorkRequest r : late) {
+            queued.remove(r.id());
+            Prediction p = queue.predict(r, c, reserved);
+            decisions.add(refuse(r, lateCode(c), p, c, queue, nowMs));
+        }
+        Optional<WorkRequest> next = queue.poll(r -> queue.freeFor(r, c, reserved) >= 1);
+        while (next.isPresent()) {
+            queued.remove(next.get().id());
+            decisions.add(admit(next.get(), queue, nowMs));
+            next = queue.poll(r -> queue.freeFor(r, c, reserved) >= 1);
+        }
+    }
+
+    private Optional<ErrorCode> refusal(
+            WorkRequest r, Prediction p, Capacity c, ModelQueue queue, long nowMs) {
+        if (c.engines() == 0 || !p.meetsTargets(r, nowMs)) {
+            return Optional.of(lateCode(c));
+        }
+        if (queue.size(r.team()) >= MAX_QUEUED_OF_TEAM) {
+            return Optional.of(ErrorCode.OVER_LIMIT);
+        }
+        int limit = queue.size(r.team()) == 0 ? MAX_QUEUED + RESERVED_FOR_IDLE_TEAMS : MAX_QUEUED;
+        boolean full = queued.size() >= limit || running.size() >= MAX_RUNNING;
+        return full ? Optional.of(ErrorCode.OVERLOADED) : Optional.empty();
+    }
+
+    private static ErrorCode lateCode(Capacity c) {
+        return c.engines() == 0 ? ErrorCode.NO_ENGINE : ErrorCode.OVERLOADED;
+    }
+
+    private Admit admit(WorkRequest r, ModelQueue queue, long nowMs) {
+        running.put(r.id(), new Running(r, nowMs));
+        queue.load().admitted();
+        return new Admit(r.id());
+    }
+
+    private Refused refuse(
+            WorkRequest r, ErrorCode code, Prediction p, Capacity c, ModelQueue queue, long nowMs) {
+        double interval = queue.load().holdMs(c.holdMs()) / c.fairPlaces();
+        return new Refused(r.id(), code, queue.returns().book(p.waitMs(), interval, nowMs));
+    }
+
+    private boolean knows(RequestId id) {
+        return queued.containsKey(id) || running.containsKey(id);
+    }
+
+    private boolean tooMany() {
+        return queues.size() > MAX_MODELS;
+    }
+
+    private int reserved(WorkRequest r) {
+        return recoveriesWaiting.applyAsInt(r.model());
+    }
+
+    private ModelQueue queue(WorkRequest r) {
+        return queues.computeIfAbsent(
+                new ModelVersion(r.model(), r.version()),
+                k -> new ModelQueue(weight, new ReturnSchedule(random)));
+    }
+
+    /** A request that was let in. */
+    private static final class Running {
+        private final WorkRequest request;
+        private final long admittedAtMs;
+        private boolean sent;
+
+        Running(WorkRequest request, long admittedAtMs) {
+            this.request = request;
+            this.admittedAtMs = admittedAtMs;
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/AdmissionDecision.java
@@ -0,0 +1,51 @@
+package org.masticweir.limits;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.id.RequestId;
+
+/** What becomes of new work; immutable. */
+public sealed interface AdmissionDecision {
+    /** Returns the request decided on. */
+    RequestId request();
+
+    /** The request may be sent now. */
+    record Admit(RequestId request) implements AdmissionDecision {
+        public Admit {
+            checkNotNull(request, "request");
+        }
+    }
+
+    /**
+     * The request waits; a later {@link Admission#tick} decides.
+     *
+     * @param expectedWaitMs predicted time in the queue, in ms
+     */
+    record Queued(RequestId request, long expectedWaitMs) implements AdmissionDecision {
+        public Queued {
+            checkNotNull(request, "request");
+        }
+    }
+
+    /**
+     * The request is not run, finally; it was never sent.
+     *
+     * @param retryAfterMs when the caller should come back, in ms from now
+     */
+    record Refused(RequestId request, ErrorCode code, long retryAfterMs)
+            implements AdmissionDecision {
+        public Refused {
+            checkNotNull(request, "request");
+            checkNotNull(code, "code");
+            checkArgument(retryAfterMs >= 0, "retry after %s ms", retryAfterMs);
+        }
+
+        /** Returns the error that the caller gets. */
+        public MasticweirException toException() {
+            return MasticweirException.notRun(code, "not admitted").retryAfterMs(retryAfterMs);
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/CapacitySource.java
@@ -0,0 +1,10 @@
+package org.masticweir.limits;
+
+import org.masticweir.id.ModelId;
+
+/** Tells what engines can take. Implementations are thread-safe. */
+@FunctionalInterface
+public interface CapacitySource {
+    /** Returns the capacity for {@code version} of {@code model}. */
+    Capacity of(ModelId model, String version, long nowMs);
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/RecoveryAdmission.java
@@ -0,0 +1,135 @@
+package org.masticweir.limits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.Comparator.comparing;
+import static java.util.Comparator.comparingInt;
+import static java.util.Comparator.comparingLong;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeSet;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.id.GenerationId;
+import org.masticweir.id.ModelId;
+import org.masticweir.limits.RecoveryDecision.GiveUp;
+import org.masticweir.limits.RecoveryDecision.Start;
+import org.masticweir.limits.RecoveryDecision.Wait;
+
+/**
+ * Lets recoveries start ahead of new work, but only so many at a time.
+ *
+ * <p>Failure guarded against: a rack is lost and all its generations are sent to the survivors at
+ * once; each is computed again from its first token, all survivors are busy with prompts, their own
+ * streams stall and are taken for lost in turn. A recovery counts from its start until its first
+ * new token, and no more than a share of this router's places may be in that state.
+ *
+ * <p>Thread-safe: each call holds one lock for a short time.
+ */
+public final class RecoveryAdmission {
+    /** Share of this router's places that recoveries may prefill on at a time. */
+    private static final double SHARE = 0.25;
+
+    private static final int MIN_STARTING = 2;
+    private static final int MAX_WAITING = 8_192;
+
+    /** Time after which a start no longer counts, should its first token never be reported. */
+    private static final long START_LAPSES_MS = 10_000;
+
+    private final CapacitySource capacity;
+    private final NavigableSet<RecoveryRequest> waiting =
+            new TreeSet<>(
+                    comparingInt((RecoveryRequest r) -> r.workClass().firstTokenMs())
+                            .thenComparing(comparingLong(RecoveryRequest::dueMs))
+                            .thenComparing(comparing(r -> r.generation().toString())));
+    private final Map<GenerationId, RecoveryRequest> byGeneration = new LinkedHashMap<>();
+    private final Map<GenerationId, Starting> starting = new LinkedHashMap<>();
+
+    private RecoveryAdmission(CapacitySource capacity) {
+        this.capacity = checkNotNull(capacity, "capacity");
+    }
+
+    public static RecoveryAdmission create(CapacitySource capacity) {
+        return new RecoveryAdmission(capacity);
+    }
+
+    /** Decides on a lost generation; one that was starting already is taken as lost again. */
+    public synchronized RecoveryDecision offer(RecoveryRequest r, long nowMs) {
+        checkNotNull(r, "r");
+        ended(r.generation());
+        if (nowMs >= r.dueMs()) {
+            return new GiveUp(r.generation(), ErrorCode.DEADLINE_EXCEEDED);
+        }
+        if (waiting.size() >= MAX_WAITING) {
+            return new GiveUp(r.generation(), ErrorCode.ENGINE_LOST);
+        }
+        int limit = limit(new ModelVersion(r.model(), r.version()), nowMs);
+        if (waiting(r.model()) == 0 && startingOf(r.model()) < limit) {
+            return start(r, nowMs);
+        }
+        waiting.add(r);
+        byGeneration.put(r.generation(), r);
+        return new Wait(r.generation());
+    }
+
+    /** Takes note that a recovered generation has its first new token. */
+    public synchronized void resumed(GenerationId generation) {
+        starting.remove(checkNotNull(generation, "generation"));
+    }
+
+    /** Takes note that a generation needs no recovery any more, whatever its state. */
+    public synchronized void ended(GenerationId generation) {
+        starting.remove(checkNotNull(generation, "generation"));
+        RecoveryRequest r = byGeneration.remove(generation);
+        if (r != null) {
+            waiting.remove(r);
+        }
+    }
+
+    /** Decides on what waits. */
+    public synchronized ImmutableList<RecoveryDecision> tick(long nowMs) {
+        starting.values().removeIf(s -> nowMs - s.sinceMs >= START_LAPSES_MS);
+        ImmutableList.Builder<RecoveryDecision> decisions = ImmutableList.builder();
+        Map<ModelVersion, Integer> limits = new HashMap<>();
+        for (Iterator<RecoveryRequest> it = waiting.iterator(); it.hasNext(); ) {
+            RecoveryRequest r = it.next();
+            ModelVersion key = new ModelVersion(r.model(), r.version());
+            int limit = limits.computeIfAbsent(key, k -> limit(k, nowMs));
+            boolean late = nowMs >= r.dueMs();
+            if (late || startingOf(r.model()) < limit) {
+                it.remove();
+                byGeneration.remove(r.generation());
+                decisions.add(
+                        late
+                                ? new GiveUp(r.generation(), ErrorCode.DEADLINE_EXCEEDED)
+                                : start(r, nowMs));
+            }
+        }
+        return decisions.build();
+    }
+
+    /** Returns the recoveries of {@code model} that wait and go ahead of new work. */
+    public synchronized int waiting(ModelId model) {
+        return (int) waiting.stream().filter(r -> r.model().equals(model)).count();
+    }
+
+    private Start start(RecoveryRequest r, long nowMs) {
+        starting.put(r.generation(), new Starting(r.model(), nowMs));
+        return new Start(r.generation());
+    }
+
+    private long startingOf(ModelId model) {
+        return starting.values().stream().filter(s -> s.model.equals(model)).count();
+    }
+
+    private int limit(ModelVersion key, long nowMs) {
+        Capacity c = capacity.of(key.model(), key.version(), nowMs);
+        return c.engines() == 0 ? 0 : Math.max(MIN_STARTING, (int) (SHARE * c.fairPlaces()));
+    }
+
+    /** A recovery that was sent and has no new token yet. */
+    private record Starting(ModelId model, long sinceMs) {}
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/SnapshotCapacity.java
@@ -0,0 +1,91 @@
+package org.masticweir.limits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.List;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
+import org.masticweir.id.ModelId;
+import org.masticweir.routing.EngineView;
+import org.masticweir.routing.InFlight;
+import org.masticweir.routing.RoutingSnapshot;
+
+/**
+ * Reads capacity from the routing snapshot in force and this router's own sends.
+ *
+ * <p>Failure guarded against: all routers see the same free places in the same report and all fill
+ * them. Each takes a part of them only; more than an even part, since arrivals come in bursts and
+ * seldom to all routers at once. Sends made since the report count in full.
+ *
+ * <p>Thread-safe.
+ */
+public final class SnapshotCapacity implements CapacitySource {
+    /** How many times its even part of the free places one router may fill from one report. */
+    private static final double BURST = 4;
+
+    private final Supplier<RoutingSnapshot> snapshot;
+    private final InFlight inFlight;
+    private final IntSupplier routers;
+
+    private SnapshotCapacity(
+            Supplier<RoutingSnapshot> snapshot, InFlight inFlight, IntSupplier routers) {
+        this.snapshot = checkNotNull(snapshot, "snapshot");
+        this.inFlight = checkNotNull(inFlight, "inFlight");
+        this.routers = checkNotNull(routers, "routers");
+    }
+
+    /**
+     * Returns a source for a router that shares the engines with others.
+     *
+     * @param routers how many routers, this one included, send to the engines of the snapshot
+     */
+    public static SnapshotCapacity create(
+            Supplier<RoutingSnapshot> snapshot, InFlight inFlight, IntSupplier routers) {
+        return new SnapshotCapacity(snapshot, inFlight, routers);
+    }
+
+    @Override
+    public Capacity of(ModelId model, String version, long nowMs) {
+        List<EngineView> engines = snapshot.get().available(model, version);
+        if (engines.isEmpty()) {
+            return Capacity.none();
+        }
+        double even = 1.0 / Math.max(1, routers.getAsInt());
+        double part = Math.min(1, BURST * even);
+        double places = sum(engines, EngineView::usableCapacity);
+        double free = Math.ceil(part * sum(engines, SnapshotCapacity::reportedFree));
+        return new Capacity(
+                engines.size(),
+                free - sum(engines, e -> sentSince(e, nowMs)),
+                part * places,
+                even * places,
+                mean(engines, e -> e.speed().holdMs()),
+                mean(engines, e -> e.speed().prefillTokensPerMs()),
+                mean(engines, SnapshotCapacity::fullStepMs));
+    }
+
+    private double sentSince(EngineView e, long nowMs) {
+        return inFlight.expectedLoad(e, nowMs) - reported(e);
+    }
+
+    private static double reportedFree(EngineView e) {
+        return Math.max(0, e.usableCapacity() - reported(e));
+    }
+
+    private static int reported(EngineView e) {
+        return e.load().running() + e.load().waiting();
+    }
+
+    private static double fullStepMs(EngineView e) {
+        return e.speed().stepMs() + e.speed().stepGrowthMs() * e.load().capacity();
+    }
+
+    private static double sum(List<EngineView> engines, ToDoubleFunction<EngineView> value) {
+        return engines.stream().mapToDouble(value).sum();
+    }
+
+    private static double mean(List<EngineView> engines, ToDoubleFunction<EngineView> value) {
+        return sum(engines, value) / engines.size();
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/TeamUse.java
@@ -0,0 +1,14 @@
+package org.masticweir.limits;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.masticweir.id.TeamId;
+
+/** How many tokens a second a team uses on one router; immutable. */
+public record TeamUse(TeamId team, double tokensPerS) {
+    public TeamUse {
+        checkNotNull(team, "team");
+        checkArgument(tokensPerS >= 0, "%s tokens a second", tokensPerS);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/routing/EngineView.java
+++ b/masticweir/src/main/java/org/masticweir/routing/EngineView.java
@@ -65,12 +65,12 @@
     }
 
     /** Returns the sequences that may be in the batch at once. */
-    int usableCapacity() {
+    public int usableCapacity() {
         return Math.max(1, (int) (load.capacity() * loadShare));
     }
 
     /** Tells whether new work may go here; either source that says leaving is enough. */
-    boolean takesNewWork() {
+    public boolean takesNewWork() {
         return state.takesNewWork() && !backEnd.leaving();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/routing/RoutingSnapshot.java
+++ b/masticweir/src/main/java/org/masticweir/routing/RoutingSnapshot.java
@@ -63,6 +63,11 @@
         return engines;
     }
 
+    /** Returns the engines that may take new work of a model's version, local ones first. */
+    public ImmutableList<EngineView> available(ModelId model, String version) {
+        return candidates(model, version).all();
+    }
+
     public DomainId domain() {
         return domain;
     }
