retry: send again only what is safe, in time and within the budget

Cause: refusals in overload that are sent again multiply the overload. Ruled out: a budget for each class and team alone (thousands of small teams add up their floors); counting recoveries (they are metered elsewhere). Change: sliding windows of first sends and retries for each class and team and for the whole router; a policy over verdict, idempotence, deadline and budget.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
@@ -0,0 +1,94 @@
+package org.masticweir.retry;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.masticweir.id.TeamId;
+import org.masticweir.id.WorkClassId;
+
+/**
+ * Holds second and later sends of new work to a share of the first sends.
+ *
+ * <p>Failure guarded against: engines refuse in overload, every refusal is sent again, and the
+ * sends that make up the overload multiply. Over a sliding window, retries of a class and team stay
+ * within a share of its first sends or a small floor, and so do those of the whole router, so many
+ * small teams can't add up their floors. Recoveries are not retries and aren't counted here.
+ *
+ * <p>The router's own floor matters when hardly anything is sent: above {@code floor / share} first
+ * sends in a window, all sends are at most {@code 1 + share} times the first ones.
+ *
+ * <p>Thread-safe: each call holds one lock for a short time.
+ */
+public final class RetryBudget {
+    private static final double DEFAULT_SHARE = 0.1;
+    private static final int DEFAULT_FLOOR = 3;
+
+    /** Pairs of class and team remembered; the one used longest ago is dropped first. */
+    private static final int MAX_PAIRS = 8_192;
+
+    private final double share;
+    private final int floor;
+    private final SendWindow all = new SendWindow();
+    private final Map<Pair, SendWindow> pairs =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Pair, SendWindow> eldest) {
+                    return size() > MAX_PAIRS;
+                }
+            };
+
+    private RetryBudget(double share, int floor) {
+        checkArgument(share >= 0 && share <= 1, "retry share %s outside 0 to 1", share);
+        checkArgument(floor >= 0, "retry floor %s", floor);
+        this.share = share;
+        this.floor = floor;
+    }
+
+    /** Returns a budget of one retry for ten first sends, and three in a window in any case. */
+    public static RetryBudget create() {
+        return new RetryBudget(DEFAULT_SHARE, DEFAULT_FLOOR);
+    }
+
+    /**
+     * Returns a budget with limits of the caller's.
+     *
+     * @param floor retries in a window allowed to each pair, and to the router, in any case
+     */
+    public static RetryBudget create(double share, int floor) {
+        return new RetryBudget(share, floor);
+    }
+
+    /** Counts the first send of a request. */
+    public synchronized void firstSent(WorkClassId workClass, TeamId team, long nowMs) {
+        all.addFirst(nowMs);
+        window(workClass, team).addFirst(nowMs);
+    }
+
+    /** Counts a retry and returns true if the budget allows one, else changes nothing. */
+    public synchronized boolean tryRetry(WorkClassId workClass, TeamId team, long nowMs) {
+        SendWindow own = window(workClass, team);
+        if (!allows(own, nowMs) || !allows(all, nowMs)) {
+            return false;
+        }
+        own.addRetry(nowMs);
+        all.addRetry(nowMs);
+        return true;
+    }
+
+    private boolean allows(SendWindow window, long nowMs) {
+        return window.retries(nowMs) + 1 <= Math.max(floor, share * window.firsts(nowMs));
+    }
+
+    private SendWindow window(WorkClassId workClass, TeamId team) {
+        return pairs.computeIfAbsent(new Pair(workClass, team), p -> new SendWindow());
+    }
+
+    private record Pair(WorkClassId workClass, TeamId team) {
+        Pair {
+            checkNotNull(workClass, "workClass");
+            checkNotNull(team, "team");
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryPolicy.java
@@ -0,0 +1,77 @@
+package org.masticweir.retry;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.Verdict;
+import org.masticweir.retry.RetryDecision.GiveUp;
+import org.masticweir.retry.RetryDecision.SendAgain;
+
+/**
+ * Decides whether a failed attempt is sent again.
+ *
+ * <p>Thread-safe if the supplier gives each thread a generator of its own.
+ */
+public final class RetryPolicy {
+    private static final int MAX_SENDS = 3;
+    private static final long FIRST_BACKOFF_MS = 10;
+    private static final long MAX_BACKOFF_MS = 1_000;
+    private static final long MIN_RETURN_MS = 500;
+
+    private final RetryBudget budget;
+    private final Supplier<? extends RandomGenerator> random;
+
+    private RetryPolicy(RetryBudget budget, Supplier<? extends RandomGenerator> random) {
+        this.budget = checkNotNull(budget, "budget");
+        this.random = checkNotNull(random, "random");
+    }
+
+    public static RetryPolicy create(
+            RetryBudget budget, Supplier<? extends RandomGenerator> random) {
+        return new RetryPolicy(budget, random);
+    }
+
+    /** Returns what follows {@code failed}; a send again has been counted in the budget. */
+    public RetryDecision decide(FailedAttempt failed, long nowMs) {
+        checkNotNull(failed, "failed");
+        if (!maySendAgain(failed)) {
+            return new GiveUp(failed.code(), failed.verdict(), OptionalLong.empty());
+        }
+        if (nowMs >= failed.dueMs()) {
+            return giveUp(ErrorCode.DEADLINE_EXCEEDED, failed);
+        }
+        long afterMs = delayMs(failed);
+        boolean inTime = nowMs + afterMs + failed.expectedMs() < failed.dueMs();
+        if (!inTime || failed.sends() >= MAX_SENDS) {
+            return giveUp(failed.code(), failed);
+        }
+        return budget.tryRetry(failed.workClass(), failed.team(), nowMs)
+                ? new SendAgain(afterMs)
+                : giveUp(failed.code(), failed);
+    }
+
+    /**
+     * Failure guarded against: a non-idempotent request runs twice. It shows as an attempt whose
+     * answer was lost after the engine had it; only a verdict that none ran lets it be sent again.
+     */
+    private static boolean maySendAgain(FailedAttempt failed) {
+        return failed.verdict() != Verdict.COMPLETED
+                && (failed.idempotent() || failed.verdict().safeToSendAgain());
+    }
+
+    /** Another engine is tried soon; the same one not before the time that it gave. */
+    private long delayMs(FailedAttempt failed) {
+        long bound = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << (failed.sends() - 1));
+        long jitter = random.get().nextLong(bound + 1);
+        return failed.otherEngine() ? jitter : failed.engineRetryAfterMs().orElse(bound) + jitter;
+    }
+
+    private GiveUp giveUp(ErrorCode code, FailedAttempt failed) {
+        long base = Math.max(MIN_RETURN_MS, failed.engineRetryAfterMs().orElse(0));
+        long jitter = random.get().nextLong(base);
+        return new GiveUp(code, failed.verdict(), OptionalLong.of(base + jitter));
+    }
+}
