--- a/masticweir-standins/src/test/java/org/masticweir/standins/StandInsTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/StandInsTest.java
@@ -32,7 +32,7 @@
     class Refusing {
         @Test
         void noCommand() {
-            assertRefused("[engine, service]");
+            assertRefused("[engine, service, platform, proxy]");
         }
 
         @Test
--- a/masticweir/src/main/java/org/masticweir/engine/AttemptRequest.java
+++ b/masticweir/src/main/java/org/masticweir/engine/AttemptRequest.java
@@ -11,7 +11,7 @@
  * One attempt as it is sent to an engine.
  *
  * @param prefix tokens already accepted, which the engine goes on after
- * @param priority higher goes first in the engine's queue
+ * @param priority lower goes first in the engine's queue
  */
 public record AttemptRequest(
         AttemptId attempt,
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -232,7 +232,7 @@
     }
 
     private int priority() {
-        return Math.max(0, Integer.MAX_VALUE - workClass.firstTokenMs());
+        return workClass.firstTokenMs();
     }
 
     private void reread(RecoveryAction.Reread reread) {
