Give operators the command line

Cause: operators had no client; every call must be bounded, scriptable and honest about lost answers. Ruled out: waiting for a change in a loop (it would wait without end in a partition), and exit code 1 for a lost answer (a script would repeat a change that may have been written). Missing sections and keys are now told as "is missing".

--- /dev/null
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
@@ -0,0 +1,86 @@
+package org.masticweir.cli;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Calls one router's operator address and waits for each answer, never past its timeout.
+ *
+ * <p>Thread-safe; each call opens a connection of its own.
+ */
+final class OperatorClient implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16_384;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
+    private final InetSocketAddress router;
+    private final int timeoutMs;
+
+    private OperatorClient(XnioWorker worker, InetSocketAddress router, int timeoutMs) {
+        this.worker = checkNotNull(worker, "worker");
+        this.router = checkNotNull(router, "router");
+        this.timeoutMs = timeoutMs;
+    }
+
+    /** Returns a client of the router at {@code router}; close it after use. */
+    static OperatorClient open(InetSocketAddress router, int timeoutMs) {
+        OptionMap options =
+                OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 1)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.THREAD_DAEMON, true)
+                        .getMap();
+        try {
+            return new OperatorClient(Xnio.getInstance().createWorker(options), router, timeoutMs);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    CallResult get(String path) {
+        return await(OperatorCall.get(path, buffers));
+    }
+
+    CallResult post(String path, String body) {
+        return await(OperatorCall.post(path, body, buffers));
+    }
+
+    @Override
+    public void close() {
+        worker.shutdownNow();
+        buffers.close();
+    }
+
+    private CallResult await(OperatorCall call) {
+        try (call) {
+            UndertowClient.getInstance().connect(call, uri(), worker, buffers, OptionMap.EMPTY);
+            return call.result().get(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            return call.failure("no answer within " + timeoutMs + " ms");
+        } catch (ExecutionException e) {
+            return call.failure(String.valueOf(e.getCause().getMessage()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return call.failure("interrupted");
+        }
+    }
+
+    private URI uri() {
+        return URI.create("http://" + HostText.of(router));
+    }
+}
--- a/masticweir-cli/src/main/java/org/masticweir/cli/package-info.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/package-info.java
@@ -1,2 +1,7 @@
-/** The operators' command line. */
+/**
+ * The operators' command line, {@code masticweir}: a thin client of a router's operator address.
+ *
+ * <p>Each command is a class that JCommander fills; {@link org.masticweir.cli.ExitCode} documents
+ * how a command ends.
+ */
 package org.masticweir.cli;
--- a/masticweir/src/main/java/org/masticweir/config/DeploymentReader.java
+++ b/masticweir/src/main/java/org/masticweir/config/DeploymentReader.java
@@ -114,11 +114,7 @@
         }
         for (DocumentSection kind : DocumentSection.values()) {
             if (!kinds.contains(kind)) {
-                log.add(
-                        "",
-                        "",
-                        "no [" + kind.prefix() + "NAME]",
-                        "at least one section of each kind");
+                log.add("", "[" + kind.prefix() + "NAME]", "", "at least one such section");
             }
         }
     }
--- a/masticweir/src/main/java/org/masticweir/settings/Problem.java
+++ b/masticweir/src/main/java/org/masticweir/settings/Problem.java
@@ -35,9 +35,7 @@
             return "section [" + section + "] is not allowed";
         }
         String name = section.isEmpty() ? key : "[" + section + "] " + key;
-        return value.isEmpty()
-                ? name + " has no value"
-                : name + " = " + shown() + " is not allowed";
+        return value.isEmpty() ? name + " is missing" : name + " = " + shown() + " is not allowed";
     }
 
     private String shown() {
