Add leases, fenced orders and staggered weight loads as pure decisions

Cause: a holder paused past its lease may wake up and act, and some engines take orders from anyone. Change: LeaseState, OrderState (journalled intent, one order at a time, waits out an unknown one, audits), WeightLoads (bucket empty after a takeover). Conclusion: a late order to an engine that ignores fencing can't be prevented; OrderPolicy.exposureMs gives how long its effect can stand.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/control/ModelVersion.java
@@ -0,0 +1,23 @@
+package org.masticweir.control;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.masticweir.id.ModelId;
+
+/**
+ * A model as an engine loads it; immutable.
+ *
+ * @param adapter adapter loaded with it; empty for none
+ */
+public record ModelVersion(ModelId model, String version, String adapter) {
+    public ModelVersion {
+        checkNotNull(model, "model");
+        checkArgument(!version.isEmpty(), "model %s has no version", model);
+        checkNotNull(adapter, "adapter");
+    }
+
+    public static ModelVersion of(ModelId model, String version, String adapter) {
+        return new ModelVersion(model, version, adapter);
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/control/OrderKind.java
@@ -0,0 +1,17 @@
+package org.masticweir.control;
+
+import com.google.common.base.Ascii;
+
+/** The kinds of orders that engines take. */
+public enum OrderKind {
+    LOAD,
+    UNLOAD,
+    /** Back to serving. */
+    ROLE,
+    LEAVE;
+
+    /** Returns the word that stands for this kind on the wire. */
+    public String wireName() {
+        return Ascii.toLowerCase(name());
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/control/OrderStateTest.java
@@ -0,0 +1,211 @@
+package org.masticweir.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.ModelId;
+import org.masticweir.platform.MemoryTable;
+
+/** Orders to one engine from a holder and the next. */
+class OrderStateTest {
+    private static final EngineId ENGINE = EngineId.of("e1");
+    private static final ModelVersion V1 = ModelVersion.of(ModelId.of("report"), "1", "");
+    private static final ModelVersion V2 = ModelVersion.of(ModelId.of("report"), "2", "");
+    private static final EngineHoldings OLD = EngineHoldings.of(Set.of(V1), EngineRole.SERVING);
+    private static final EngineHoldings NEW = EngineHoldings.of(Set.of(V2), EngineRole.SERVING);
+    private static final long DELAY_MS = 2_000;
+    private static final long AUDIT_MS = 5_000;
+
+    private final MemoryTable table = new MemoryTable();
+    private final Engine engine = new Engine();
+    private long nowMs;
+
+    /** An engine that obeys. */
+    private static final class Engine {
+        private final Set<ModelVersion> models = new HashSet<>(Set.of(V1));
+        private final List<Order> taken = new ArrayList<>();
+        private EngineRole role = EngineRole.SERVING;
+        private boolean checksFencing;
+        private long highest;
+
+        private SendOutcome take(Order order) {
+            if (checksFencing && order.fencing() < highest) {
+                return SendOutcome.OLD_FENCING;
+            }
+            highest = Math.max(highest, order.fencing());
+            taken.add(order);
+            switch (order.kind()) {
+                case LOAD -> models.add(order.model().orElseThrow());
+                case UNLOAD -> models.remove(order.model().orElseThrow());
+                case LEAVE -> role = EngineRole.LEAVING;
+                default -> role = EngineRole.SERVING;
+            }
+            return SendOutcome.APPLIED;
+        }
+
+        private EngineHoldings holdings() {
+            return EngineHoldings.of(models, role);
+        }
+    }
+
+    private OrderState holder(EngineHoldings target) {
+        OrderPolicy policy = new OrderPolicy(engine.checksFencing, DELAY_MS, AUDIT_MS, 100);
+        return OrderState.of(ENGINE, policy, target);
+    }
+
+    /** Runs a holder up to its next send, which is returned and not made. */
+    private Optional<OrderAction.Send> untilSend(OrderState state, long fencing) {
+        Optional<OrderAction> next = state.onTick(nowMs, OptionalLong.of(fencing));
+        while (next.isPresent()) {
+            if (next.get() instanceof OrderAction.Send send) {
+                return Optional.of(send);
+            }
+            make(state, next.get());
+            next = state.onTick(nowMs, OptionalLong.of(fencing));
+        }
+        return Optional.empty();
+    }
+
+    private void make(OrderState state, OrderAction action) {
+        if (action instanceof OrderAction.ReadJournal r) {
+            state.onJournal(r.ticket(), table.row(r.key()));
+        } else if (action instanceof OrderAction.WriteJournal w) {
+            state.onJournalWritten(w.ticket(), table.apply(w.transaction()), nowMs);
+        } else if (action instanceof OrderAction.ReadBack b) {
+            state.onHoldings(b.ticket(), engine.holdings(), nowMs);
+        }
+    }
+
+    private void settle(OrderState state, long fencing) {
+        Optional<OrderAction.Send> send = untilSend(state, fencing);
+        while (send.isPresent()) {
+            state.onSent(send.get().ticket(), engine.take(send.get().order()), nowMs);
+            send = untilSend(state, fencing);
+        }
+    }
+
+    /** One holder. */
+    @Nested
+    class Alone {
+        @Test
+        void loadsTheNewBeforeItUnloadsTheOld() {
+            OrderState state = holder(NEW);
+            settle(state, 1);
+            assertTrue(state.holds());
+            assertEquals(
+                    List.of(OrderKind.LOAD, OrderKind.UNLOAD),
+                    engine.taken.stream().map(Order::kind).toList());
+        }
+
+        /** An order's answer is lost: no opposite one may follow while it can still land. */
+        @Test
+        void unknownOrderIsWaitedOut() {
+            OrderState state = holder(NEW);
+            OrderAction.Send send = untilSend(state, 1).orElseThrow();
+            state.onSent(send.ticket(), SendOutcome.UNKNOWN, nowMs);
+            state.setTarget(OLD, nowMs);
+            nowMs += DELAY_MS - 1;
+            assertTrue(state.onTick(nowMs, OptionalLong.of(1)).isEmpty());
+            engine.take(send.order());
+            nowMs++;
+            settle(state, 1);
+            assertEquals(OLD, engine.holdings());
+        }
+
+        @Test
+        void nothingIsOrderedWithoutTheLease() {
+            OrderState state = holder(NEW);
+            untilSend(state, 1);
+            assertTrue(state.onTick(nowMs, OptionalLong.empty()).isEmpty());
+        }
+    }
+
+    /**
+     * A model vanishes from an engine that should hold it. Its former controller was paused just
+     * before it sent an order, lost the lease meanwhile, and sends when it wakes up.
+     */
+    @Nested
+    class PausedHolder {
+        private final OrderState former = holder(NEW);
+        private final OrderState next = holder(OLD);
+
+        private OrderAction.Send pausedAtUnload() {
+            OrderAction.Send load = untilSend(former, 1).orElseThrow();
+            former.onSent(load.ticket(), engine.take(load.order()), nowMs);
+            return untilSend(former, 1).orElseThrow();
+        }
+
+        @Test
+        void checkingEngineRefusesItsOrder() {
+            engine.checksFencing = true;
+            OrderState checked = holder(OLD);
+            OrderAction.Send late = pausedAtUnload();
+            settle(checked, 2);
+            assertEquals(SendOutcome.OLD_FENCING, engine.take(late.order()));
+            assertEquals(OLD, engine.holdings());
+        }
+
+        @Test
+        void nextHolderWaitsOutTheOpenIntent() {
+            OrderAction.Send late = pausedAtUnload();
+            assertTrue(untilSend(next, 2).isEmpty());
+            engine.take(late.order());
+            nowMs += DELAY_MS;
+            settle(next, 2);
+            assertEquals(OLD, engine.holdings());
+        }
+
+        @Test
+        void auditCorrectsAnOrderThatComesEvenLater() {
+            OrderAction.Send late = pausedAtUnload();
+            untilSend(next, 2);
+            nowMs += DELAY_MS;
+            settle(next, 2);
+            engine.take(late.order());
+            nowMs += new OrderPolicy(false, DELAY_MS, AUDIT_MS, 100).exposureMs() - DELAY_MS;
+            settle(next, 2);
+            assertEquals(OLD, engine.holdings());
+        }
+
+        @Test
+        void formerHolderCanJournalNoMore() {
+            OrderAction.Send send = untilSend(former, 1).orElseThrow();
+            untilSend(next, 2);
+            former.onSent(send.ticket(), engine.take(send.order()), nowMs);
+            assertTrue(untilSend(former, 1).isEmpty());
+            nowMs += AUDIT_MS;
+            assertTrue(untilSend(former, 1).isEmpty());
+            assertTrue(former.isSuperseded());
+        }
+    }
+
+    /** Loads from the weight store. */
+    @Nested
+    class Loads {
+        @Test
+        void bucketStartsEmptyAndReplicasAreStaggered() {
+            WeightLoads loads = WeightLoads.afterTakeover(1, 8, 4, 0);
+            for (int i = 0; i < 8; i++) {
+                loads.want(new WeightLoad(EngineId.of("e" + i), V1));
+            }
+            var replicas = Map.of(V1.model(), 8);
+            assertTrue(loads.start(replicas, 0).isEmpty());
+            List<WeightLoad> started = loads.start(replicas, 8_000);
+            assertEquals(2, started.size());
+            loads.limited(started.get(0), 500, 8_000);
+            loads.ended(started.get(1));
+            assertTrue(loads.start(replicas, 8_400).isEmpty());
+            assertEquals(1, loads.start(replicas, 9_000).size());
+        }
+    }
+}
