Close HTTP connections at once when a call fails

Cause: after calls to a server that holds its connections, the next call was refused as over the bound: the client's close shuts down its own side and waits for the peer's, so connections to a paused server pile up. Ruled out: freeing the place without closing the socket, which hides the pile. Change: take the raw connection out of the client and close that; a call ends once, before its connection is closed.

--- a/masticweir/src/main/java/org/masticweir/http/ConnectionPool.java
+++ b/masticweir/src/main/java/org/masticweir/http/ConnectionPool.java
@@ -1,6 +1,7 @@
 package org.masticweir.http;
 
 import io.undertow.client.ClientConnection;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -78,9 +79,20 @@
                 .addLast(new Idle(connection, expiry));
     }
 
-    /** Closes {@code connection}; its close listener frees its place. */
+    /**
+     * Closes {@code connection} at once; its close listener frees its place.
+     *
+     * <p>The client's own close shuts down only its side and then waits for the peer's, so that the
+     * connections to a server which is paused would pile up. Taking the raw connection out of the
+     * client first closes the socket without that wait.
+     */
     void discard(ClientConnection connection) {
-        IoUtils.safeClose(connection);
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            // Closed by the client already.
+            IoUtils.safeClose(connection);
+        }
     }
 
     private void expire(InetSocketAddress address, ClientConnection connection) {
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -40,6 +40,7 @@
     private XnioExecutor.Key timer;
     private boolean handedOver;
     private boolean wholeRequestWritten;
+    private boolean ended;
 
     PendingCall(HttpCall call, ConnectionPool pool, int maxAnswerBytes) {
         this.call = call;
@@ -78,7 +79,7 @@
     private void connected(ClientConnection fresh) {
         InetSocketAddress address = call.address();
         fresh.addCloseListener(c -> pool.free(address));
-        if (outcome.isDone()) {
+        if (ended) {
             // The deadline passed while connecting: the call has been told as never sent, so
             // nothing may leave on this connection for it.
             pool.keep(address, fresh);
@@ -151,7 +152,7 @@
     private void read(StreamSourceChannel source, ClientResponse response) {
         try (PooledByteBuffer pooled = connection.getBufferPool().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (!outcome.isDone()) {
+            while (!ended) {
                 buffer.clear();
                 int n = source.read(buffer);
                 if (n == 0) {
@@ -181,9 +182,10 @@
     }
 
     private void answered(ClientResponse response) {
-        if (outcome.isDone()) {
+        if (ended) {
             return;
         }
+        ended = true;
         timer.remove();
         String wish = response.getResponseHeaders().getFirst(Headers.CONNECTION);
         if (wholeRequestWritten && !"close".equalsIgnoreCase(wish)) {
@@ -209,9 +211,11 @@
     }
 
     private void fail(String reason) {
-        if (outcome.isDone()) {
+        if (ended) {
             return;
         }
+        // First, as closing the connection below reports its own failure here.
+        ended = true;
         timer.remove();
         if (connection != null) {
             // A late answer on this connection would be taken for the next call's.
