Run non-idempotent requests only under a claim, and number each run's generation anew

Cause: a non-idempotent request had no guard against a second run through another router; and two runs of one key were both generation 1, so a caller who came back could get the rest of another run's answer. Ruled out: numbering runs in the registry, which other routers do not see; a claim after the send. Change: ClaimedRun claims first, asks the permit right before the send, settles the claim by how the request ended; first generation numbers are drawn at random; an end that may run again is forgotten at once. The body bound holds for chunked bodies too. The daemon sets up its log from its settings.

--- a/masticweir-daemon/src/main/java/org/masticweir/daemon/Masticweird.java
+++ b/masticweir-daemon/src/main/java/org/masticweir/daemon/Masticweird.java
@@ -5,7 +5,10 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.Level;
 import org.masticweir.error.MasticweirException;
+import org.masticweir.logs.LogLayout;
+import org.masticweir.logs.LogSetup;
 import org.masticweir.router.Router;
 import org.masticweir.settings.DaemonSettings;
 import org.masticweir.time.Clock;
@@ -45,6 +48,9 @@
 
     private void run() {
         DaemonSettings checked = DaemonSettings.read(Path.of(settings));
+        LogSetup.configure(
+                LogLayout.parse(checked.log().layout().name()),
+                Level.valueOf(checked.log().level().name()));
         CountDownLatch left = new CountDownLatch(1);
         Router router = Router.start(checked, Clock.system());
         Runtime.getRuntime()
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineCommand.java
@@ -26,7 +26,7 @@
     @Parameter(names = "--vendor")
     private String vendor = "counts";
 
-    @Parameter(names = "--models", description = "model:version, separated by commas")
+    @Parameter(names = "--models", description = "model:version[:adapter], separated by commas")
     private List<String> models = ImmutableList.of("report:1");
 
     @Parameter(names = "--max-batch")
--- a/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -94,7 +94,7 @@
             exchange.setPersistent(false);
             throw tooLarge();
         }
-        exchange.setMaxEntitySize(limits.maxBodyBytes());
+        exchange.getRequestReceiver().setMaxBufferSize(limits.maxBodyBytes());
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (ex, bytes) -> guarded(ex, () -> submit(ex, team, bytes)),
--- a/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
@@ -27,6 +27,7 @@
 final class EventStreamWriter {
     static final HttpString REQUEST = new HttpString("Masticweir-Request");
 
+    private static final int NONE = 0;
     private static final int TOKENS_A_PART = 256;
 
     private final HttpServerExchange exchange;
@@ -61,7 +62,7 @@
         this.stallMs = stallMs;
         this.onGone = checkNotNull(onGone, "onGone");
         thread = exchange.getIoThread();
-        generation = last.map(EventId::generation).orElse(1);
+        generation = last.map(EventId::generation).orElse(NONE);
         next = last.map(id -> id.index() + 1).orElse(0);
     }
 
@@ -125,10 +126,7 @@
     private boolean nextPart() {
         AnswerLog.View view = log.read(next, TOKENS_A_PART);
         if (view.generation() != generation) {
-            generation = view.generation();
-            next = 0;
-            part = ByteBuffer.wrap(EventText.reset(generation));
-            return true;
+            return switchGeneration(view.generation());
         }
         if (!view.tokens().isEmpty()) {
             part = ByteBuffer.wrap(EventText.tokens(generation, next, view.tokens()));
@@ -143,6 +141,14 @@
         return true;
     }
 
+    private boolean switchGeneration(int now) {
+        boolean hadTokens = next > 0;
+        generation = now;
+        next = 0;
+        part = ByteBuffer.wrap(hadTokens ? EventText.reset(now) : EventText.NOTHING);
+        return true;
+    }
+
     private byte[] endOf(AnswerEnd end, int tokens) {
         if (end instanceof AnswerEnd.Failed failed) {
             return EventText.error(failed.error());
--- a/masticweir/src/main/java/org/masticweir/callers/EventText.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventText.java
@@ -7,6 +7,8 @@
 
 /** Writes answers as server-sent events. */
 final class EventText {
+    static final byte[] NOTHING = {};
+
     private EventText() {}
 
     /** A comment, which callers skip; it carries the answer headers out at once. */
--- a/masticweir/src/main/java/org/masticweir/error/ErrorCode.java
+++ b/masticweir/src/main/java/org/masticweir/error/ErrorCode.java
@@ -8,6 +8,7 @@
     NOT_FOUND(404),
     METHOD_NOT_ALLOWED(405),
     CONFLICT(409),
+    DUPLICATE(409),
     BODY_TOO_LARGE(413),
     UNKNOWN_TEAM(401),
     UNKNOWN_CLASS(400),
--- a/masticweir/src/main/java/org/masticweir/generation/AnswerLog.java
+++ b/masticweir/src/main/java/org/masticweir/generation/AnswerLog.java
@@ -24,7 +24,7 @@
     private int[] tokens = new int[FIRST_CAPACITY];
     private int size;
     private int released;
-    private int generation = 1;
+    private int generation;
     private AnswerEnd end;
 
     /** Appends accepted tokens, not yet released; the first must have index {@link #size()}. */
@@ -53,8 +53,8 @@
         tellListeners();
     }
 
-    /** Voids all that was released and goes on with another generation. */
-    public void reset(int newGeneration) {
+    /** Starts a generation, the first or another one, which voids all that was released. */
+    public void startGeneration(int newGeneration) {
         synchronized (this) {
             checkArgument(newGeneration > generation, "generation %s", newGeneration);
             generation = newGeneration;
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -98,6 +98,11 @@
                 });
     }
 
+    /** Returns the executor of the control thread, for services whose state it owns. */
+    ScheduledExecutorService executor() {
+        return executor;
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -11,6 +11,8 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.callers.CallerHandler;
 import org.masticweir.callers.CallerLimits;
+import org.masticweir.claims.ClaimService;
+import org.masticweir.claims.ClaimServiceSettings;
 import org.masticweir.engine.EngineClient;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
@@ -140,9 +142,19 @@
                 ExpectedDelayChooser.create(inFlight, ThreadLocalRandom::current),
                 inFlight,
                 GapBounds.of(recovery.silenceFloorMs(), recovery.silenceStartMs()),
+                claims(),
                 ServingObserver.none());
     }
 
+    private ClaimService claims() {
+        return ClaimService.create(
+                settings.router().id(),
+                HttpPlatform.at(settings.platform().address(), calls),
+                control.executor(),
+                clock,
+                ClaimServiceSettings.defaults());
+    }
+
     private Undertow callerServer() {
         DaemonSettings.Callers bounds = settings.callers();
         CallerLimits limits =
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -45,6 +46,8 @@
 final class GenerationRunner {
     private static final Logger LOG = LogManager.getLogger(GenerationRunner.class);
 
+    private static final int LAST_FIRST_GENERATION = 1 << 30;
+
     private final ServingContext context;
     private final RunningRequest request;
     private final WorkClass workClass;
@@ -59,6 +62,7 @@
     private Optional<EngineStream> stream = Optional.empty();
     private Optional<XnioExecutor.Key> wakeUp = Optional.empty();
     private Optional<EngineId> counted = Optional.empty();
+    private RunPermit permit = RunPermit.ALWAYS;
     private boolean recovering;
     private boolean running;
 
@@ -85,14 +89,19 @@
             WorkClass workClass,
             Model model,
             XnioIoThread thread) {
-        GenerationId first = GenerationId.of(request.spec().id(), 1);
+        // A key may be used again after a run that failed: runs must not share a generation, or a
+        // caller who comes back could be given the rest of another run's answer.
+        int number = ThreadLocalRandom.current().nextInt(1, LAST_FIRST_GENERATION);
+        GenerationId first = GenerationId.of(request.spec().id(), number);
         GenerationSpec pinned = GenerationSpec.pin(first, model);
         return new GenerationRunner(context, request, workClass, pinned, thread);
     }
 
     /** Starts the request; call once, on its thread. */
-    void start() {
+    void start(RunPermit under) {
+        permit = checkNotNull(under, "under");
         request.cancelWith(() -> thread.execute(() -> feed(new RecoveryEvent.Cancelled())));
+        request.log().startGeneration(generation.id().number());
         run(machine.start(now()));
     }
 
@@ -213,6 +222,10 @@
     }
 
     private void send(RecoveryAction.Send send) {
+        if (!permit.maySend(now())) {
+            feed(new RecoveryEvent.Refused(send.attempt(), workClass.firstTokenMs()));
+            return;
+        }
         BackEnd backEnd = seen.get(send.engine());
         ImmutableIntArray prefix = request.log().accepted(0, send.prefix());
         AttemptRequest attempt =
@@ -273,33 +286,31 @@
         closeStream();
         GenerationId id = GenerationId.of(request.spec().id(), next.number());
         generation = GenerationSpec.pin(id, declaredModel().orElseThrow());
-        request.log().reset(next.number());
+        request.log().startGeneration(next.number());
     }
 
     private void finish(int tokens) {
-        end();
-        request.log().finish(new AnswerEnd.Completed(""));
+        end(new AnswerEnd.Completed(""));
         context.observer().completed(request.spec(), now() - request.acceptedAtMs(), tokens);
     }
 
     private void fail(MasticweirException error) {
-        end();
+        end(new AnswerEnd.Failed(error));
         LOG.info(
                 "recovery: request {} given up, {} {}, {}",
                 request.spec().id(),
                 error.code(),
                 error.verdict(),
                 error.getMessage());
-        request.log().finish(new AnswerEnd.Failed(error));
         context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
     }
 
-    private void end() {
+    private void end(AnswerEnd how) {
         closeStream();
         uncount();
         wakeUp.ifPresent(XnioExecutor.Key::remove);
         wakeUp = Optional.empty();
-        RequestEnd.retain(context, request, thread);
+        RequestEnd.end(context, request, thread, how);
     }
 
     private void countOn(EngineId engine) {
--- a/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
@@ -1,17 +1,35 @@
 package org.masticweir.serving;
 
 import java.util.concurrent.TimeUnit;
+import org.masticweir.error.Verdict;
+import org.masticweir.generation.AnswerEnd;
 import org.xnio.XnioIoThread;
 
-/** Keeps a finished request readable for a while and then forgets it. */
+/** Gives a request its final outcome and decides how long it stays readable. */
 final class RequestEnd {
     private RequestEnd() {}
 
-    static void retain(ServingContext context, RunningRequest request, XnioIoThread thread) {
+    /** Ends {@code request}; call once, on its thread. */
+    static void end(
+            ServingContext context, RunningRequest request, XnioIoThread thread, AnswerEnd how) {
         context.registry().finished();
-        thread.executeAfter(
-                () -> context.registry().forget(request),
-                context.tuning().retainMs(),
-                TimeUnit.MILLISECONDS);
+        if (mayRunAgain(request, how)) {
+            // Forgotten first: a caller who asks again at once must not get this end once more.
+            context.registry().forget(request);
+        } else {
+            thread.executeAfter(
+                    () -> context.registry().forget(request),
+                    context.tuning().retainMs(),
+                    TimeUnit.MILLISECONDS);
+        }
+        request.log().finish(how);
+    }
+
+    private static boolean mayRunAgain(RunningRequest request, AnswerEnd how) {
+        if (!(how instanceof AnswerEnd.Failed failed)) {
+            return false;
+        }
+        Verdict verdict = failed.error().verdict();
+        return request.spec().idempotent() || verdict.safeToSendAgain();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/RequestService.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestService.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.function.Consumer;
 import org.masticweir.config.BackEndKind;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.Model;
@@ -68,10 +69,16 @@
 
     private void start(
             RunningRequest request, WorkClass workClass, Model model, XnioIoThread thread) {
-        if (model.kind() == BackEndKind.SERVICE) {
-            ServiceRunner.of(context, request, workClass, model, thread).start();
+        Consumer<RunPermit> run =
+                model.kind() == BackEndKind.SERVICE
+                        ? p -> ServiceRunner.of(context, request, workClass, model, thread).start(p)
+                        : p ->
+                                GenerationRunner.of(context, request, workClass, model, thread)
+                                        .start(p);
+        if (request.spec().idempotent()) {
+            run.accept(RunPermit.ALWAYS);
         } else {
-            GenerationRunner.of(context, request, workClass, model, thread).start();
+            new ClaimedRun(context, request, thread, run).start();
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
@@ -41,6 +41,7 @@
     private final XnioIoThread thread;
     private final Set<EngineId> excluded = new HashSet<>();
 
+    private RunPermit permit = RunPermit.ALWAYS;
     private Verdict verdict = Verdict.NOT_RUN;
     private long advisedRetryMs;
     private int attempts;
@@ -69,13 +70,18 @@
     }
 
     /** Starts the request; call once, on its thread. */
-    void start() {
+    void start(RunPermit under) {
+        permit = checkNotNull(under, "under");
         tryNext();
     }
 
     private void tryNext() {
         long leftMs = request.acceptedAtMs() + workClass.totalMs() - now();
         attempts++;
+        if (!permit.maySend(now())) {
+            fail(ErrorCode.PLATFORM_UNAVAILABLE, "the claim was not certain in time");
+            return;
+        }
         if (leftMs <= 0 || attempts > context.tuning().maxAttempts()) {
             fail(ErrorCode.DEADLINE_EXCEEDED, "no service answered in the class's total time");
             return;
@@ -166,17 +172,15 @@
 
     private void complete(String result) {
         context.observer().firstToken(request.spec(), now() - request.acceptedAtMs());
-        request.log().finish(new AnswerEnd.Completed(result));
         context.observer().completed(request.spec(), now() - request.acceptedAtMs(), 0);
-        RequestEnd.retain(context, request, thread);
+        RequestEnd.end(context, request, thread, new AnswerEnd.Completed(result));
     }
 
     private void fail(ErrorCode code, String message) {
         MasticweirException error =
                 MasticweirException.of(code, verdict, message).retryAfterMs(advisedRetryMs);
-        request.log().finish(new AnswerEnd.Failed(error));
         context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
-        RequestEnd.retain(context, request, thread);
+        RequestEnd.end(context, request, thread, new AnswerEnd.Failed(error));
     }
 
     private long now() {
--- a/masticweir/src/main/java/org/masticweir/serving/ServingContext.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServingContext.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.function.Supplier;
+import org.masticweir.claims.ClaimCommands;
 import org.masticweir.engine.EngineClient;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.routing.EngineChooser;
@@ -20,6 +21,7 @@
         EngineChooser chooser,
         InFlight inFlight,
         GapBounds gaps,
+        ClaimCommands claims,
         ServingObserver observer) {
     public ServingContext {
         checkNotNull(clock, "clock");
@@ -31,6 +33,7 @@
         checkNotNull(chooser, "chooser");
         checkNotNull(inFlight, "inFlight");
         checkNotNull(gaps, "gaps");
+        checkNotNull(claims, "claims");
         checkNotNull(observer, "observer");
     }
 }
