--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/config/RevisionSource.java
@@ -0,0 +1,7 @@
+package org.masticweir.config;
+
+/** From whom a router learns of a revision. */
+public enum RevisionSource {
+    TABLE,
+    PEER
+}
