--- a/masticweir/src/main/java/org/masticweir/metrics/MetricsPage.java
+++ b/masticweir/src/main/java/org/masticweir/metrics/MetricsPage.java
@@ -36,10 +36,10 @@
         return new MetricsPage(registry);
     }
 
-    /** Returns the page as UTF-8; reads every histogram, so call it off the I/O threads. */
-    public byte[] json() {
+    /** Returns the page; reads every histogram, so call it off the I/O threads. */
+    public String json() {
         try {
-            return MAPPER.writeValueAsBytes(read());
+            return MAPPER.writeValueAsString(read());
         } catch (JsonProcessingException e) {
             throw MasticweirException.causedBy(
                     ErrorCode.INTERNAL, Verdict.NOT_RUN, "the metrics cannot be written", e);
