Decide membership by heartbeats in bounded peer sets

The instance list lags and can be out of reach, so it may only propose; something has to say which routers live, leave or were replaced, and which failure domains hold which configuration revision. Ruled out: heartbeats to all routers (390 peers each), one-way heartbeats both ways (twice the messages and headers of an ask with its answer), all domains' revisions in each heartbeat (grows with the domains), and judging replacements by silence although nobody asks them. Links that a router gives up itself no longer count as lost.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
@@ -0,0 +1,190 @@
+package org.masticweir.membership;
+
+import org.masticweir.id.DomainId;
+import org.masticweir.id.RouterId;
+
+/** What {@link MembershipState} keeps of one other router; owned by the control thread. */
+final class MemberEntry {
+    private final long weight;
+    private final long suspectMs;
+    private final long deadMs;
+
+    private RouterAddress where;
+    private MemberState announced = MemberState.STARTING;
+    private MemberState judged = MemberState.STARTING;
+    private long heardMs;
+    private long firstHeardMs = DomainView.NEVER;
+    private boolean linkLost;
+    private boolean listed;
+    private boolean listedLeaving;
+    private long configRevision;
+    private LoadDigest load = LoadDigest.NONE;
+
+    private boolean learned;
+    private long nextBeatMs;
+    private long beats;
+    private long triedMs = DomainView.NEVER;
+    private long retryMs;
+
+    MemberEntry(RouterAddress where, long weight, long suspectMs, long deadMs, long nowMs) {
+        this.where = where;
+        this.weight = weight;
+        this.suspectMs = suspectMs;
+        this.deadMs = deadMs;
+        heardMs = nowMs;
+        nextBeatMs = nowMs;
+    }
+
+    RouterId router() {
+        return where.router();
+    }
+
+    DomainId domain() {
+        return where.domain();
+    }
+
+    RouterAddress where() {
+        return where;
+    }
+
+    long weight() {
+        return weight;
+    }
+
+    MemberState judged() {
+        return judged;
+    }
+
+    boolean listed() {
+        return listed;
+    }
+
+    /** Tells whether it was heard and is thought to live, so that others may be told of it. */
+    boolean live() {
+        return firstHeardMs != DomainView.NEVER && judged.announced();
+    }
+
+    boolean heardFirstSince(long ms) {
+        return firstHeardMs >= ms;
+    }
+
+    /** Takes what the instance list says; its address counts only for a member that is silent. */
+    boolean list(ListedRouter l) {
+        listed = true;
+        listedLeaving = l.leaving();
+        return !live() && move(l.where());
+    }
+
+    void unlist() {
+        listed = false;
+    }
+
+    /** Moves to a newer address; returns whether it changed. */
+    boolean move(RouterAddress to) {
+        boolean moved = !where.address().equals(to.address());
+        long incarnation = Math.max(where.incarnation(), to.incarnation());
+        where = RouterAddress.of(router(), domain(), to.address(), incarnation);
+        return moved;
+    }
+
+    /** Takes a heartbeat; one of a higher incarnation starts the member anew. */
+    void heard(Heartbeat beat, long nowMs) {
+        boolean restarted = beat.sender().incarnation() > where.incarnation();
+        if (restarted || firstHeardMs == DomainView.NEVER) {
+            firstHeardMs = nowMs;
+        }
+        if (restarted) {
+            listedLeaving = false;
+        }
+        where = beat.sender();
+        announced = beat.state();
+        configRevision = beat.configRevision();
+        load = beat.load();
+        heardMs = nowMs;
+        linkLost = false;
+        triedMs = DomainView.NEVER;
+    }
+
+    void linkLost() {
+        linkLost = true;
+    }
+
+    /** Makes a silent member that no heartbeats go to a mere proposal again, as if just listed. */
+    void reset(long nowMs) {
+        firstHeardMs = DomainView.NEVER;
+        announced = MemberState.STARTING;
+        heardMs = nowMs;
+        linkLost = false;
+    }
+
+    boolean silent(long nowMs) {
+        return linkLost || nowMs - heardMs >= suspectMs;
+    }
+
+    /** Forgives {@code ms} of silence, during which this router itself was paused. */
+    void forgive(long ms) {
+        heardMs += ms;
+    }
+
+    boolean beatDue(long nowMs) {
+        return nowMs >= nextBeatMs;
+    }
+
+    void beatNextAt(long ms) {
+        nextBeatMs = ms;
+    }
+
+    /** Counts a heartbeat to the member and returns how many went before. */
+    long nextTurn() {
+        return beats++;
+    }
+
+    /** Returns whether the links were told its address, and notes that they are now. */
+    boolean learn() {
+        boolean before = learned;
+        learned = true;
+        return before;
+    }
+
+    /** Returns whether the links know it, and notes that they are told to drop it. */
+    boolean unlearn() {
+        boolean before = learned;
+        learned = false;
+        return before;
+    }
+
+    /** Starts the waits between tries of a member that was just found dead. */
+    void startRetries(long nowMs) {
+        retryMs = deadMs;
+        nextBeatMs = nowMs + retryMs;
+    }
+
+    /** Notes a try of a dead member and doubles the wait for the next, up to {@code maxMs}. */
+    void tried(long nowMs, long maxMs) {
+        triedMs = nowMs;
+        retryMs = Math.min(maxMs, 2 * retryMs);
+        nextBeatMs = nowMs + retryMs;
+    }
+
+    /** Tells whether the last try of a dead member went unanswered for long enough. */
+    boolean tryFailed(long nowMs) {
+        return triedMs == DomainView.NEVER || nowMs - triedMs >= suspectMs;
+    }
+
+    /** Judges the member by its silence; returns whether its state changed. */
+    boolean judge(long nowMs) {
+        MemberState before = judged;
+        if (nowMs - heardMs >= deadMs) {
+            judged = MemberState.DEAD;
+        } else if (silent(nowMs)) {
+            judged = MemberState.SUSPECT;
+        } else {
+            judged = listedLeaving ? MemberState.DRAINING : announced;
+        }
+        return judged != before;
+    }
+
+    Member toMember() {
+        return new Member(where, judged, heardMs, configRevision, load);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/peer/Fields.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Fields.java
@@ -77,6 +77,12 @@
         return items.build();
     }
 
+    /** Returns the next field, an array of its own that {@code item} reads. */
+    public <T> T nested(ItemReader<T> item) throws IOException {
+        take();
+        return item.read(in);
+    }
+
     @Override
     public void close() throws IOException {
         in.skipValue(left);
@@ -88,7 +94,7 @@
         left--;
     }
 
-    /** Reads one item of a list. */
+    /** Reads one item of a list, or one nested array, to its end. */
     @FunctionalInterface
     public interface ItemReader<T> {
         T read(MessageUnpacker in) throws IOException;
--- a/masticweir/src/main/java/org/masticweir/peer/LinkListener.java
+++ b/masticweir/src/main/java/org/masticweir/peer/LinkListener.java
@@ -10,5 +10,6 @@
 public interface LinkListener {
     void linkUp(Hello peer, LinkDirection direction);
 
+    /** The link broke or the peer closed it; one that this router gave up is not told of. */
     void linkDown(RouterId peer, LinkDirection direction);
 }
--- a/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
@@ -208,7 +208,7 @@
         }
     }
 
-    /** Gives the peer up: the link closes, what waits fails, nothing more is taken. */
+    /** Gives the peer up: the link closes, what waits fails; no loss, so listeners don't hear. */
     void close() {
         if (phase == Phase.CLOSED) {
             return;
@@ -219,9 +219,6 @@
             link.close("closed here");
         }
         asks.failAll(linkLost(wasUp, "closed here"));
-        if (wasUp) {
-            context.events().linkDown(peer, LinkDirection.OUTGOING);
-        }
     }
 
     private synchronized void enter(Phase next) {
