--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/HolderRanking.java
@@ -0,0 +1,11 @@
+package org.masticweir.recovery.copy;
+
+import com.google.common.collect.ImmutableList;
+import org.masticweir.id.RequestId;
+import org.masticweir.id.RouterId;
+
+/** Ranks the routers that hold, or may hold, the copy of a request; thread-safe. */
+public interface HolderRanking {
+    /** Returns up to {@code n} routers other than {@code owner}, the first choice first. */
+    ImmutableList<RouterId> holdersFor(RequestId request, RouterId owner, int n);
+}
