copy: carry copies, lookups and followed answers over the links

Cause: the decisions about copies had no way to another router. Ruled out: pushed token streams to readers (a dropped one-way message leaves a gap, a slow reader fills the queue), so a reader asks from where it stands and the owner holds the answer until there is news; a flush timer (appends of one round trip share a frame without one); taking a timed-out ask for a lost holder (after a pause of this process all time-outs fire at once).

--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLookup.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLookup.java
@@ -84,7 +84,7 @@
             allAnswered &= !unanswered.remove(failed.from());
             decideIfAllAnswered(nowMs);
         } else if (event instanceof LookupEvent.Subscribed subscribed) {
-            onSubscribed(subscribed.owner());
+            onSubscribed(subscribed);
         } else if (event instanceof LookupEvent.SubscribeFailed failed) {
             onSubscribeFailed(failed.owner(), nowMs);
         } else if (event instanceof LookupEvent.HolderAnswered answered) {
@@ -138,10 +138,10 @@
         return true;
     }
 
-    private void onSubscribed(RouterId owner) {
-        if (phase == Phase.SUBSCRIBING && isAsked(owner)) {
+    private void onSubscribed(LookupEvent.Subscribed s) {
+        if (phase == Phase.SUBSCRIBING && isAsked(s.owner())) {
             phase = Phase.DONE;
-            out.add(new LookupAction.Following(owner));
+            out.add(new LookupAction.Following(s.owner(), s.spec(), s.generation()));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/LookupAction.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/LookupAction.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.masticweir.generation.GenerationSpec;
+import org.masticweir.generation.RequestSpec;
 import org.masticweir.id.RouterId;
 
 /** What the adapter of one lookup is to do next, in the order given. */
@@ -19,7 +21,8 @@
     record Fence(RouterId candidate, CopyEpoch epoch) implements LookupAction {}
 
     /** The owner streams the answer. The lookup is over. */
-    record Following(RouterId owner) implements LookupAction {}
+    record Following(RouterId owner, RequestSpec spec, GenerationSpec generation)
+            implements LookupAction {}
 
     /** This router owns the request and goes on from {@code copy}. The lookup is over. */
     record TakenOver(GenerationCopy copy) implements LookupAction {
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/LookupEvent.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/LookupEvent.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import org.masticweir.generation.GenerationSpec;
+import org.masticweir.generation.RequestSpec;
 import org.masticweir.id.RouterId;
 
 /** What happened to one lookup, as its adapter saw it. */
@@ -23,9 +25,12 @@
     }
 
     /** {@code owner} streams the answer to this router from now on. */
-    record Subscribed(RouterId owner) implements LookupEvent {
+    record Subscribed(RouterId owner, RequestSpec spec, GenerationSpec generation)
+            implements LookupEvent {
         public Subscribed {
             checkNotNull(owner, "owner");
+            checkNotNull(spec, "spec");
+            checkNotNull(generation, "generation");
         }
     }
 
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
@@ -0,0 +1,99 @@
+package org.masticweir.recovery.copy;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import org.masticweir.time.Clock;
+
+/**
+ * Carries out what one owned request's {@link CopySender} decides.
+ *
+ * <p>Commands go to their holder and wake-ups to the thread's timer; all other actions go to the
+ * owner, which may feed events from within. Owned by the request's thread.
+ */
+public final class SenderDriver {
+    private final CopySender sender;
+    private final CopyLinks links;
+    private final RequestThread thread;
+    private final Clock clock;
+    private final Consumer<CopyAction> owner;
+    private final WakeUp wakeUp;
+    private final Deque<CopyAction> pending = new ArrayDeque<>();
+    private boolean running;
+    private boolean closed;
+
+    private SenderDriver(
+            CopySender sender,
+            CopyLinks links,
+            RequestThread thread,
+            Clock clock,
+            Consumer<CopyAction> owner) {
+        this.sender = checkNotNull(sender, "sender");
+        this.links = checkNotNull(links, "links");
+        this.thread = checkNotNull(thread, "thread");
+        this.clock = checkNotNull(clock, "clock");
+        this.owner = checkNotNull(owner, "owner");
+        wakeUp = new WakeUp(thread, clock, () -> on(new CopyEvent.Tick()));
+    }
+
+    /**
+     * Returns the driver of {@code sender}.
+     *
+     * @param owner takes Start, Join, ReleaseTo, ReleaseEnd, Unprotected and Fenced
+     */
+    public static SenderDriver of(
+            CopySender sender,
+            CopyLinks links,
+            RequestThread thread,
+            Clock clock,
+            Consumer<CopyAction> owner) {
+        return new SenderDriver(sender, links, thread, clock, owner);
+    }
+
+    /** Starts copying; call once, on the request's thread. */
+    public void start() {
+        run(sender.start(clock.nowMs()));
+    }
+
+    /** Feeds one event; call on the request's thread. */
+    public void on(CopyEvent event) {
+        if (!closed) {
+            run(sender.on(event, clock.nowMs()));
+        }
+    }
+
+    /** Ends the driver once the request is no longer served here. */
+    public void close() {
+        closed = true;
+        pending.clear();
+        wakeUp.cancel();
+    }
+
+    private void run(List<CopyAction> actions) {
+        pending.addAll(actions);
+        if (running) {
+            return;
+        }
+        running = true;
+        try {
+            while (!pending.isEmpty()) {
+                carryOut(pending.removeFirst());
+            }
+        } finally {
+            running = false;
+        }
+    }
+
+    private void carryOut(CopyAction action) {
+        if (action instanceof CopyAction.SendToHolder send) {
+            links.send(send, event -> thread.execute(() -> on(event)));
+        } else if (action instanceof CopyAction.WakeAt wake) {
+            wakeUp.at(wake.atMs());
+        } else {
+            owner.accept(action);
+        }
+    }
+}
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLookupTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLookupTest.java
@@ -14,6 +14,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticweir.generation.GenerationSpec;
+import org.masticweir.generation.RequestSpec;
 import org.masticweir.id.RouterId;
 
 /** Tests {@link CopyLookup}. */
@@ -54,8 +56,10 @@
         void liveOwnerIsFollowed() {
             found(H2, 4);
             assertTrue(seen.contains(new LookupAction.Subscribe(FIRST)));
-            on(new LookupEvent.Subscribed(A), 2);
-            assertEquals(new LookupAction.Following(A), last());
+            RequestSpec spec = Samples.spec(Samples.REQUEST);
+            GenerationSpec generation = Samples.generation(Samples.REQUEST, 1);
+            on(new LookupEvent.Subscribed(A, spec, generation), 2);
+            assertEquals(new LookupAction.Following(A, spec, generation), last());
         }
 
         @Test
