--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
@@ -45,6 +45,7 @@
     private final CopyLinkLimits limits;
     private final CopyHandlers handlers;
     private final ConcurrentMap<RouterId, AppendQueue> queues = new ConcurrentHashMap<>();
+    private final HolderWatch watch = new HolderWatch();
     private final LongAdder tokens = new LongAdder();
     private final LongAdder appends = new LongAdder();
     private final LongAdder batches = new LongAdder();
@@ -74,6 +75,7 @@
             CopyLinkLimits limits) {
         CopyLinks copies = new CopyLinks(links, self, store, owned, clock, limits);
         copies.handlers.register(links);
+        links.listen(copies.watch);
         return copies;
     }
 
@@ -100,6 +102,15 @@
                         });
     }
 
+    /** Tells all owners here that {@code holder} is dead, as membership found it. */
+    public void lost(RouterId holder) {
+        watch.lost(holder);
+    }
+
+    HolderWatch watch() {
+        return watch;
+    }
+
     /** Carries out one question of a lookup; what concerns this router itself is answered here. */
     public void carryOut(RequestId request, LookupAction action, Consumer<LookupEvent> events) {
         if (action instanceof LookupAction.Find find) {
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/HolderRanking.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/HolderRanking.java
@@ -8,4 +8,16 @@
 public interface HolderRanking {
     /** Returns up to {@code n} routers other than {@code owner}, the first choice first. */
     ImmutableList<RouterId> holdersFor(RequestId request, RouterId owner, int n);
+
+    /**
+     * Returns the routers that a lookup by {@code self} asks, {@code self} first.
+     *
+     * <p>The owner may itself rank among the first {@code n}, so one more is asked.
+     */
+    default ImmutableList<RouterId> candidatesFor(RequestId request, RouterId self, int n) {
+        return ImmutableList.<RouterId>builder()
+                .add(self)
+                .addAll(holdersFor(request, self, n + 1))
+                .build();
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
@@ -5,7 +5,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.masticweir.id.RouterId;
 import org.masticweir.time.Clock;
 
 /**
@@ -17,11 +19,12 @@
 public final class SenderDriver {
     private final CopySender sender;
     private final CopyLinks links;
-    private final RequestThread thread;
     private final Clock clock;
     private final Consumer<CopyAction> owner;
     private final WakeUp wakeUp;
     private final Deque<CopyAction> pending = new ArrayDeque<>();
+    private final Consumer<CopyEvent> events;
+    private Optional<RouterId> watched = Optional.empty();
     private boolean running;
     private boolean closed;
 
@@ -33,9 +36,10 @@
             Consumer<CopyAction> owner) {
         this.sender = checkNotNull(sender, "sender");
         this.links = checkNotNull(links, "links");
-        this.thread = checkNotNull(thread, "thread");
+        checkNotNull(thread, "thread");
         this.clock = checkNotNull(clock, "clock");
         this.owner = checkNotNull(owner, "owner");
+        events = event -> thread.execute(() -> on(event));
         wakeUp = new WakeUp(thread, clock, () -> on(new CopyEvent.Tick()));
     }
 
@@ -70,6 +74,7 @@
         closed = true;
         pending.clear();
         wakeUp.cancel();
+        unwatch();
     }
 
     private void run(List<CopyAction> actions) {
@@ -89,11 +94,26 @@
 
     private void carryOut(CopyAction action) {
         if (action instanceof CopyAction.SendToHolder send) {
-            links.send(send, event -> thread.execute(() -> on(event)));
+            watch(send.holder());
+            links.send(send, events);
         } else if (action instanceof CopyAction.WakeAt wake) {
             wakeUp.at(wake.atMs());
         } else {
             owner.accept(action);
         }
     }
+
+    private void watch(RouterId holder) {
+        if (watched.filter(holder::equals).isPresent()) {
+            return;
+        }
+        unwatch();
+        watched = Optional.of(holder);
+        links.watch().watch(holder, events);
+    }
+
+    private void unwatch() {
+        watched.ifPresent(h -> links.watch().unwatch(h, events));
+        watched = Optional.empty();
+    }
 }
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLinksTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLinksTest.java
@@ -147,6 +147,21 @@
         }
     }
 
+    /**
+     * A placement would be lost without a sign: its holder dies while the generation runs, when no
+     * message is due. The loss of the link has the owner copy it to the next holder.
+     */
+    @Test
+    void placementIsCopiedAgainWhenItsHolderDies() throws Exception {
+        Router second = new Router(H2);
+        connect();
+        await(released(a.own(REQUEST, Reliability.PLACEMENT, 5), 5, false));
+        assertTrue(holder.store.reads().find(REQUEST).isPresent());
+        CompletableFuture<Void> copied = second.holds(REQUEST);
+        holder.links.close();
+        await(copied);
+    }
+
     /** Not a bound but a figure: what a token's copy costs on the wire, by requests at once. */
     @Test
     void bytesOfACopiedToken() throws Exception {
@@ -230,6 +245,14 @@
             }
         }
 
+        /** Completes once this router's store has a copy of the request. */
+        CompletableFuture<Void> holds(RequestId request) {
+            CompletableFuture<Void> done = new CompletableFuture<>();
+            Runnable look = () -> store.reads().find(request).ifPresent(s -> done.complete(null));
+            timer.scheduleAtFixedRate(look, 1, 1, TimeUnit.MILLISECONDS);
+            return done;
+        }
+
         LookupAction lookUp() throws Exception {
             CompletableFuture<LookupAction> outcome = new CompletableFuture<>();
             CopyLookup lookup = CopyLookup.of(LookupLimits.defaults(), id, List.of(H1));
