Test engine losses on real processes behind the proxy

Cause: what happens when an engine dies, freezes or resumes wrongly was shown only by the demo, which kills one engine and is no test. Ruled out: fixed ports (two builds on one machine would collide) and the demo's script (shell can't wait on events with a bound); a bed per test class (a start costs seconds, and every fault used here can be undone). Change: a test bed that starts platform, engines, services, routers and the proxy as processes, ends them by handle, and heals between tests; AnswerCheck compares a caller's tokens with the seed that engines recorded.

--- /dev/null
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
@@ -0,0 +1,139 @@
+package org.masticweir.it;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import org.masticweir.bench.IpAddress;
+
+/** Starts routers whose links to the platform and to each other pass through the proxy. */
+final class RouterLauncher {
+    private static final int HEAP_MB = 128;
+    private static final int PORTS = 3;
+    private static final int TRIES = 3;
+    private static final int EXIT_PORT_IN_USE = 2;
+    private static final long READY_BOUND_MS = 20_000;
+    private static final String SETTINGS =
+            """
+            [router]
+            id = %s
+            domain = %s
+            caller_address = %s
+            operator_address = %s
+            peer_address = %s
+            [platform]
+            address = %s
+            config_poll_ms = 200
+            instances_poll_ms = 200
+            [callers]
+            orphan_ms = %d
+            [peers]
+            seeds = %s
+            """;
+
+    private final Processes processes;
+    private final ProxyControl proxy;
+    private final InetSocketAddress platform;
+    private final long orphanMs;
+    private final AtomicInteger routes = new AtomicInteger();
+
+    RouterLauncher(
+            Processes processes, ProxyControl proxy, InetSocketAddress platform, long orphanMs) {
+        this.processes = checkNotNull(processes, "processes");
+        this.proxy = checkNotNull(proxy, "proxy");
+        this.platform = checkNotNull(platform, "platform");
+        this.orphanMs = orphanMs;
+    }
+
+    /** A router to start. */
+    record Spec(String id, String domain) {}
+
+    /** Starts routers that know each other; their ports are taken anew when one was in use. */
+    ImmutableList<RouterProcess> start(List<Spec> specs) {
+        for (int i = 1; i < TRIES; i++) {
+            ImmutableList<RouterProcess> routers = tryStart(specs);
+            if (allReady(routers)) {
+                return routers;
+            }
+            routers.forEach(r -> r.process().kill());
+        }
+        throw new AssertionError("no free ports for " + specs);
+    }
+
+    /** Returns the name of the route by which router {@code id} reaches the platform. */
+    static String platformRoute(String id) {
+        return "platform-" + id;
+    }
+
+    private static boolean allReady(List<RouterProcess> routers) {
+        CompletableFuture<?>[] ready =
+                routers.stream().map(r -> r.process().ready()).toArray(CompletableFuture<?>[]::new);
+        try {
+            CompletableFuture.allOf(ready)
+                    .orTimeout(READY_BOUND_MS, java.util.concurrent.TimeUnit.MILLISECONDS)
+                    .join();
+            return true;
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof ChildProcess.EndedEarly ended
+                    && ended.exitCode() == EXIT_PORT_IN_USE) {
+                return false;
+            }
+            throw e;
+        }
+    }
+
+    private ImmutableList<RouterProcess> tryStart(List<Spec> specs) {
+        ImmutableList<Integer> ports = Processes.freePorts(PORTS * specs.size());
+        ImmutableList.Builder<InetSocketAddress> peers = ImmutableList.builder();
+        for (int i = 0; i < specs.size(); i++) {
+            String route = "peer-" + specs.get(i).id() + "-" + routes.incrementAndGet();
+            peers.add(proxy.add(route, loopback(ports.get(PORTS * i + 2))));
+        }
+        ImmutableList<InetSocketAddress> seeds = peers.build();
+        ImmutableList.Builder<RouterProcess> routers = ImmutableList.builder();
+        for (int i = 0; i < specs.size(); i++) {
+            routers.add(
+                    launch(specs.get(i), ports.subList(PORTS * i, PORTS * i + PORTS), seeds, i));
+        }
+        return routers.build();
+    }
+
+    private RouterProcess launch(
+            Spec spec, List<Integer> ports, List<InetSocketAddress> seeds, int self) {
+        InetSocketAddress callers = loopback(ports.get(0));
+        InetSocketAddress operators = loopback(ports.get(1));
+        String others =
+                seeds.stream()
+                        .filter(s -> !s.equals(seeds.get(self)))
+                        .map(IpAddress::text)
+                        .collect(Collectors.joining(","));
+        String settings =
+                String.format(
+                        SETTINGS,
+                        spec.id(),
+                        spec.domain(),
+                        IpAddress.text(callers),
+                        IpAddress.text(operators),
+                        IpAddress.text(loopback(ports.get(2))),
+                        IpAddress.text(platformOf(spec)),
+                        orphanMs,
+                        others);
+        ChildProcess process = processes.router(spec.id(), HEAP_MB, settings);
+        return new RouterProcess(spec.id(), process, callers, operators);
+    }
+
+    private InetSocketAddress platformOf(Spec spec) {
+        String name = platformRoute(spec.id());
+        return proxy.addOnce(name, platform);
+    }
+
+    private static InetSocketAddress loopback(int port) {
+        return new InetSocketAddress(InetAddresses.forString("127.0.0.1"), port);
+    }
+}
--- /dev/null
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -0,0 +1,283 @@
+package org.masticweir.it;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.masticweir.bench.BenchWorker;
+import org.masticweir.bench.caller.CallRequest;
+import org.masticweir.bench.caller.CallerClient;
+import org.masticweir.bench.standin.StandInControl;
+import org.masticweir.bench.standin.StandInControl.RunGeneration;
+import org.masticweir.http.HttpCaller;
+import org.masticweir.http.HttpCallerLimits;
+import org.masticweir.time.Clock;
+import org.xnio.XnioWorker;
+
+/**
+ * A small deployment of real processes in two failure domains, behind the fault-injecting proxy.
+ *
+ * <p>Four engines, two plain services, two routers and the platform. Routers reach everything
+ * through the proxy; the test reaches the processes themselves. Used by one test at a time.
+ */
+final class TestBed implements AutoCloseable {
+    /** How long a generation goes on without a caller. */
+    static final long ORPHAN_MS = 1_000;
+
+    /** Lag of the instance list. */
+    static final long LIST_LAG_MS = 300;
+
+    /** Time of one token on an idle engine. */
+    static final long STEP_MS = 10;
+
+    /** Time after which every router has polled every back end again. */
+    private static final long SETTLE_MS = 800;
+
+    private static final int PLATFORM_HEAP_MB = 96;
+    private static final int PROXY_HEAP_MB = 96;
+    private static final Path LOGS = Path.of("target", "test-bed");
+
+    private final XnioWorker worker = BenchWorker.start(2);
+    private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
+    private final CallerClient caller = CallerClient.on(worker, Clock.system());
+    private final StandInControl control = StandInControl.over(calls);
+    private final Processes processes = Processes.in(emptyDirectory());
+    private final List<RouterProcess> routers = new CopyOnWriteArrayList<>();
+    private final ImmutableList<BackEndProcess> engines;
+    private final ImmutableList<BackEndProcess> services;
+    private final InetSocketAddress platform;
+    private final PlatformClient instances;
+    private final ProxyControl proxy;
+    private final ImmutableMap<String, InetSocketAddress> announced;
+    private final RouterLauncher launcher;
+
+    private TestBed() {
+        try {
+            ChildProcess platformProcess = startPlatform();
+            ChildProcess proxyProcess =
+                    processes.standIn(
+                            "proxy",
+                            PROXY_HEAP_MB,
+                            ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+            engines = startEngines();
+            services = startServices();
+            platform = platformProcess.awaitAddress();
+            proxy = new ProxyControl(control, proxyProcess.awaitAddress());
+            instances = new PlatformClient(calls, platform);
+            instances.install(DeploymentText.ini());
+            announced = announceAll();
+            launcher = new RouterLauncher(processes, proxy, platform, ORPHAN_MS);
+            addRouters(
+                    ImmutableList.of(
+                            new RouterLauncher.Spec("r1", "a"),
+                            new RouterLauncher.Spec("r2", "b")));
+        } catch (RuntimeException | Error e) {
+            close();
+            throw e;
+        }
+    }
+
+    /** Starts all processes and returns once the routers take work. */
+    static TestBed start() {
+        return new TestBed();
+    }
+
+    CallerClient caller() {
+        return caller;
+    }
+
+    StandInControl control() {
+        return control;
+    }
+
+    ProxyControl proxy() {
+        return proxy;
+    }
+
+    AnswerCheck check() {
+        return new AnswerCheck(this);
+    }
+
+    InetSocketAddress platform() {
+        return platform;
+    }
+
+    ImmutableList<BackEndProcess> engines() {
+        return engines;
+    }
+
+    ImmutableList<BackEndProcess> services() {
+        return services;
+    }
+
+    ImmutableList<RouterProcess> routers() {
+        return ImmutableList.copyOf(routers);
+    }
+
+    /** Returns the router in domain a. */
+    RouterProcess router() {
+        return routers.get(0);
+    }
+
+    /** Starts one more router, which lives until the bed is closed. */
+    RouterProcess addRouter(String id, String domain) {
+        return addRouters(ImmutableList.of(new RouterLauncher.Spec(id, domain))).get(0);
+    }
+
+    /** Submits {@code request} to the router in domain a. */
+    RunningCall submit(CallRequest request) {
+        return submit(router(), request);
+    }
+
+    RunningCall submit(RouterProcess router, CallRequest request) {
+        return RunningCall.submit(caller, router.callers(), request);
+    }
+
+    /** Returns the attempts at {@code request} that the engines which live recorded. */
+    ImmutableList<RunGeneration> runsOf(CallRequest request) {
+        return engines.stream()
+                .flatMap(e -> runsOn(e, request).stream())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the attempts at {@code request} that {@code engine} recorded. */
+    ImmutableList<RunGeneration> runsOn(BackEndProcess engine, CallRequest request) {
+        return engine.process().alive()
+                ? control.runsOf(engine.address(), request)
+                : ImmutableList.of();
+    }
+
+    /** Returns the live engine that has the latest attempt at {@code request}. */
+    BackEndProcess engineOf(CallRequest request) {
+        return engines.stream()
+                .filter(e -> !runsOn(e, request).isEmpty())
+                .max(Comparator.comparing(e -> latestAttempt(e, request)))
+                .orElseThrow(() -> new AssertionError("no engine runs " + request.key()));
+    }
+
+    /** Sends one fault to a back end. */
+    void fault(BackEndProcess backEnd, String json) {
+        if (!control.control(backEnd.address(), json)) {
+            throw new AssertionError(backEnd + " did not take " + json);
+        }
+    }
+
+    /** Makes the platform close every connection for {@code ms}. */
+    void platformOutage(long ms) {
+        if (!control.control(platform, "{\"outage_ms\":" + ms + "}")) {
+            throw new AssertionError("the platform did not take the outage");
+        }
+    }
+
+    /** Announces {@code backEnd} as {@code live} or {@code leaving}. */
+    void announce(BackEndProcess backEnd, String state) {
+        instances.announce(backEnd, announced.get(backEnd.id()), state);
+    }
+
+    /** Ends every fault, starts what was killed, and lets the routers see it. */
+    void heal() {
+        proxy.passAll();
+        platformOutage(0);
+        for (BackEndProcess backEnd : backEnds()) {
+            if (!backEnd.restartIfDead()) {
+                fault(backEnd, backEnd.kind().noFault());
+            }
+            announce(backEnd, "live");
+        }
+        Await.elapse(LIST_LAG_MS + SETTLE_MS);
+    }
+
+    @Override
+    public void close() {
+        processes.close();
+        calls.close();
+        worker.shutdownNow();
+    }
+
+    private ImmutableList<BackEndProcess> backEnds() {
+        return ImmutableList.<BackEndProcess>builder().addAll(engines).addAll(services).build();
+    }
+
+    private int latestAttempt(BackEndProcess engine, CallRequest request) {
+        return runsOn(engine, request).stream().mapToInt(RunGeneration::attempt).max().orElse(0);
+    }
+
+    private ChildProcess startPlatform() {
+        return processes.standIn(
+                "platform",
+                PLATFORM_HEAP_MB,
+                ImmutableList.of(
+                        "platform",
+                        "--listen",
+                        "127.0.0.1:0",
+                        "--list-lag-ms",
+                        Long.toString(LIST_LAG_MS)));
+    }
+
+    private ImmutableList<BackEndProcess> startEngines() {
+        return ImmutableList.of(
+                startEngine("e1", "a"),
+                startEngine("e2", "a"),
+                startEngine("e3", "b"),
+                startEngine("e4", "b"));
+    }
+
+    private BackEndProcess startEngine(String id, String domain) {
+        return BackEndProcess.start(
+                processes,
+                BackEndProcess.Kind.ENGINE,
+                id,
+                domain,
+                DeploymentText.ENGINES,
+                "--models",
+                "report:1",
+                "--step-ms",
+                Long.toString(STEP_MS));
+    }
+
+    private ImmutableList<BackEndProcess> startServices() {
+        return ImmutableList.of(startService("s1", "a"), startService("s2", "b"));
+    }
+
+    private BackEndProcess startService(String id, String domain) {
+        return BackEndProcess.start(
+                processes, BackEndProcess.Kind.SERVICE, id, domain, DeploymentText.SERVICES);
+    }
+
+    private ImmutableMap<String, InetSocketAddress> announceAll() {
+        ImmutableMap.Builder<String, InetSocketAddress> addresses = ImmutableMap.builder();
+        for (BackEndProcess backEnd : backEnds()) {
+            InetSocketAddress address = proxy.add(backEnd.id(), backEnd.address());
+            instances.announce(backEnd, address, "live");
+            addresses.put(backEnd.id(), address);
+        }
+        return addresses.buildOrThrow();
+    }
+
+    private ImmutableList<RouterProcess> addRouters(List<RouterLauncher.Spec> specs) {
+        ImmutableList<RouterProcess> added = launcher.start(specs);
+        for (RouterProcess router : added) {
+            if (!control.awaitReady(router.callers())) {
+                throw new AssertionError("router " + router.id() + " takes no work");
+            }
+            routers.add(router);
+        }
+        Await.elapse(SETTLE_MS);
+        return added;
+    }
+
+    private static Path emptyDirectory() {
+        try {
+            Files.createDirectories(LOGS);
+            return Files.createTempDirectory(LOGS.toAbsolutePath(), "run");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
