bench: open-loop load with a class mix, checked token by token

Cause: the only caller so far made two calls, so nothing measured latency or goodput under a load. Ruled out: closed-loop callers (a slow answer then delays the next call and hides its wait); counting lost, repeated and mixed tokens from event indexes alone (a router that renumbers would pass).

--- a/masticweir-bench/src/main/java/org/masticweir/bench/demo/DemoCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/demo/DemoCommand.java
@@ -15,6 +15,7 @@
 import org.masticweir.bench.caller.CallRecord;
 import org.masticweir.bench.caller.CallRequest;
 import org.masticweir.bench.caller.CallerClient;
+import org.masticweir.bench.standin.EngineProcess;
 import org.masticweir.bench.standin.StandInControl;
 import org.masticweir.bench.standin.StandInControl.RunGeneration;
 import org.masticweir.http.HttpCaller;
--- /dev/null
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/ObservedCall.java
@@ -0,0 +1,95 @@
+package org.masticweir.bench.load;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.primitives.ImmutableIntArray;
+import com.google.common.primitives.ImmutableLongArray;
+import org.masticweir.bench.caller.CallRecord;
+
+/**
+ * A call and what its caller saw.
+ *
+ * <p>Its latencies count from the intended arrival: a load that sends late would otherwise leave
+ * out the waits of the very calls that it delayed (coordinated omission).
+ *
+ * @param intendedAtMs intended arrival, on the caller's clock
+ */
+public record ObservedCall(PlannedCall planned, long intendedAtMs, CallRecord record) {
+    private static final int STATUS_OK = 200;
+    private static final String UNFINISHED = "UNFINISHED";
+
+    public ObservedCall {
+        checkNotNull(planned, "planned");
+        checkNotNull(record, "record");
+    }
+
+    /** Returns a call that had no end when the load stopped waiting for it at {@code nowMs}. */
+    static ObservedCall unfinished(PlannedCall planned, long intendedAtMs, long nowMs) {
+        CallRecord record =
+                new CallRecord(
+                        STATUS_OK,
+                        0,
+                        ImmutableIntArray.of(),
+                        ImmutableLongArray.of(),
+                        0,
+                        0,
+                        CallRecord.Outcome.BROKEN,
+                        UNFINISHED,
+                        "",
+                        intendedAtMs,
+                        nowMs);
+        return new ObservedCall(planned, intendedAtMs, record);
+    }
+
+    /** Returns the id under which routers and engines know the request. */
+    public String requestId() {
+        return planned.requestId();
+    }
+
+    /** Returns the tokens of the caller's prompt. */
+    public int promptTokens() {
+        return planned.request().prompt().length();
+    }
+
+    /** Tells whether the whole answer came. */
+    public boolean completed() {
+        return record.outcome() == CallRecord.Outcome.COMPLETED;
+    }
+
+    /** Tells whether a final error came in place of a stream. */
+    boolean refused() {
+        return record.outcome() == CallRecord.Outcome.ERROR && record.status() != STATUS_OK;
+    }
+
+    /** Returns the error code of a refused call. */
+    String refusal() {
+        return record.code();
+    }
+
+    /** Returns the verdict of a failed call, or what stands for it when the caller heard none. */
+    String failure() {
+        if (!record.verdict().isEmpty()) {
+            return record.verdict();
+        }
+        return record.code().isEmpty() ? record.outcome().name() : record.code();
+    }
+
+    boolean hasTokens() {
+        return !record.tokens().isEmpty();
+    }
+
+    /** Returns the wait for the first token, which must have come. */
+    long firstTokenMs() {
+        return record.tokenAtMs().get(0) - intendedAtMs;
+    }
+
+    long totalMs() {
+        return record.endedAtMs() - intendedAtMs;
+    }
+
+    boolean withinTarget() {
+        return completed()
+                && hasTokens()
+                && planned.profile().target().met(firstTokenMs(), totalMs());
+    }
+}
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/StandInControl.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/StandInControl.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ImmutableList;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.masticweir.bench.caller.CallRequest;
@@ -70,6 +71,11 @@
         }
     }
 
+    /** Returns the typed records of an engine; empty when it does not answer. */
+    Optional<EngineReading> reading(InetSocketAddress engine) {
+        return EngineReading.of(records(engine));
+    }
+
     /** Returns the attempts at {@code request} that an engine recorded. */
     public ImmutableList<RunGeneration> runsOf(InetSocketAddress engine, CallRequest request) {
         String id = RequestId.forKey(TeamId.of(request.team()), request.key()).value();
