--- a/masticweir/src/main/java/org/masticweir/recovery/copy/RemoteAnswer.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/RemoteAnswer.java
@@ -86,7 +86,7 @@
         if (part.generation() > generation) {
             generation = part.generation();
             next = 0;
-            log.reset(generation);
+            log.startGeneration(generation);
         }
         if (part.generation() != generation || part.from() != next) {
             return false;
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -4,7 +4,6 @@
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,15 +15,11 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.id.DomainId;
-import org.masticweir.id.ModelId;
 import org.masticweir.platform.HttpPlatform;
 import org.masticweir.platform.InstanceRecord;
 import org.masticweir.platform.ReadOutcome;
 import org.masticweir.platform.Row;
-import org.masticweir.routing.EngineState;
-import org.masticweir.routing.EngineView;
 import org.masticweir.routing.RoutingSnapshot;
-import org.masticweir.routing.SpeedEstimate;
 import org.masticweir.serving.ServingView;
 import org.masticweir.time.Clock;
 
@@ -36,11 +31,6 @@
 public final class ControlLoop implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
 
-    /** Taken for every engine until its pace is measured. */
-    private static final SpeedEstimate FIRST_GUESS = SpeedEstimate.of(10, 15, 0.3, 3_000);
-
-    private static final long OTHER_DOMAIN_MS = 3;
-
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(
                     new ThreadFactoryBuilder().setNameFormat("control").setDaemon(true).build());
@@ -168,38 +158,7 @@
     }
 
     private void publish() {
-        RoutingSnapshot.Builder routing = RoutingSnapshot.builder(domain, clock.nowMs());
-        for (EngineRecord record : engines.records()) {
-            add(routing, record);
-        }
-        view = new ServingView(deployment, routing.build(), draining);
-    }
-
-    private void add(RoutingSnapshot.Builder routing, EngineRecord record) {
-        if (record.load().isEmpty()) {
-            return;
-        }
-        DomainId other = record.backEnd().domain();
-        if (!other.equals(domain)) {
-            routing.extraDelay(other, OTHER_DOMAIN_MS);
-        }
-        for (Map.Entry<ModelId, String> held : record.versions().entrySet()) {
-            EngineView engine =
-                    EngineView.of(
-                            record.backEnd(),
-                            held.getKey(),
-                            held.getValue(),
-                            record.load().get(),
-                            record.reportedAtMs(),
-                            FIRST_GUESS);
-            routing.add(engine.withState(stateOf(record), 1));
-        }
-    }
-
-    private static EngineState stateOf(EngineRecord record) {
-        if (record.leaving()) {
-            return EngineState.LEAVING;
-        }
-        return record.suspect() ? EngineState.SUSPECT : EngineState.LIVE;
+        RoutingSnapshot routing = EngineViews.snapshot(domain, engines.records(), clock.nowMs());
+        view = new ServingView(deployment, routing, draining);
     }
 }
