Have the links learn a member as soon as it is heard

A member that asks first is shown as serving, but the links knew it only after this router's own next heartbeat, up to a quarter interval later; a copy sent to it until then would be refused. The same held after a move.

--- a/masticweir/src/main/java/org/masticweir/membership/MembershipState.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MembershipState.java
@@ -121,16 +121,18 @@
         return known.isPresent() && from.incarnation() < known.get().where().incarnation();
     }
 
+    /** Takes a member's word; the links learn it then, as it may be chosen to hold copies. */
     private void heardFrom(MemberEntry e, Heartbeat beat, long nowMs) {
         RouterAddress before = e.where();
         e.heard(beat, nowMs);
         judge(e, nowMs);
         if (!before.equals(e.where())) {
             changed = true;
-            if (!before.address().equals(e.where().address())) {
-                relearn(e);
-            }
         }
+        if (!before.address().equals(e.where().address())) {
+            relearn(e);
+        }
+        learn(e);
     }
 
     private void rumoured(RouterAddress r, long nowMs) {
@@ -246,9 +248,7 @@
     }
 
     private void send(MemberEntry e, long nowMs) {
-        if (!e.learn()) {
-            actions.add(new MembershipAction.LearnPeer(e.router(), e.where().address()));
-        }
+        learn(e);
         Heartbeat beat = writer.compose(own, e.router(), e.nextTurn(), nowMs);
         actions.add(new MembershipAction.SendHeartbeat(e.router(), beat));
     }
@@ -269,9 +269,18 @@
         }
     }
 
-    /** Has the next heartbeat go to a member's new address over a new link. */
+    private void learn(MemberEntry e) {
+        if (!e.learn()) {
+            actions.add(new MembershipAction.LearnPeer(e.router(), e.where().address()));
+        }
+    }
+
+    /** Has all that goes to a moved member use a new link. */
     private void relearn(MemberEntry e) {
-        forget(e);
+        if (e.unlearn()) {
+            actions.add(new MembershipAction.ForgetPeer(e.router()));
+            learn(e);
+        }
         changed = true;
     }
 
--- a/masticweir/src/test/java/org/masticweir/membership/Fleet.java
+++ b/masticweir/src/test/java/org/masticweir/membership/Fleet.java
@@ -29,7 +29,7 @@
     final Map<RouterId, MembershipState> states = new LinkedHashMap<>();
     final Map<RouterId, Membership> views = new HashMap<>();
     final Set<RouterId> paused = new HashSet<>();
-    final Map<RouterId, Integer> peersOf = new HashMap<>();
+    final Map<RouterId, Map<RouterId, InetSocketAddress>> learned = new HashMap<>();
     BiPredicate<RouterId, RouterId> cut = (a, b) -> false;
     long messages;
     long bytes;
@@ -108,14 +108,30 @@
                 carry(to, s.to(), s.beat(), false);
             } else if (a instanceof MembershipAction.Publish p) {
                 views.put(to, p.membership());
-            } else if (a instanceof MembershipAction.LearnPeer) {
-                peersOf.merge(to, 1, Integer::sum);
-            } else if (a instanceof MembershipAction.ForgetPeer) {
-                peersOf.merge(to, -1, Integer::sum);
+            } else if (a instanceof MembershipAction.LearnPeer l) {
+                book(to).put(l.peer(), l.address());
+            } else if (a instanceof MembershipAction.ForgetPeer f) {
+                book(to).remove(f.peer());
             }
         }
     }
 
+    /** Returns the addresses that the links of {@code id} know. */
+    Map<RouterId, InetSocketAddress> book(RouterId id) {
+        return learned.computeIfAbsent(id, k -> new HashMap<>());
+    }
+
+    /** Returns the addresses of the members that {@code id} may choose to hold copies. */
+    Map<RouterId, InetSocketAddress> servingOf(RouterId id) {
+        Map<RouterId, InetSocketAddress> serving = new HashMap<>();
+        for (Member m : views.get(id).members()) {
+            if (m.state().holdsCopies()) {
+                serving.put(m.router(), m.where().address());
+            }
+        }
+        return serving;
+    }
+
     private void carry(RouterId from, RouterId to, Heartbeat beat, boolean asked) {
         messages++;
         bytes += frameBytes(beat);
--- a/masticweir/src/test/java/org/masticweir/membership/FleetSizeTest.java
+++ b/masticweir/src/test/java/org/masticweir/membership/FleetSizeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.masticweir.id.RouterId;
 
@@ -52,7 +53,8 @@
                 "per daemon: %.1f messages/s, %.0f B/s, a change %.0f B, on wire %.0f B/s%n",
                 messages, payload, change, onWire);
         System.out.println(
-                "links: " + fleet.peersOf.values().stream().mapToInt(n -> n).summaryStatistics());
+                "addresses known to the links: "
+                        + fleet.learned.values().stream().mapToInt(Map::size).summaryStatistics());
         assertTrue(payload + change * CHANGES_PER_S < BUDGET_BYTES_PER_S / 2.0, "" + payload);
         assertTrue(onWire < BUDGET_BYTES_PER_S, "" + onWire);
         checkViews(fleet, ROUTERS / DOMAINS);
@@ -63,6 +65,7 @@
             Membership m = fleet.views.get(id);
             assertTrue(m.servingHere().size() >= perDomain - 1, id + " " + m.servingHere().size());
             assertTrue(m.members().size() <= perDomain + (DOMAINS - 1) * 6);
+            assertTrue(fleet.book(id).entrySet().containsAll(fleet.servingOf(id).entrySet()));
             assertEquals(DOMAINS, m.domains().size());
             assertTrue(m.domains().stream().allMatch(d -> d.configRevision() == 1001));
         }
--- a/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
@@ -135,6 +135,21 @@
             assertEquals(MemberState.SERVING, seen.state());
         }
 
+        /**
+         * A router is replaced at another address. The next heartbeat of the new one must move the
+         * links there at once; a copy sent to the old address would reach nobody.
+         */
+        @Test
+        void movedRouterIsReachedAtItsNewAddress() {
+            RouterAddress moved =
+                    RouterAddress.of(
+                            b, DomainId.of("domain-1"), Fleet.router(7, 7, 1).address(), 2);
+            fleet.feed(a, new MembershipEvent.Heard(beat(moved, MemberState.SERVING), true));
+            assertEquals(moved.address(), fleet.book(a).get(b));
+            assertEquals(MemberState.SERVING, fleet.stateOf(a, b));
+            assertTrue(fleet.book(a).entrySet().containsAll(fleet.servingOf(a).entrySet()));
+        }
+
         /** A router drains; its peers stop giving it copies at once, though the list lags. */
         @Test
         void drainingIsHeardAtOnce() {
