copy: name the owner once in a batch of appends

Cause: every append carried its owner's name, which is the sender's own. Ruled out: taking the owner from the link (a command would then mean another thing when it is replayed from a record). Change: AppendBatch names the owner, its appends only the epoch's number.

--- a/masticweir/src/main/java/org/masticweir/recovery/copy/AppendQueue.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/AppendQueue.java
@@ -58,8 +58,11 @@
 
     /** The appends of one frame. */
     record Batch(ImmutableList<Entry> entries) {
-        AppendBatch message() {
-            return CopyMessage.batch(entries.stream().map(Entry::append).toList());
+        /** Returns the message; all appends are of {@code owner}, the router that sends it. */
+        AppendBatch message(RouterId owner) {
+            return new AppendBatch(
+                    owner,
+                    entries.stream().map(Entry::append).collect(ImmutableList.toImmutableList()));
         }
 
         /** Passes the answers on; a reply of another length answers nothing. */
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
@@ -166,7 +166,7 @@
     }
 
     private void sendBatch(RouterId holder, AppendQueue queue, AppendQueue.Batch batch) {
-        CopyMessage.AppendBatch message = batch.message();
+        CopyMessage.AppendBatch message = batch.message(self);
         tokens.add(message.tokens());
         appends.add(message.appends().size());
         batches.increment();
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessage.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessage.java
@@ -4,12 +4,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.ImmutableIntArray;
-import java.util.List;
 import java.util.Optional;
 import org.masticweir.generation.AnswerEnd;
 import org.masticweir.generation.GenerationSpec;
 import org.masticweir.generation.RequestSpec;
 import org.masticweir.id.RequestId;
+import org.masticweir.id.RouterId;
 import org.masticweir.peer.PeerMessage;
 
 /** The messages about copies; the router that sends one is known from its link. */
@@ -22,8 +22,10 @@
     }
 
     /** Appends of many requests of the sender; answered by {@link AppendReplies}. */
-    record AppendBatch(ImmutableList<CopyCommand.Append> appends) implements CopyMessage {
+    record AppendBatch(RouterId owner, ImmutableList<CopyCommand.Append> appends)
+            implements CopyMessage {
         public AppendBatch {
+            checkNotNull(owner, "owner");
             checkNotNull(appends, "appends");
         }
 
@@ -121,9 +123,4 @@
             return new SubscribedTokens(generation, from, ImmutableIntArray.of(), Optional.empty());
         }
     }
-
-    /** Returns the batch of {@code appends}. */
-    static AppendBatch batch(List<CopyCommand.Append> appends) {
-        return new AppendBatch(ImmutableList.copyOf(appends));
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodecs.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodecs.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import org.masticweir.id.RequestId;
+import org.masticweir.id.RouterId;
 import org.masticweir.peer.Fields;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.recovery.copy.CopyMessage.AppendBatch;
@@ -60,14 +61,15 @@
                 CopyMessageCodec.of(
                         APPEND_BATCH,
                         AppendBatch.class,
-                        1,
+                        2,
                         (m, out) -> {
+                            out.packString(m.owner().value());
                             out.packArrayHeader(m.appends().size());
                             for (CopyCommand.Append a : m.appends()) {
                                 HolderCodec.append(out, a);
                             }
                         },
-                        f -> new AppendBatch(f.list(MAX_APPENDS, HolderCodec::append))),
+                        CopyMessageCodecs::batch),
                 CopyMessageCodec.of(
                         APPEND_REPLIES,
                         AppendReplies.class,
@@ -172,4 +174,9 @@
     private static RequestId request(Fields f) throws IOException {
         return RequestId.of(f.text(ValueCodec.MAX_ID_BYTES));
     }
+
+    private static AppendBatch batch(Fields f) throws IOException {
+        RouterId owner = RouterId.of(f.text(ValueCodec.MAX_ID_BYTES));
+        return new AppendBatch(owner, f.list(MAX_APPENDS, in -> HolderCodec.append(in, owner)));
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/HolderCodec.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/HolderCodec.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.masticweir.generation.AnswerEnd;
 import org.masticweir.id.RequestId;
+import org.masticweir.id.RouterId;
 import org.masticweir.peer.Fields;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -19,10 +20,11 @@
 
     private HolderCodec() {}
 
+    /** Writes an append without its owner, which is the same for all of a batch. */
     static void append(MessagePacker out, CopyCommand.Append a) throws IOException {
         out.packArrayHeader(APPEND_FIELDS);
         out.packString(a.request().value());
-        ValueCodec.one(out, a.epoch(), ValueCodec::epoch);
+        out.packInt(a.epoch().number());
         out.packInt(a.generation());
         out.packInt(a.from());
         ValueCodec.tokens(out, a.tokens());
@@ -30,10 +32,10 @@
         ValueCodec.optional(out, a.end(), ValueCodec::end);
     }
 
-    static CopyCommand.Append append(MessageUnpacker in) throws IOException {
+    static CopyCommand.Append append(MessageUnpacker in, RouterId owner) throws IOException {
         try (Fields f = Fields.open(in, APPEND_FIELDS)) {
             RequestId request = RequestId.of(f.text(ValueCodec.MAX_ID_BYTES));
-            CopyEpoch epoch = ValueCodec.one(f, ValueCodec::epoch);
+            CopyEpoch epoch = new CopyEpoch(f.int32(), owner);
             int generation = f.int32();
             int from = f.int32();
             ImmutableIntArray tokens = ValueCodec.tokens(f);
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyMessageCodecsTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyMessageCodecsTest.java
@@ -1,6 +1,7 @@
 package org.masticweir.recovery.copy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.masticweir.recovery.copy.Samples.A;
 import static org.masticweir.recovery.copy.Samples.FIRST;
 import static org.masticweir.recovery.copy.Samples.REQUEST;
 
@@ -68,7 +69,8 @@
         List<CopyMessage> all =
                 List.of(
                         new CopyMessage.WholeCopy(true, fullCopy()),
-                        CopyMessage.batch(List.of(append, Samples.append(FIRST, 0, 4))),
+                        new CopyMessage.AppendBatch(
+                                A, ImmutableList.of(append, Samples.append(FIRST, 0, 4))),
                         new CopyMessage.AppendReplies(answers),
                         new CopyMessage.HolderReply(answers.get(6)),
                         new CopyMessage.FindCopy(REQUEST),
