Serve a request through the loss of its router: copies, take-over and following wired in

Cause: a request died with its router, and two routers given one key at the same moment both ran it. Ruled out: relaying through the balancer, which callers cannot steer; going on from a placement copy after the engine is lost too, since recomputed tokens may differ from those shown: such a generation is given up and a new one starts, of which callers who have tokens hear by reset or a final error.

--- a/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -10,7 +10,7 @@
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.error.ErrorCode;
@@ -105,11 +105,13 @@
         SubmitBody body = SubmitBody.parse(bytes);
         RequestSpec spec = body.toSpec(team, limits);
         RunningRequest request = service.submit(spec, exchange.getIoThread());
-        answer(exchange, request, body.streams(), Optional.empty());
+        // Dispatched on the same thread, so that the exchange stays open after this call returns.
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> answer(exchange, request, body.streams(), Optional.empty()));
     }
 
     private void readAgain(HttpServerExchange exchange, String path) {
-        RunningRequest request = ownRequest(exchange, path);
         Optional<String> last =
                 Optional.ofNullable(exchange.getRequestHeaders().getFirst(LAST_EVENT_ID));
         Optional<EventId> id = last.flatMap(EventId::parse);
@@ -119,33 +121,55 @@
         String accept =
                 Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.ACCEPT))
                         .orElse("");
-        answer(exchange, request, !accept.contains("application/json"), id);
+        boolean streams = !accept.contains("application/json");
+        int shown = id.map(e -> e.index() + 1).orElse(0);
+        withOwnRequest(exchange, path, shown, request -> answer(exchange, request, streams, id));
     }
 
     private void cancel(HttpServerExchange exchange, String path) {
-        ownRequest(exchange, path).cancel();
-        exchange.setStatusCode(202);
-        exchange.endExchange();
+        withOwnRequest(
+                exchange,
+                path,
+                0,
+                request -> {
+                    request.cancel();
+                    exchange.setStatusCode(202);
+                    exchange.endExchange();
+                });
     }
 
-    private RunningRequest ownRequest(HttpServerExchange exchange, String path) {
+    private void withOwnRequest(
+            HttpServerExchange exchange, String path, int shown, Consumer<RunningRequest> then) {
         TeamId team = authenticate(exchange);
-        RequestId id;
+        RequestId id = requestId(path);
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () ->
+                        service.find(id, shown, exchange.getIoThread())
+                                .thenAccept(
+                                        found ->
+                                                guarded(
+                                                        exchange,
+                                                        () -> then.accept(own(found, team)))));
+    }
+
+    private static RequestId requestId(String path) {
         try {
-            id = RequestId.of(path.substring(REQUESTS.length() + 1));
+            return RequestId.of(path.substring(REQUESTS.length() + 1));
         } catch (IllegalArgumentException e) {
             throw notRun(ErrorCode.BAD_REQUEST, "not a request id");
         }
+    }
+
+    private static RunningRequest own(Optional<RunningRequest> found, TeamId team) {
         // Another team's request is answered like one that does not exist.
-        return service.registry()
-                .find(id)
-                .filter(r -> r.spec().team().equals(team))
+        return found.filter(r -> r.spec().team().equals(team))
                 .orElseThrow(
                         () ->
                                 MasticweirException.of(
                                         ErrorCode.NOT_FOUND,
                                         Verdict.MAY_HAVE_RUN,
-                                        "no request of this id is known here"));
+                                        "no request of this id is known"));
     }
 
     private TeamId authenticate(HttpServerExchange exchange) {
@@ -166,35 +190,13 @@
             boolean streams,
             Optional<EventId> last) {
         String id = request.spec().id().value();
-        Runnable onGone = () -> watchForOrphan(exchange, request);
-        // Dispatched on the same thread, so that the exchange stays open after this call returns.
-        exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () -> {
-                    if (streams) {
-                        new EventStreamWriter(
-                                        exchange, request.log(), last, limits.stallMs(), onGone)
-                                .start(id);
-                    } else {
-                        new WholeAnswerWriter(exchange, request.log(), id, onGone).start();
-                    }
-                });
-    }
-
-    /** A caller that left and does not come back must not keep an engine busy for ever. */
-    private void watchForOrphan(HttpServerExchange exchange, RunningRequest request) {
-        if (request.log().ended() || request.log().readers() > 0) {
-            return;
+        if (streams) {
+            boolean allowReset = request.spec().allowReset();
+            new EventStreamWriter(exchange, request.log(), last, allowReset, limits.stallMs())
+                    .start(id);
+        } else {
+            new WholeAnswerWriter(exchange, request.log(), id).start();
         }
-        exchange.getIoThread()
-                .executeAfter(
-                        () -> {
-                            if (request.log().readers() == 0) {
-                                request.cancel();
-                            }
-                        },
-                        service.tuning().orphanMs(),
-                        TimeUnit.MILLISECONDS);
     }
 
     private static void guarded(HttpServerExchange exchange, Runnable step) {
--- a/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
@@ -10,6 +10,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.error.Verdict;
 import org.masticweir.generation.AnswerEnd;
 import org.masticweir.generation.AnswerLog;
 import org.xnio.ChannelListeners;
@@ -28,13 +31,19 @@
     static final HttpString REQUEST = new HttpString("Masticweir-Request");
 
     private static final int NONE = 0;
+    private static final MasticweirException VOID =
+            MasticweirException.of(
+                            ErrorCode.ENGINE_LOST,
+                            Verdict.MAY_HAVE_RUN,
+                            "the generation of the tokens received is lost; ask again from the start")
+                    .retryAfterMs(0);
     private static final int TOKENS_A_PART = 256;
 
     private final HttpServerExchange exchange;
     private final XnioIoThread thread;
     private final AnswerLog log;
     private final long stallMs;
-    private final Runnable onGone;
+    private final boolean allowReset;
     private final Runnable wake = this::wake;
     private final AtomicBoolean scheduled = new AtomicBoolean();
 
@@ -49,18 +58,18 @@
     /**
      * Creates a writer that goes on after what the caller has.
      *
-     * @param onGone run once when the caller has left or has all of the answer
+     * @param allowReset whether the caller accepts that all it has becomes void
      */
     EventStreamWriter(
             HttpServerExchange exchange,
             AnswerLog log,
             Optional<EventId> last,
-            long stallMs,
-            Runnable onGone) {
+            boolean allowReset,
+            long stallMs) {
         this.exchange = checkNotNull(exchange, "exchange");
         this.log = checkNotNull(log, "log");
         this.stallMs = stallMs;
-        this.onGone = checkNotNull(onGone, "onGone");
+        this.allowReset = allowReset;
         thread = exchange.getIoThread();
         generation = last.map(EventId::generation).orElse(NONE);
         next = last.map(id -> id.index() + 1).orElse(0);
@@ -143,6 +152,12 @@
 
     private boolean switchGeneration(int now) {
         boolean hadTokens = next > 0;
+        if (hadTokens && !allowReset) {
+            // Going on would stitch the answer together from two generations.
+            part = ByteBuffer.wrap(EventText.error(VOID));
+            lastPart = true;
+            return true;
+        }
         generation = now;
         next = 0;
         part = ByteBuffer.wrap(hadTokens ? EventText.reset(now) : EventText.NOTHING);
@@ -197,6 +212,5 @@
         closed = true;
         stall.ifPresent(XnioExecutor.Key::remove);
         log.unlisten(wake);
-        onGone.run();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/callers/WholeAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/WholeAnswerWriter.java
@@ -22,16 +22,13 @@
     private final XnioIoThread thread;
     private final AnswerLog log;
     private final String requestId;
-    private final Runnable onGone;
     private final Runnable wake = this::wake;
     private final AtomicBoolean gone = new AtomicBoolean();
 
-    WholeAnswerWriter(
-            HttpServerExchange exchange, AnswerLog log, String requestId, Runnable onGone) {
+    WholeAnswerWriter(HttpServerExchange exchange, AnswerLog log, String requestId) {
         this.exchange = checkNotNull(exchange, "exchange");
         this.log = checkNotNull(log, "log");
         this.requestId = checkNotNull(requestId, "requestId");
-        this.onGone = checkNotNull(onGone, "onGone");
         thread = exchange.getIoThread();
     }
 
@@ -81,7 +78,6 @@
     private void leave() {
         if (gone.compareAndSet(false, true)) {
             log.unlisten(wake);
-            onGone.run();
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/generation/AnswerLog.java
+++ b/masticweir/src/main/java/org/masticweir/generation/AnswerLog.java
@@ -26,6 +26,7 @@
     private int released;
     private int generation;
     private AnswerEnd end;
+    private long reads;
 
     /** Appends accepted tokens, not yet released; the first must have index {@link #size()}. */
     public void append(int from, ImmutableIntArray added) {
@@ -53,9 +54,14 @@
         tellListeners();
     }
 
-    /** Starts a generation, the first or another one, which voids all that was released. */
+    /**
+     * Starts a generation, which voids all of an earlier one; the same one again changes nothing.
+     */
     public void startGeneration(int newGeneration) {
         synchronized (this) {
+            if (newGeneration == generation) {
+                return;
+            }
             checkArgument(newGeneration > generation, "generation %s", newGeneration);
             generation = newGeneration;
             size = 0;
@@ -88,6 +94,7 @@
     /** Returns up to {@code limit} tokens from index {@code from} on, with the state seen. */
     public synchronized View read(int from, int limit) {
         checkArgument(from >= 0, "from %s", from);
+        reads++;
         int to = Math.min(released, from + limit);
         return new View(generation, released, slice(from, to), Optional.ofNullable(end));
     }
@@ -103,6 +110,11 @@
         return size;
     }
 
+    /** Returns how often the log was read, so that one can tell whether anybody still reads. */
+    public synchronized long reads() {
+        return reads;
+    }
+
     public synchronized int readers() {
         return listeners.size();
     }
--- a/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
+++ b/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
@@ -4,8 +4,10 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ThreadLocalRandom;
 import org.masticweir.config.Model;
 import org.masticweir.id.GenerationId;
+import org.masticweir.id.RequestId;
 
 /**
  * What is fixed for one generation, whichever engines it passes through.
@@ -13,6 +15,7 @@
  * @param seed sampling seed; differs between the generations of one request
  */
 public record GenerationSpec(GenerationId id, String version, String adapter, long seed) {
+    private static final int LAST_FIRST_NUMBER = 1 << 30;
     private static final long NON_NEGATIVE = 0x7fff_ffffL;
 
     public GenerationSpec {
@@ -21,6 +24,17 @@
         checkNotNull(adapter, "adapter");
     }
 
+    /**
+     * Returns the first generation of a run of {@code request}.
+     *
+     * <p>A key may be used again after a run that failed: runs must not share a generation, or a
+     * caller who comes back could be given the rest of another run's answer.
+     */
+    public static GenerationSpec firstOf(RequestId request, Model model) {
+        int number = ThreadLocalRandom.current().nextInt(1, LAST_FIRST_NUMBER);
+        return pin(GenerationId.of(request, number), model);
+    }
+
     /** Returns the generation {@code id}, pinned to what {@code model} declares now. */
     public static GenerationSpec pin(GenerationId id, Model model) {
         checkNotNull(model, "model");
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
@@ -72,6 +72,9 @@
     /** Nobody wants the answer any more. */
     record Cancelled() implements RecoveryEvent {}
 
+    /** Another router goes on with the generation; nothing more is to be done here. */
+    record Detached() implements RecoveryEvent {}
+
     /** Time passed. */
     record Tick() implements RecoveryEvent {}
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -54,6 +54,9 @@
     private boolean currentInDoubt;
     private boolean earlierInDoubt;
     private boolean firstTokenSeen;
+    private boolean whole = true;
+    private boolean askingHead;
+    private int headAtTakeOver = Integer.MAX_VALUE;
     private int fruitlessAttempts;
     private int probesFailed;
     private int probesStuck;
@@ -78,13 +81,22 @@
      *
      * @param last the last attempt that the copy names
      * @param accepted count of the tokens that the copy holds
+     * @param whole whether those are surely all that callers were shown; else the generation only
+     *     goes on from its own engine's stream
      */
     public static RecoveryMachine takenOver(
-            RecoveryPlan plan, SilenceBounds bounds, AttemptId last, EngineId on, int accepted) {
+            RecoveryPlan plan,
+            SilenceBounds bounds,
+            AttemptId last,
+            EngineId on,
+            int accepted,
+            boolean whole) {
         RecoveryMachine machine =
                 new RecoveryMachine(plan, bounds, Assembler.startingAt(last, accepted));
         machine.engine = checkNotNull(on, "on");
         machine.earlierInDoubt = true;
+        machine.whole = whole;
+        machine.askingHead = !whole;
         return machine;
     }
 
@@ -96,6 +108,9 @@
         } else {
             lostAtMs = nowMs;
             rereadSameEngine(nowMs);
+            if (askingHead) {
+                out.add(new RecoveryAction.Probe(assembler.current(), engine));
+            }
         }
         return drain();
     }
@@ -122,6 +137,8 @@
             onProbeAnswered(answered, nowMs);
         } else if (event instanceof RecoveryEvent.ProbeFailed failed) {
             onProbeFailed(failed.attempt(), nowMs);
+        } else if (event instanceof RecoveryEvent.Detached) {
+            phase = Phase.DONE;
         } else if (event instanceof RecoveryEvent.Cancelled) {
             abandon();
             fail(ErrorCode.CANCELLED, "the request was cancelled");
@@ -192,13 +209,16 @@
         if (!plan.idempotent() && mayHaveRun() || released && !plan.allowReset()) {
             return false;
         }
-        int number = assembler.generation().number() + 1;
+        beginGeneration(assembler.generation().number() + 1, released);
+        return true;
+    }
+
+    private void beginGeneration(int number, boolean released) {
         GenerationId generation = GenerationId.of(assembler.generation().request(), number);
         assembler.supersedeWith(AttemptId.of(generation, 1));
         engine = null;
         out.add(new RecoveryAction.NewGeneration(number, released));
         out.add(new RecoveryAction.ChooseEngine(excluded, released));
-        return true;
     }
 
     private void onRefused(RecoveryEvent.Refused refused, long nowMs) {
@@ -264,6 +284,7 @@
 
     private void onProgress(long nowMs) {
         quietSinceMs = nowMs;
+        whole |= assembler.next() >= headAtTakeOver;
         if (!firstTokenSeen) {
             firstTokenSeen = true;
             wakeAt(nowMs + bound());
@@ -303,6 +324,13 @@
         }
         probing = false;
         probesFailed = 0;
+        if (askingHead) {
+            // All that the lost router showed its callers came from below this index.
+            askingHead = false;
+            headAtTakeOver = answered.next();
+            whole |= assembler.next() >= headAtTakeOver;
+            return;
+        }
         if (answered.next() > assembler.next()) {
             // The engine went on but its frames do not arrive: the link is cut one way.
             noteLoss(nowMs);
@@ -357,9 +385,23 @@
             fail(ErrorCode.ENGINE_LOST, "the engine was lost after the request may have run");
             return;
         }
+        if (!whole) {
+            // Callers may have been shown tokens that no copy holds: computed again, they could
+            // differ, and the answer would be stitched together from two computations.
+            abandonGeneration();
+            return;
+        }
         chooseAgain(nowMs);
     }
 
+    private void abandonGeneration() {
+        whole = true;
+        phase = Phase.CHOOSING;
+        probing = false;
+        int number = assembler.generation().number() + 1;
+        beginGeneration(number, true);
+    }
+
     private void chooseAgain(long nowMs) {
         if (tooManyAttempts()) {
             return;
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
@@ -285,7 +285,7 @@
      */
     private void goOnAloneIfDue(long nowMs) {
         long since = noHolderSinceMs.orElse(nowMs);
-        if (unprotected || nowMs - since < plan.noHolderBoundMs()) {
+        if (unprotected || nowMs - since < plan.noHolderBoundMs() && !holders.alone()) {
             return;
         }
         unprotected = true;
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/HolderChoice.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/HolderChoice.java
@@ -40,6 +40,11 @@
         return current;
     }
 
+    /** Tells whether no other router is known at all. */
+    boolean alone() {
+        return ranking.holdersFor(request, self, 1).isEmpty();
+    }
+
     void drop() {
         current.ifPresent(failed::add);
         current = Optional.empty();
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.util.List;
 import java.util.Optional;
@@ -33,6 +34,7 @@
 import org.masticweir.platform.InstanceKind;
 import org.masticweir.platform.InstanceRecord;
 import org.masticweir.platform.ReadOutcome;
+import org.masticweir.recovery.copy.CopyLinks;
 import org.masticweir.routing.RoutingSnapshot;
 import org.masticweir.serving.Intake;
 import org.masticweir.serving.ServingView;
@@ -48,6 +50,7 @@
 final class ControlLoop implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
     private static final long TICK_MS = 50;
+    private static final long COPY_TICK_MS = 250;
 
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(
@@ -105,6 +108,17 @@
         return peers.membership();
     }
 
+    /** Returns the serving routers and their domains as last published; any thread. */
+    ImmutableMap<RouterId, DomainId> servingRouters() {
+        return peers.serving();
+    }
+
+    /** Has copies kept in time, and told of routers that died; call before {@link #start}. */
+    void copyOver(CopyLinks copies) {
+        peers.onDead(copies::lost);
+        every(COPY_TICK_MS, copies::tick);
+    }
+
     /** Returns the executor of the control thread, for services whose state it owns. */
     ScheduledExecutorService executor() {
         return executor;
--- a/masticweir/src/main/java/org/masticweir/router/PeerControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/PeerControl.java
@@ -2,13 +2,17 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
 import org.masticweir.membership.Heartbeat;
 import org.masticweir.membership.ListedRouter;
 import org.masticweir.membership.LoadDigest;
+import org.masticweir.membership.Member;
 import org.masticweir.membership.MemberState;
 import org.masticweir.membership.Membership;
 import org.masticweir.membership.MembershipAction;
@@ -38,6 +42,8 @@
     private final long askTimeoutMs;
 
     private volatile Membership membership;
+    private volatile ImmutableMap<RouterId, DomainId> serving = ImmutableMap.of();
+    private Consumer<RouterId> onDead = router -> {};
     private Optional<Reply> pending = Optional.empty();
     private boolean askingForConfig;
 
@@ -64,6 +70,16 @@
         links.listen(new Losses());
     }
 
+    /** Has {@code listener} told of each router that is found dead. */
+    void onDead(Consumer<RouterId> listener) {
+        onDead = checkNotNull(listener, "listener");
+    }
+
+    /** Returns the serving members and their domains as of the last change; thread-safe. */
+    ImmutableMap<RouterId, DomainId> serving() {
+        return serving;
+    }
+
     void tick() {
         apply(new MembershipEvent.Tick());
     }
@@ -138,11 +154,29 @@
         } else if (action instanceof MembershipAction.ForgetPeer forget) {
             links.forget(forget.peer());
         } else if (action instanceof MembershipAction.Publish publish) {
-            membership = publish.membership();
-            membership.domains().forEach(d -> config.domainHolds(d.domain(), d.configRevision()));
+            publish(publish.membership());
         }
     }
 
+    private void publish(Membership now) {
+        for (Member m : now.members()) {
+            boolean wasDead = membership.member(m.router()).map(PeerControl::dead).orElse(false);
+            if (dead(m) && !wasDead) {
+                onDead.accept(m.router());
+            }
+        }
+        membership = now;
+        serving =
+                now.members().stream()
+                        .filter(m -> m.state().holdsCopies())
+                        .collect(ImmutableMap.toImmutableMap(Member::router, Member::domain));
+        now.domains().forEach(d -> config.domainHolds(d.domain(), d.configRevision()));
+    }
+
+    private static boolean dead(Member member) {
+        return member.state() == MemberState.DEAD;
+    }
+
     /** Tells the control thread of links that broke. */
     private final class Losses implements LinkListener {
         @Override
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -24,6 +24,7 @@
 import org.masticweir.error.Verdict;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
+import org.masticweir.id.RouterId;
 import org.masticweir.membership.Heartbeat;
 import org.masticweir.membership.RouterAddress;
 import org.masticweir.metrics.MetricsPage;
@@ -38,11 +39,19 @@
 import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
 import org.masticweir.platform.HttpPlatform;
+import org.masticweir.recovery.copy.CopyLinkLimits;
+import org.masticweir.recovery.copy.CopyLinks;
+import org.masticweir.recovery.copy.CopyMessageCodecs;
+import org.masticweir.recovery.copy.CopyStore;
+import org.masticweir.recovery.copy.RendezvousRanking;
+import org.masticweir.recovery.copy.StoreLimits;
 import org.masticweir.routing.ExpectedDelayChooser;
 import org.masticweir.routing.InFlight;
+import org.masticweir.serving.CopyContext;
 import org.masticweir.serving.GapBounds;
 import org.masticweir.serving.RequestRegistry;
 import org.masticweir.serving.RequestService;
+import org.masticweir.serving.RunningRequest;
 import org.masticweir.serving.ServingContext;
 import org.masticweir.serving.ServingTuning;
 import org.masticweir.settings.DaemonSettings;
@@ -75,6 +84,7 @@
     private final HttpPlatform platform;
     private final PeerLinks links;
     private final ControlLoop control;
+    private final RequestRegistry registry;
     private final MetricRegistry metrics = new MetricRegistry();
     private final ServingContext context;
     private final Shutdown shutdown;
@@ -92,6 +102,7 @@
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
         platform = HttpPlatform.at(settings.platform().address(), calls);
         control = new ControlLoop(settings, clock, platform, calls, links, self);
+        registry = RequestRegistry.holding(settings.callers().maxRequests());
         context = context();
         shutdown = new Shutdown(settings.shutdown(), control, context.registry(), clock);
         callers = callerServer();
@@ -158,6 +169,7 @@
         List<MessageCodec<?>> codecs =
                 ImmutableList.<MessageCodec<?>>builder()
                         .add(Heartbeat.codec(), ConfigAsk.CODEC, ConfigOffer.CODEC)
+                        .addAll(CopyMessageCodecs.all())
                         .build();
         try {
             return PeerLinks.open(
@@ -187,7 +199,7 @@
                 clock,
                 control::view,
                 tuning,
-                RequestRegistry.holding(tuning.maxRequests()),
+                registry,
                 EngineClient.of(
                         new DefaultByteBufferPool(true, BUFFER_BYTES), recovery.connectTimeoutMs()),
                 calls,
@@ -195,12 +207,30 @@
                 inFlight,
                 GapBounds.of(recovery.silenceFloorMs(), recovery.silenceStartMs()),
                 claims(),
+                copies(),
                 ServingMetrics.of(
                         metrics,
                         new MetricsTuning(settings.callers().maxTeamsShown(), METRICS_WINDOW_MS),
                         clock));
     }
 
+    private CopyContext copies() {
+        RouterId self = settings.router().id();
+        CopyLinks copyLinks =
+                CopyLinks.open(
+                        links,
+                        self,
+                        CopyStore.within(StoreLimits.defaults()),
+                        id -> registry.find(id).flatMap(RunningRequest::owned),
+                        clock,
+                        CopyLinkLimits.defaults());
+        control.copyOver(copyLinks);
+        return new CopyContext(
+                self,
+                copyLinks,
+                RendezvousRanking.of(control::servingRouters, settings.router().domain()));
+    }
+
     private ClaimService claims() {
         return ClaimService.create(
                 settings.router().id(),
--- a/masticweir/src/main/java/org/masticweir/routing/RoutingSnapshot.java
+++ b/masticweir/src/main/java/org/masticweir/routing/RoutingSnapshot.java
@@ -9,7 +9,9 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
 import org.masticweir.id.ModelId;
 
 /**
@@ -58,6 +60,12 @@
         return engines.get(checkNotNull(model, "model"));
     }
 
+    /** Returns the engine of this id, for one of the models that it serves. */
+    public Optional<EngineView> engine(EngineId id) {
+        checkNotNull(id, "id");
+        return engines.values().stream().filter(e -> e.id().equals(id)).findFirst();
+    }
+
     /** Returns every engine once for each model that it serves. */
     public ImmutableListMultimap<ModelId, EngineView> enginesByModel() {
         return engines;
--- a/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
@@ -32,6 +32,7 @@
     private final RunningRequest request;
     private final XnioIoThread thread;
     private final Consumer<RunPermit> run;
+    private final Ownership ownership;
     private final Runnable settle = this::settle;
 
     private ClaimPermit permit;
@@ -46,12 +47,14 @@
             ServingContext context,
             RunningRequest request,
             XnioIoThread thread,
-            Consumer<RunPermit> run) {
+            Consumer<RunPermit> run,
+            Ownership ownership) {
         this.context = checkNotNull(context, "context");
         this.claims = context.claims();
         this.request = checkNotNull(request, "request");
         this.thread = checkNotNull(thread, "thread");
         this.run = checkNotNull(run, "run");
+        this.ownership = checkNotNull(ownership, "ownership");
     }
 
     /** Claims the request and runs it once the claim is certain. */
@@ -97,9 +100,8 @@
         if (row.status() == ClaimStatus.DONE && row.verdict() == Verdict.COMPLETED) {
             StoredAnswer answer = StoredAnswer.decode(row.result());
             request.log().append(0, answer.tokens());
-            request.log().releaseTo(answer.tokens().length());
-            AnswerEnd end = new AnswerEnd.Completed(answer.result());
-            RequestEnd.end(context, request, thread, end);
+            ownership.accepted(answer.tokens().length());
+            ownership.ended(new AnswerEnd.Completed(answer.result()));
             return;
         }
         LOG.info("claims: request {} is claimed by {}", request.spec().id(), row.owner());
@@ -115,6 +117,6 @@
     private void fail(MasticweirException error) {
         long ms = context.clock().nowMs() - request.acceptedAtMs();
         context.observer().failed(request.spec(), error, ms);
-        RequestEnd.end(context, request, thread, new AnswerEnd.Failed(error));
+        ownership.ended(new AnswerEnd.Failed(error));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -31,6 +30,7 @@
 import org.masticweir.recovery.RecoveryEvent;
 import org.masticweir.recovery.RecoveryMachine;
 import org.masticweir.recovery.RecoveryPlan;
+import org.masticweir.recovery.copy.Placement;
 import org.masticweir.routing.EngineView;
 import org.masticweir.routing.PrefixBlocks;
 import org.masticweir.routing.RouteChoice;
@@ -46,8 +46,6 @@
 final class GenerationRunner {
     private static final Logger LOG = LogManager.getLogger(GenerationRunner.class);
 
-    private static final int LAST_FIRST_GENERATION = 1 << 30;
-
     private final ServingContext context;
     private final RunningRequest request;
     private final WorkClass workClass;
@@ -55,6 +53,7 @@
     private final RecoveryMachine machine;
     private final ResumeTimer timer;
     private final EngineProbe probes;
+    private final Ownership ownership;
     private final Deque<RecoveryAction> pending = new ArrayDeque<>();
     private final Map<EngineId, BackEnd> seen = new HashMap<>();
 
@@ -71,15 +70,38 @@
             RunningRequest request,
             WorkClass workClass,
             GenerationSpec generation,
-            XnioIoThread thread) {
+            XnioIoThread thread,
+            Ownership ownership,
+            Optional<RequestRun.TakenOver> taken) {
         this.context = checkNotNull(context, "context");
         this.request = checkNotNull(request, "request");
         this.workClass = checkNotNull(workClass, "workClass");
         this.generation = checkNotNull(generation, "generation");
         this.thread = checkNotNull(thread, "thread");
+        this.ownership = checkNotNull(ownership, "ownership");
         timer = new ResumeTimer(request.acceptedAtMs());
         probes = new EngineProbe(context.calls(), context.tuning().probeTimeoutMs());
-        machine = RecoveryMachine.of(plan(), context.gaps().forPreset(workClass.recovery()));
+        machine = taken.map(this::machineOf).orElseGet(this::newMachine);
+    }
+
+    private RecoveryMachine newMachine() {
+        return RecoveryMachine.of(plan(), context.gaps().forPreset(workClass.recovery()));
+    }
+
+    private RecoveryMachine machineOf(RequestRun.TakenOver from) {
+        Optional<Placement> placement = from.copy().placement();
+        if (placement.isEmpty()) {
+            return newMachine();
+        }
+        EngineId on = placement.get().engine();
+        context.view().get().routing().engine(on).ifPresent(e -> seen.put(on, e.backEnd()));
+        return RecoveryMachine.takenOver(
+                plan(),
+                context.gaps().forPreset(workClass.recovery()),
+                placement.get().attempt(),
+                on,
+                request.log().size(),
+                from.whole());
     }
 
     /** Returns the runner of a request just accepted, on {@code thread}. */
@@ -87,21 +109,18 @@
             ServingContext context,
             RunningRequest request,
             WorkClass workClass,
-            Model model,
-            XnioIoThread thread) {
-        // A key may be used again after a run that failed: runs must not share a generation, or a
-        // caller who comes back could be given the rest of another run's answer.
-        int number = ThreadLocalRandom.current().nextInt(1, LAST_FIRST_GENERATION);
-        GenerationId first = GenerationId.of(request.spec().id(), number);
-        GenerationSpec pinned = GenerationSpec.pin(first, model);
-        return new GenerationRunner(context, request, workClass, pinned, thread);
+            GenerationSpec generation,
+            XnioIoThread thread,
+            Ownership ownership,
+            Optional<RequestRun.TakenOver> taken) {
+        return new GenerationRunner(
+                context, request, workClass, generation, thread, ownership, taken);
     }
 
     /** Starts the request; call once, on its thread. */
     void start(RunPermit under) {
         permit = checkNotNull(under, "under");
         request.cancelWith(() -> thread.execute(() -> feed(new RecoveryEvent.Cancelled())));
-        request.log().startGeneration(generation.id().number());
         run(machine.start(now()));
     }
 
@@ -162,9 +181,9 @@
     private void release(RecoveryAction.Release release) {
         long nowMs = now();
         request.log().append(release.from(), release.tokens());
-        request.log().releaseTo(release.from() + release.tokens().length());
         report(timer.tokens(nowMs));
         recovering = false;
+        ownership.accepted(release.from() + release.tokens().length());
     }
 
     private void report(ResumeTimer.Progress progress) {
@@ -249,7 +268,13 @@
     }
 
     private void reread(RecoveryAction.Reread reread) {
-        BackEnd backEnd = seen.get(reread.engine());
+        Optional<BackEnd> known = Optional.ofNullable(seen.get(reread.engine()));
+        if (known.isEmpty()) {
+            // Taken over from a router that saw an engine which is gone by now.
+            feed(new RecoveryEvent.LinkLost(reread.attempt(), false));
+            return;
+        }
+        BackEnd backEnd = known.get();
         countOn(reread.engine());
         timer.rereading(now());
         note(reread.engine(), reread.attempt());
@@ -266,12 +291,17 @@
     }
 
     private void note(EngineId engine, AttemptId attempt) {
+        ownership.placed(attempt, engine);
         request.placedAt(
                 new RunningRequest.Placement(
                         engine.value(), attempt.generation().number(), attempt.number()));
     }
 
     private void probe(RecoveryAction.Probe probe) {
+        if (!seen.containsKey(probe.engine())) {
+            feed(new RecoveryEvent.ProbeFailed(probe.attempt()));
+            return;
+        }
         probes.probe(seen.get(probe.engine()).address(), probe.attempt())
                 .thenAccept(event -> thread.execute(() -> feed(event)));
     }
@@ -287,6 +317,7 @@
         GenerationId id = GenerationId.of(request.spec().id(), next.number());
         generation = GenerationSpec.pin(id, declaredModel().orElseThrow());
         request.log().startGeneration(next.number());
+        ownership.newGeneration(generation);
     }
 
     private void finish(int tokens) {
@@ -305,12 +336,21 @@
         context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
     }
 
+    /** Lets go of the generation, which another router reads on. */
+    void detach() {
+        feed(new RecoveryEvent.Detached());
+        closeStream();
+        uncount();
+        wakeUp.ifPresent(XnioExecutor.Key::remove);
+        wakeUp = Optional.empty();
+    }
+
     private void end(AnswerEnd how) {
         closeStream();
         uncount();
         wakeUp.ifPresent(XnioExecutor.Key::remove);
         wakeUp = Optional.empty();
-        RequestEnd.end(context, request, thread, how);
+        ownership.ended(how);
     }
 
     private void countOn(EngineId engine) {
--- a/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
@@ -1,6 +1,7 @@
 package org.masticweir.serving;
 
 import java.util.concurrent.TimeUnit;
+import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
 import org.masticweir.generation.AnswerEnd;
 import org.xnio.XnioIoThread;
@@ -12,17 +13,23 @@
     /** Ends {@code request}; call once, on its thread. */
     static void end(
             ServingContext context, RunningRequest request, XnioIoThread thread, AnswerEnd how) {
+        retire(context, request, thread, how);
+        request.log().finish(how);
+    }
+
+    /** Frees the place of {@code request}, whose log has ended or is about to end as told. */
+    static void retire(
+            ServingContext context, RunningRequest request, XnioIoThread thread, AnswerEnd how) {
         context.registry().finished();
         if (mayRunAgain(request, how)) {
             // Forgotten first: a caller who asks again at once must not get this end once more.
             context.registry().forget(request);
-        } else {
-            thread.executeAfter(
-                    () -> context.registry().forget(request),
-                    context.tuning().retainMs(),
-                    TimeUnit.MILLISECONDS);
+            return;
         }
-        request.log().finish(how);
+        thread.executeAfter(
+                () -> context.registry().forget(request),
+                context.tuning().retainMs(),
+                TimeUnit.MILLISECONDS);
     }
 
     private static boolean mayRunAgain(RunningRequest request, AnswerEnd how) {
@@ -30,6 +37,8 @@
             return false;
         }
         Verdict verdict = failed.error().verdict();
-        return request.spec().idempotent() || verdict.safeToSendAgain();
+        return request.spec().idempotent()
+                || verdict.safeToSendAgain()
+                || failed.error().code() == ErrorCode.SUPERSEDED;
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/RequestService.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestService.java
@@ -2,14 +2,15 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.function.Consumer;
-import org.masticweir.config.BackEndKind;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.Model;
 import org.masticweir.config.WorkClass;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.generation.RequestSpec;
+import org.masticweir.id.RequestId;
 import org.xnio.XnioIoThread;
 
 /** Accepts requests and starts them; thread-safe. */
@@ -41,9 +42,7 @@
             throw MasticweirException.notRun(code, "the router takes no new requests")
                     .retryAfterMs(NOT_READY_RETRY_MS);
         }
-        Deployment deployment = view.deployment().orElseThrow();
-        WorkClass workClass = classOf(deployment, spec);
-        Model model = modelOf(deployment, spec);
+        RequestRun.Service service = serviceFor(spec);
         RequestRegistry.Admission admission = registry.admit(spec, context.clock().nowMs());
         RunningRequest request = admission.request();
         if (!request.spec().equals(spec)) {
@@ -51,11 +50,27 @@
                     ErrorCode.KEY_REUSED, "the idempotency key was used for another request");
         }
         if (admission.fresh()) {
-            start(request, workClass, model, thread);
+            Runnable onJoin = () -> follow(request, thread);
+            RequestRun.opening(context, request, service, thread, onJoin).start();
         }
         return request;
     }
 
+    /**
+     * Finds a request by its id, here or at another router, and serves it here.
+     *
+     * @param shown count of tokens that the caller says it has
+     * @return completes on {@code thread}
+     */
+    public CompletableFuture<Optional<RunningRequest>> find(
+            RequestId id, int shown, XnioIoThread thread) {
+        Optional<RunningRequest> here = context.registry().find(id);
+        if (here.isPresent()) {
+            return CompletableFuture.completedFuture(here);
+        }
+        return new RequestLookup(context, takeOver(thread), thread).find(id, shown);
+    }
+
     public RequestRegistry registry() {
         return context.registry();
     }
@@ -68,19 +83,25 @@
         return context.tuning();
     }
 
-    private void start(
-            RunningRequest request, WorkClass workClass, Model model, XnioIoThread thread) {
-        Consumer<RunPermit> run =
-                model.kind() == BackEndKind.SERVICE
-                        ? p -> ServiceRunner.of(context, request, workClass, model, thread).start(p)
-                        : p ->
-                                GenerationRunner.of(context, request, workClass, model, thread)
-                                        .start(p);
-        if (request.spec().idempotent()) {
-            run.accept(RunPermit.ALWAYS);
-        } else {
-            new ClaimedRun(context, request, thread, run).start();
-        }
+    private void follow(RunningRequest request, XnioIoThread thread) {
+        new RequestFollow(context, request, thread, takeOver(thread)).lookUp();
+    }
+
+    private RequestTakeOver takeOver(XnioIoThread thread) {
+        return new RequestTakeOver(context, this::serviceFor, thread);
+    }
+
+    private RequestRun.Service serviceFor(RequestSpec spec) {
+        Deployment deployment =
+                context.view()
+                        .get()
+                        .deployment()
+                        .orElseThrow(
+                                () ->
+                                        MasticweirException.notRun(
+                                                ErrorCode.NO_CONFIGURATION,
+                                                "the router has no configuration yet"));
+        return new RequestRun.Service(classOf(deployment, spec), modelOf(deployment, spec));
     }
 
     private static WorkClass classOf(Deployment deployment, RequestSpec spec) {
--- a/masticweir/src/main/java/org/masticweir/serving/RunningRequest.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RunningRequest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Optional;
 import org.masticweir.generation.AnswerLog;
 import org.masticweir.generation.RequestSpec;
+import org.masticweir.recovery.copy.OwnedAnswer;
 
 /**
  * One request that this router owns, under way or finished and still readable.
@@ -15,6 +17,7 @@
     private final RequestSpec spec;
     private final AnswerLog log = new AnswerLog();
     private final long acceptedAtMs;
+    private volatile Optional<OwnedAnswer> owned = Optional.empty();
     private volatile Placement placement = Placement.NONE;
     private volatile Runnable canceller = () -> {};
 
@@ -35,6 +38,15 @@
         return acceptedAtMs;
     }
 
+    /** Returns the answer as other routers may read it, while this router owns the request. */
+    public Optional<OwnedAnswer> owned() {
+        return owned;
+    }
+
+    void ownedAs(Optional<OwnedAnswer> now) {
+        owned = checkNotNull(now, "now");
+    }
+
     public Placement placement() {
         return placement;
     }
--- a/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
@@ -39,6 +39,7 @@
     private final WorkClass workClass;
     private final Model model;
     private final XnioIoThread thread;
+    private final Ownership ownership;
     private final Set<EngineId> excluded = new HashSet<>();
 
     private RunPermit permit = RunPermit.ALWAYS;
@@ -51,12 +52,14 @@
             RunningRequest request,
             WorkClass workClass,
             Model model,
-            XnioIoThread thread) {
+            XnioIoThread thread,
+            Ownership ownership) {
         this.context = checkNotNull(context, "context");
         this.request = checkNotNull(request, "request");
         this.workClass = checkNotNull(workClass, "workClass");
         this.model = checkNotNull(model, "model");
         this.thread = checkNotNull(thread, "thread");
+        this.ownership = checkNotNull(ownership, "ownership");
         advisedRetryMs = workClass.firstTokenMs();
     }
 
@@ -65,8 +68,9 @@
             RunningRequest request,
             WorkClass workClass,
             Model model,
-            XnioIoThread thread) {
-        return new ServiceRunner(context, request, workClass, model, thread);
+            XnioIoThread thread,
+            Ownership ownership) {
+        return new ServiceRunner(context, request, workClass, model, thread, ownership);
     }
 
     /** Starts the request; call once, on its thread. */
@@ -173,14 +177,14 @@
     private void complete(String result) {
         context.observer().firstToken(request.spec(), now() - request.acceptedAtMs());
         context.observer().completed(request.spec(), now() - request.acceptedAtMs(), 0);
-        RequestEnd.end(context, request, thread, new AnswerEnd.Completed(result));
+        ownership.ended(new AnswerEnd.Completed(result));
     }
 
     private void fail(ErrorCode code, String message) {
         MasticweirException error =
                 MasticweirException.of(code, verdict, message).retryAfterMs(advisedRetryMs);
         context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
-        RequestEnd.end(context, request, thread, new AnswerEnd.Failed(error));
+        ownership.ended(new AnswerEnd.Failed(error));
     }
 
     private long now() {
--- a/masticweir/src/main/java/org/masticweir/serving/ServingContext.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServingContext.java
@@ -22,6 +22,7 @@
         InFlight inFlight,
         GapBounds gaps,
         ClaimCommands claims,
+        CopyContext copies,
         ServingObserver observer) {
     public ServingContext {
         checkNotNull(clock, "clock");
@@ -34,6 +35,7 @@
         checkNotNull(inFlight, "inFlight");
         checkNotNull(gaps, "gaps");
         checkNotNull(claims, "claims");
+        checkNotNull(copies, "copies");
         checkNotNull(observer, "observer");
     }
 }
