--- a/masticweir/src/main/java/org/masticweir/routing/ExpectedDelay.java
+++ b/masticweir/src/main/java/org/masticweir/routing/ExpectedDelay.java
@@ -1,6 +1,6 @@
 package org.masticweir.routing;
 
-/** Estimates the time from a send to the next token; thread-safe. */
+/** Estimates the parts of the time from a send to the next token. */
 final class ExpectedDelay {
     /**
      * Share of the affinity blocks counted as cached on the engine that rendezvous hashing names
@@ -8,16 +8,11 @@
      */
     private static final double ASSUMED_HIT = 0.5;
 
-    private final InFlight inFlight;
+    private ExpectedDelay() {}
 
-    ExpectedDelay(InFlight inFlight) {
-        this.inFlight = inFlight;
-    }
-
-    /** Returns the wait for a place, for prompts sent before, and for one step at that load. */
-    double beforePrefillMs(EngineView e, long nowMs) {
-        double load = inFlight.expectedLoad(e, nowMs);
-        return queueMs(e, load) + inFlight.prefillBacklogMs(e.id(), nowMs) + stepMs(e, load);
+    /** Returns the wait for a place and for one step among {@code load} sequences. */
+    static double atLoadMs(EngineView e, double load) {
+        return queueMs(e, load) + stepMs(e, load);
     }
 
     private static double queueMs(EngineView e, double load) {
--- a/masticweir/src/main/java/org/masticweir/routing/ExpectedDelayChooser.java
+++ b/masticweir/src/main/java/org/masticweir/routing/ExpectedDelayChooser.java
@@ -1,9 +1,12 @@
 package org.masticweir.routing;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.Comparator.comparingDouble;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.masticweir.routing.RouteChoice.Chosen;
 import org.masticweir.routing.RouteChoice.None;
 
@@ -20,18 +23,18 @@
  */
 public final class ExpectedDelayChooser implements EngineChooser {
     /** Engines drawn in each of the two rings, local and remote. */
-    private static final int SAMPLES = 3;
+    private static final int SAMPLES = 6;
 
     /** What a remote engine must gain beyond its extra delay, since its report is older too. */
     private static final double SPILL_MARGIN_MS = 5;
 
     private final Supplier<? extends RandomGenerator> random;
-    private final ExpectedDelay delay;
+    private final InFlight inFlight;
     private final Affinity affinity;
 
     private ExpectedDelayChooser(InFlight inFlight, Supplier<? extends RandomGenerator> random) {
         this.random = checkNotNull(random, "random");
-        this.delay = new ExpectedDelay(checkNotNull(inFlight, "inFlight"));
+        this.inFlight = checkNotNull(inFlight, "inFlight");
         this.affinity = new Affinity(inFlight);
     }
 
@@ -44,42 +47,19 @@
     @Override
     public RouteChoice choose(RoutingSnapshot snapshot, RouteQuery query, long nowMs) {
         Candidates candidates = snapshot.candidates(query.model(), query.version());
-        Best best = new Best(query, nowMs);
-        affinity.preferred(candidates, query, nowMs).ifPresent(e -> best.offer(e, 0, true));
-        Affinity.holder(candidates, query).ifPresent(e -> best.offer(e, 0, false));
         RandomGenerator r = random.get();
+        Comparison local = new Comparison(inFlight, query, nowMs);
+        affinity.preferred(candidates, query, nowMs).ifPresent(e -> local.add(e, 0, true));
+        Affinity.holder(candidates, query).ifPresent(e -> local.add(e, 0, false));
         Draw.from(candidates.local(), EngineView::id, query, SAMPLES, r)
-                .forEach(e -> best.offer(e, 0, false));
+                .forEach(e -> local.add(e, 0, false));
+        Comparison remote = new Comparison(inFlight, query, nowMs);
         Draw.from(candidates.remote(), x -> x.engine().id(), query, SAMPLES, r)
-                .forEach(x -> best.offer(x.engine(), x.extraDelayMs() + SPILL_MARGIN_MS, false));
-        return best.engine == null ? new None(Draw.whyNone(snapshot, query)) : best.chosen();
-    }
-
-    /** The best engine seen during one choice; lives on the stack of that choice. */
-    private final class Best {
-        private final RouteQuery query;
-        private final long nowMs;
-        private EngineView engine;
-        private double ms = Double.POSITIVE_INFINITY;
-        private double prefillMs;
-
-        Best(RouteQuery query, long nowMs) {
-            this.query = query;
-            this.nowMs = nowMs;
-        }
-
-        void offer(EngineView e, double extraMs, boolean preferred) {
-            double prefill = ExpectedDelay.prefillMs(e, query, preferred);
-            double t = delay.beforePrefillMs(e, nowMs) + prefill + extraMs;
-            if (t < ms) {
-                engine = e;
-                ms = t;
-                prefillMs = prefill;
-            }
-        }
-
-        Chosen chosen() {
-            return new Chosen(engine, ms, prefillMs);
-        }
+                .forEach(x -> remote.add(x.engine(), x.extraDelayMs() + SPILL_MARGIN_MS, false));
+        return Stream.of(local.best(), remote.best())
+                .flatMap(Optional::stream)
+                .min(comparingDouble(Chosen::expectedMs))
+                .<RouteChoice>map(c -> c)
+                .orElseGet(() -> new None(Draw.whyNone(snapshot, query)));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/routing/InFlight.java
+++ b/masticweir/src/main/java/org/masticweir/routing/InFlight.java
@@ -62,18 +62,23 @@
     }
 
     /**
-     * Returns the sequences believed on {@code engine} now.
+     * Returns the sequences believed on {@code engine} now: this router's own and the others'.
      *
      * <p>At least this router's own are there, whatever an old report says.
      */
     public double expectedLoad(EngineView engine, long nowMs) {
+        return outstanding(engine.id()) + othersLoad(engine, nowMs);
+    }
+
+    /** Returns the sequences that the report counted and that were not this router's. */
+    int othersLoad(EngineView engine, long nowMs) {
         int reported = engine.load().running() + engine.load().waiting();
         RecentSends sends = engines.get(engine.id());
         if (sends == null) {
             return reported;
         }
-        double corrected = reported + sends.netSince(engine.reportedAtMs(), nowMs);
-        return Math.max(corrected, sends.outstanding());
+        int ownThen = sends.outstanding() - sends.netSince(engine.reportedAtMs(), nowMs);
+        return Math.max(0, reported - ownThen);
     }
 
     /** Returns how long the engine still computes on prompts that this router sent, in ms. */
--- a/masticweir/src/main/java/org/masticweir/routing/RecentSends.java
+++ b/masticweir/src/main/java/org/masticweir/routing/RecentSends.java
@@ -14,9 +14,6 @@
     private static final int INTERVAL_MS = 50;
     private static final int SLOTS = 64;
 
-    /** Age at which a send's weight has fallen to 1/e, in ms; by then reports tend to hold it. */
-    private static final double DECAY_MS = 2_000;
-
     private static final long COUNT_ZERO = 1L << 30;
     private static final long COUNT_MASK = 0xffff_ffffL;
 
@@ -53,14 +50,14 @@
         return outstanding.get();
     }
 
-    /** Returns sends less finishes from {@code sinceMs} on, older ones weighing less. */
-    double netSince(long sinceMs, long nowMs) {
+    /** Returns sends less finishes from {@code sinceMs} on, as far back as the ring reaches. */
+    int netSince(long sinceMs, long nowMs) {
         long last = interval(nowMs);
-        double net = 0;
+        int net = 0;
         for (long n = Math.max(interval(sinceMs), last - SLOTS + 1); n <= last; n++) {
             long s = slots.get(slot(n));
             if (tagOf(s) == (int) n) {
-                net += countOf(s) * Math.exp((n - last) * INTERVAL_MS / DECAY_MS);
+                net += countOf(s);
             }
         }
         return net;
