routing: keep avoiding a reported queue that can't have drained

Cause: reports fade towards the mean, so an engine with a queue of many batches looked like any other once its report was some hundred milliseconds old. Ruled out: holding any reported difference up to what may have drained; it brought herding back (longest queue 9 over the bound of 8 in the closed loop). Change: a reported load that still exceeds the batch after the most that can have ended since counts in full; below that reports fade as before. Also tests the part of the free places that one of several routers takes.

--- a/masticweir/src/main/java/org/masticweir/routing/Comparison.java
+++ b/masticweir/src/main/java/org/masticweir/routing/Comparison.java
@@ -68,9 +68,22 @@
     private double difference(Entry entry, double meanShare) {
         EngineView e = entry.engine;
         int capacity = e.usableCapacity();
+        double ageMs = Math.max(0, nowMs - e.reportedAtMs());
         double voidMs = e.speed().holdMs() / (TRUST_DIVISOR * Math.sqrt(capacity));
-        double trust = Math.exp(-Math.max(0, nowMs - e.reportedAtMs()) / Math.max(1, voidMs));
-        return Math.rint((entry.othersShare - meanShare) * capacity * trust);
+        double reported = (entry.othersShare - meanShare) * capacity;
+        double trusted = Math.rint(reported * Math.exp(-ageMs / Math.max(1, voidMs)));
+        double left = entry.othersShare * capacity - drained(e, ageMs);
+        return left > capacity ? Math.max(trusted, left - meanShare * capacity) : trusted;
+    }
+
+    /**
+     * Returns the most that an engine can have ended within {@code ageMs}.
+     *
+     * <p>Failure guarded against: an engine with a queue of many batches looks like the mean as
+     * soon as its report is old, although it can't have worked the queue off by then.
+     */
+    private static double drained(EngineView e, double ageMs) {
+        return e.usableCapacity() * ageMs / Math.max(1, e.speed().holdMs());
     }
 
     /** One engine compared, with the load that others put on it as a share of its capacity. */
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/limits/SnapshotCapacityTest.java
@@ -0,0 +1,56 @@
+package org.masticweir.limits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.engine.BackEnd;
+import org.masticweir.engine.LoadReport;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.ModelId;
+import org.masticweir.routing.EngineView;
+import org.masticweir.routing.InFlight;
+import org.masticweir.routing.RoutingSnapshot;
+import org.masticweir.routing.SpeedEstimate;
+
+/** Tests what part of the engines one router takes for its own. */
+class SnapshotCapacityTest {
+    private static final DomainId HOME = DomainId.of("d1");
+    private static final ModelId MODEL = ModelId.of("report");
+    private static final EngineId ENGINE = EngineId.of("e1");
+
+    private static RoutingSnapshot snapshot(int running) {
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+        LoadReport load = LoadReport.of(running, 0, 16);
+        SpeedEstimate speed = SpeedEstimate.of(10, 10, 1, 1_000);
+        BackEnd backEnd = new BackEnd(ENGINE, address, HOME, "g", false);
+        EngineView e = EngineView.of(backEnd, MODEL, "3", load, 0, speed);
+        return RoutingSnapshot.builder(HOME, 0).add(e).build();
+    }
+
+    /** Several routers before one engine. */
+    @Nested
+    class Shared {
+        @Test
+        void aPartOfTheFreePlacesIsOursLessWhatWeSentSince() {
+            InFlight inFlight = InFlight.create();
+            SnapshotCapacity source = SnapshotCapacity.create(() -> snapshot(6), inFlight, () -> 8);
+            assertEquals(5, source.of(MODEL, "3", 0).freePlaces(), 0.01);
+            assertEquals(2, source.of(MODEL, "3", 0).fairPlaces(), 0.01);
+            inFlight.sent(ENGINE, 10);
+            inFlight.sent(ENGINE, 10);
+            assertEquals(3, source.of(MODEL, "3", 20).freePlaces(), 0.01);
+            assertEquals(Capacity.none(), source.of(MODEL, "4", 20));
+        }
+
+        @Test
+        void aloneAllFreePlacesAreOurs() {
+            SnapshotCapacity source =
+                    SnapshotCapacity.create(() -> snapshot(6), InFlight.create(), () -> 1);
+            assertEquals(10, source.of(MODEL, "3", 0).freePlaces(), 0.01);
+        }
+    }
+}
--- a/masticweir/src/test/java/org/masticweir/routing/ExpectedDelayChooserTest.java
+++ b/masticweir/src/test/java/org/masticweir/routing/ExpectedDelayChooserTest.java
@@ -152,6 +152,19 @@
         }
     }
 
+    /** Reports that are seconds old. */
+    @Nested
+    class OldReports {
+        @Test
+        void aQueueThatCannotHaveDrainedYetIsAvoided() {
+            RoutingSnapshot s = snapshot(engine("queued", 200), engine("free", 8));
+            for (int n = 0; n < 20; n++) {
+                EngineView e = chooser.choose(s, query(), 2_000).engine().orElseThrow();
+                assertEquals("free", e.id().value());
+            }
+        }
+    }
+
     /** Load reports corrected by own sends. */
     @Nested
     class OwnSends {
