--- a/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.masticweir.bench.demo.DemoCommand;
 import org.masticweir.bench.demo.PublishCommand;
+import org.masticweir.bench.experiment.ExperimentCommand;
 import org.masticweir.bench.load.LoadCommand;
 
 /** The program for load, experiments and the demo. */
@@ -17,7 +18,11 @@
     /** Runs the command that the arguments name. */
     public static void main(String[] args) {
         ImmutableList<BenchCommand> commands =
-                ImmutableList.of(new DemoCommand(), new PublishCommand(), new LoadCommand());
+                ImmutableList.of(
+                        new DemoCommand(),
+                        new PublishCommand(),
+                        new LoadCommand(),
+                        new ExperimentCommand());
         JCommander parser = new JCommander();
         parser.setProgramName("masticweir-bench");
         commands.forEach(c -> parser.addCommand(c.name(), c));
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/ClassProfile.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/ClassProfile.java
@@ -50,16 +50,25 @@
                 target);
     }
 
-    /** Draws a prompt: one of the shared templates, then tokens of its own. */
-    ImmutableIntArray drawPrompt(RandomGenerator random) {
-        Random template = new Random(name.hashCode() + (long) random.nextInt(templates));
+    /**
+     * Draws a prompt: one of the shared templates, then tokens of its own.
+     *
+     * <p>Lengths come from {@code random}, token ids from {@code content}: runs of one seed ask for
+     * the same work, yet none finds its prompts in the engines' caches from the run before.
+     *
+     * @param contentSeed seed of the templates, one for each run
+     */
+    ImmutableIntArray drawPrompt(
+            RandomGenerator random, RandomGenerator content, long contentSeed) {
+        long templateSeed = contentSeed + name.hashCode() + random.nextInt(templates);
+        Random template = new Random(templateSeed);
         int own = ownPrompt.draw(random);
         ImmutableIntArray.Builder prompt = ImmutableIntArray.builder(templateTokens + own);
         for (int i = 0; i < templateTokens; i++) {
             prompt.add(template.nextInt(VOCABULARY));
         }
         for (int i = 0; i < own; i++) {
-            prompt.add(random.nextInt(VOCABULARY));
+            prompt.add(content.nextInt(VOCABULARY));
         }
         return prompt.build();
     }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadPlan.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadPlan.java
@@ -6,14 +6,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.ImmutableLongArray;
 import java.util.Random;
-import java.util.random.RandomGenerator;
 import org.masticweir.bench.caller.CallRequest;
 
 /**
  * All calls of a load, drawn from a seed before it starts; immutable.
  *
- * <p>Two plans of one seed differ in nothing but the run's tag, which keeps their idempotency keys
- * apart.
+ * <p>Two plans of one seed ask for the same work at the same times; the run's tag keeps their
+ * idempotency keys and the token ids of their prompts apart.
  */
 public final class LoadPlan {
     private static final long MS_PER_S = 1000;
@@ -30,37 +29,56 @@
     public static LoadPlan draw(LoadShape shape, String tag) {
         checkNotNull(shape, "shape");
         checkArgument(!tag.isEmpty(), "no tag");
-        Random random = new Random(shape.seed());
-        long endMs = Math.round(shape.seconds() * MS_PER_S);
-        ImmutableLongArray times = new PoissonArrivals(shape.ratePerS()).until(endMs, random);
-        ImmutableList<ClassProfile> profiles =
-                shape.mix().classes().stream()
-                        .map(c -> c.scaled(shape.scaleTokens()))
-                        .collect(ImmutableList.toImmutableList());
-        WeightedChoice<ClassProfile> classes = WeightedChoice.of(profiles, ClassProfile::weight);
-        WeightedChoice<TeamShare> teams = WeightedChoice.of(shape.mix().teams(), TeamShare::share);
-        ImmutableList.Builder<PlannedCall> calls = ImmutableList.builder();
-        for (int i = 0; i < times.length(); i++) {
-            ClassProfile profile = classes.draw(random);
-            String team = teams.draw(random).team();
-            CallRequest request = request(profile, team, tag + "-" + i, random);
-            calls.add(new PlannedCall(times.get(i), profile, request));
-        }
-        return new LoadPlan(shape, calls.build());
+        return new LoadPlan(shape, new Drawing(shape, tag).calls());
     }
 
-    private static CallRequest request(
-            ClassProfile profile, String team, String key, RandomGenerator random) {
-        return new CallRequest(
-                team,
-                team + "-secret",
-                profile.name(),
-                profile.model(),
-                key,
-                profile.idempotent(),
-                profile.drawPrompt(random),
-                "",
-                profile.output().draw(random));
+    /** The sources of chance of one plan; not thread-safe. */
+    private static final class Drawing {
+        private final LoadShape shape;
+        private final String tag;
+        private final Random random;
+        private final Random content;
+        private final WeightedChoice<ClassProfile> classes;
+        private final WeightedChoice<TeamShare> teams;
+
+        Drawing(LoadShape shape, String tag) {
+            this.shape = shape;
+            this.tag = tag;
+            random = new Random(shape.seed());
+            content = new Random(tag.hashCode());
+            ImmutableList<ClassProfile> profiles =
+                    shape.mix().classes().stream()
+                            .map(c -> c.scaled(shape.scaleTokens()))
+                            .collect(ImmutableList.toImmutableList());
+            classes = WeightedChoice.of(profiles, ClassProfile::weight);
+            teams = WeightedChoice.of(shape.mix().teams(), TeamShare::share);
+        }
+
+        ImmutableList<PlannedCall> calls() {
+            long endMs = Math.round(shape.seconds() * MS_PER_S);
+            ImmutableLongArray times = new PoissonArrivals(shape.ratePerS()).until(endMs, random);
+            ImmutableList.Builder<PlannedCall> calls = ImmutableList.builder();
+            for (int i = 0; i < times.length(); i++) {
+                ClassProfile profile = classes.draw(random);
+                CallRequest request = request(profile, tag + "-" + i);
+                calls.add(new PlannedCall(times.get(i), profile, request));
+            }
+            return calls.build();
+        }
+
+        private CallRequest request(ClassProfile profile, String key) {
+            String team = teams.draw(random).team();
+            return new CallRequest(
+                    team,
+                    team + "-secret",
+                    profile.name(),
+                    profile.model(),
+                    key,
+                    profile.idempotent(),
+                    profile.drawPrompt(random, content, tag.hashCode()),
+                    "",
+                    profile.output().draw(random));
+        }
     }
 
     LoadShape shape() {
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadShape.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadShape.java
@@ -18,4 +18,9 @@
         checkArgument(ratePerS > 0, "rate %s a second", ratePerS);
         checkArgument(scaleTokens > 0, "scale %s", scaleTokens);
     }
+
+    /** Returns the same load with a seed higher by {@code more}. */
+    public LoadShape withSeedPlus(long more) {
+        return new LoadShape(mix, seconds, ratePerS, seed + more, scaleTokens);
+    }
 }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/StandInControl.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/StandInControl.java
@@ -45,9 +45,17 @@
 
     /** Waits until the router at {@code router} takes work; false when it does not in time. */
     public boolean awaitReady(InetSocketAddress router) {
-        HttpCall ready = HttpCall.get(router, "/v1/ready");
+        return awaitSuccess(HttpCall.get(router, "/v1/ready"));
+    }
+
+    /** Waits until the engine at {@code engine} is alive; false when it is not in time. */
+    public boolean awaitHealthy(InetSocketAddress engine) {
+        return awaitSuccess(HttpCall.get(engine, "/v1/health"));
+    }
+
+    private boolean awaitSuccess(HttpCall call) {
         for (int i = 0; i < READY_TRIES; i++) {
-            HttpOutcome outcome = calls.call(ready, TIMEOUT_MS).join();
+            HttpOutcome outcome = calls.call(call, TIMEOUT_MS).join();
             if (outcome instanceof HttpOutcome.Answered a && a.answer().isSuccess()) {
                 return true;
             }
