bench: results as JSON and as an HTML page with plots

Cause: a summary line hides how a run went and cannot be compared later. Ruled out: PNG files beside the page (they get parted from it); error bars of the plot library (they are symmetric, and the spread over runs is not), so min, median and max stand side by side. Change: load and experiment write a JSON file and one HTML page with embedded plots by XChart, drawn without a display, beside the summary line.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
@@ -19,6 +19,7 @@
 import org.masticweir.bench.demo.NoSplitter;
 import org.masticweir.bench.load.LoadFlags;
 import org.masticweir.bench.report.ExperimentResult;
+import org.masticweir.bench.report.HtmlReport;
 import org.masticweir.bench.report.ResultJson;
 import org.masticweir.bench.report.RunResult;
 import org.masticweir.bench.standin.EngineProcess;
@@ -153,6 +154,7 @@
 
     private int finish(ExperimentResult result) {
         ResultJson.write(Path.of(out, "experiment.json"), result);
+        HtmlReport.write(Path.of(out, "experiment.html"), result);
         System.out.println(result.summaryLine());
         return result.runs().stream().allMatch(r -> r.load().tokens().clean()) ? 0 : 1;
     }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadCommand.java
@@ -13,6 +13,7 @@
 import org.masticweir.bench.IpAddress;
 import org.masticweir.bench.caller.CallerClient;
 import org.masticweir.bench.demo.NoSplitter;
+import org.masticweir.bench.report.HtmlReport;
 import org.masticweir.bench.report.LoadResult;
 import org.masticweir.bench.report.ResultJson;
 import org.masticweir.bench.standin.EngineProcess;
@@ -84,6 +85,7 @@
 
     private int finish(LoadResult result) {
         ResultJson.write(Path.of(out, "load.json"), result);
+        HtmlReport.write(Path.of(out, "load.html"), result);
         System.out.println(result.summaryLine());
         return result.tokens().clean() ? 0 : 1;
     }
