Read and write addresses in one place

Cause: six classes in four modules parsed ip:port on their own, with small differences. Ruled out: keeping the stand-ins' own, which accepted what settings refuse.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/CliCommand.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/CliCommand.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.beust.jcommander.ParametersDelegate;
+import org.masticweir.http.IpAddress;
 
 /** One command; JCommander fills its fields, then it runs once. */
 abstract class CliCommand {
@@ -21,7 +22,7 @@
 
     /** Prints why a call failed; {@code unanswered} is the exit code when it may have been done. */
     final ExitCode failed(CallResult result, Console console, ExitCode unanswered) {
-        String router = "router " + HostText.of(options.router());
+        String router = "router " + IpAddress.text(options.router());
         switch (result.kind()) {
             case NOT_REACHED:
                 return console.failed(
--- a/masticweir-cli/src/main/java/org/masticweir/cli/OperatorCall.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorCall.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.masticweir.http.IpAddress;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -93,7 +94,7 @@
     }
 
     private static String hostOf(ClientConnection opened) {
-        return HostText.of(opened.getPeerAddress(InetSocketAddress.class));
+        return IpAddress.text(opened.getPeerAddress(InetSocketAddress.class));
     }
 
     private void write(ClientExchange exchange) {
--- a/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.masticweir.http.IpAddress;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -81,6 +82,6 @@
     }
 
     private URI uri() {
-        return URI.create("http://" + HostText.of(router));
+        return URI.create("http://" + IpAddress.text(router));
     }
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/http/StandInServer.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/http/StandInServer.java
@@ -9,6 +9,7 @@
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
+import org.masticweir.http.IpAddress;
 
 /** An HTTP server with few threads and small buffers, since dozens run on one machine. */
 public final class StandInServer implements AutoCloseable {
@@ -40,7 +41,7 @@
             undertow.start();
         } catch (RuntimeException e) {
             undertow.stop();
-            String text = "cannot listen on " + ListenAddress.text(listen) + ": " + reason(e);
+            String text = "cannot listen on " + IpAddress.text(listen) + ": " + reason(e);
             throw MasticweirException.causedBy(
                     ErrorCode.SETTINGS_INVALID, Verdict.NOT_RUN, text, e);
         }
@@ -58,7 +59,7 @@
 
     /** Prints the line that tells whoever started this process that it serves. */
     public void printReady(String kind, String id) {
-        System.out.println("ready " + kind + " " + id + " " + ListenAddress.text(address()));
+        System.out.println("ready " + kind + " " + id + " " + IpAddress.text(address()));
     }
 
     @Override
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/Instance.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/Instance.java
@@ -4,7 +4,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.google.common.base.Strings;
-import org.masticweir.standins.platform.http.Addresses;
+import org.masticweir.http.IpAddress;
 
 /** One entry of the instance list. */
 record Instance(String id, Kind kind, String group, String domain, String address, State state) {
@@ -13,7 +13,7 @@
         checkNotNull(kind, "kind");
         group = Strings.nullToEmpty(group);
         checkNotNull(domain, "domain");
-        Addresses.parse(checkNotNull(address, "address"));
+        IpAddress.parse(checkNotNull(address, "address"));
         checkNotNull(state, "state");
     }
 
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformCommand.java
@@ -6,8 +6,8 @@
 import java.net.InetSocketAddress;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.http.IpAddress;
 import org.masticweir.standins.StandInCommand;
-import org.masticweir.standins.platform.http.Addresses;
 import org.masticweir.time.Clock;
 
 /** The command that runs a platform stand-in until the process ends; not thread-safe. */
@@ -49,7 +49,7 @@
     public void start() {
         try {
             PlatformServer server = PlatformServer.start(settings(), Clock.system());
-            String address = Addresses.text(server.address());
+            String address = IpAddress.text(server.address());
             LOG.info("platform: listening on {}", address);
             System.out.println("ready platform " + address);
         } catch (IllegalArgumentException e) {
@@ -58,7 +58,7 @@
     }
 
     private PlatformSettings settings() {
-        InetSocketAddress address = Addresses.parse(listen);
+        InetSocketAddress address = IpAddress.parse(listen);
         return new PlatformSettings(
                 address, listLagMs, writeLimitPerS, readLimitPerS, weightLoadsPerS, loadMs);
     }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/http/AnswerServer.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/http/AnswerServer.java
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
+import org.masticweir.http.IpAddress;
 import org.xnio.IoUtils;
 
 /**
@@ -69,7 +70,7 @@
         } catch (RuntimeException e) {
             server.undertow.stop();
             throw new IllegalArgumentException(
-                    "cannot listen on " + Addresses.text(address) + ": " + e.getMessage(), e);
+                    "cannot listen on " + IpAddress.text(address) + ": " + e.getMessage(), e);
         }
         return server;
     }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyCommand.java
@@ -7,8 +7,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import org.masticweir.http.IpAddress;
 import org.masticweir.standins.StandInCommand;
-import org.masticweir.standins.platform.http.Addresses;
 import org.masticweir.standins.platform.http.AnswerServer;
 import org.masticweir.standins.platform.http.Disruption;
 import org.masticweir.time.Clock;
@@ -38,9 +38,9 @@
     @Override
     public void start() {
         try {
-            InetSocketAddress address = Addresses.parse(control);
+            InetSocketAddress address = IpAddress.parse(control);
             Proxy proxy = Proxy.start(specs(), Clock.system());
-            System.out.println("ready proxy " + Addresses.text(serve(address, proxy)));
+            System.out.println("ready proxy " + IpAddress.text(serve(address, proxy)));
         } catch (IllegalArgumentException e) {
             throw new ParameterException(e.getMessage(), e);
         }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyMessages.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyMessages.java
@@ -4,7 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
-import org.masticweir.standins.platform.http.Addresses;
+import org.masticweir.http.IpAddress;
 
 /** The bodies of the proxy's control call and its answers. */
 final class ProxyMessages {
@@ -47,7 +47,7 @@
         }
 
         RouteSpec spec() {
-            return new RouteSpec(name, Addresses.parse(listen), Addresses.parse(target));
+            return new RouteSpec(name, IpAddress.parse(listen), IpAddress.parse(target));
         }
     }
 
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Route.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Route.java
@@ -11,7 +11,7 @@
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.masticweir.standins.platform.http.Addresses;
+import org.masticweir.http.IpAddress;
 
 /** One listening address, its target, its mode and its connections; confined to the event loop. */
 final class Route {
@@ -57,7 +57,7 @@
                 throw e;
             }
         } catch (IOException e) {
-            String address = Addresses.text(spec.listen());
+            String address = IpAddress.text(spec.listen());
             throw new IllegalArgumentException(
                     "cannot listen on " + address + ": " + e.getMessage(), e);
         }
@@ -112,8 +112,8 @@
     ProxyMessages.RouteRecord toRecord() {
         return new ProxyMessages.RouteRecord(
                 spec.name(),
-                Addresses.text(address()),
-                Addresses.text(spec.target()),
+                IpAddress.text(address()),
+                IpAddress.text(spec.target()),
                 mode,
                 delayMs,
                 opened,
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/RouteSpec.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/RouteSpec.java
@@ -6,7 +6,7 @@
 import com.google.common.base.Splitter;
 import java.net.InetSocketAddress;
 import java.util.List;
-import org.masticweir.standins.platform.http.Addresses;
+import org.masticweir.http.IpAddress;
 
 /** Names a route, the address that it listens on and the one that it connects to. */
 record RouteSpec(String name, InetSocketAddress listen, InetSocketAddress target) {
@@ -31,7 +31,7 @@
         checkArgument(addresses.size() == ADDRESSES, "route is not name=listen,target: %s", text);
         return new RouteSpec(
                 text.substring(0, equals),
-                Addresses.parse(addresses.get(0)),
-                Addresses.parse(addresses.get(1)));
+                IpAddress.parse(addresses.get(0)),
+                IpAddress.parse(addresses.get(1)));
     }
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/http/Addresses.java
+++ b/masticweir/src/main/java/org/masticweir/http/IpAddress.java
@@ -1,4 +1,4 @@
-package org.masticweir.standins.platform.http;
+package org.masticweir.http;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
@@ -6,9 +6,9 @@
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 
-/** The textual form of addresses: an IP number, a colon and a port. */
-public final class Addresses {
-    private Addresses() {}
+/** The textual form of addresses: an IP number, a colon and a port; nothing is looked up. */
+public final class IpAddress {
+    private IpAddress() {}
 
     /**
      * Returns the address written as {@code text}.
@@ -21,7 +21,9 @@
         return new InetSocketAddress(InetAddresses.forString(parts.getHost()), parts.getPort());
     }
 
+    /** Returns {@code address} as {@code ip:port}, an IPv6 number in brackets. */
     public static String text(InetSocketAddress address) {
-        return InetAddresses.toUriString(address.getAddress()) + ":" + address.getPort();
+        String host = InetAddresses.toAddrString(address.getAddress());
+        return HostAndPort.fromParts(host, address.getPort()).toString();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/operators/EngineQueries.java
+++ b/masticweir/src/main/java/org/masticweir/operators/EngineQueries.java
@@ -3,11 +3,10 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
-import com.google.common.net.HostAndPort;
-import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.masticweir.http.IpAddress;
 import org.masticweir.routing.EngineView;
 import org.masticweir.routing.InFlight;
 import org.masticweir.routing.RoutingSnapshot;
@@ -39,15 +38,11 @@
                 view.id(),
                 view.backEnd().domain(),
                 view.backEnd().group(),
-                text(view.backEnd().address()),
+                IpAddress.text(view.backEnd().address()),
                 view.state(),
                 view.load().running(),
                 view.load().waiting(),
                 view.load().capacity(),
                 inFlight.outstanding(view.id()));
     }
-
-    private static String text(InetSocketAddress address) {
-        return HostAndPort.fromParts(address.getHostString(), address.getPort()).toString();
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/platform/PlatformJson.java
+++ b/masticweir/src/main/java/org/masticweir/platform/PlatformJson.java
@@ -7,11 +7,9 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
-import com.google.common.net.HostAndPort;
-import com.google.common.net.InetAddresses;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.OptionalLong;
+import org.masticweir.http.IpAddress;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.ModelId;
@@ -89,14 +87,12 @@
     }
 
     private static InstanceRecord instance(JsonNode node) {
-        HostAndPort address = HostAndPort.fromString(node.path("address").asText());
         return new InstanceRecord(
                 node.path("id").asText(),
                 InstanceKind.ofWireName(node.path("kind").asText()),
                 node.path("group").asText(),
                 DomainId.of(node.path("domain").asText()),
-                new InetSocketAddress(
-                        InetAddresses.forString(address.getHost()), address.getPort()),
+                IpAddress.parse(node.path("address").asText()),
                 "leaving".equals(node.path("state").asText()));
     }
 
--- a/masticweir/src/main/java/org/masticweir/settings/ValueRule.java
+++ b/masticweir/src/main/java/org/masticweir/settings/ValueRule.java
@@ -6,7 +6,6 @@
 import com.google.common.base.Ascii;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
-import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import com.google.common.primitives.Ints;
 import java.net.InetSocketAddress;
@@ -16,6 +15,7 @@
 import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
+import org.masticweir.http.IpAddress;
 
 /**
  * What one key may hold: turns text into a value, or says what is allowed; immutable.
@@ -132,13 +132,7 @@
 
     private static Optional<InetSocketAddress> parseAddress(String text) {
         try {
-            HostAndPort parts = HostAndPort.fromString(text);
-            if (!parts.hasPort() || parts.getPort() == 0) {
-                return Optional.empty();
-            }
-            return Optional.of(
-                    new InetSocketAddress(
-                            InetAddresses.forString(parts.getHost()), parts.getPort()));
+            return Optional.of(IpAddress.parse(text)).filter(a -> a.getPort() != 0);
         } catch (IllegalArgumentException e) {
             return Optional.empty();
         }
