--- a/masticweir/src/main/java/org/masticweir/control/JournalRow.java
+++ b/masticweir/src/main/java/org/masticweir/control/JournalRow.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Optional;
 import org.masticweir.id.EngineId;
 import org.masticweir.platform.RowKey;
 
@@ -46,6 +47,15 @@
         return new JournalRow(newFencing, open, order);
     }
 
+    /** Returns the version that an order on its way may be loading. */
+    Optional<ModelVersion> openLoad() {
+        return open
+                ? Optional.of(Order.decode(order))
+                        .filter(o -> o.kind() == OrderKind.LOAD)
+                        .flatMap(Order::model)
+                : Optional.empty();
+    }
+
     String encode() {
         return MAPPER.createObjectNode()
                 .put("fencing", fencing)
--- a/masticweir/src/main/java/org/masticweir/control/Order.java
+++ b/masticweir/src/main/java/org/masticweir/control/Order.java
@@ -3,6 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
@@ -14,6 +17,8 @@
  * @param model what to load or unload; empty for orders about the role
  */
 public record Order(long fencing, OrderKind kind, Optional<ModelVersion> model) {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     public Order {
         checkArgument(fencing >= 1, "fencing number %s below 1", fencing);
         checkNotNull(kind, "kind");
@@ -29,6 +34,19 @@
         return new Order(fencing, role.order(), Optional.empty());
     }
 
+    /** Returns the order that {@code body} holds; fails with an argument error on anything else. */
+    static Order decode(String body) {
+        try {
+            JsonNode root = MAPPER.readTree(body);
+            OrderKind kind = OrderKind.ofWireName(root.path("kind").asText());
+            Optional<ModelVersion> model =
+                    root.has("model") ? Optional.of(ModelVersion.decode(root)) : Optional.empty();
+            return new Order(root.path("fencing").asLong(), kind, model);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("order is not JSON", e);
+        }
+    }
+
     /** Returns the body of the order as engines take it. */
     public String encode() {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
--- a/masticweir/src/main/java/org/masticweir/control/OrderAction.java
+++ b/masticweir/src/main/java/org/masticweir/control/OrderAction.java
@@ -21,8 +21,13 @@
     /** Ask the engine what it holds. */
     record ReadBack(int ticket, EngineId engine) implements OrderAction {}
 
-    /** Check the lease once more, send the order and tell how that ended. */
-    record Send(int ticket, EngineId engine, Order order) implements OrderAction {
+    /**
+     * Check the lease once more, send the order and tell how that ended.
+     *
+     * @param needsWeights whether weights must be fetched to the engine first
+     */
+    record Send(int ticket, EngineId engine, Order order, boolean needsWeights)
+            implements OrderAction {
         public Send {
             checkNotNull(order, "order");
         }
--- a/masticweir/src/main/java/org/masticweir/control/OrderKind.java
+++ b/masticweir/src/main/java/org/masticweir/control/OrderKind.java
@@ -14,4 +14,9 @@
     public String wireName() {
         return Ascii.toLowerCase(name());
     }
+
+    /** Returns the kind that {@code word} stands for, or fails with an argument error. */
+    static OrderKind ofWireName(String word) {
+        return valueOf(Ascii.toUpperCase(word));
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/control/OrderState.java
+++ b/masticweir/src/main/java/org/masticweir/control/OrderState.java
@@ -21,11 +21,12 @@
  * after an order whose fate is unknown the longest order delay passes before the next, so that two
  * opposite ones never race.
  *
- * <p>An engine that checks fencing refuses what a former holder sends late. For one that ignores it
- * a holder that takes over an open intent waits out the longest delay. What stays open: a holder
- * paused between its last check of the lease and its send, for longer than the next holder waits.
- * Its order has its effect when it comes; the next audit finds and corrects it, see {@link
- * OrderPolicy#exposureMs}. Not thread-safe: owned by the control thread.
+ * <p>An engine that checks fencing refuses what a former holder sends late, once it knows the next
+ * holder's number: that one gives it an order without effect if it has no other to give. For one
+ * that ignores it a holder that takes over an open intent waits out the longest delay. What stays
+ * open: a holder paused between its last check of the lease and its send, for longer than the next
+ * holder waits. Its order has its effect when it comes; the next audit finds and corrects it, see
+ * {@link OrderPolicy#exposureMs}. Not thread-safe: owned by the control thread.
  */
 public final class OrderState {
     private static final long NOT_HOLDER = 0;
@@ -46,7 +47,7 @@
     private final RowKey key;
     private final OrderPolicy policy;
 
-    private EngineHoldings target;
+    private EngineTarget target;
     private Phase phase = Phase.READ_JOURNAL;
     private long fencing = NOT_HOLDER;
     private long journalRevision;
@@ -55,24 +56,27 @@
     private Order order;
     private boolean holds;
 
+    /** Whether a former holder's order may come, and the engine knows no higher number yet. */
+    private boolean mustFence;
+
     private int ticket;
     private boolean underWay;
     private long startedMs;
     private long notBeforeMs = Long.MIN_VALUE;
 
-    private OrderState(EngineId engine, OrderPolicy policy, EngineHoldings target) {
+    private OrderState(EngineId engine, OrderPolicy policy, EngineTarget target) {
         this.engine = checkNotNull(engine, "engine");
         this.policy = checkNotNull(policy, "policy");
         this.target = checkNotNull(target, "target");
         key = JournalRow.keyOf(engine);
     }
 
-    public static OrderState of(EngineId engine, OrderPolicy policy, EngineHoldings target) {
+    public static OrderState of(EngineId engine, OrderPolicy policy, EngineTarget target) {
         return new OrderState(engine, policy, target);
     }
 
-    /** Replaces what the engine should hold; an order under way is seen through first. */
-    public void setTarget(EngineHoldings newTarget, long nowMs) {
+    /** Replaces what is to change; an order under way is seen through first. */
+    public void setTarget(EngineTarget newTarget, long nowMs) {
         if (target.equals(checkNotNull(newTarget, "newTarget"))) {
             return;
         }
@@ -91,6 +95,16 @@
         return holds;
     }
 
+    /** Tells whether nothing is left to do: the target holds and no order is open. */
+    boolean isSettled() {
+        return holds && !underWay && !journal.open();
+    }
+
+    /** Returns the order whose intent is journalled and not closed yet. */
+    Optional<Order> openOrder() {
+        return journal.open() ? Optional.of(Order.decode(journal.order())) : Optional.empty();
+    }
+
     /** Tells whether a holder with a higher fencing number is known to exist. */
     public boolean isSuperseded() {
         return phase == Phase.SUPERSEDED;
@@ -150,11 +164,15 @@
         if (!end(endedTicket)) {
             return;
         }
-        Optional<Order> next = holdings.firstOrderTowards(target, fencing);
+        Optional<Order> next = target.firstOrder(holdings, fencing);
         holds = next.isEmpty();
+        if (holds && mustFence) {
+            next = fencingOrder(holdings);
+        }
         if (next.isPresent()) {
             order = next.get();
-            phase = Phase.JOURNAL_INTENT;
+            boolean journalled = journal.equals(JournalRow.intent(order));
+            phase = journalled ? Phase.SEND : Phase.JOURNAL_INTENT;
         } else if (journal.open()) {
             phase = Phase.CLOSE_JOURNAL;
         } else {
@@ -167,6 +185,7 @@
         if (!end(endedTicket)) {
             return;
         }
+        mustFence &= outcome != SendOutcome.APPLIED;
         phase = outcome == SendOutcome.OLD_FENCING ? Phase.SUPERSEDED : Phase.READ_BACK;
         if (outcome.mayActLater()) {
             // The order may land at any time until then. An opposite one sent now could overtake
@@ -184,12 +203,31 @@
         }
     }
 
+    /**
+     * Returns an order that changes nothing and tells the engine this holder's fencing number.
+     *
+     * <p>An engine refuses a former holder's late order only once it knows a higher number, and one
+     * that needs no change would get no order. To load what it holds has no effect; an engine that
+     * holds nothing gets a load in time.
+     */
+    private Optional<Order> fencingOrder(EngineHoldings holdings) {
+        return holdings.models().stream()
+                .findFirst()
+                .map(held -> Order.about(fencing, OrderKind.LOAD, held));
+    }
+
+    private boolean needsWeights() {
+        return order.kind() == OrderKind.LOAD
+                && order.model().filter(target.load()::contains).isPresent();
+    }
+
     /** An answer to a call made under an older fencing number is dropped by its ticket. */
     private void takeOver(long newFencing) {
         fencing = newFencing;
         phase = Phase.READ_JOURNAL;
         underWay = false;
         holds = false;
+        mustFence = false;
         notBeforeMs = Long.MIN_VALUE;
     }
 
@@ -205,7 +243,7 @@
             case ADOPT -> write(journal.adoptedUnder(fencing));
             case JOURNAL_INTENT -> write(JournalRow.intent(order));
             case CLOSE_JOURNAL -> write(journal.closed());
-            case SEND -> new OrderAction.Send(ticket, engine, order);
+            case SEND -> new OrderAction.Send(ticket, engine, order, needsWeights());
             default -> new OrderAction.ReadBack(ticket, engine);
         };
     }
@@ -224,6 +262,7 @@
         }
         boolean adopted = phase == Phase.ADOPT;
         phase = Phase.READ_BACK;
+        mustFence |= adopted && journal.open() && policy.checksFencing();
         if (adopted && journal.open() && !policy.checksFencing()) {
             // The former holder's order may be on its way. Read back before it lands, the engine
             // would seem to need nothing, or the opposite.
--- a/masticweir/src/main/java/org/masticweir/control/WeightLoads.java
+++ b/masticweir/src/main/java/org/masticweir/control/WeightLoads.java
@@ -60,6 +60,11 @@
         }
     }
 
+    /** Drops the waiting loads that are not {@code wanted} any more. */
+    public void retainWaiting(Set<WeightLoad> wanted) {
+        waiting.retainAll(wanted);
+    }
+
     /** Counts a load that a former holder left under way. */
     public void resumed(WeightLoad load) {
         waiting.remove(load);
--- a/masticweir/src/test/java/org/masticweir/control/OrderStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/control/OrderStateTest.java
@@ -3,8 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.HashSet;
+import com.google.common.collect.Sets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,40 +26,18 @@
     private static final long AUDIT_MS = 5_000;
 
     private final MemoryTable table = new MemoryTable();
-    private final Engine engine = new Engine();
+    private final FakeEngine engine = new FakeEngine(1, false, V1);
     private long nowMs;
 
-    /** An engine that obeys. */
-    private static final class Engine {
-        private final Set<ModelVersion> models = new HashSet<>(Set.of(V1));
-        private final List<Order> taken = new ArrayList<>();
-        private EngineRole role = EngineRole.SERVING;
-        private boolean checksFencing;
-        private long highest;
-
-        private SendOutcome take(Order order) {
-            if (checksFencing && order.fencing() < highest) {
-                return SendOutcome.OLD_FENCING;
-            }
-            highest = Math.max(highest, order.fencing());
-            taken.add(order);
-            switch (order.kind()) {
-                case LOAD -> models.add(order.model().orElseThrow());
-                case UNLOAD -> models.remove(order.model().orElseThrow());
-                case LEAVE -> role = EngineRole.LEAVING;
-                default -> role = EngineRole.SERVING;
-            }
-            return SendOutcome.APPLIED;
-        }
-
-        private EngineHoldings holdings() {
-            return EngineHoldings.of(models, role);
-        }
+    /** Returns the target after which an engine of {@link #V1} and {@link #V2} holds just that. */
+    private static EngineTarget towards(EngineHoldings end) {
+        Set<ModelVersion> unload = Sets.difference(Set.of(V1, V2), end.models());
+        return EngineTarget.of(false, end.models(), unload);
     }
 
     private OrderState holder(EngineHoldings target) {
         OrderPolicy policy = new OrderPolicy(engine.checksFencing, DELAY_MS, AUDIT_MS, 100);
-        return OrderState.of(ENGINE, policy, target);
+        return OrderState.of(ENGINE, policy, towards(target));
     }
 
     /** Runs a holder up to its next send, which is returned and not made. */
@@ -113,7 +90,7 @@
             OrderState state = holder(NEW);
             OrderAction.Send send = untilSend(state, 1).orElseThrow();
             state.onSent(send.ticket(), SendOutcome.UNKNOWN, nowMs);
-            state.setTarget(OLD, nowMs);
+            state.setTarget(towards(OLD), nowMs);
             nowMs += DELAY_MS - 1;
             assertTrue(state.onTick(nowMs, OptionalLong.of(1)).isEmpty());
             engine.take(send.order());
