--- a/masticweir/src/main/java/org/masticweir/control/ControlView.java
+++ b/masticweir/src/main/java/org/masticweir/control/ControlView.java
@@ -11,7 +11,7 @@
  * @param openOrders orders journalled and not seen to hold yet
  * @param loads loads of weights started and not seen to hold yet
  * @param exposureMs longest time an engine of the domain can stand as a late order of a former
- *     holder left it; 0 when all engines check fencing
+ *     holder left it, see {@link OrderPolicy#exposureMs}; 0 when all engines check fencing
  */
 public record ControlView(
         boolean holder, long fencing, List<OpenOrder> openOrders, int loads, long exposureMs) {
--- a/masticweir/src/main/java/org/masticweir/control/OrderPolicy.java
+++ b/masticweir/src/main/java/org/masticweir/control/OrderPolicy.java
@@ -23,7 +23,9 @@
      * <p>It is nothing when the engine checks. Else the order lands right after an audit at worst,
      * is found by the next one and then takes one order's time to correct. This bounds how long the
      * wrong state stands, not when the late order comes: a holder may be paused without bound
-     * between its last check of the lease and its send, and no waiting closes that.
+     * between its last check of the lease and its send, and no waiting closes that. Not counted:
+     * the fetch of weights that correcting a late unload needs, and a version loaded late, which
+     * stands unused until it is unloaded as any undeclared one.
      */
     public long exposureMs() {
         return checksFencing ? 0 : auditMs + longestDelayMs;
