Judge engines and learn their speed from what requests see

Cause: the routing decisions were finished but ran on constants: every engine had one guessed speed, an empty cache and a fixed delay, and only two failed polls made it suspect. A killed engine kept getting new work. Ruled out: a queue of events to the control thread (unbounded in a burst); TokenGaps as the recorder on the token path (a key for each token). Change: traffic threads count failures and record token times in fixed recorders; the control thread drains them, is woken by the first failure of a burst, and feeds EngineHealth, a speed estimate for each engine and model, CacheTrust (polled at each fourth state poll, local engines only) and the measured delay between domains. An engine that restarts under the same id with an empty cache is noticed only when its event numbers go back; until then hints cost prefill time.

--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -36,6 +36,7 @@
 import org.masticweir.platform.ReadOutcome;
 import org.masticweir.recovery.copy.CopyLinks;
 import org.masticweir.routing.RoutingSnapshot;
+import org.masticweir.serving.EngineTraffic;
 import org.masticweir.serving.Intake;
 import org.masticweir.serving.ServingView;
 import org.masticweir.settings.DaemonSettings;
@@ -58,6 +59,7 @@
     private final DaemonSettings settings;
     private final Clock clock;
     private final HttpPlatform platform;
+    private final EngineTraffic traffic = EngineTraffic.create();
     private final EnginePoller engines;
     private final ConfigControl config;
     private final PeerControl peers;
@@ -77,7 +79,14 @@
         this.settings = checkNotNull(settings, "settings");
         this.clock = checkNotNull(clock, "clock");
         this.platform = checkNotNull(platform, "platform");
-        engines = new EnginePoller(calls, executor, clock, settings.recovery().probeTimeoutMs());
+        engines =
+                new EnginePoller(
+                        calls,
+                        executor,
+                        clock,
+                        self.domain(),
+                        traffic,
+                        settings.recovery().probeTimeoutMs());
         config =
                 new ConfigControl(
                         ConfigState.create(self.domain(), ConfigTimings.of(settings.config())),
@@ -92,6 +101,7 @@
 
     /** Starts polling the platform, the peers and the back ends; any thread. */
     void start() {
+        traffic.wakeWith(() -> executor.execute(() -> guarded(this::publish)));
         every(settings.platform().configPollMs(), config::poll);
         every(settings.platform().instancesPollMs(), this::readInstances);
         every(settings.engines().statePollMs(), this::pollEngines);
@@ -103,6 +113,11 @@
         return view;
     }
 
+    /** Returns where traffic threads leave what they see of engines; any thread. */
+    EngineTraffic traffic() {
+        return traffic;
+    }
+
     /** Returns the members as last published; any thread. */
     Membership membership() {
         return peers.membership();
@@ -236,8 +251,9 @@
     }
 
     private void publish() {
+        engines.takeTraffic();
         RoutingSnapshot routing =
-                EngineViews.snapshot(settings.router().domain(), engines.records(), clock.nowMs());
+                EngineViews.snapshot(settings.router().domain(), engines, clock.nowMs());
         view = new ServingView(deployment, routing, intake);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
+++ b/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
@@ -24,10 +24,13 @@
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
+import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.ModelId;
 import org.masticweir.platform.InstanceKind;
 import org.masticweir.platform.InstanceRecord;
+import org.masticweir.routing.CacheTrust;
+import org.masticweir.serving.EngineTraffic;
 import org.masticweir.time.Clock;
 
 /**
@@ -36,18 +39,35 @@
 final class EnginePoller {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    /** Cache events are asked for at one state poll in so many; they come late anyway. */
+    private static final int CACHE_POLL_EVERY = 4;
+
     private final HttpCaller calls;
     private final Executor control;
     private final Clock clock;
+    private final DomainId domain;
     private final long timeoutMs;
+    private final EngineWatch watch;
+    private final DomainDelays delays;
+    private final CacheTrust caches = CacheTrust.create();
     private final Map<EngineId, EngineRecord> records = new HashMap<>();
     private final Set<EngineId> asked = new HashSet<>();
-
-    EnginePoller(HttpCaller calls, Executor control, Clock clock, long timeoutMs) {
+    private int polls;
+
+    EnginePoller(
+            HttpCaller calls,
+            Executor control,
+            Clock clock,
+            DomainId domain,
+            EngineTraffic traffic,
+            long timeoutMs) {
         this.calls = checkNotNull(calls, "calls");
         this.control = checkNotNull(control, "control");
         this.clock = checkNotNull(clock, "clock");
+        this.domain = checkNotNull(domain, "domain");
         this.timeoutMs = timeoutMs;
+        watch = new EngineWatch(traffic, clock.nowMs());
+        delays = new DomainDelays(domain);
     }
 
     /** Takes the instance list as it stands now. */
@@ -62,16 +82,26 @@
             }
         }
         records.keySet().retainAll(present);
+        caches.retain(present);
+        watch.watch(records);
+    }
+
+    /** Takes what traffic threads saw of the engines. */
+    void takeTraffic() {
+        watch.takeTraffic(records, clock.nowMs());
     }
 
     /** Asks every back end of a declared group for its load and what it holds. */
     void poll(Deployment deployment) {
+        watch.watch(records);
+        polls++;
         for (EngineRecord record : ImmutableList.copyOf(records.values())) {
             Optional<EngineGroup> group = deployment.group(record.backEnd().group());
             if (group.isPresent() && asked.add(record.backEnd().id())) {
                 askState(record, group.get().vendor());
                 if (kindOf(deployment, group.get()) == BackEndKind.ENGINE) {
                     askHoldings(record);
+                    askCacheEvents(record);
                 } else {
                     record.holds(declared(deployment, group.get()), false);
                 }
@@ -83,6 +113,14 @@
         return records.values();
     }
 
+    EngineWatch watch() {
+        return watch;
+    }
+
+    DomainDelays delays() {
+        return delays;
+    }
+
     private static BackEnd backEndOf(InstanceRecord instance) {
         return new BackEnd(
                 EngineId.of(instance.id()),
@@ -110,17 +148,41 @@
 
     private void askState(EngineRecord record, Vendor vendor) {
         HttpCall call = HttpCall.get(record.backEnd().address(), "/v1/state");
+        long askedAtMs = clock.nowMs();
         calls.call(call, timeoutMs)
-                .thenAcceptAsync(outcome -> onState(record, vendor, outcome), control);
+                .thenAcceptAsync(outcome -> onState(record, vendor, outcome, askedAtMs), control);
     }
 
-    private void onState(EngineRecord record, Vendor vendor, HttpOutcome outcome) {
+    private void onState(EngineRecord record, Vendor vendor, HttpOutcome outcome, long askedAtMs) {
+        long nowMs = clock.nowMs();
         asked.remove(record.backEnd().id());
         Optional<JsonNode> json = jsonOf(outcome);
-        if (json.isPresent()) {
-            record.reported(vendor.loadOf(json.get()), clock.nowMs());
-        } else {
-            record.failed();
+        json.ifPresent(
+                j -> {
+                    record.reported(vendor.loadOf(j), nowMs);
+                    delays.answered(record.backEnd().domain(), nowMs - askedAtMs, nowMs);
+                });
+        watch.polled(record.backEnd().id(), json.isPresent(), nowMs);
+    }
+
+    /** Only local engines are asked: no other domain's cache decides where a prompt goes. */
+    private void askCacheEvents(EngineRecord record) {
+        EngineId id = record.backEnd().id();
+        if (polls % CACHE_POLL_EVERY != 0 || !record.backEnd().domain().equals(domain)) {
+            return;
+        }
+        String path = "/v1/cache-events?since=" + caches.nextSeq(id);
+        calls.call(HttpCall.get(record.backEnd().address(), path), timeoutMs)
+                .thenAcceptAsync(outcome -> onCacheEvents(record, jsonOf(outcome)), control);
+    }
+
+    private void onCacheEvents(EngineRecord record, Optional<JsonNode> json) {
+        EngineId id = record.backEnd().id();
+        long nowMs = clock.nowMs();
+        if (records.containsKey(id)) {
+            json.map(CacheEventsAnswer::of)
+                    .ifPresent(a -> caches.polled(id, a.next(), a.events(), nowMs));
+            record.caches(caches.hints(id, nowMs));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/router/EngineRecord.java
+++ b/masticweir/src/main/java/org/masticweir/router/EngineRecord.java
@@ -8,17 +8,16 @@
 import org.masticweir.engine.BackEnd;
 import org.masticweir.engine.LoadReport;
 import org.masticweir.id.ModelId;
+import org.masticweir.routing.CacheHints;
 
 /** What the control thread knows of one back end; owned by that thread. */
 final class EngineRecord {
-    private static final int FAILURES_TO_SUSPECT = 2;
-
     private BackEnd backEnd;
     private Optional<LoadReport> load = Optional.empty();
     private long reportedAtMs;
-    private int failures;
     private ImmutableMap<ModelId, String> versions = ImmutableMap.of();
     private boolean saysLeaving;
+    private CacheHints cache = CacheHints.none();
 
     EngineRecord(BackEnd backEnd) {
         this.backEnd = checkNotNull(backEnd, "backEnd");
@@ -31,7 +30,6 @@
     void reported(LoadReport report, long atMs) {
         load = Optional.of(report);
         reportedAtMs = atMs;
-        failures = 0;
     }
 
     void holds(Map<ModelId, String> models, boolean leaving) {
@@ -39,8 +37,8 @@
         saysLeaving = leaving;
     }
 
-    void failed() {
-        failures++;
+    void caches(CacheHints hints) {
+        cache = checkNotNull(hints, "hints");
     }
 
     BackEnd backEnd() {
@@ -64,7 +62,7 @@
         return backEnd.leaving() || saysLeaving;
     }
 
-    boolean suspect() {
-        return failures >= FAILURES_TO_SUSPECT;
+    CacheHints cache() {
+        return cache;
     }
 }
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -53,6 +53,7 @@
 import org.masticweir.serving.RequestService;
 import org.masticweir.serving.RunningRequest;
 import org.masticweir.serving.ServingContext;
+import org.masticweir.serving.ServingPolicy;
 import org.masticweir.serving.ServingTuning;
 import org.masticweir.settings.DaemonSettings;
 import org.masticweir.time.Clock;
@@ -185,6 +186,9 @@
     private ServingContext context() {
         DaemonSettings.Recovery recovery = settings.recovery();
         InFlight inFlight = InFlight.create();
+        GapBounds gaps = GapBounds.of(recovery.silenceFloorMs(), recovery.silenceStartMs());
+        control.traffic().alsoRetain(inFlight::retain);
+        control.traffic().alsoRetain(gaps::retain);
         ServingTuning tuning =
                 new ServingTuning(
                         recovery.probeTimeoutMs(),
@@ -205,9 +209,10 @@
                 calls,
                 ExpectedDelayChooser.create(inFlight, ThreadLocalRandom::current),
                 inFlight,
-                GapBounds.of(recovery.silenceFloorMs(), recovery.silenceStartMs()),
+                gaps,
                 claims(),
                 copies(),
+                new ServingPolicy(control.traffic()),
                 ServingMetrics.of(
                         metrics,
                         new MetricsTuning(settings.callers().maxTeamsShown(), METRICS_WINDOW_MS),
--- a/masticweir/src/main/java/org/masticweir/serving/GapBounds.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GapBounds.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -46,6 +47,11 @@
         pace(engine).firsts.record(ms);
     }
 
+    /** Forgets all engines outside {@code known}. */
+    public void retain(Set<EngineId> known) {
+        paces.keySet().retainAll(checkNotNull(known, "known"));
+    }
+
     /** Returns the bounds for requests of {@code preset}. */
     public SilenceBounds forPreset(RecoveryPreset preset) {
         checkNotNull(preset, "preset");
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -54,13 +54,13 @@
     private final ResumeTimer timer;
     private final EngineProbe probes;
     private final Ownership ownership;
+    private final AttemptWatch attempts;
     private final Deque<RecoveryAction> pending = new ArrayDeque<>();
     private final Map<EngineId, BackEnd> seen = new HashMap<>();
 
     private GenerationSpec generation;
     private Optional<EngineStream> stream = Optional.empty();
     private Optional<XnioExecutor.Key> wakeUp = Optional.empty();
-    private Optional<EngineId> counted = Optional.empty();
     private RunPermit permit = RunPermit.ALWAYS;
     private boolean recovering;
     private boolean running;
@@ -80,6 +80,7 @@
         this.thread = checkNotNull(thread, "thread");
         this.ownership = checkNotNull(ownership, "ownership");
         timer = new ResumeTimer(request.acceptedAtMs());
+        attempts = new AttemptWatch(context, request.spec().model());
         probes = new EngineProbe(context.calls(), context.tuning().probeTimeoutMs());
         machine = taken.map(this::machineOf).orElseGet(this::newMachine);
     }
@@ -187,18 +188,17 @@
     }
 
     private void report(ResumeTimer.Progress progress) {
-        EngineId engine = counted.orElseThrow();
         if (progress instanceof ResumeTimer.Progress.First first) {
-            context.gaps().firstToken(engine, first.sinceSentMs());
+            attempts.firstToken(first.sinceSentMs());
             context.observer().firstToken(request.spec(), first.sinceAcceptedMs());
         } else if (progress instanceof ResumeTimer.Progress.Next next) {
-            context.gaps().gap(engine, next.gapMs());
+            attempts.gap(next.gapMs());
             context.observer().tokenGap(request.spec(), next.gapMs());
         } else if (progress instanceof ResumeTimer.Progress.Resumed resumed) {
             LOG.info(
                     "recovery: request {} resumed on {} after {} ms, {}",
                     request.spec().id(),
-                    engine,
+                    attempts.engine().orElseThrow(),
                     resumed.gapMs(),
                     resumed.moved() ? "moved" : "read again");
             context.observer()
@@ -215,13 +215,14 @@
                         generation.version(),
                         workClass.id(),
                         request.spec().prompt().length(),
-                        PrefixBlocks.hashesOf(request.spec().prompt().asList()),
+                        prefixes(),
                         machine.accepted(),
                         choose.excluded(),
                         choose.recovering());
         RouteChoice choice = context.chooser().choose(context.view().get().routing(), query, now());
         if (choice instanceof RouteChoice.Chosen chosen) {
             EngineView view = chosen.view();
+            attempts.chose(chosen);
             seen.put(view.id(), view.backEnd());
             feed(new RecoveryEvent.EngineChosen(view.id()));
         } else {
@@ -231,6 +232,14 @@
         }
     }
 
+    private List<String> prefixes() {
+        return PrefixBlocks.hashesOf(
+                request.spec().model(),
+                generation.version(),
+                generation.adapter(),
+                request.spec().prompt().asList());
+    }
+
     private boolean versionChanged() {
         return declaredModel().map(m -> !m.version().equals(generation.version())).orElse(false);
     }
@@ -249,7 +258,7 @@
         ImmutableIntArray prefix = request.log().accepted(0, send.prefix());
         AttemptRequest attempt =
                 new AttemptRequest(send.attempt(), request.spec(), generation, prefix, priority());
-        countOn(send.engine());
+        attempts.sending(now());
         timer.sent(now(), request.spec().prompt().length() + prefix.length(), recovering);
         note(send.engine(), send.attempt());
         closeStream();
@@ -275,7 +284,7 @@
             return;
         }
         BackEnd backEnd = known.get();
-        countOn(reread.engine());
+        attempts.rereading(reread.engine(), now());
         timer.rereading(now());
         note(reread.engine(), reread.attempt());
         closeStream();
@@ -303,12 +312,17 @@
             return;
         }
         probes.probe(seen.get(probe.engine()).address(), probe.attempt())
-                .thenAccept(event -> thread.execute(() -> feed(event)));
+                .thenAccept(event -> thread.execute(() -> onProbe(probe.engine(), event)));
+    }
+
+    private void onProbe(EngineId engine, RecoveryEvent told) {
+        feed(told);
+        attempts.probed(engine, told);
     }
 
     private void abandon(RecoveryAction.Abandon abandon) {
         closeStream();
-        uncount();
+        attempts.ended(now());
         EngineCancel.send(context.calls(), seen.get(abandon.engine()).address(), abandon.attempt());
     }
 
@@ -340,30 +354,19 @@
     void detach() {
         feed(new RecoveryEvent.Detached());
         closeStream();
-        uncount();
+        attempts.ended(now());
         wakeUp.ifPresent(XnioExecutor.Key::remove);
         wakeUp = Optional.empty();
     }
 
     private void end(AnswerEnd how) {
         closeStream();
-        uncount();
+        attempts.ended(now());
         wakeUp.ifPresent(XnioExecutor.Key::remove);
         wakeUp = Optional.empty();
         ownership.ended(how);
     }
 
-    private void countOn(EngineId engine) {
-        uncount();
-        context.inFlight().sent(engine, now());
-        counted = Optional.of(engine);
-    }
-
-    private void uncount() {
-        counted.ifPresent(e -> context.inFlight().finished(e, now()));
-        counted = Optional.empty();
-    }
-
     private void closeStream() {
         stream.ifPresent(EngineStream::close);
         stream = Optional.empty();
@@ -399,6 +402,7 @@
 
         @Override
         public void refused(long retryAfterMs) {
+            attempts.refused();
             feed(new RecoveryEvent.Refused(attempt, retryAfterMs));
         }
 
@@ -409,6 +413,7 @@
 
         @Override
         public void lost(boolean sent) {
+            attempts.lost(sent);
             feed(new RecoveryEvent.LinkLost(attempt, sent));
         }
     }
--- a/masticweir/src/main/java/org/masticweir/serving/ServingContext.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServingContext.java
@@ -23,6 +23,7 @@
         GapBounds gaps,
         ClaimCommands claims,
         CopyContext copies,
+        ServingPolicy policy,
         ServingObserver observer) {
     public ServingContext {
         checkNotNull(clock, "clock");
@@ -36,6 +37,7 @@
         checkNotNull(gaps, "gaps");
         checkNotNull(claims, "claims");
         checkNotNull(copies, "copies");
+        checkNotNull(policy, "policy");
         checkNotNull(observer, "observer");
     }
 }
--- a/masticweir/src/test/java/org/masticweir/routing/Engines.java
+++ b/masticweir/src/test/java/org/masticweir/routing/Engines.java
@@ -50,7 +50,11 @@
     static RouteQuery queryWithPrefix(int firstToken, int tokens) {
         List<Integer> prompt = IntStream.range(firstToken, firstToken + tokens).boxed().toList();
         return RouteQuery.first(
-                MODEL, VERSION, WorkClassId.of("reports"), tokens, PrefixBlocks.hashesOf(prompt));
+                MODEL,
+                VERSION,
+                WorkClassId.of("reports"),
+                tokens,
+                PrefixBlocks.hashesOf(MODEL, VERSION, "", prompt));
     }
 
     static String chosen(EngineChooser chooser, RoutingSnapshot snapshot, RouteQuery query) {
