Run each domain's engine control in the router, and route every version an engine holds

Cause: the domain controller ran nowhere, and during a change of version the router saw only one of the two versions an engine holds, so a generation pinned to the other found no engine. Ruled out: a second read of the holdings by the controller. Change: EngineRecord keeps the whole holdings for both; the lease is handed back at shutdown; bench publish writes the history row too. EngineWatchTest gives the same version by the new type.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/demo/PublishCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/demo/PublishCommand.java
@@ -17,11 +17,19 @@
 import org.masticweir.bench.BenchCommand;
 import org.masticweir.bench.BenchWorker;
 import org.masticweir.bench.IpAddress;
+import org.masticweir.config.ConfigRows;
 import org.masticweir.config.DeploymentDocument;
+import org.masticweir.config.StoredRevision;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.http.HttpOutcome;
+import org.masticweir.platform.HttpPlatform;
+import org.masticweir.platform.Row;
+import org.masticweir.platform.RowKey;
+import org.masticweir.platform.Transaction;
+import org.masticweir.platform.TransactionOutcome;
+import org.masticweir.time.Clock;
 import org.xnio.XnioWorker;
 
 /** Puts a deployment's first configuration and its instances into a platform stand-in. */
@@ -29,6 +37,8 @@
 public final class PublishCommand implements BenchCommand {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long TIMEOUT_MS = 5_000;
+    private static final RowKey CURRENT = RowKey.of(ConfigRows.TABLE, ConfigRows.CURRENT_KEY);
+    private static final RowKey HISTORY = RowKey.of(ConfigRows.TABLE, ConfigRows.historyKey(1));
     private static final int INSTANCE_PARTS = 5;
 
     @Parameter(names = "--platform", required = true, description = "address of the platform")
@@ -65,27 +75,21 @@
     private boolean install(HttpCaller calls) {
         String document = read(Path.of(config));
         DeploymentDocument.parse(config, document, 1);
-        ObjectNode value = MAPPER.createObjectNode();
-        value.put("revision", 1);
-        value.put("change_id", "install");
-        value.put("author", "install");
-        value.put("at_ms", 0);
-        value.put("document", document);
-        ObjectNode transaction = MAPPER.createObjectNode();
-        transaction
-                .putArray("checks")
-                .addObject()
-                .put("table", "config")
-                .put("key", "current")
-                .put("revision", 0);
-        transaction
-                .putArray("puts")
-                .addObject()
-                .put("table", "config")
-                .put("key", "current")
-                .put("value", value.toString());
-        transaction.putArray("deletes");
-        return sent(calls, HttpCall.postJson(address(), "/tables/txn", transaction.toString()));
+        StoredRevision first =
+                new StoredRevision(1, "install", "install", Clock.system().wallMs(), document);
+        Transaction transaction =
+                Transaction.builder()
+                        .check(CURRENT, Row.ABSENT)
+                        .put(CURRENT, ConfigRows.text(first))
+                        .put(HISTORY, ConfigRows.text(first.entry()))
+                        .build();
+        TransactionOutcome outcome =
+                HttpPlatform.at(address(), calls).transact(transaction, TIMEOUT_MS).join();
+        if (outcome instanceof TransactionOutcome.Committed) {
+            return true;
+        }
+        System.err.println("the platform did not take the configuration: " + outcome);
+        return false;
     }
 
     private boolean announce(HttpCaller calls, String text) {
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -20,6 +21,9 @@
 import org.masticweir.config.ConfigView;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.ProposedChange;
+import org.masticweir.control.ControlInput;
+import org.masticweir.control.ManagedEngine;
+import org.masticweir.engine.BackEnd;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
@@ -134,6 +138,20 @@
         every(COPY_TICK_MS, copies::tick);
     }
 
+    /** Returns what the control of this domain's engines goes by; control thread only. */
+    ControlInput controlInput() {
+        List<ManagedEngine> managed = new ArrayList<>();
+        for (EngineRecord record : engines.records()) {
+            BackEnd e = record.backEnd();
+            if (e.domain().equals(settings.router().domain())) {
+                managed.add(
+                        new ManagedEngine(
+                                e.id(), e.address(), e.group(), record.holdings(), e.leaving()));
+            }
+        }
+        return new ControlInput(deployment, managed);
+    }
+
     /** Returns the executor of the control thread, for services whose state it owns. */
     ScheduledExecutorService executor() {
         return executor;
--- a/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
+++ b/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -15,10 +14,15 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.config.BackEndKind;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.EngineGroup;
 import org.masticweir.config.Model;
+import org.masticweir.control.EngineHoldings;
+import org.masticweir.control.EngineRole;
+import org.masticweir.control.ModelVersion;
 import org.masticweir.engine.BackEnd;
 import org.masticweir.engine.Vendor;
 import org.masticweir.http.HttpCall;
@@ -37,6 +41,7 @@
  * Keeps what back ends report of themselves; owned by the control thread, calls do not block it.
  */
 final class EnginePoller {
+    private static final Logger LOG = LogManager.getLogger(EnginePoller.class);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     /** Cache events are asked for at one state poll in so many; they come late anyway. */
@@ -103,7 +108,7 @@
                     askHoldings(record);
                     askCacheEvents(record);
                 } else {
-                    record.holds(declared(deployment, group.get()), false);
+                    record.holds(declared(deployment, group.get()));
                 }
             }
         }
@@ -138,12 +143,14 @@
                 .orElse(BackEndKind.ENGINE);
     }
 
-    private static Map<ModelId, String> declared(Deployment deployment, EngineGroup group) {
-        Map<ModelId, String> versions = new HashMap<>();
+    private static EngineHoldings declared(Deployment deployment, EngineGroup group) {
+        Set<ModelVersion> models = new HashSet<>();
         for (ModelId id : group.models()) {
-            deployment.model(id).ifPresent(m -> versions.put(id, m.version()));
+            deployment
+                    .model(id)
+                    .ifPresent(m -> models.add(ModelVersion.of(id, m.version(), m.adapter())));
         }
-        return versions;
+        return EngineHoldings.of(models, EngineRole.SERVING);
     }
 
     private void askState(EngineRecord record, Vendor vendor) {
@@ -194,12 +201,11 @@
     }
 
     private static void onHoldings(EngineRecord record, JsonNode json) {
-        ImmutableMap.Builder<ModelId, String> versions = ImmutableMap.builder();
-        for (JsonNode model : json.path("models")) {
-            versions.put(ModelId.of(model.path("model").asText()), model.path("version").asText());
+        try {
+            record.holds(EngineHoldings.decode(json));
+        } catch (IllegalArgumentException e) {
+            LOG.warn("routing: engine {} reports badly, {}", record.backEnd().id(), e.getMessage());
         }
-        boolean leaving = json.path("role").asText().equals("leaving");
-        record.holds(versions.buildKeepingLast(), leaving);
     }
 
     private static Optional<JsonNode> jsonOf(HttpOutcome outcome) {
--- a/masticweir/src/main/java/org/masticweir/router/EngineRecord.java
+++ b/masticweir/src/main/java/org/masticweir/router/EngineRecord.java
@@ -2,12 +2,14 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableMap;
-import java.util.Map;
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
+import java.util.Set;
+import org.masticweir.control.EngineHoldings;
+import org.masticweir.control.EngineRole;
+import org.masticweir.control.ModelVersion;
 import org.masticweir.engine.BackEnd;
 import org.masticweir.engine.LoadReport;
-import org.masticweir.id.ModelId;
 import org.masticweir.routing.CacheHints;
 
 /** What the control thread knows of one back end; owned by that thread. */
@@ -15,8 +17,7 @@
     private BackEnd backEnd;
     private Optional<LoadReport> load = Optional.empty();
     private long reportedAtMs;
-    private ImmutableMap<ModelId, String> versions = ImmutableMap.of();
-    private boolean saysLeaving;
+    private Optional<EngineHoldings> holdings = Optional.empty();
     private CacheHints cache = CacheHints.none();
 
     EngineRecord(BackEnd backEnd) {
@@ -32,9 +33,8 @@
         reportedAtMs = atMs;
     }
 
-    void holds(Map<ModelId, String> models, boolean leaving) {
-        versions = ImmutableMap.copyOf(models);
-        saysLeaving = leaving;
+    void holds(EngineHoldings now) {
+        holdings = Optional.of(now);
     }
 
     void caches(CacheHints hints) {
@@ -53,13 +53,20 @@
         return reportedAtMs;
     }
 
-    ImmutableMap<ModelId, String> versions() {
-        return versions;
+    /** Returns what it last said it holds; empty while it never answered. */
+    Optional<EngineHoldings> holdings() {
+        return holdings;
+    }
+
+    /** Returns the models it holds; during a change of version, one in both. */
+    Set<ModelVersion> models() {
+        return holdings.map(EngineHoldings::models).orElse(ImmutableSet.of());
     }
 
     /** Tells whether the list or the engine itself says that it leaves. */
     boolean leaving() {
-        return backEnd.leaving() || saysLeaving;
+        return backEnd.leaving()
+                || holdings.filter(h -> h.role() == EngineRole.LEAVING).isPresent();
     }
 
     CacheHints cache() {
--- a/masticweir/src/main/java/org/masticweir/router/EngineViews.java
+++ b/masticweir/src/main/java/org/masticweir/router/EngineViews.java
@@ -1,9 +1,8 @@
 package org.masticweir.router;
 
-import java.util.Map;
+import org.masticweir.control.ModelVersion;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
-import org.masticweir.id.ModelId;
 import org.masticweir.routing.EngineState;
 import org.masticweir.routing.EngineView;
 import org.masticweir.routing.HealthView;
@@ -45,15 +44,15 @@
             EngineWatch watch,
             long nowMs) {
         EngineId id = record.backEnd().id();
-        for (Map.Entry<ModelId, String> held : record.versions().entrySet()) {
+        for (ModelVersion held : record.models()) {
             EngineView engine =
                     EngineView.of(
                                     record.backEnd(),
-                                    held.getKey(),
-                                    held.getValue(),
+                                    held.model(),
+                                    held.version(),
                                     record.load().get(),
                                     record.reportedAtMs(),
-                                    watch.speed(id, held.getKey(), nowMs))
+                                    watch.speed(id, held.model(), nowMs))
                             .withCache(record.cache());
             routing.add(
                     record.leaving()
--- a/masticweir/src/main/java/org/masticweir/router/EngineWatch.java
+++ b/masticweir/src/main/java/org/masticweir/router/EngineWatch.java
@@ -50,7 +50,7 @@
         ImmutableSetMultimap.Builder<EngineId, ModelId> staying = ImmutableSetMultimap.builder();
         for (EngineRecord record : records.values()) {
             if (!record.leaving()) {
-                staying.putAll(record.backEnd().id(), record.versions().keySet());
+                record.models().forEach(m -> staying.put(record.backEnd().id(), m.model()));
             }
         }
         health.watch(staying.build());
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -18,6 +18,8 @@
 import org.masticweir.callers.CallerLimits;
 import org.masticweir.claims.ClaimService;
 import org.masticweir.claims.ClaimServiceSettings;
+import org.masticweir.control.ControlSettings;
+import org.masticweir.control.DomainController;
 import org.masticweir.engine.EngineClient;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
@@ -88,6 +90,7 @@
     private final RequestRegistry registry;
     private final MetricRegistry metrics = new MetricRegistry();
     private final ServingContext context;
+    private final DomainController engines;
     private final Shutdown shutdown;
     private final Undertow callers;
     private final Undertow operators;
@@ -105,7 +108,8 @@
         control = new ControlLoop(settings, clock, platform, calls, links, self);
         registry = RequestRegistry.holding(settings.callers().maxRequests());
         context = context();
-        shutdown = new Shutdown(settings.shutdown(), control, context.registry(), clock);
+        engines = controller();
+        shutdown = new Shutdown(settings.shutdown(), control, registry, clock, engines::release);
         callers = callerServer();
         operators = operatorServer();
     }
@@ -126,6 +130,7 @@
         }
         router.links.start();
         router.control.start();
+        router.engines.start();
         LOG.info(
                 "router: {} serves callers at {}",
                 settings.router().id(),
@@ -183,6 +188,19 @@
         }
     }
 
+    private DomainController controller() {
+        return DomainController.create(
+                settings.router().id(),
+                settings.router().domain(),
+                platform,
+                platform,
+                calls,
+                control.executor(),
+                clock,
+                ControlSettings.defaults(),
+                control::controlInput);
+    }
+
     private ServingContext context() {
         DaemonSettings.Recovery recovery = settings.recovery();
         InFlight inFlight = InFlight.create();
--- a/masticweir/src/test/java/org/masticweir/router/EngineWatchTest.java
+++ b/masticweir/src/test/java/org/masticweir/router/EngineWatchTest.java
@@ -3,14 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticweir.control.EngineHoldings;
+import org.masticweir.control.EngineRole;
+import org.masticweir.control.ModelVersion;
 import org.masticweir.engine.BackEnd;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
@@ -37,7 +40,8 @@
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9_000 + i);
             EngineRecord record =
                     new EngineRecord(new BackEnd(id, address, DOMAIN, "report", false));
-            record.holds(ImmutableMap.of(MODEL, "3"), false);
+            record.holds(
+                    EngineHoldings.of(Set.of(ModelVersion.of(MODEL, "3", "")), EngineRole.SERVING));
             records.put(id, record);
         }
         watch.watch(records);
