--- a/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
@@ -32,10 +32,14 @@
     private static int run(JCommander parser, ImmutableList<BenchCommand> commands, String[] args) {
         try {
             parser.parse(args);
+            return runNamed(parser, commands);
         } catch (ParameterException e) {
             System.err.println("masticweir-bench: " + e.getMessage());
             return EXIT_BAD_ARGUMENTS;
         }
+    }
+
+    private static int runNamed(JCommander parser, ImmutableList<BenchCommand> commands) {
         Optional<BenchCommand> named =
                 commands.stream()
                         .filter(c -> c.name().equals(parser.getParsedCommand()))
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
@@ -3,9 +3,11 @@
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -86,6 +88,9 @@
 
     @Override
     public int run() {
+        ImmutableList<EngineProcess> processes =
+                engines.stream().map(EngineProcess::parse).collect(ImmutableList.toImmutableList());
+        FaultSchedule schedule = schedule(processes);
         XnioWorker worker = BenchWorker.start(IO_THREADS);
         try (HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults())) {
             ExperimentRunner runner =
@@ -93,16 +98,15 @@
                             CallerClient.on(worker, Clock.system()),
                             StandInControl.over(calls),
                             Clock.system(),
-                            engines.stream().map(EngineProcess::parse).toList(),
+                            processes,
                             address(proxy));
-            return runWith(runner);
+            return runWith(runner, schedule);
         } finally {
             worker.shutdownNow();
         }
     }
 
-    private int runWith(ExperimentRunner runner) {
-        FaultSchedule schedule = schedule();
+    private int runWith(ExperimentRunner runner, FaultSchedule schedule) {
         List<RunResult> results = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
             for (Setting setting : settings()) {
@@ -136,9 +140,21 @@
                 address(platform));
     }
 
-    private FaultSchedule schedule() {
-        FaultSchedule flags = FaultSchedule.parse(faults);
-        return faultFile.isEmpty() ? flags : flags.plus(FaultSchedule.read(Path.of(faultFile)));
+    private FaultSchedule schedule(ImmutableList<EngineProcess> processes) {
+        try {
+            FaultSchedule flags = FaultSchedule.parse(faults);
+            FaultSchedule all =
+                    faultFile.isEmpty()
+                            ? flags
+                            : flags.plus(FaultSchedule.read(Path.of(faultFile)));
+            all.checkEngines(
+                    processes.stream()
+                            .map(EngineProcess::id)
+                            .collect(ImmutableSet.toImmutableSet()));
+            return all;
+        } catch (IllegalArgumentException e) {
+            throw new ParameterException(e.getMessage(), e);
+        }
     }
 
     private static Optional<InetSocketAddress> address(String text) {
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/FaultInjector.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/FaultInjector.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
@@ -52,8 +53,16 @@
      */
     private void inject(Fault fault) {
         long now = clock.nowMs();
-        boolean taken = fault.kind().inject(targets, fault);
-        injected.add(new InjectedFault(fault, now, taken));
+        injected.add(new InjectedFault(fault, now, taken(fault)));
+    }
+
+    private boolean taken(Fault fault) {
+        try {
+            return fault.kind().inject(targets, fault);
+        } catch (UncheckedIOException e) {
+            System.err.println("fault " + fault + " failed: " + e.getMessage());
+            return false;
+        }
     }
 
     /** Returns the faults that struck so far. */
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/FaultKind.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/FaultKind.java
@@ -99,6 +99,11 @@
         return justifiesMove;
     }
 
+    /** Tells whether the target is an engine. */
+    boolean strikesEngine() {
+        return place == Place.ENGINE;
+    }
+
     /** Tells whether the fault meets all generations, whichever engine they run on. */
     boolean strikesAll() {
         return place == Place.PLATFORM;
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/FaultSchedule.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/FaultSchedule.java
@@ -1,5 +1,7 @@
 package org.masticweir.bench.experiment;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -9,6 +11,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 
 /** The faults of a run, in any order. */
 record FaultSchedule(List<Fault> faults) {
@@ -38,4 +41,15 @@
         return new FaultSchedule(
                 ImmutableList.<Fault>builder().addAll(faults).addAll(other.faults).build());
     }
+
+    /** Refuses a fault of an engine that is not among {@code engines}. */
+    void checkEngines(Set<String> engines) {
+        for (Fault fault : faults) {
+            checkArgument(
+                    !fault.kind().strikesEngine() || engines.contains(fault.target()),
+                    "no engine %s to %s",
+                    fault.target(),
+                    fault.kind());
+        }
+    }
 }
--- /dev/null
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/load/Calls.java
@@ -0,0 +1,36 @@
+package org.masticweir.bench.load;
+
+import com.google.common.primitives.ImmutableIntArray;
+import com.google.common.primitives.ImmutableLongArray;
+import org.masticweir.bench.caller.CallRecord;
+import org.masticweir.bench.caller.CallRequest;
+
+/** Calls as tests need them. */
+public final class Calls {
+    private static final ClassProfile LOOKUPS = Mix.SPAARSTRAAL.classes().get(2);
+
+    private Calls() {}
+
+    /** Returns a completed lookup of the key {@code key} with tokens at the given times. */
+    public static ObservedCall completed(
+            String key, long intendedAtMs, long startedAtMs, ImmutableIntArray tokens, long... at) {
+        CallRequest request =
+                CallRequest.of(
+                        "advisers", "lookups", "planning", key, ImmutableIntArray.of(1, 2, 3), 4);
+        CallRecord record =
+                new CallRecord(
+                        200,
+                        1,
+                        tokens,
+                        ImmutableLongArray.copyOf(at),
+                        0,
+                        0,
+                        CallRecord.Outcome.COMPLETED,
+                        "",
+                        "COMPLETED",
+                        startedAtMs,
+                        at[at.length - 1]);
+        return new ObservedCall(
+                new PlannedCall(intendedAtMs, LOOKUPS, request), intendedAtMs, record);
+    }
+}
