--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineRecorder.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineRecorder.java
@@ -53,7 +53,10 @@
     }
 
     private void take(EngineProcess engine) {
-        control.reading(engine.address()).ifPresent(r -> add(engine.id(), r));
+        control.reading(engine.address())
+                .ifPresentOrElse(
+                        r -> add(engine.id(), r),
+                        () -> System.err.println("no records of engine " + engine.id()));
     }
 
     private void add(String engine, EngineReading reading) {
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/StandInControl.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/StandInControl.java
@@ -23,6 +23,7 @@
 public final class StandInControl {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long TIMEOUT_MS = 3_000;
+    private static final int RECORD_TRIES = 3;
     private static final int READY_TRIES = 100;
     private static final long READY_EVERY_MS = 100;
 
@@ -79,9 +80,18 @@
         }
     }
 
-    /** Returns the typed records of an engine; empty when it does not answer. */
+    /**
+     * Returns the typed records of an engine; empty when it does not answer.
+     *
+     * <p>A pooled connection may belong to a process that has died since; the call on it then fails
+     * and the next try opens another one. Reading twice does no harm.
+     */
     Optional<EngineReading> reading(InetSocketAddress engine) {
-        return EngineReading.of(records(engine));
+        Optional<EngineReading> reading = Optional.empty();
+        for (int i = 0; i < RECORD_TRIES && reading.isEmpty(); i++) {
+            reading = EngineReading.of(records(engine));
+        }
+        return reading;
     }
 
     /** Returns the attempts at {@code request} that an engine recorded. */
