Ask admission before new work is sent, meter recoveries and retries

Cause: every request was sent at once, so in overload engines queued work that could no longer be in time; a lost rack sent all its generations to the survivors together; refusals were sent again without a bound. Ruled out: asking on the control thread (its delay would be in every first token); stripes (each sees part of the queue, so class order and fair shares fail); admission before the copy's holder is asked (a duplicate of a request that another router owns must join it, not queue). Change: traffic threads ask Admission under its short lock; what waits holds no thread and is decided by a 5 ms tick on the control thread that runs only while something waits. Claims are made after admission. Recoveries take turns at RecoveryAdmission, ahead of new work. Refusals before admission and service calls in doubt are sent again only within the budget of class and team; sends that never left the router are not counted. The engine's choice moved out of GenerationRunner, timers into AttemptWatch. Team digests are not yet exchanged between routers; the number of routers comes from the serving members.

--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -230,7 +230,14 @@
                 gaps,
                 claims(),
                 copies(),
-                new ServingPolicy(control.traffic()),
+                ServingPolicy.create(
+                        settings.router().id(),
+                        clock,
+                        control::view,
+                        inFlight,
+                        () -> control.servingRouters().size(),
+                        control.executor(),
+                        control.traffic()),
                 ServingMetrics.of(
                         metrics,
                         new MetricsTuning(settings.callers().maxTeamsShown(), METRICS_WINDOW_MS),
--- a/masticweir/src/main/java/org/masticweir/serving/AttemptWatch.java
+++ b/masticweir/src/main/java/org/masticweir/serving/AttemptWatch.java
@@ -3,8 +3,10 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.generation.RequestSpec;
 import org.masticweir.id.EngineId;
-import org.masticweir.id.ModelId;
 import org.masticweir.recovery.RecoveryEvent;
 import org.masticweir.routing.EngineFailure;
 import org.masticweir.routing.EngineView;
@@ -15,17 +17,25 @@
  * request's thread.
  */
 final class AttemptWatch {
+    private static final Logger LOG = LogManager.getLogger(AttemptWatch.class);
+
+    /** Tokens charged to a team at once, so that not each of them takes the shares' lock. */
+    private static final int CHARGED_AT_ONCE = 32;
+
     private final ServingContext context;
-    private final ModelId model;
+    private final RequestSpec spec;
+    private final ResumeTimer timer;
     private Optional<RouteChoice.Chosen> choice = Optional.empty();
     private Optional<EngineId> engine = Optional.empty();
     private PaceRecorder pace;
     private boolean loaded;
     private long sentAtMs;
+    private int tokensNotCharged;
 
-    AttemptWatch(ServingContext context, ModelId model) {
+    AttemptWatch(ServingContext context, RunningRequest request) {
         this.context = checkNotNull(context, "context");
-        this.model = checkNotNull(model, "model");
+        spec = request.spec();
+        timer = new ResumeTimer(request.acceptedAtMs());
     }
 
     /** Takes the choice that the next send follows. */
@@ -34,18 +44,21 @@
     }
 
     /** Counts an attempt that is about to be sent where the last choice said. */
-    void sending(long nowMs) {
+    void sending(long nowMs, int acceptedTokens, boolean recovering) {
         RouteChoice.Chosen chosen = choice.orElseThrow();
         EngineView view = chosen.view();
         loaded = context.inFlight().expectedLoad(view, nowMs) >= view.usableCapacity();
         begin(view.id(), nowMs);
+        timer.sent(nowMs, spec.prompt().length() + acceptedTokens, recovering);
         context.inFlight().sent(chosen, nowMs);
+        context.policy().admission().sent(spec.id());
     }
 
     /** Counts a stream that is read again on {@code from}; it computes no prompt. */
     void rereading(EngineId from, long nowMs) {
         begin(from, nowMs);
         loaded = true;
+        timer.rereading(nowMs);
         context.inFlight().sent(from, nowMs);
     }
 
@@ -57,26 +70,18 @@
                     pace.held(nowMs - sentAtMs);
                 });
         engine = Optional.empty();
+        charge(nowMs);
     }
 
-    /** Returns the engine of the attempt under way. */
-    Optional<EngineId> engine() {
-        return engine;
-    }
-
-    void firstToken(long ms) {
-        context.gaps().firstToken(engine.orElseThrow(), ms);
-        // A wait for a place in the batch would pass for a slow prefill.
-        if (!loaded) {
-            pace.firstToken(prefillTokens(), ms);
+    /** Takes note that {@code tokens} went to the caller, and charges the team for them. */
+    void released(int tokens, long nowMs) {
+        report(timer.tokens(nowMs), engine.orElseThrow());
+        tokensNotCharged += tokens;
+        if (tokensNotCharged >= CHARGED_AT_ONCE) {
+            charge(nowMs);
         }
     }
 
-    void gap(long ms) {
-        context.gaps().gap(engine.orElseThrow(), ms);
-        pace.gap(ms);
-    }
-
     void refused() {
         failed(EngineFailure.REFUSED);
     }
@@ -95,6 +100,37 @@
         }
     }
 
+    private void report(ResumeTimer.Progress progress, EngineId on) {
+        if (progress instanceof ResumeTimer.Progress.First first) {
+            context.gaps().firstToken(on, first.sinceSentMs());
+            // A wait for a place in the batch would pass for a slow prefill.
+            if (!loaded) {
+                pace.firstToken(prefillTokens(), first.sinceSentMs());
+            }
+            context.observer().firstToken(spec, first.sinceAcceptedMs());
+        } else if (progress instanceof ResumeTimer.Progress.Next next) {
+            context.gaps().gap(on, next.gapMs());
+            pace.gap(next.gapMs());
+            context.observer().tokenGap(spec, next.gapMs());
+        } else if (progress instanceof ResumeTimer.Progress.Resumed resumed) {
+            LOG.info(
+                    "recovery: request {} resumed on {} after {} ms, {}",
+                    spec.id(),
+                    on,
+                    resumed.gapMs(),
+                    resumed.moved() ? "moved" : "read again");
+            context.observer()
+                    .resumed(spec, resumed.gapMs(), resumed.moved(), resumed.recomputed());
+        }
+    }
+
+    private void charge(long nowMs) {
+        if (tokensNotCharged > 0) {
+            context.policy().shares().used(spec.team(), tokensNotCharged, nowMs);
+            tokensNotCharged = 0;
+        }
+    }
+
     private void failed(EngineFailure failure) {
         engine.ifPresent(e -> context.policy().traffic().failed(e, failure));
     }
@@ -103,7 +139,7 @@
         ended(nowMs);
         engine = Optional.of(next);
         sentAtMs = nowMs;
-        pace = context.policy().traffic().pace(next, model);
+        pace = context.policy().traffic().pace(next, spec.model());
     }
 
     private double prefillTokens() {
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -12,13 +12,12 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.masticweir.config.Deployment;
-import org.masticweir.config.Model;
 import org.masticweir.config.WorkClass;
 import org.masticweir.engine.AttemptRequest;
 import org.masticweir.engine.BackEnd;
 import org.masticweir.engine.EngineStream;
 import org.masticweir.engine.StreamListener;
+import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.generation.AnswerEnd;
 import org.masticweir.generation.Frame;
@@ -31,10 +30,8 @@
 import org.masticweir.recovery.RecoveryMachine;
 import org.masticweir.recovery.RecoveryPlan;
 import org.masticweir.recovery.copy.Placement;
-import org.masticweir.routing.EngineView;
-import org.masticweir.routing.PrefixBlocks;
+import org.masticweir.retry.RetryDecision;
 import org.masticweir.routing.RouteChoice;
-import org.masticweir.routing.RouteQuery;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
@@ -51,10 +48,12 @@
     private final WorkClass workClass;
     private final XnioIoThread thread;
     private final RecoveryMachine machine;
-    private final ResumeTimer timer;
     private final EngineProbe probes;
     private final Ownership ownership;
+    private final EngineSearch search;
     private final AttemptWatch attempts;
+    private final RecoveryTurn turn;
+    private final RetryTurn retry;
     private final Deque<RecoveryAction> pending = new ArrayDeque<>();
     private final Map<EngineId, BackEnd> seen = new HashMap<>();
 
@@ -79,8 +78,14 @@
         this.generation = checkNotNull(generation, "generation");
         this.thread = checkNotNull(thread, "thread");
         this.ownership = checkNotNull(ownership, "ownership");
-        timer = new ResumeTimer(request.acceptedAtMs());
-        attempts = new AttemptWatch(context, request.spec().model());
+        retry = new RetryTurn(context.policy(), request, workClass);
+        search = new EngineSearch(context, request, workClass);
+        attempts = new AttemptWatch(context, request);
+        turn =
+                new RecoveryTurn(
+                        context.policy().recoveries(),
+                        thread,
+                        () -> feed(new RecoveryEvent.Tick()));
         probes = new EngineProbe(context.calls(), context.tuning().probeTimeoutMs());
         machine = taken.map(this::machineOf).orElseGet(this::newMachine);
     }
@@ -182,71 +187,37 @@
     private void release(RecoveryAction.Release release) {
         long nowMs = now();
         request.log().append(release.from(), release.tokens());
-        report(timer.tokens(nowMs));
+        attempts.released(release.tokens().length(), nowMs);
+        turn.resumed();
         recovering = false;
         ownership.accepted(release.from() + release.tokens().length());
     }
 
-    private void report(ResumeTimer.Progress progress) {
-        if (progress instanceof ResumeTimer.Progress.First first) {
-            attempts.firstToken(first.sinceSentMs());
-            context.observer().firstToken(request.spec(), first.sinceAcceptedMs());
-        } else if (progress instanceof ResumeTimer.Progress.Next next) {
-            attempts.gap(next.gapMs());
-            context.observer().tokenGap(request.spec(), next.gapMs());
-        } else if (progress instanceof ResumeTimer.Progress.Resumed resumed) {
-            LOG.info(
-                    "recovery: request {} resumed on {} after {} ms, {}",
-                    request.spec().id(),
-                    attempts.engine().orElseThrow(),
-                    resumed.gapMs(),
-                    resumed.moved() ? "moved" : "read again");
-            context.observer()
-                    .resumed(
-                            request.spec(), resumed.gapMs(), resumed.moved(), resumed.recomputed());
-        }
-    }
-
     private void choose(RecoveryAction.ChooseEngine choose) {
         recovering = choose.recovering();
-        RouteQuery query =
-                new RouteQuery(
-                        request.spec().model(),
-                        generation.version(),
-                        workClass.id(),
-                        request.spec().prompt().length(),
-                        prefixes(),
-                        machine.accepted(),
-                        choose.excluded(),
-                        choose.recovering());
-        RouteChoice choice = context.chooser().choose(context.view().get().routing(), query, now());
-        if (choice instanceof RouteChoice.Chosen chosen) {
-            EngineView view = chosen.view();
-            attempts.chose(chosen);
-            seen.put(view.id(), view.backEnd());
-            feed(new RecoveryEvent.EngineChosen(view.id()));
-        } else {
-            RouteChoice.Reason reason = ((RouteChoice.None) choice).reason();
-            boolean gone = reason == RouteChoice.Reason.VERSION_NOT_LOADED && versionChanged();
+        RouteChoice choice = search.choose(choose, generation, machine.accepted());
+        if (!(choice instanceof RouteChoice.Chosen chosen)) {
+            boolean gone = search.versionGone((RouteChoice.None) choice, generation);
             feed(new RecoveryEvent.NoEngine(gone, workClass.firstTokenMs()));
+        } else if (recovering && !turn.take(search.recovery(generation, machine.accepted()))) {
+            wakeAt(now() + RecoveryTurn.LOOK_AGAIN_MS);
+        } else if (!recovering && retry.pending()) {
+            decideRetry(chosen);
+        } else {
+            attempts.chose(chosen);
+            seen.put(chosen.view().id(), chosen.view().backEnd());
+            feed(new RecoveryEvent.EngineChosen(chosen.view().id()));
         }
     }
 
-    private List<String> prefixes() {
-        return PrefixBlocks.hashesOf(
-                request.spec().model(),
-                generation.version(),
-                generation.adapter(),
-                request.spec().prompt().asList());
-    }
-
-    private boolean versionChanged() {
-        return declaredModel().map(m -> !m.version().equals(generation.version())).orElse(false);
-    }
-
-    private Optional<Model> declaredModel() {
-        Optional<Deployment> deployment = context.view().get().deployment();
-        return deployment.flatMap(d -> d.model(request.spec().model()));
+    private void decideRetry(RouteChoice.Chosen chosen) {
+        RetryDecision decision = retry.decide(chosen, machine.verdict(), now());
+        if (decision instanceof RetryDecision.SendAgain again) {
+            wakeAt(now() + again.afterMs());
+        } else {
+            feed(new RecoveryEvent.Detached());
+            fail(((RetryDecision.GiveUp) decision).toException());
+        }
     }
 
     private void send(RecoveryAction.Send send) {
@@ -258,8 +229,8 @@
         ImmutableIntArray prefix = request.log().accepted(0, send.prefix());
         AttemptRequest attempt =
                 new AttemptRequest(send.attempt(), request.spec(), generation, prefix, priority());
-        attempts.sending(now());
-        timer.sent(now(), request.spec().prompt().length() + prefix.length(), recovering);
+        retry.sent(now());
+        attempts.sending(now(), prefix.length(), recovering);
         note(send.engine(), send.attempt());
         closeStream();
         stream =
@@ -285,7 +256,6 @@
         }
         BackEnd backEnd = known.get();
         attempts.rereading(reread.engine(), now());
-        timer.rereading(now());
         note(reread.engine(), reread.attempt());
         closeStream();
         stream =
@@ -328,8 +298,9 @@
 
     private void newGeneration(RecoveryAction.NewGeneration next) {
         closeStream();
+        turn.ended();
         GenerationId id = GenerationId.of(request.spec().id(), next.number());
-        generation = GenerationSpec.pin(id, declaredModel().orElseThrow());
+        generation = GenerationSpec.pin(id, search.declaredModel().orElseThrow());
         request.log().startGeneration(next.number());
         ownership.newGeneration(generation);
     }
@@ -355,6 +326,7 @@
         feed(new RecoveryEvent.Detached());
         closeStream();
         attempts.ended(now());
+        turn.ended();
         wakeUp.ifPresent(XnioExecutor.Key::remove);
         wakeUp = Optional.empty();
     }
@@ -362,6 +334,7 @@
     private void end(AnswerEnd how) {
         closeStream();
         attempts.ended(now());
+        turn.ended();
         wakeUp.ifPresent(XnioExecutor.Key::remove);
         wakeUp = Optional.empty();
         ownership.ended(how);
@@ -403,6 +376,7 @@
         @Override
         public void refused(long retryAfterMs) {
             attempts.refused();
+            retry.failed(ErrorCode.OVERLOADED, retryAfterMs);
             feed(new RecoveryEvent.Refused(attempt, retryAfterMs));
         }
 
--- a/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
@@ -20,6 +20,8 @@
     /** Frees the place of {@code request}, whose log has ended or is about to end as told. */
     static void retire(
             ServingContext context, RunningRequest request, XnioIoThread thread, AnswerEnd how) {
+        // Before it can be submitted again: one id must not stand twice at the gate.
+        context.policy().admission().finished(request.spec().id());
         context.registry().finished();
         if (mayRunAgain(request, how)) {
             // Forgotten first: a caller who asks again at once must not get this end once more.
--- a/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
@@ -83,6 +83,15 @@
         if (taken.isPresent() && taken.get().copy().end().isPresent()) {
             return;
         }
+        if (taken.isPresent()) {
+            // It was let in where it began: what is under way goes ahead of new work.
+            runAdmitted();
+            return;
+        }
+        new NewWork(context, request, thread, ownership, this::runAdmitted).start(workClass, model);
+    }
+
+    private void runAdmitted() {
         if (request.spec().idempotent() || isUnderWay()) {
             run(RunPermit.ALWAYS);
         } else {
--- a/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.masticweir.config.Model;
 import org.masticweir.config.WorkClass;
 import org.masticweir.error.ErrorCode;
@@ -20,6 +21,8 @@
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpOutcome;
 import org.masticweir.id.EngineId;
+import org.masticweir.retry.RetryDecision;
+import org.masticweir.routing.EngineFailure;
 import org.masticweir.routing.EngineView;
 import org.masticweir.routing.RouteChoice;
 import org.masticweir.routing.RouteQuery;
@@ -40,6 +43,7 @@
     private final Model model;
     private final XnioIoThread thread;
     private final Ownership ownership;
+    private final RetryTurn retry;
     private final Set<EngineId> excluded = new HashSet<>();
 
     private RunPermit permit = RunPermit.ALWAYS;
@@ -60,6 +64,7 @@
         this.model = checkNotNull(model, "model");
         this.thread = checkNotNull(thread, "thread");
         this.ownership = checkNotNull(ownership, "ownership");
+        retry = new RetryTurn(context.policy(), request, workClass);
         advisedRetryMs = workClass.firstTokenMs();
     }
 
@@ -90,8 +95,7 @@
             fail(ErrorCode.DEADLINE_EXCEEDED, "no service answered in the class's total time");
             return;
         }
-        RouteChoice choice =
-                context.chooser().choose(context.view().get().routing(), query(), now());
+        RouteChoice choice = choose();
         if (choice instanceof RouteChoice.Chosen chosen) {
             call(chosen.view(), leftMs);
         } else {
@@ -99,6 +103,24 @@
         }
     }
 
+    private RouteChoice choose() {
+        return context.chooser().choose(context.view().get().routing(), query(), now());
+    }
+
+    private void retry(ErrorCode code) {
+        if (!(choose() instanceof RouteChoice.Chosen chosen)) {
+            fail(ErrorCode.NO_ENGINE, "no service instance can take the request");
+            return;
+        }
+        retry.failed(code, advisedRetryMs);
+        RetryDecision decision = retry.decide(chosen, verdict, now());
+        if (decision instanceof RetryDecision.SendAgain again) {
+            thread.executeAfter(this::tryNext, again.afterMs(), TimeUnit.MILLISECONDS);
+        } else {
+            fail(((RetryDecision.GiveUp) decision).toException());
+        }
+    }
+
     private RouteQuery query() {
         return new RouteQuery(
                 model.id(),
@@ -114,7 +136,9 @@
     private void call(EngineView view, long leftMs) {
         EngineId id = view.id();
         request.placedAt(new RunningRequest.Placement(id.value(), 1, attempts));
+        retry.sent(now());
         context.inFlight().sent(id, now());
+        context.policy().admission().sent(request.spec().id());
         HttpCall call =
                 new HttpCall(
                         "POST",
@@ -134,20 +158,25 @@
     private void onOutcome(EngineId service, HttpOutcome outcome) {
         context.inFlight().finished(service, now());
         excluded.add(service);
+        EngineTraffic traffic = context.policy().traffic();
         if (outcome instanceof HttpOutcome.NeverSent) {
+            // Also what this router's own limit on connections gives: it may be load.
+            traffic.failed(service, EngineFailure.REFUSED);
             tryNext();
         } else if (outcome instanceof HttpOutcome.Answered answered) {
-            onAnswer(answered.answer());
+            onAnswer(service, answered.answer());
         } else {
+            traffic.failed(service, EngineFailure.RESET);
             onInDoubt();
         }
     }
 
-    private void onAnswer(HttpAnswer answer) {
+    private void onAnswer(EngineId service, HttpAnswer answer) {
         if (answer.isSuccess()) {
             complete(answer.text());
         } else if (refused(answer)) {
-            tryNext();
+            context.policy().traffic().failed(service, EngineFailure.REFUSED);
+            retry(ErrorCode.OVERLOADED);
         } else {
             onInDoubt();
         }
@@ -166,7 +195,7 @@
     private void onInDoubt() {
         verdict = Verdict.MAY_HAVE_RUN;
         if (request.spec().idempotent()) {
-            tryNext();
+            retry(ErrorCode.ENGINE_LOST);
         } else {
             // The service may have run the call and lost only its answer: a second call could run
             // it twice.
@@ -181,8 +210,10 @@
     }
 
     private void fail(ErrorCode code, String message) {
-        MasticweirException error =
-                MasticweirException.of(code, verdict, message).retryAfterMs(advisedRetryMs);
+        fail(MasticweirException.of(code, verdict, message).retryAfterMs(advisedRetryMs));
+    }
+
+    private void fail(MasticweirException error) {
         context.observer().failed(request.spec(), error, now() - request.acceptedAtMs());
         ownership.ended(new AnswerEnd.Failed(error));
     }
