Test a router's shutdown, and announce the tests' routers to the platform

Cause: the setting peers.seeds is gone, so the bed's routers ended with code 2; and a router told to leave by SIGTERM had no test. Ruled out: waiting a fixed time for healed engines (a router may hold one suspect for longer), and fixed addresses between routers (a link under test has to pass through the proxy). Change: routers are put on the instance list by their proxy route; after each test the bed waits until both routers show every back end live at the operators' port; RouterShutdownTest asks that SIGTERM cuts off no stream.

--- a/masticweir-it/src/test/java/org/masticweir/it/PlatformClient.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/PlatformClient.java
@@ -44,16 +44,26 @@
 
     /** Puts {@code backEnd} on the instance list as reachable at {@code at}. */
     void announce(BackEndProcess backEnd, InetSocketAddress at, String state) {
-        ObjectNode json = MAPPER.createObjectNode();
-        json.put("kind", backEnd.kind().word());
-        json.put("id", backEnd.id());
-        json.put("domain", backEnd.domain());
-        json.put("group", backEnd.group());
-        json.put("address", IpAddress.text(at));
-        json.put("state", state);
-        byte[] body = json.toString().getBytes(StandardCharsets.UTF_8);
+        put(
+                new Instance(
+                        backEnd.kind().word(),
+                        backEnd.id(),
+                        backEnd.domain(),
+                        backEnd.group(),
+                        IpAddress.text(at),
+                        state));
+    }
+
+    /** Puts {@code router} on the instance list as reachable through the proxy. */
+    void announceRouter(RouterProcess router) {
+        String address = IpAddress.text(router.peers());
+        put(new Instance("router", router.id(), router.domain(), "routers", address, "live"));
+    }
+
+    private void put(Instance instance) {
+        byte[] body = MAPPER.valueToTree(instance).toString().getBytes(StandardCharsets.UTF_8);
         ImmutableMap<String, String> headers = ImmutableMap.of("Content-Type", "application/json");
-        send(new HttpCall("PUT", address, "/instances/" + backEnd.id(), headers, body));
+        send(new HttpCall("PUT", address, "/instances/" + instance.id(), headers, body));
     }
 
     private void send(HttpCall call) {
@@ -62,4 +72,8 @@
             throw new AssertionError("the platform did not take " + call.path() + ": " + outcome);
         }
     }
+
+    /** One row of the instance list. */
+    private record Instance(
+            String kind, String id, String domain, String group, String address, String state) {}
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
@@ -5,13 +5,10 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.masticweir.bench.IpAddress;
 
 /** Starts routers whose links to the platform and to each other pass through the proxy. */
@@ -35,25 +32,25 @@
             instances_poll_ms = 200
             [callers]
             orphan_ms = %d
-            [peers]
-            seeds = %s
+            [shutdown]
+            balancer_lag_ms = %d
             """;
 
     private final Processes processes;
     private final ProxyControl proxy;
+    private final PlatformClient instances;
     private final InetSocketAddress platform;
-    private final long orphanMs;
     private final AtomicInteger routes = new AtomicInteger();
 
-    /** Routes to the peer ports of all routers that run. */
-    private final List<InetSocketAddress> peers = new ArrayList<>();
-
     RouterLauncher(
-            Processes processes, ProxyControl proxy, InetSocketAddress platform, long orphanMs) {
+            Processes processes,
+            ProxyControl proxy,
+            PlatformClient instances,
+            InetSocketAddress platform) {
         this.processes = checkNotNull(processes, "processes");
         this.proxy = checkNotNull(proxy, "proxy");
+        this.instances = checkNotNull(instances, "instances");
         this.platform = checkNotNull(platform, "platform");
-        this.orphanMs = orphanMs;
     }
 
     /** A router to start. */
@@ -63,10 +60,9 @@
     ImmutableList<RouterProcess> start(List<Spec> specs) {
         for (int i = 0; i < TRIES; i++) {
             ImmutableList<Integer> ports = Processes.freePorts(PORTS * specs.size());
-            ImmutableList<InetSocketAddress> seeds = routePeers(specs, ports);
-            ImmutableList<RouterProcess> routers = launchAll(specs, ports, seeds);
+            ImmutableList<RouterProcess> routers = launchAll(specs, ports);
             if (allReady(routers)) {
-                peers.addAll(seeds);
+                routers.forEach(instances::announceRouter);
                 return routers;
             }
             routers.forEach(r -> r.process().kill());
@@ -97,34 +93,18 @@
         }
     }
 
-    private ImmutableList<InetSocketAddress> routePeers(List<Spec> specs, List<Integer> ports) {
-        ImmutableList.Builder<InetSocketAddress> added = ImmutableList.builder();
-        for (int i = 0; i < specs.size(); i++) {
-            String route = "peer-" + specs.get(i).id() + "-" + routes.incrementAndGet();
-            added.add(proxy.add(route, loopback(ports.get(PORTS * i + 2))));
-        }
-        return added.build();
-    }
-
-    private ImmutableList<RouterProcess> launchAll(
-            List<Spec> specs, List<Integer> ports, List<InetSocketAddress> added) {
+    private ImmutableList<RouterProcess> launchAll(List<Spec> specs, List<Integer> ports) {
         ImmutableList.Builder<RouterProcess> routers = ImmutableList.builder();
         for (int i = 0; i < specs.size(); i++) {
-            InetSocketAddress self = added.get(i);
-            String others =
-                    Stream.concat(peers.stream(), added.stream())
-                            .filter(s -> !s.equals(self))
-                            .map(IpAddress::text)
-                            .collect(Collectors.joining(","));
-            List<Integer> own = ports.subList(PORTS * i, PORTS * i + PORTS);
-            routers.add(launch(specs.get(i), own, others));
+            routers.add(launch(specs.get(i), ports.subList(PORTS * i, PORTS * i + PORTS)));
         }
         return routers.build();
     }
 
-    private RouterProcess launch(Spec spec, List<Integer> ports, String seeds) {
+    private RouterProcess launch(Spec spec, List<Integer> ports) {
         InetSocketAddress callers = loopback(ports.get(0));
         InetSocketAddress operators = loopback(ports.get(1));
+        InetSocketAddress peers = loopback(ports.get(2));
         String settings =
                 String.format(
                         SETTINGS,
@@ -132,12 +112,15 @@
                         spec.domain(),
                         IpAddress.text(callers),
                         IpAddress.text(operators),
-                        IpAddress.text(loopback(ports.get(2))),
+                        IpAddress.text(peers),
                         IpAddress.text(platformOf(spec)),
-                        orphanMs,
-                        seeds);
+                        TestBed.ORPHAN_MS,
+                        TestBed.BALANCER_LAG_MS);
         ChildProcess process = processes.router(spec.id(), HEAP_MB, settings);
-        return new RouterProcess(spec.id(), process, callers, operators);
+        String route = "peer-" + spec.id() + "-" + routes.incrementAndGet();
+        InetSocketAddress throughProxy = proxy.add(route, peers);
+        return new RouterProcess(
+                spec.id(), spec.domain(), process, callers, operators, throughProxy);
     }
 
     private InetSocketAddress platformOf(Spec spec) {
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -32,14 +33,19 @@
     /** How long a generation goes on without a caller. */
     static final long ORPHAN_MS = 1_000;
 
+    /** How long a router told to leave still takes requests. */
+    static final long BALANCER_LAG_MS = 500;
+
     /** Lag of the instance list. */
     static final long LIST_LAG_MS = 300;
 
     /** Time of one token on an idle engine. */
     static final long STEP_MS = 10;
 
-    /** Time after which every router has polled every back end again. */
-    private static final long SETTLE_MS = 800;
+    /** Time after which every router has read the list and polled every back end again. */
+    private static final long SETTLE_MS = 700;
+
+    private static final long LIVE_BOUND_MS = 15_000;
 
     private static final int PLATFORM_HEAP_MB = 96;
     private static final int PROXY_HEAP_MB = 96;
@@ -74,7 +80,7 @@
             instances = new PlatformClient(calls, platform);
             instances.install(DeploymentText.ini());
             announced = announceAll();
-            launcher = new RouterLauncher(processes, proxy, platform, ORPHAN_MS);
+            launcher = new RouterLauncher(processes, proxy, instances, platform);
             routers =
                     launch(
                             ImmutableList.of(
@@ -215,7 +221,7 @@
             }
             announce(backEnd, "live");
         }
-        Await.elapse(LIST_LAG_MS + SETTLE_MS);
+        awaitAllLive(routers);
     }
 
     @Override
@@ -229,6 +235,20 @@
         return RequestId.forKey(TeamId.of(request.team()), request.key()).value();
     }
 
+    /** Returns once every one of {@code seeing} sends to every back end. */
+    private void awaitAllLive(List<RouterProcess> seeing) {
+        Await.elapse(LIST_LAG_MS + SETTLE_MS);
+        ImmutableSet<String> all =
+                backEnds().stream().map(BackEndProcess::id).collect(ImmutableSet.toImmutableSet());
+        OperatorView operators = new OperatorView(calls);
+        for (RouterProcess router : seeing) {
+            Await.until(
+                    "all back ends live at " + router.id(),
+                    LIVE_BOUND_MS,
+                    () -> operators.liveBackEnds(router).equals(all));
+        }
+    }
+
     private ImmutableList<BackEndProcess> backEnds() {
         return ImmutableList.<BackEndProcess>builder().addAll(engines).addAll(services).build();
     }
@@ -296,7 +316,7 @@
                 throw new AssertionError("router " + router.id() + " takes no work");
             }
         }
-        Await.elapse(SETTLE_MS);
+        awaitAllLive(added);
         return added;
     }
 
