recovery: keep a wake-up while a probe is out

Cause: a wake-up that found a probe still out set no further one. If that probe's answer was lost, or named the head at a take-over, nothing woke the request again and its deadline passed without a final outcome. Before: the property of random interleavings failed at once with 'nothing will wake the request again'; the new test had no WakeAt in the second tick. After: each tick in a silence sets the next wake-up; the test passes. Ruled out: relying on the adapter's probe timeout, which the take-over's first answer ends without a wake-up. Conclusion: the deadline no longer depends on any answer.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -311,11 +311,14 @@
         long dueMs = quietSinceMs + bound();
         if (nowMs < dueMs) {
             wakeAt(dueMs);
-        } else if (!probing) {
+            return;
+        }
+        if (!probing) {
             probing = true;
             out.add(new RecoveryAction.Probe(assembler.current(), engine));
-            wakeAt(nowMs + bound());
         }
+        // Also while a probe is out: were its answer lost, nothing else would end the request.
+        wakeAt(nowMs + bound());
     }
 
     private void onProbeAnswered(RecoveryEvent.ProbeAnswered answered, long nowMs) {
--- a/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
@@ -203,6 +203,19 @@
                     new RecoveryAction.Abandon(attempt(1), E1),
                     on(new RecoveryEvent.ProbeAnswered(attempt(1), 2)));
         }
+
+        /**
+         * A caller would wait for ever, past the class's total time. A probe takes longer than the
+         * bound, the wake-up of that time finds it still out, and then its answer never comes.
+         */
+        @Test
+        void probeWithoutAnswerDoesNotOutlastTheDeadline() {
+            streamTwoTokens();
+            tickAt(BOUND_MS);
+            assertHas(new RecoveryAction.WakeAt(3 * BOUND_MS), tickAt(2 * BOUND_MS));
+            MasticweirException error = errorIn(tickAt(DEADLINE_MS));
+            assertEquals(ErrorCode.DEADLINE_EXCEEDED, error.code());
+        }
     }
 
     /** What the caller is told when the request is given up. */
