recovery: ignore what comes of an attempt that was given up

Cause: until another engine is chosen, the attempt just left is still the current one. A late broken link or probe answer of it, while no engine had room, read the stream again at the engine that had been told to stop, and used up an attempt. Before: the property failed with 'asks an engine that was told to stop'; the new test saw a Reread. After: events count only while their attempt is under way; both pass. Ruled out: superseding at once in move(), which would spend attempt numbers that no engine ever sees. Conclusion: an engine is asked again only by a new send. What a late refusal would clear is no longer cleared, so a verdict can only be weaker.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -167,6 +167,16 @@
         return mayHaveRun() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
     }
 
+    /**
+     * Tells whether {@code attempt} is the current one and not given up.
+     *
+     * <p>An attempt that was left stays the current one until an engine is chosen. What still comes
+     * of it then must not lead back to the engine that was told to stop.
+     */
+    private boolean isUnderWay(AttemptId attempt) {
+        return phase != Phase.CHOOSING && attempt.equals(assembler.current());
+    }
+
     private boolean mayHaveRun() {
         return currentInDoubt || earlierInDoubt;
     }
@@ -222,7 +232,7 @@
     }
 
     private void onRefused(RecoveryEvent.Refused refused, long nowMs) {
-        if (!refused.attempt().equals(assembler.current())) {
+        if (!isUnderWay(refused.attempt())) {
             return;
         }
         advisedRetryMs = Math.max(refused.retryAfterMs(), CHOOSE_AGAIN_MS);
@@ -232,7 +242,7 @@
     }
 
     private void onLinkLost(RecoveryEvent.LinkLost lost, long nowMs) {
-        if (!lost.attempt().equals(assembler.current())) {
+        if (!isUnderWay(lost.attempt())) {
             return;
         }
         if (!lost.sent() && !rereading) {
@@ -249,15 +259,14 @@
     }
 
     private void onUnknown(AttemptId attempt, long nowMs) {
-        if (attempt.equals(assembler.current())) {
+        if (isUnderWay(attempt)) {
             noteLoss(nowMs);
             move(nowMs);
         }
     }
 
     private void onReceived(RecoveryEvent.Received received, long nowMs) {
-        boolean expected = received.stream().equals(assembler.current());
-        if (!expected || phase == Phase.CHOOSING) {
+        if (!isUnderWay(received.stream())) {
             // A superseded engine woke up and still sends: its stream no longer counts.
             return;
         }
@@ -322,7 +331,7 @@
     }
 
     private void onProbeAnswered(RecoveryEvent.ProbeAnswered answered, long nowMs) {
-        if (!answered.attempt().equals(assembler.current())) {
+        if (!isUnderWay(answered.attempt())) {
             return;
         }
         probing = false;
@@ -351,7 +360,7 @@
     }
 
     private void onProbeFailed(AttemptId attempt, long nowMs) {
-        if (!attempt.equals(assembler.current())) {
+        if (!isUnderWay(attempt)) {
             return;
         }
         probing = false;
--- a/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
@@ -320,6 +320,21 @@
     /** What still comes of an attempt that was given up, before another engine is chosen. */
     @Nested
     class BetweenEngines {
+        /**
+         * A caller waits longer than needed. A silent engine was told to stop and no other has room
+         * yet; then its link breaks, or its probe is answered after all, and its stream, which it
+         * no longer has, is read again in place of the choice of another.
+         */
+        @Test
+        void engineThatWasToldToStopIsNotReadAgain() {
+            streamTwoTokens();
+            tickAt(BOUND_MS);
+            nowMs = 2 * BOUND_MS;
+            on(new RecoveryEvent.ProbeFailed(attempt(1)));
+            assertEquals(List.of(), lose(1));
+            assertEquals(List.of(), on(new RecoveryEvent.ProbeAnswered(attempt(1), 5)));
+            assertHas(new RecoveryAction.Send(attempt(2), E2, 2), sendTo(E2));
+        }
 
         @Test
         void generationUnderWayWaitsForRoom() {
