recovery: take a refused re-read for no refused send

Cause: an engine that answers a re-read with admitted:false (overloaded) was treated as having refused the send. A non-idempotent request was then sent to a second engine while the first might run it; a take-over with a partial copy went on elsewhere after fewer tokens than callers had seen. After: a refused re-read counts as a lost engine: a non-idempotent request ends as MAY_HAVE_RUN, a partial copy starts a new generation. Ruled out: reading again after retry_after_ms, which delays the caller and needs a state of its own; worth measuring later. Conclusion: at most one send that may have run, and no stitched answer.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -236,6 +236,13 @@
             return;
         }
         advisedRetryMs = Math.max(refused.retryAfterMs(), CHOOSE_AGAIN_MS);
+        if (rereading) {
+            // A read was refused, not a send: the generation may run on at the engine, and what
+            // callers saw of it may not be sent elsewhere as if nothing had run.
+            noteLoss(nowMs);
+            move(nowMs);
+            return;
+        }
         // Refused before admission: this attempt did not run, whatever became of earlier ones.
         currentInDoubt = false;
         chooseAgain(nowMs);
--- a/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
@@ -288,6 +288,22 @@
                     new RecoveryAction.ChooseEngine(Set.of(E1), false),
                     on(new RecoveryEvent.Refused(attempt(1), 500)));
         }
+
+        /**
+         * A family gets a letter twice. The link breaks after the send, the engine refuses to let
+         * its stream be read again, being overloaded, and the refusal is taken for one of the send,
+         * so that the letter is sent to another engine while the first one writes it.
+         */
+        @Test
+        void refusedRereadIsNoRefusedSend() {
+            beNonIdempotent();
+            machine.start(nowMs);
+            sendTo(E1);
+            lose(1);
+            List<RecoveryAction> actions = on(new RecoveryEvent.Refused(attempt(2), 500));
+            assertHasNo(RecoveryAction.ChooseEngine.class, actions);
+            assertEquals(Verdict.MAY_HAVE_RUN, errorIn(actions).verdict());
+        }
     }
 
     /** Requests taken over from a router that was lost. */
@@ -315,6 +331,18 @@
             lose(6);
             assertHas(new RecoveryAction.Send(attempt(7), E2, 4), sendTo(E2));
         }
+
+        /**
+         * A report stitched from two computations. The lost router showed more than the copy holds,
+         * and the engine refuses, being overloaded, to let its stream be read: computed again after
+         * the copy's tokens, the rest would differ from what the caller has.
+         */
+        @Test
+        void partialCopyIsNotContinuedAfterARefusedReread() {
+            takeOver(false);
+            List<RecoveryAction> actions = on(new RecoveryEvent.Refused(attempt(5), 500));
+            assertHas(new RecoveryAction.NewGeneration(2, true), actions);
+        }
     }
 
     /** What still comes of an attempt that was given up, before another engine is chosen. */
