Order an engine back to serving when the list takes its leaving back; fix two losses of a take-over

Read besides: a take-over whose engine is no longer listed, or whose model is no longer declared, ended in an exception on the I/O thread, and its caller would have waited for ever. Ruled out: giving no leave order at all, since a domain cut off from the list learns of it from the engine alone. Change: EngineTarget names a role; DomainTenure remembers whom it told to leave; unknown engines are not told to stop; a generation of a model no longer declared keeps its version.

--- a/masticweir/src/main/java/org/masticweir/control/DomainTenure.java
+++ b/masticweir/src/main/java/org/masticweir/control/DomainTenure.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.EngineGroup;
@@ -28,6 +29,7 @@
     private final EngineDuty.Shared shared;
     private final Map<EngineId, EngineDuty> duties = new HashMap<>();
     private final Set<EngineId> resumed = new HashSet<>();
+    private final Set<EngineId> toldToLeave = new HashSet<>();
 
     private DomainTenure(ControlContext context, LeaseDriver lease, long fencing) {
         this.context = checkNotNull(context, "context");
@@ -104,10 +106,20 @@
     }
 
     private EngineTarget targetOf(ManagedEngine engine) {
-        boolean tellToLeave =
-                engine.leaving()
-                        && engine.holdings().map(h -> h.role() == EngineRole.SERVING).orElse(false);
-        return EngineTarget.of(
-                tellToLeave, grants.orderedOf(engine.id()), plan.unloadableOf(engine));
+        Optional<EngineRole> role = engine.holdings().map(EngineHoldings::role);
+        if (engine.leaving() && role.equals(Optional.of(EngineRole.SERVING))) {
+            toldToLeave.add(engine.id());
+        }
+        boolean wantedAgain = !engine.leaving() && toldToLeave.contains(engine.id());
+        if (wantedAgain && role.equals(Optional.of(EngineRole.LEAVING))) {
+            // The list took its word back. Left alone, the engine would stay out for good, though
+            // it never said so itself.
+            return EngineTarget.backToServing();
+        }
+        if (wantedAgain) {
+            toldToLeave.remove(engine.id());
+        }
+        boolean leave = engine.leaving() && toldToLeave.contains(engine.id());
+        return EngineTarget.of(leave, grants.orderedOf(engine.id()), plan.unloadableOf(engine));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/control/EngineDuty.java
+++ b/masticweir/src/main/java/org/masticweir/control/EngineDuty.java
@@ -65,7 +65,7 @@
      * too; closed, two replicas of a model could load at once after two changes of holder.
      */
     private boolean isHeldBack() {
-        return !target.leave() && grants.isInDoubt(id());
+        return target.role().isEmpty() && grants.isInDoubt(id());
     }
 
     private void make(OrderAction action) {
--- a/masticweir/src/main/java/org/masticweir/control/EngineTarget.java
+++ b/masticweir/src/main/java/org/masticweir/control/EngineTarget.java
@@ -1,5 +1,7 @@
 package org.masticweir.control;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.Optional;
@@ -8,23 +10,31 @@
 /**
  * What is to change at one engine; versions in neither set are left as they are; immutable.
  *
- * <p>An engine that says it leaves gets no further order: it may have said so before the instance
- * list does, and an order back to serving would give it new work.
+ * <p>An engine that says it leaves, unasked, gets no further order: it may have said so before the
+ * instance list does, and an order back to serving would give it new work.
  *
- * @param leave whether it is to take no new work
+ * @param role the role to bring about; empty to leave the engine's own word alone
  */
-public record EngineTarget(boolean leave, Set<ModelVersion> load, Set<ModelVersion> unload) {
+public record EngineTarget(
+        Optional<EngineRole> role, Set<ModelVersion> load, Set<ModelVersion> unload) {
     public EngineTarget {
+        checkNotNull(role, "role");
         load = ImmutableSet.copyOf(load);
         unload = ImmutableSet.copyOf(unload);
     }
 
     public static EngineTarget of(boolean leave, Set<ModelVersion> load, Set<ModelVersion> unload) {
-        return new EngineTarget(leave, load, unload);
+        Optional<EngineRole> role = leave ? Optional.of(EngineRole.LEAVING) : Optional.empty();
+        return new EngineTarget(role, load, unload);
+    }
+
+    /** Returns the target of an engine that was ordered to leave and is wanted again. */
+    static EngineTarget backToServing() {
+        return new EngineTarget(Optional.of(EngineRole.SERVING), Set.of(), Set.of());
     }
 
     boolean isNothing() {
-        return !leave && load.isEmpty() && unload.isEmpty();
+        return role.isEmpty() && load.isEmpty() && unload.isEmpty();
     }
 
     /**
@@ -35,12 +45,12 @@
      * between two versions.
      */
     Optional<Order> firstOrder(EngineHoldings holdings, long fencing) {
+        if (role.isPresent() && role.get() != holdings.role()) {
+            return Optional.of(Order.about(fencing, role.get()));
+        }
         if (holdings.role() == EngineRole.LEAVING) {
             return Optional.empty();
         }
-        if (leave) {
-            return Optional.of(Order.about(fencing, EngineRole.LEAVING));
-        }
         for (ModelVersion missing : Sets.difference(load, holdings.models())) {
             return Optional.of(Order.about(fencing, OrderKind.LOAD, missing));
         }
--- a/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
+++ b/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
@@ -35,10 +35,19 @@
         return pin(GenerationId.of(request, number), model);
     }
 
+    /** Returns another generation of the same version; for a model no longer declared. */
+    public GenerationSpec numbered(GenerationId other) {
+        return new GenerationSpec(other, version, adapter, seedOf(other));
+    }
+
     /** Returns the generation {@code id}, pinned to what {@code model} declares now. */
     public static GenerationSpec pin(GenerationId id, Model model) {
         checkNotNull(model, "model");
+        return new GenerationSpec(id, model.version(), model.adapter(), seedOf(id));
+    }
+
+    private static long seedOf(GenerationId id) {
         long hash = Hashing.sha256().hashString(id.toString(), StandardCharsets.UTF_8).asLong();
-        return new GenerationSpec(id, model.version(), model.adapter(), hash & NON_NEGATIVE);
+        return hash & NON_NEGATIVE;
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -293,14 +293,20 @@
     private void abandon(RecoveryAction.Abandon abandon) {
         closeStream();
         attempts.ended(now());
-        EngineCancel.send(context.calls(), seen.get(abandon.engine()).address(), abandon.attempt());
+        // An engine that a lost router chose may be gone from the list: nobody is there to tell.
+        Optional.ofNullable(seen.get(abandon.engine()))
+                .ifPresent(e -> EngineCancel.send(context.calls(), e.address(), abandon.attempt()));
     }
 
     private void newGeneration(RecoveryAction.NewGeneration next) {
         closeStream();
         turn.ended();
         GenerationId id = GenerationId.of(request.spec().id(), next.number());
-        generation = GenerationSpec.pin(id, search.declaredModel().orElseThrow());
+        GenerationSpec old = generation;
+        generation =
+                search.declaredModel()
+                        .map(model -> GenerationSpec.pin(id, model))
+                        .orElseGet(() -> old.numbered(id));
         request.log().startGeneration(next.number());
         ownership.newGeneration(generation);
     }
--- a/masticweir/src/test/java/org/masticweir/control/DomainLoopTest.java
+++ b/masticweir/src/test/java/org/masticweir/control/DomainLoopTest.java
@@ -89,6 +89,22 @@
             assertEquals(List.of(OrderKind.LEAVE), engine.taken.stream().map(Order::kind).toList());
         }
 
+        /**
+         * The list shows an engine as leaving and then as live again, as after a replacement that
+         * was called off. Told to leave and never told back, it would get no work for good.
+         */
+        @Test
+        void engineListedAgainIsOrderedBackToServing() {
+            world.router("a");
+            world.declare(V1);
+            engine.listedLeaving = true;
+            world.run(ROLLED_MS);
+            assertEquals(EngineRole.LEAVING, engine.role);
+            engine.listedLeaving = false;
+            world.run(ROLLED_MS);
+            assertEquals(EngineRole.SERVING, engine.role);
+        }
+
         /** An engine leaves by itself; the list lags, and an order back would give it work. */
         @Test
         void engineThatLeavesByItselfIsLeftAlone() {
