Let a router tell peers another address than the one it listens on

Cause: heartbeats and rumours carry peer_address, and a heard heartbeat's address goes before the instance list's. A router that listens behind a forwarded port (or a test's proxy) was dialled at the address it binds, whatever the list said, and a cut of the announced route cut nothing. Ruled out: letting the list's address win, since the list lags and a moved router says first where it is. Change: setting [router] advertised_peer_address, peer_address when left out. Conclusion: links between domains can be cut by their announced routes; the settings' tests cover both forms.

--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -100,8 +100,9 @@
         this.clock = checkNotNull(clock, "clock");
         DaemonSettings.Router own = settings.router();
         RouterAddress self =
-                RouterAddress.of(own.id(), own.domain(), own.peerAddress(), clock.wallMs());
-        links = openLinks(self, clock);
+                RouterAddress.of(
+                        own.id(), own.domain(), own.advertisedPeerAddress(), clock.wallMs());
+        links = openLinks(own.peerAddress(), self, clock);
         worker = newWorker(own.ioThreads());
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
         platform = HttpPlatform.at(settings.platform().address(), calls);
@@ -171,7 +172,7 @@
                 cause);
     }
 
-    private static PeerLinks openLinks(RouterAddress self, Clock clock) {
+    private static PeerLinks openLinks(InetSocketAddress listen, RouterAddress self, Clock clock) {
         List<MessageCodec<?>> codecs =
                 ImmutableList.<MessageCodec<?>>builder()
                         .add(Heartbeat.codec(), ConfigAsk.CODEC, ConfigOffer.CODEC)
@@ -179,12 +180,12 @@
                         .build();
         try {
             return PeerLinks.open(
-                    LinkSettings.of(self.address(), self.incarnation()),
+                    LinkSettings.of(listen, self.incarnation()),
                     Hello.of(self.router(), self.incarnation(), self.domain()),
                     MessageRegistry.of(codecs),
                     clock);
         } catch (RuntimeException e) {
-            throw portTaken("peer_address", self.address(), e);
+            throw portTaken("peer_address", listen, e);
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -41,6 +41,14 @@
             address("router", "operator_address", "Where the command line is served.");
     static final Setting<InetSocketAddress> PEER_ADDRESS =
             address("router", "peer_address", "Where other routers connect.");
+    static final Setting<InetSocketAddress> ADVERTISED_PEER_ADDRESS =
+            add(
+                    Setting.optional(
+                            "router",
+                            "advertised_peer_address",
+                            ValueRule.address(),
+                            "",
+                            "Address told to other routers; peer_address when left out."));
     static final Setting<Integer> IO_THREADS =
             integer("router", "io_threads", 2, 1, 64, "Threads that carry traffic.");
 
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -79,14 +79,17 @@
             InetSocketAddress callerAddress,
             InetSocketAddress operatorAddress,
             InetSocketAddress peerAddress,
+            InetSocketAddress advertisedPeerAddress,
             int ioThreads) {
         private static Router from(SettingsReader in) {
+            InetSocketAddress peerAddress = in.get(DaemonSetting.PEER_ADDRESS);
             return new Router(
                     in.get(DaemonSetting.ID),
                     in.get(DaemonSetting.DOMAIN),
                     in.get(DaemonSetting.CALLER_ADDRESS),
                     in.get(DaemonSetting.OPERATOR_ADDRESS),
-                    in.get(DaemonSetting.PEER_ADDRESS),
+                    peerAddress,
+                    in.getOr(DaemonSetting.ADVERTISED_PEER_ADDRESS, peerAddress),
                     in.get(DaemonSetting.IO_THREADS));
         }
     }
--- a/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
@@ -45,15 +45,21 @@
             assertEquals(LogLayout.TEXT, read.log().layout());
             assertEquals(1_048_576, read.callers().maxBodyBytes());
             assertEquals(2000, read.shutdown().balancerLagMs());
+            assertEquals(read.router().peerAddress(), read.router().advertisedPeerAddress());
         }
 
         @Test
         void whatIsGivenIsRead() {
             String given =
                     LEAST.replace("127.0.0.1:7080", "10.0.0.2:2")
+                                    .replace(
+                                            "[platform]",
+                                            "advertised_peer_address = 10.0.0.2:4\n[platform]")
                             + "[shutdown]\ndrain_ms = 7000\n[log]\nlayout = json";
             DaemonSettings read = DaemonSettings.parse("r.ini", given);
             assertEquals(new InetSocketAddress("10.0.0.2", 2), read.router().callerAddress());
+            assertEquals(
+                    new InetSocketAddress("10.0.0.2", 4), read.router().advertisedPeerAddress());
             assertEquals(7000, read.shutdown().drainMs());
             assertEquals(LogLayout.JSON, read.log().layout());
         }
