End the process after an operator's drain, and with code 0 after a signal

Cause: POST /v1/drain finished what was under way and then the process stayed, as only the signal's hook closed the router; and the runtime reports a process that was sent SIGTERM as failed (143) however cleanly it left. Ruled out: a handler for SIGTERM in place of the hook, which needs the runtime's internal signal class. Change: the main thread waits for the shutdown, however it was started, and then leaves; the hook halts with code 0 once everything is closed. Before: a drained router was still there 15 s after its last report. Conclusion: a drain is a planned replacement from start to end.

--- a/masticweir-daemon/src/main/java/org/masticweir/daemon/Masticweird.java
+++ b/masticweir-daemon/src/main/java/org/masticweir/daemon/Masticweird.java
@@ -4,7 +4,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.Level;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.logs.LogLayout;
@@ -15,6 +14,7 @@
 
 /** The router's program: reads its settings, runs one router and leaves on a signal. */
 public final class Masticweird {
+    private static final int EXIT_LEFT = 0;
     private static final int EXIT_BAD_SETTINGS = 2;
 
     @Parameter(
@@ -51,9 +51,8 @@
         LogSetup.configure(
                 LogLayout.parse(checked.log().layout().name()),
                 Level.valueOf(checked.log().level().name()));
-        CountDownLatch left = new CountDownLatch(1);
         Router router = Router.start(checked, Clock.system());
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(router, left), "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(router), "shutdown"));
         System.out.println(
                 "ready router "
                         + checked.router().id()
@@ -61,21 +60,21 @@
                         + checked.router().callerAddress().getAddress().getHostAddress()
                         + ":"
                         + checked.router().callerAddress().getPort());
-        await(left);
+        // An operator's drain ends the process just as a signal does.
+        router.drained().join();
+        System.exit(EXIT_LEFT);
     }
 
-    /** A signal to end is a graceful shutdown: nothing under way is cut off. */
-    private static void leave(Router router, CountDownLatch left) {
+    /**
+     * A signal to end is a graceful shutdown: nothing under way is cut off.
+     *
+     * <p>The runtime reports a process that was sent a signal as failed, with code 143, however
+     * cleanly it left; whoever replaces instances would then take each planned replacement for a
+     * crash. Halting here, after everything is closed, gives the code of a clean end.
+     */
+    private static void leave(Router router) {
         router.drain().join();
         router.close();
-        left.countDown();
-    }
-
-    private static void await(CountDownLatch left) {
-        try {
-            left.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        Runtime.getRuntime().halt(EXIT_LEFT);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -144,6 +144,11 @@
         return shutdown.start();
     }
 
+    /** Completes once a shutdown, however it was started, has nothing more to finish. */
+    public CompletableFuture<Void> drained() {
+        return shutdown.drained();
+    }
+
     @Override
     public void close() {
         control.close();
--- a/masticweir/src/main/java/org/masticweir/router/Shutdown.java
+++ b/masticweir/src/main/java/org/masticweir/router/Shutdown.java
@@ -57,6 +57,11 @@
         return drained;
     }
 
+    /** Completes as the future that {@link #start} returns does; starts nothing. */
+    CompletableFuture<Void> drained() {
+        return drained.copy();
+    }
+
     private void close() {
         control.intake(Intake.CLOSED);
         look(clock.nowMs() + settings.drainMs());
