Say ready only once a back end is known

Cause: a router that just started has its configuration a few polls before it has heard of any engine, and said ready as soon as it had the configuration. The balancer then sent it callers whom it could only refuse. Ruled out: holding such callers until an engine is known, which hides from the balancer that another router could serve them at once. Change: GET /v1/ready also asks for at least one known back end. Conclusion: ready means that callers can be served.

--- a/masticweir/src/main/java/org/masticweir/operators/RouterState.java
+++ b/masticweir/src/main/java/org/masticweir/operators/RouterState.java
@@ -7,7 +7,7 @@
 
 /** Where a router is in its life. */
 public enum RouterState {
-    /** Has no configuration yet. */
+    /** Has no configuration yet, or knows no back end. */
     STARTING,
     /** Takes requests. */
     SERVING,
--- a/masticweir/src/main/java/org/masticweir/serving/ServingView.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServingView.java
@@ -24,9 +24,14 @@
         return new ServingView(Optional.empty(), RoutingSnapshot.empty(), Intake.OPEN);
     }
 
-    /** Tells whether the balancer should send requests here. */
+    /**
+     * Tells whether the balancer should send requests here.
+     *
+     * <p>A router that just started has its configuration a few polls before it has heard of any
+     * back end. Told ready then, the balancer would send it callers whom it can only refuse.
+     */
     public boolean ready() {
-        return deployment.isPresent() && intake.ready();
+        return deployment.isPresent() && intake.ready() && !routing.enginesByModel().isEmpty();
     }
 
     /** Tells whether a new request is taken. */
