routing: use a returning engine in full when no other is left

Cause: an engine that comes back is given a tenth of its capacity at first, to be spared by others. When the others were lost within those 20 s, that small share was taken for the model's capacity, and admission refused callers as OVERLOADED, NOT_RUN, while the only engine idled. Ruled out: overload (8 places, at most 3 sequences at once), the retry budget (no attempt was sent), and the learnt speed (the same with a new bed). Change: shares count against the largest among the model's live engines. Conclusion: a slow return spares an engine only while others can do the work.

--- a/masticweir/src/main/java/org/masticweir/routing/EngineHealth.java
+++ b/masticweir/src/main/java/org/masticweir/routing/EngineHealth.java
@@ -110,13 +110,42 @@
         return ImmutableList.copyOf(changes);
     }
 
-    /** Returns the standing of all engines watched. */
+    /**
+     * Returns the standing of all engines watched.
+     *
+     * <p>Failure guarded against: an engine on its slow return is spared by giving the rest of its
+     * share to others. When those are lost meanwhile there are no others, and its small share,
+     * taken for the model's capacity, shows as callers refused while the engine idles. Shares
+     * therefore count against the largest among the live engines of a model, so that a model always
+     * has an engine in full use.
+     */
     public HealthView view(long nowMs) {
+        Map<ModelId, Double> largest = largestShares(nowMs);
         ImmutableMap.Builder<EngineId, Standing> standings = ImmutableMap.builder();
-        tracks.forEach((id, t) -> standings.put(id, t.standing(nowMs)));
+        tracks.forEach((id, t) -> standings.put(id, standing(t, largest, nowMs)));
         return new HealthView(standings.buildOrThrow());
     }
 
+    private Map<ModelId, Double> largestShares(long nowMs) {
+        Map<ModelId, Double> largest = new LinkedHashMap<>();
+        for (EngineTrack t : tracks.values()) {
+            if (t.state() == EngineState.LIVE) {
+                double share = t.standing(nowMs).loadShare();
+                t.models.forEach(m -> largest.merge(m, share, Math::max));
+            }
+        }
+        return largest;
+    }
+
+    private static Standing standing(EngineTrack t, Map<ModelId, Double> largest, long nowMs) {
+        Standing own = t.standing(nowMs);
+        if (t.state() != EngineState.LIVE) {
+            return own;
+        }
+        double least = t.models.stream().mapToDouble(largest::get).min().orElse(1);
+        return new Standing(own.state(), own.loadShare() / least);
+    }
+
     private void judge(TokenGaps.Sample s, double limitMs, long nowMs, List<HealthChange> changes) {
         EngineTrack t = tracks.get(s.engine());
         if (t == null || t.state() != EngineState.LIVE) {
--- a/masticweir/src/test/java/org/masticweir/routing/EngineHealthTest.java
+++ b/masticweir/src/test/java/org/masticweir/routing/EngineHealthTest.java
@@ -49,6 +49,42 @@
                 .count();
     }
 
+    /** All other engines of a model are lost while one is on its slow return. */
+    @Nested
+    class LastOnesReturning {
+        private static final long LOST_MS = 1_000;
+
+        private void comeBack(EngineHealth health, int engine, long atMs) {
+            health.failed(id(engine), EngineFailure.RESET, atMs);
+            health.probed(id(engine), true, atMs);
+            health.probed(id(engine), true, atMs);
+        }
+
+        /*
+         * Callers are refused as if there were too many, though an engine idles. An engine comes
+         * back, and before its share has grown the others are cut off.
+         * Cause: the small share of a slow return was taken for all that the model can serve.
+         */
+        @Test
+        void aLoneOneIsUsedInFull() {
+            EngineHealth health = watching(2);
+            comeBack(health, 0, LOST_MS);
+            assertEquals(0.1, health.view(LOST_MS).of(id(0)).loadShare(), 0.01);
+            health.failed(id(1), EngineFailure.RESET, LOST_MS);
+            assertEquals(Standing.GOOD, health.view(LOST_MS).of(id(0)));
+        }
+
+        @Test
+        void severalAreUsedInProportion() {
+            EngineHealth health = watching(2);
+            comeBack(health, 0, LOST_MS);
+            comeBack(health, 1, LOST_MS + 10_000);
+            HealthView view = health.view(LOST_MS + 10_000);
+            assertEquals(Standing.GOOD, view.of(id(0)));
+            assertEquals(0.1 / 0.55, view.of(id(1)).loadShare(), 0.01);
+        }
+    }
+
     /** An engine answers, but slowly. */
     @Nested
     class SlowEngine {
