--- a/masticweir-it/src/test/java/org/masticweir/it/AnswerCheck.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/AnswerCheck.java
@@ -18,9 +18,9 @@
  * token that is missing, repeated, of another generation or of another request shows.
  */
 final class AnswerCheck {
-    private final TestBed bed;
+    private final RunRecords bed;
 
-    AnswerCheck(TestBed bed) {
+    AnswerCheck(RunRecords bed) {
         this.bed = checkNotNull(bed, "bed");
     }
 
--- a/masticweir-it/src/test/java/org/masticweir/it/ChildProcess.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ChildProcess.java
@@ -89,6 +89,11 @@
         return process.onExit().thenApply(Process::exitValue);
     }
 
+    /** Returns the exit code that the process ends with by itself. */
+    CompletableFuture<Integer> exit() {
+        return process.onExit().thenApply(Process::exitValue);
+    }
+
     /** Stops the process from running, with its connections left open. */
     void pause() {
         signal("-STOP");
--- a/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
@@ -46,6 +46,11 @@
                 route);
     }
 
+    /** Returns what the proxy counted on {@code route}. */
+    JsonNode record(String route) {
+        return find(route).orElseThrow(() -> new AssertionError("no route " + route));
+    }
+
     /** Lets everything pass on every route. */
     void passAll() {
         for (JsonNode route : control.records(address).path("routes")) {
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -110,7 +110,7 @@
     }
 
     AnswerCheck check() {
-        return new AnswerCheck(this);
+        return new AnswerCheck(this::runsOf);
     }
 
     InetSocketAddress platform() {
