bin: end a bed's processes for good before its ports are used again

Cause: a bed started right after another found its ports taken, as routers drain for seconds after TERM. Change: KILL by id shortly after TERM. Measured: two beds in a row on one base port start.

--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -11,7 +11,10 @@
 # Ends all that was started here, by process id; keeps the logs where MASTICWEIR_KEEP says.
 finish() {
   if [ -n "${MASTICWEIR_KEEP:-}" ]; then cp -r "$run" "$MASTICWEIR_KEEP"; fi
+  # First TERM, which a restarting starter passes on; then KILL, as routers would drain for long.
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  await_seconds 0.2
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   rm -rf "$run"
 }
 trap finish EXIT
