Choose test servers' ports outside the range of outgoing connections

Cause: a router that is started again at its port found it taken by an outgoing connection of another process. Ruled out: a longer wait for the port, which nothing bounds. Change: ServerPorts takes ports below the range that the system gives to outgoing connections.

--- a/masticweir-it/src/test/java/org/masticweir/it/DomainRouter.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainRouter.java
@@ -54,7 +54,7 @@
         this.processes = checkNotNull(processes, "processes");
         this.id = checkNotNull(id, "id");
         this.domain = checkNotNull(domain, "domain");
-        ports = Processes.freePorts(PORTS);
+        ports = ServerPorts.choose(PORTS);
         advertised = proxy.add(peerRoute(id), loopback(ports.get(2)));
         this.platform = proxy.add(platformRoute(id), platform);
     }
