Never choose a test server's port twice in one run

Cause: two test beds of one run could be given the same port before either listened on it. Ruled out: keeping a socket open until the server starts, which the server then cannot bind. Change: ServerPorts goes on from where it was, from a random start.

--- a/masticweir-it/src/test/java/org/masticweir/it/ServerPorts.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ServerPorts.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Chooses ports for servers that start later, and start again at the same port.
@@ -18,21 +19,25 @@
     private static final int LAST = 31_000;
     private static final int TRIES = 1_000;
 
+    /** Begins anywhere, so that test runs at the same time rarely meet. */
+    private static final AtomicInteger NEXT =
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(LAST - FIRST));
+
     private ServerPorts() {}
 
-    /** Returns {@code count} different ports that nothing listens on. */
+    /** Returns {@code count} ports that nothing listens on, and that were not returned before. */
     static ImmutableList<Integer> choose(int count) {
-        int start = ThreadLocalRandom.current().nextInt(FIRST, LAST);
         ImmutableList.Builder<Integer> ports = ImmutableList.builder();
         int found = 0;
-        for (int port = start; found < count && port < start + TRIES; port++) {
+        for (int i = 0; found < count && i < TRIES; i++) {
+            int port = FIRST + NEXT.getAndIncrement() % (LAST - FIRST);
             if (isFree(port)) {
                 ports.add(port);
                 found++;
             }
         }
         if (found < count) {
-            throw new AssertionError("no " + count + " free ports from " + start);
+            throw new AssertionError("no " + count + " free ports in " + TRIES);
         }
         return ports.build();
     }
