--- a/masticweir/src/main/java/org/masticweir/logs/LogSetup.java
+++ b/masticweir/src/main/java/org/masticweir/logs/LogSetup.java
@@ -41,6 +41,9 @@
         ConfigurationBuilder<BuiltConfiguration> builder =
                 ConfigurationBuilderFactory.newConfigurationBuilder();
         builder.setStatusLevel(Level.WARN);
+        // The log must outlast a graceful shutdown: its own hook would end it while requests
+        // finish.
+        builder.setShutdownHook("disable");
         builder.add(
                 builder.newAppender(APPENDER, ConsoleAppender.PLUGIN_NAME)
                         .addAttribute("target", ConsoleAppender.Target.SYSTEM_ERR)
