recovery: pause between probes, and stop a lost engine from getting its new generation; one action loop

Cause: a refused connection fails a probe at once, so a patient request sent probes without pause for three seconds; a generation that was given up could start anew on the engine just lost; and the loop that carries out actions stood in SenderDriver and in GenerationRunner. Ruled out: fewer probes for non-idempotent requests, which follow an engine that comes back. Change: 50 ms between probes; the lost engine is excluded; recovery.ActionLoop serves both.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -28,6 +28,9 @@
     /** Pause before the router is asked again for an engine, while none has room. */
     static final long CHOOSE_AGAIN_MS = 100;
 
+    /** Pause between two probes of a silent engine. */
+    static final long PROBE_AGAIN_MS = 50;
+
     /** Probes answered without progress after which a live but stuck engine is left. */
     static final int STUCK_PROBES = 20;
 
@@ -379,8 +382,9 @@
         probesFailed++;
         boolean patient = !plan.idempotent() && nowMs - quietSinceMs < NON_IDEMPOTENT_PATIENCE_MS;
         if (patient || probesFailed < plan.preset().probesBeforeMove()) {
-            probing = true;
-            out.add(new RecoveryAction.Probe(assembler.current(), engine));
+            // A refused connection fails a probe at once: without the pause the probes of a whole
+            // patience would be spent, or sent by the thousand, in one instant.
+            wakeAt(nowMs + PROBE_AGAIN_MS);
             return;
         }
         noteLoss(nowMs);
@@ -415,6 +419,7 @@
 
     private void abandonGeneration() {
         whole = true;
+        excluded.add(engine);
         phase = Phase.CHOOSING;
         probing = false;
         int number = assembler.generation().number() + 1;
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
@@ -2,12 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.masticweir.id.RouterId;
+import org.masticweir.recovery.ActionLoop;
 import org.masticweir.time.Clock;
 
 /**
@@ -22,10 +20,9 @@
     private final Clock clock;
     private final Consumer<CopyAction> owner;
     private final WakeUp wakeUp;
-    private final Deque<CopyAction> pending = new ArrayDeque<>();
+    private final ActionLoop<CopyAction> actions = ActionLoop.carryingOutBy(this::carryOut);
     private final Consumer<CopyEvent> events;
     private Optional<RouterId> watched = Optional.empty();
-    private boolean running;
     private boolean closed;
 
     private SenderDriver(
@@ -59,39 +56,24 @@
 
     /** Starts copying; call once, on the request's thread. */
     public void start() {
-        run(sender.start(clock.nowMs()));
+        actions.run(sender.start(clock.nowMs()));
     }
 
     /** Feeds one event; call on the request's thread. */
     public void on(CopyEvent event) {
         if (!closed) {
-            run(sender.on(event, clock.nowMs()));
+            actions.run(sender.on(event, clock.nowMs()));
         }
     }
 
     /** Ends the driver once the request is no longer served here. */
     public void close() {
         closed = true;
-        pending.clear();
+        actions.clear();
         wakeUp.cancel();
         unwatch();
     }
 
-    private void run(List<CopyAction> actions) {
-        pending.addAll(actions);
-        if (running) {
-            return;
-        }
-        running = true;
-        try {
-            while (!pending.isEmpty()) {
-                carryOut(pending.removeFirst());
-            }
-        } finally {
-            running = false;
-        }
-    }
-
     private void carryOut(CopyAction action) {
         if (action instanceof CopyAction.SendToHolder send) {
             watch(send.holder());
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -3,10 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.primitives.ImmutableIntArray;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +22,7 @@
 import org.masticweir.id.AttemptId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.GenerationId;
+import org.masticweir.recovery.ActionLoop;
 import org.masticweir.recovery.RecoveryAction;
 import org.masticweir.recovery.RecoveryEvent;
 import org.masticweir.recovery.RecoveryMachine;
@@ -54,7 +52,7 @@
     private final AttemptWatch attempts;
     private final RecoveryTurn turn;
     private final RetryTurn retry;
-    private final Deque<RecoveryAction> pending = new ArrayDeque<>();
+    private final ActionLoop<RecoveryAction> actions = ActionLoop.carryingOutBy(this::carryOut);
     private final Map<EngineId, BackEnd> seen = new HashMap<>();
 
     private GenerationSpec generation;
@@ -62,7 +60,6 @@
     private Optional<XnioExecutor.Key> wakeUp = Optional.empty();
     private RunPermit permit = RunPermit.ALWAYS;
     private boolean recovering;
-    private boolean running;
 
     private GenerationRunner(
             ServingContext context,
@@ -127,7 +124,7 @@
     void start(RunPermit under) {
         permit = checkNotNull(under, "under");
         request.cancelWith(() -> thread.execute(() -> feed(new RecoveryEvent.Cancelled())));
-        run(machine.start(now()));
+        actions.run(machine.start(now()));
     }
 
     private RecoveryPlan plan() {
@@ -142,22 +139,7 @@
     }
 
     private void feed(RecoveryEvent event) {
-        run(machine.on(event, now()));
-    }
-
-    private void run(List<RecoveryAction> actions) {
-        pending.addAll(actions);
-        if (running) {
-            return;
-        }
-        running = true;
-        try {
-            while (!pending.isEmpty()) {
-                carryOut(pending.removeFirst());
-            }
-        } finally {
-            running = false;
-        }
+        actions.run(machine.on(event, now()));
     }
 
     private void carryOut(RecoveryAction action) {
