--- a/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
@@ -23,7 +23,7 @@
  */
 public final class RetryBudget {
     private static final double DEFAULT_SHARE = 0.1;
-    private static final int DEFAULT_FLOOR = 10;
+    private static final int DEFAULT_FLOOR = 3;
 
     /** Pairs of class and team remembered; the one used longest ago is dropped first. */
     private static final int MAX_PAIRS = 8_192;
@@ -46,7 +46,7 @@
         this.floor = floor;
     }
 
-    /** Returns a budget of one retry for ten first sends, and ten in a window in any case. */
+    /** Returns a budget of one retry for ten first sends, and three in a window in any case. */
     public static RetryBudget create() {
         return new RetryBudget(DEFAULT_SHARE, DEFAULT_FLOOR);
     }
