Stop a router listed at another address from being moved to and fro; tests route peers through the proxy

Cause: a member whose heartbeats name another address than the list was moved to the one and back about twice a second; each move dropped its link, and copies went on unprotected, told for each token. Ruled out: trusting the list over the member's own word, which is fresher. Change: the list moves only a member never heard or dead; the log tells once a request; the tests' routers announce their proxy route, so that a cut of it cuts.

--- a/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
@@ -26,6 +26,7 @@
             caller_address = %s
             operator_address = %s
             peer_address = %s
+            advertised_peer_address = %s
             [platform]
             address = %s
             config_poll_ms = 200
@@ -105,6 +106,8 @@
         InetSocketAddress callers = loopback(ports.get(0));
         InetSocketAddress operators = loopback(ports.get(1));
         InetSocketAddress peers = loopback(ports.get(2));
+        String route = "peer-" + spec.id() + "-" + routes.incrementAndGet();
+        InetSocketAddress throughProxy = proxy.add(route, peers);
         String settings =
                 String.format(
                         SETTINGS,
@@ -113,12 +116,11 @@
                         IpAddress.text(callers),
                         IpAddress.text(operators),
                         IpAddress.text(peers),
+                        IpAddress.text(throughProxy),
                         IpAddress.text(platformOf(spec)),
                         TestBed.ORPHAN_MS,
                         TestBed.BALANCER_LAG_MS);
         ChildProcess process = processes.router(spec.id(), HEAP_MB, settings);
-        String route = "peer-" + spec.id() + "-" + routes.incrementAndGet();
-        InetSocketAddress throughProxy = proxy.add(route, peers);
         return new RouterProcess(
                 spec.id(), spec.domain(), process, callers, operators, throughProxy);
     }
--- a/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
@@ -68,11 +68,17 @@
         return firstHeardMs >= ms;
     }
 
-    /** Takes what the instance list says; its address counts only for a member that is silent. */
+    /**
+     * Takes what the instance list says; its address counts only for a member never heard or dead.
+     *
+     * <p>A member that lists one address and says another in its heartbeats would be moved to and
+     * fro otherwise, and its link dropped each time: dropping it makes it suspect for a moment.
+     */
     boolean list(ListedRouter l) {
         listed = true;
         listedLeaving = l.leaving();
-        return !live() && move(l.where());
+        boolean unheard = firstHeardMs == DomainView.NEVER || judged == MemberState.DEAD;
+        return unheard && move(l.where());
     }
 
     void unlist() {
--- a/masticweir/src/main/java/org/masticweir/serving/Ownership.java
+++ b/masticweir/src/main/java/org/masticweir/serving/Ownership.java
@@ -52,6 +52,7 @@
     private final SenderDriver driver;
     private final CopyEpoch epoch;
     private GenerationSpec generation;
+    private boolean toldUnprotected;
 
     private Ownership(
             ServingContext context,
@@ -156,7 +157,15 @@
         } else if (action instanceof CopyAction.Fenced fenced) {
             onFenced(fenced.by());
         } else if (action instanceof CopyAction.Unprotected state) {
-            LOG.warn("copy: request {} goes on unprotected: {}", request.spec().id(), state.now());
+            noteProtection(state.now());
+        }
+    }
+
+    /** Told once a request: a link that comes and goes would otherwise log each token. */
+    private void noteProtection(boolean unprotected) {
+        if (unprotected && !toldUnprotected) {
+            toldUnprotected = true;
+            LOG.warn("copy: request {} goes on without a copy", request.spec().id());
         }
     }
 
