Never tell a claimed answer that was not kept as whole; a service's text in its event stream; settings that count

Cause, found by reading and by runs: a non-idempotent answer too long for its row came back through another router as COMPLETED without tokens; a plain service's text was missing from its event stream; two claims settings and one of recovery had no effect; two settings that contradict each other ended the daemon with a stack trace and code 1; config history showed the first thousand changes, not the newest; a leaving router said it had no configuration. Ruled out: keeping long answers in the object store, which has no part in this yet. Change: such a claim ends as DUPLICATE with verdict COMPLETED; the end event carries the text; the settings are wired or gone, and checked against each other (DaemonSettingsTest: inputs without a second fault, messages one word apart).

--- a/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -69,7 +69,9 @@
 
     private void answerReady(HttpServerExchange exchange) {
         if (!service.view().ready()) {
-            throw notRun(ErrorCode.NO_CONFIGURATION, "the router takes no new requests");
+            boolean leaving = !service.view().intake().ready();
+            ErrorCode code = leaving ? ErrorCode.SHUTTING_DOWN : ErrorCode.NO_CONFIGURATION;
+            throw notRun(code, "the router takes no new requests");
         }
         exchange.getResponseSender().send("ready\n");
     }
--- a/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
@@ -168,7 +168,7 @@
         if (end instanceof AnswerEnd.Failed failed) {
             return EventText.error(failed.error());
         }
-        return EventText.end(generation, tokens);
+        return EventText.end(generation, tokens, ((AnswerEnd.Completed) end).result());
     }
 
     private void flush() throws IOException {
--- a/masticweir/src/main/java/org/masticweir/callers/EventText.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventText.java
@@ -1,5 +1,6 @@
 package org.masticweir.callers;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.primitives.ImmutableIntArray;
 import java.nio.charset.StandardCharsets;
 import org.masticweir.error.MasticweirException;
@@ -9,6 +10,8 @@
 final class EventText {
     static final byte[] NOTHING = {};
 
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     private EventText() {}
 
     /** A comment, which callers skip; it carries the answer headers out at once. */
@@ -31,8 +34,18 @@
         return bytes("event: reset\ndata: {\"generation\":" + generation + "}\n\n");
     }
 
-    /** The event that says the answer is whole. */
-    static byte[] end(int generation, int tokens) {
+    /** The event that says the answer is whole; a plain service's carries its text. */
+    static byte[] end(int generation, int tokens, String result) {
+        if (tokens == 0) {
+            String text = MAPPER.createObjectNode().put("result", result).toString();
+            String fields = text.substring(1);
+            return bytes(
+                    "event: end\ndata: {\"verdict\":\""
+                            + Verdict.COMPLETED
+                            + "\","
+                            + fields
+                            + "\n\n");
+        }
         return bytes(
                 "event: end\ndata: {\"verdict\":\""
                         + Verdict.COMPLETED
@@ -49,6 +62,6 @@
     }
 
     private static byte[] bytes(String text) {
-        return text.getBytes(StandardCharsets.US_ASCII);
+        return text.getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/callers/WholeAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/WholeAnswerWriter.java
@@ -59,14 +59,14 @@
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
         String json = json(view, ((AnswerEnd.Completed) end).result());
-        exchange.getResponseSender().send(json, StandardCharsets.US_ASCII);
+        exchange.getResponseSender().send(json, StandardCharsets.UTF_8);
     }
 
     private String json(AnswerLog.View view, String result) {
         ObjectNode node = MAPPER.createObjectNode();
         node.put("request", requestId);
         node.put("verdict", Verdict.COMPLETED.name());
-        if (!result.isEmpty()) {
+        if (view.tokens().isEmpty()) {
             return node.put("result", result).toString();
         }
         node.put("generation", view.generation());
--- a/masticweir/src/main/java/org/masticweir/claims/BatchLimits.java
+++ b/masticweir/src/main/java/org/masticweir/claims/BatchLimits.java
@@ -40,6 +40,20 @@
         checkArgument(pauseMs >= 1, "pause %s ms", pauseMs);
     }
 
+    /** Returns these limits with another wait of the first row. */
+    public BatchLimits waiting(long ms) {
+        return new BatchLimits(
+                maxRows,
+                ms,
+                Math.max(ms, lazyWaitMs),
+                queueRows,
+                lazyRows,
+                inFlight,
+                writesPerSecond,
+                failuresToPause,
+                pauseMs);
+    }
+
     public static BatchLimits defaults() {
         return DEFAULTS;
     }
--- a/masticweir/src/main/java/org/masticweir/control/ControlSettings.java
+++ b/masticweir/src/main/java/org/masticweir/control/ControlSettings.java
@@ -34,6 +34,11 @@
         checkArgument(tableTimeoutMs >= 1, "table timeout %s ms", tableTimeoutMs);
     }
 
+    /** Returns these settings with another sweep of claims. */
+    public ControlSettings sweeping(SweepSettings other) {
+        return new ControlSettings(lease, orders, loads, other, tickMs, tableTimeoutMs);
+    }
+
     public static ControlSettings defaults() {
         return DEFAULTS;
     }
--- a/masticweir/src/main/java/org/masticweir/control/SweepSettings.java
+++ b/masticweir/src/main/java/org/masticweir/control/SweepSettings.java
@@ -20,6 +20,11 @@
         checkNotNull(claims, "claims");
     }
 
+    /** Returns these settings with another retention. */
+    public SweepSettings keeping(long ms) {
+        return new SweepSettings(ms, pageRows, everyMs, claims);
+    }
+
     public static SweepSettings defaults() {
         return DEFAULTS;
     }
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -16,10 +16,13 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.callers.CallerHandler;
 import org.masticweir.callers.CallerLimits;
+import org.masticweir.claims.BatchLimits;
+import org.masticweir.claims.ClaimPolicy;
 import org.masticweir.claims.ClaimService;
 import org.masticweir.claims.ClaimServiceSettings;
 import org.masticweir.control.ControlSettings;
 import org.masticweir.control.DomainController;
+import org.masticweir.control.SweepSettings;
 import org.masticweir.engine.EngineClient;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
@@ -203,7 +206,9 @@
                 calls,
                 control.executor(),
                 clock,
-                ControlSettings.defaults(),
+                ControlSettings.defaults()
+                        .sweeping(
+                                SweepSettings.defaults().keeping(settings.claims().retentionMs())),
                 control::controlInput);
     }
 
@@ -273,7 +278,10 @@
                 platform,
                 control.executor(),
                 clock,
-                ClaimServiceSettings.defaults());
+                new ClaimServiceSettings(
+                        ClaimPolicy.defaults(),
+                        BatchLimits.defaults().waiting(settings.claims().batchWaitMs()),
+                        settings.platform().deadlineMs()));
     }
 
     private Undertow callerServer() {
--- a/masticweir/src/main/java/org/masticweir/router/RouterOperators.java
+++ b/masticweir/src/main/java/org/masticweir/router/RouterOperators.java
@@ -36,7 +36,6 @@
 /** Answers operators from the router's control state; thread-safe. */
 final class RouterOperators implements OperatorQueries, OperatorCommands {
     private static final int MAX_HISTORY = 1_000;
-    private static final String LAST_HISTORY_KEY = ConfigRows.HISTORY_PREFIX;
 
     private final DaemonSettings settings;
     private final ControlLoop control;
@@ -115,11 +114,13 @@
 
     @Override
     public CompletableFuture<ConfigHistory> configHistory() {
-        return table.list(
-                        ConfigRows.TABLE,
-                        LAST_HISTORY_KEY,
-                        MAX_HISTORY,
-                        settings.platform().deadlineMs())
+        return control.configView().thenCompose(view -> history(view.revision()));
+    }
+
+    /** Reads the newest rows, as the history grows by thousands a day. */
+    private CompletableFuture<ConfigHistory> history(long newest) {
+        String after = ConfigRows.historyKey(Math.max(0, newest - MAX_HISTORY));
+        return table.list(ConfigRows.TABLE, after, MAX_HISTORY, settings.platform().deadlineMs())
                 .thenApply(RouterOperators::historyOf);
     }
 
--- a/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
@@ -97,7 +97,17 @@
     }
 
     private void endAs(ClaimRow row) {
-        if (row.status() == ClaimStatus.DONE && row.verdict() == Verdict.COMPLETED) {
+        boolean completed = row.status() == ClaimStatus.DONE && row.verdict() == Verdict.COMPLETED;
+        if (completed && row.result().isEmpty()) {
+            // Too long for its row: without its tokens it must not pass for a whole answer.
+            fail(
+                    MasticweirException.of(
+                            ErrorCode.DUPLICATE,
+                            Verdict.COMPLETED,
+                            "the request ran to its end and its answer is no longer kept"));
+            return;
+        }
+        if (completed) {
             StoredAnswer answer = StoredAnswer.decode(row.result());
             request.log().append(0, answer.tokens());
             ownership.accepted(answer.tokens().length());
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -172,16 +172,7 @@
                     8,
                     1,
                     100,
-                    "Attempts at one request, the first included.");
-    static final Setting<Integer> CONCURRENT_SHARE_PERCENT =
-            integer(
-                    "recovery",
-                    "concurrent_share_percent",
-                    50,
-                    1,
-                    100,
-                    "Share of an engine's slots that resumed generations may take.");
-
+                    "Attempts in a row at one request without a new token.");
     static final Setting<Integer> STATE_POLL_MS =
             integer(
                     "engines",
@@ -239,7 +230,7 @@
                     "claims",
                     "retention_ms",
                     DAY_MS,
-                    MINUTE_MS,
+                    15 * MINUTE_MS,
                     WEEK_MS,
                     "Claims and verdicts are kept for so long.");
 
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -56,8 +56,9 @@
     }
 
     private static DaemonSettings from(SettingsReader in) {
-        in.checkOrder(DaemonSetting.HEARTBEAT_MS, DaemonSetting.SUSPECT_MS);
-        in.checkOrder(DaemonSetting.SUSPECT_MS, DaemonSetting.DEAD_MS);
+        in.checkAbove(DaemonSetting.HEARTBEAT_MS, 2, DaemonSetting.SUSPECT_MS);
+        in.checkAbove(DaemonSetting.SUSPECT_MS, 1, DaemonSetting.DEAD_MS);
+        in.checkOrder(DaemonSetting.SILENCE_FLOOR_MS, DaemonSetting.SILENCE_START_MS);
         return new DaemonSettings(
                 Router.from(in),
                 Platform.from(in),
@@ -134,16 +135,14 @@
             int silenceFloorMs,
             int silenceStartMs,
             int connectTimeoutMs,
-            int maxAttempts,
-            int concurrentSharePercent) {
+            int maxAttempts) {
         private static Recovery from(SettingsReader in) {
             return new Recovery(
                     in.get(DaemonSetting.PROBE_TIMEOUT_MS),
                     in.get(DaemonSetting.SILENCE_FLOOR_MS),
                     in.get(DaemonSetting.SILENCE_START_MS),
                     in.get(DaemonSetting.CONNECT_TIMEOUT_MS),
-                    in.get(DaemonSetting.MAX_ATTEMPTS),
-                    in.get(DaemonSetting.CONCURRENT_SHARE_PERCENT));
+                    in.get(DaemonSetting.MAX_ATTEMPTS));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/settings/SettingsReader.java
+++ b/masticweir/src/main/java/org/masticweir/settings/SettingsReader.java
@@ -56,6 +56,17 @@
         }
     }
 
+    /** Records a problem when {@code high} is not above {@code factor} times {@code low}. */
+    void checkAbove(Setting<Integer> low, int factor, Setting<Integer> high) {
+        Optional<Integer> least = settled(low);
+        Optional<Integer> most = settled(high);
+        if (least.isPresent() && most.isPresent() && most.get() <= factor * least.get()) {
+            String times = factor == 1 ? "" : factor + " times ";
+            String text = "above " + times + low.key() + ", " + factor * least.get();
+            section(high).reject(high.key(), text);
+        }
+    }
+
     private <T> Optional<T> settled(Setting<T> row) {
         return section(row).holds(row.key())
                 ? section(row).valid(row.key(), row.rule())
--- a/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
@@ -74,6 +74,14 @@
             assertTrue(found.get(0).contains(part), found.get(0));
         }
 
+        @Test
+        void silencesThatContradictEachOther() {
+            String peers = LEAST + "[peers]\nheartbeat_ms = 800\n";
+            assertTold("suspect_ms is missing", peers);
+            assertTold("above 2 times heartbeat_ms, 1600", peers);
+            assertTold("silence_start_ms", LEAST + "[recovery]\nsilence_floor_ms = 3000");
+        }
+
         @Test
         void unknownKeyUnitSectionAndValue() {
             assertTold("deadline_s = \"1\" is not allowed", LEAST + "deadline_s = 1");
@@ -93,12 +101,12 @@
 
         @Test
         void deathBeforeSuspicion() {
-            assertTold("at least suspect_ms", LEAST + "[peers]\nsuspect_ms = 900\ndead_ms = 800");
+            assertTold("above suspect_ms", LEAST + "[peers]\nsuspect_ms = 1900\ndead_ms = 1800");
         }
 
         @Test
         void orderIsCheckedAgainstDefaults() {
-            assertTold("at least suspect_ms, 1500", LEAST + "[peers]\ndead_ms = 1400");
+            assertTold("above suspect_ms, 1500", LEAST + "[peers]\ndead_ms = 1400");
         }
 
         @Test
