recovery: give doubt, silence and the gap of a partial copy a class each

Ruled out: splitting by event, which would spread each concept over several files. Change: RunDoubt, SilenceWatch and CopyGap; behaviour is as before.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -49,34 +49,29 @@
     private final Set<EngineId> excluded = new HashSet<>();
     private final List<RecoveryAction> out = new ArrayList<>();
     private final Assembler assembler;
+    private final RunDoubt doubt = new RunDoubt();
+    private final SilenceWatch silence = new SilenceWatch();
+    private final CopyGap gap;
 
     private Phase phase = Phase.CHOOSING;
     private EngineId engine;
     private boolean rereading;
-    private boolean probing;
-    private boolean currentInDoubt;
-    private boolean earlierInDoubt;
-    private boolean firstTokenSeen;
-    private boolean whole = true;
-    private boolean askingHead;
-    private int headAtTakeOver = Integer.MAX_VALUE;
     private int fruitlessAttempts;
-    private int probesFailed;
-    private int probesStuck;
-    private long quietSinceMs;
     private long lostAtMs = Long.MIN_VALUE;
     private long advisedRetryMs = CHOOSE_AGAIN_MS;
 
-    private RecoveryMachine(RecoveryPlan plan, SilenceBounds bounds, Assembler assembler) {
+    private RecoveryMachine(
+            RecoveryPlan plan, SilenceBounds bounds, Assembler assembler, CopyGap gap) {
         this.plan = checkNotNull(plan, "plan");
         this.bounds = checkNotNull(bounds, "bounds");
         this.assembler = assembler;
+        this.gap = gap;
     }
 
     /** Returns the machine of a request of which nothing was sent yet. */
     public static RecoveryMachine of(RecoveryPlan plan, SilenceBounds bounds) {
         AttemptId first = AttemptId.of(plan.generation(), 1);
-        return new RecoveryMachine(plan, bounds, Assembler.startingAt(first, 0));
+        return new RecoveryMachine(plan, bounds, Assembler.startingAt(first, 0), CopyGap.none());
     }
 
     /**
@@ -94,12 +89,11 @@
             EngineId on,
             int accepted,
             boolean whole) {
+        CopyGap gap = whole ? CopyGap.none() : CopyGap.afterPartialCopy();
         RecoveryMachine machine =
-                new RecoveryMachine(plan, bounds, Assembler.startingAt(last, accepted));
+                new RecoveryMachine(plan, bounds, Assembler.startingAt(last, accepted), gap);
         machine.engine = checkNotNull(on, "on");
-        machine.earlierInDoubt = true;
-        machine.whole = whole;
-        machine.askingHead = !whole;
+        machine.doubt.ran();
         return machine;
     }
 
@@ -111,7 +105,7 @@
         } else {
             lostAtMs = nowMs;
             rereadSameEngine(nowMs);
-            if (askingHead) {
+            if (gap.asksHead()) {
                 out.add(new RecoveryAction.Probe(assembler.current(), engine));
             }
         }
@@ -167,7 +161,7 @@
 
     /** Returns what is known about whether the request ran, were it given up now. */
     public Verdict verdict() {
-        return mayHaveRun() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        return doubt.verdict();
     }
 
     /**
@@ -180,10 +174,6 @@
         return phase != Phase.CHOOSING && attempt.equals(assembler.current());
     }
 
-    private boolean mayHaveRun() {
-        return currentInDoubt || earlierInDoubt;
-    }
-
     private void onChosen(EngineId chosen, long nowMs) {
         if (phase != Phase.CHOOSING) {
             return;
@@ -192,8 +182,7 @@
             assembler.supersedeWith(assembler.current().next());
         }
         engine = chosen;
-        // From here the engine may run it, whatever answer comes back or is lost.
-        currentInDoubt = true;
+        doubt.sent();
         rereading = false;
         beginAttempt(nowMs);
         out.add(new RecoveryAction.Send(assembler.current(), engine, assembler.next()));
@@ -219,7 +208,7 @@
 
     private boolean startNewGeneration() {
         boolean released = assembler.next() > 0;
-        if (!plan.idempotent() && mayHaveRun() || released && !plan.allowReset()) {
+        if (!plan.idempotent() && doubt.mayHaveRun() || released && !plan.allowReset()) {
             return false;
         }
         beginGeneration(assembler.generation().number() + 1, released);
@@ -246,8 +235,7 @@
             move(nowMs);
             return;
         }
-        // Refused before admission: this attempt did not run, whatever became of earlier ones.
-        currentInDoubt = false;
+        doubt.refused();
         chooseAgain(nowMs);
     }
 
@@ -256,7 +244,7 @@
             return;
         }
         if (!lost.sent() && !rereading) {
-            currentInDoubt = false;
+            doubt.refused();
             chooseAgain(nowMs);
             return;
         }
@@ -287,8 +275,8 @@
             out.add(new RecoveryAction.Release(accepted.from(), accepted.tokens()));
         } else if (acceptance instanceof Acceptance.Started) {
             phase = Phase.STREAMING;
-            earlierInDoubt = true;
-            quietSinceMs = nowMs;
+            doubt.ran();
+            silence.heard(nowMs);
         } else if (acceptance instanceof Acceptance.Whole whole) {
             phase = Phase.DONE;
             out.add(new RecoveryAction.Finish(whole.count()));
@@ -302,16 +290,12 @@
     }
 
     private void onProgress(long nowMs) {
-        quietSinceMs = nowMs;
-        whole |= assembler.next() >= headAtTakeOver;
-        if (!firstTokenSeen) {
-            firstTokenSeen = true;
+        gap.accepted(assembler.next());
+        if (silence.tokens(nowMs)) {
             wakeAt(nowMs + bound());
         }
         lostAtMs = Long.MIN_VALUE;
         fruitlessAttempts = 0;
-        probesFailed = 0;
-        probesStuck = 0;
         if (!excluded.isEmpty()) {
             excluded.clear();
         }
@@ -327,13 +311,12 @@
             out.add(new RecoveryAction.ChooseEngine(excluded, lostAtMs != Long.MIN_VALUE));
             return;
         }
-        long dueMs = quietSinceMs + bound();
+        long dueMs = silence.dueAtMs(bound());
         if (nowMs < dueMs) {
             wakeAt(dueMs);
             return;
         }
-        if (!probing) {
-            probing = true;
+        if (silence.startProbe()) {
             out.add(new RecoveryAction.Probe(assembler.current(), engine));
         }
         // Also while a probe is out: were its answer lost, nothing else would end the request.
@@ -344,13 +327,9 @@
         if (!isUnderWay(answered.attempt())) {
             return;
         }
-        probing = false;
-        probesFailed = 0;
-        if (askingHead) {
-            // All that the lost router showed its callers came from below this index.
-            askingHead = false;
-            headAtTakeOver = answered.next();
-            whole |= assembler.next() >= headAtTakeOver;
+        silence.answered();
+        if (gap.asksHead()) {
+            gap.headIs(answered.next(), assembler.next());
             return;
         }
         if (answered.next() > assembler.next()) {
@@ -359,13 +338,12 @@
             rereadSameEngine(nowMs);
             return;
         }
-        probesStuck++;
-        if (probesStuck >= STUCK_PROBES) {
+        if (silence.answeredWithoutProgress() >= STUCK_PROBES) {
             noteLoss(nowMs);
             move(nowMs);
             return;
         }
-        quietSinceMs = nowMs;
+        silence.heard(nowMs);
         wakeAt(nowMs + bound());
     }
 
@@ -373,15 +351,15 @@
         if (!isUnderWay(attempt)) {
             return;
         }
-        probing = false;
-        if (nowMs - quietSinceMs < bound()) {
-            probesFailed = 0;
-            wakeAt(quietSinceMs + bound());
+        int failed = silence.probeFailed();
+        if (silence.silentForMs(nowMs) < bound()) {
+            silence.forgive();
+            wakeAt(silence.dueAtMs(bound()));
             return;
         }
-        probesFailed++;
-        boolean patient = !plan.idempotent() && nowMs - quietSinceMs < NON_IDEMPOTENT_PATIENCE_MS;
-        if (patient || probesFailed < plan.preset().probesBeforeMove()) {
+        boolean patient =
+                !plan.idempotent() && silence.silentForMs(nowMs) < NON_IDEMPOTENT_PATIENCE_MS;
+        if (patient || failed < plan.preset().probesBeforeMove()) {
             // A refused connection fails a probe at once: without the pause the probes of a whole
             // patience would be spent, or sent by the thousand, in one instant.
             wakeAt(nowMs + PROBE_AGAIN_MS);
@@ -408,7 +386,7 @@
             fail(ErrorCode.ENGINE_LOST, "the engine was lost after the request may have run");
             return;
         }
-        if (!whole) {
+        if (gap.isOpen()) {
             // Callers may have been shown tokens that no copy holds: computed again, they could
             // differ, and the answer would be stitched together from two computations.
             abandonGeneration();
@@ -418,10 +396,10 @@
     }
 
     private void abandonGeneration() {
-        whole = true;
+        gap.close();
         excluded.add(engine);
         phase = Phase.CHOOSING;
-        probing = false;
+        silence.endProbes();
         int number = assembler.generation().number() + 1;
         beginGeneration(number, true);
     }
@@ -431,7 +409,7 @@
             return;
         }
         excluded.add(engine);
-        probing = false;
+        silence.endProbes();
         phase = Phase.CHOOSING;
         out.add(new RecoveryAction.ChooseEngine(excluded, lostAtMs != Long.MIN_VALUE));
     }
@@ -448,16 +426,12 @@
 
     private void beginAttempt(long nowMs) {
         phase = Phase.STARTING;
-        firstTokenSeen = false;
-        probing = false;
-        probesFailed = 0;
-        probesStuck = 0;
-        quietSinceMs = nowMs;
+        silence.begin(nowMs);
         wakeAt(nowMs + bound());
     }
 
     private void noteLoss(long nowMs) {
-        earlierInDoubt = true;
+        doubt.ran();
         if (lostAtMs == Long.MIN_VALUE) {
             lostAtMs = nowMs;
         }
@@ -477,7 +451,7 @@
     }
 
     private long bound() {
-        return bounds.boundMs(engine, !firstTokenSeen && !rereading);
+        return bounds.boundMs(engine, !silence.firstTokenSeen() && !rereading);
     }
 
     private void wakeAt(long atMs) {
