recovery: wait for an engine's first token by the router's own estimate until its pace is learned

Ruled out: a lower start bound for all, which would probe slow prefills without reason. Change: the bound of a first token is at most floor plus the preset's factor times the expected time of the choice.

--- a/masticweir/src/main/java/org/masticweir/serving/GapBounds.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GapBounds.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.function.DoubleSupplier;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.masticweir.config.RecoveryPreset;
 import org.masticweir.id.EngineId;
@@ -52,10 +53,27 @@
         paces.keySet().retainAll(checkNotNull(known, "known"));
     }
 
-    /** Returns the bounds for requests of {@code preset}. */
-    public SilenceBounds forPreset(RecoveryPreset preset) {
+    /**
+     * Returns the bounds for one request of {@code preset}.
+     *
+     * <p>Until an engine's pace is learned, its first token is waited for by the router's own
+     * estimate: an engine that hung before it would otherwise be noticed only after the start
+     * bound. An estimate that is too low costs a probe, which a live engine answers.
+     *
+     * @param expectedFirstMs time to the first token that the router expected of the current
+     *     attempt, in ms; 0 for none
+     */
+    public SilenceBounds forRequest(RecoveryPreset preset, DoubleSupplier expectedFirstMs) {
         checkNotNull(preset, "preset");
-        return (engine, first) -> bound(preset, engine, first);
+        checkNotNull(expectedFirstMs, "expectedFirstMs");
+        return (engine, first) -> {
+            long learned = bound(preset, engine, first);
+            double expected = expectedFirstMs.getAsDouble();
+            if (!first || expected <= 0) {
+                return learned;
+            }
+            return Math.min(learned, floorMs + (long) (preset.silenceFactor() * expected));
+        };
     }
 
     private long bound(RecoveryPreset preset, EngineId engine, boolean first) {
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -27,6 +27,7 @@
 import org.masticweir.recovery.RecoveryEvent;
 import org.masticweir.recovery.RecoveryMachine;
 import org.masticweir.recovery.RecoveryPlan;
+import org.masticweir.recovery.SilenceBounds;
 import org.masticweir.recovery.copy.Placement;
 import org.masticweir.retry.RetryDecision;
 import org.masticweir.routing.RouteChoice;
@@ -59,6 +60,7 @@
     private Optional<EngineStream> stream = Optional.empty();
     private Optional<XnioExecutor.Key> wakeUp = Optional.empty();
     private RunPermit permit = RunPermit.ALWAYS;
+    private double expectedFirstMs;
     private boolean recovering;
 
     private GenerationRunner(
@@ -87,8 +89,12 @@
         machine = taken.map(this::machineOf).orElseGet(this::newMachine);
     }
 
+    private SilenceBounds silenceBounds() {
+        return context.gaps().forRequest(workClass.recovery(), () -> expectedFirstMs);
+    }
+
     private RecoveryMachine newMachine() {
-        return RecoveryMachine.of(plan(), context.gaps().forPreset(workClass.recovery()));
+        return RecoveryMachine.of(plan(), silenceBounds());
     }
 
     private RecoveryMachine machineOf(RequestRun.TakenOver from) {
@@ -100,7 +106,7 @@
         context.view().get().routing().engine(on).ifPresent(e -> seen.put(on, e.backEnd()));
         return RecoveryMachine.takenOver(
                 plan(),
-                context.gaps().forPreset(workClass.recovery()),
+                silenceBounds(),
                 placement.get().attempt(),
                 on,
                 request.log().size(),
@@ -187,6 +193,7 @@
             decideRetry(chosen);
         } else {
             attempts.chose(chosen);
+            expectedFirstMs = chosen.expectedMs();
             seen.put(chosen.view().id(), chosen.view().backEnd());
             feed(new RecoveryEvent.EngineChosen(chosen.view().id()));
         }
