bench: measure what one more router, engine or team costs

Cause: the design has to follow a size of 390 daemons, and nothing measured what a router costs when the fleet, the engines or the document grow. The metrics page shows peer_frames_in, peer_bytes_in and the same for out.

--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -109,7 +109,7 @@
 address = $6
 INI
   if [ -n "$7" ]; then cat "$7" >>"$run/$1.ini"; fi
-  start "$1" 128m $daemon_jar --settings "$run/$1.ini"
+  start "$1" "${router_heap:-128m}" $daemon_jar --settings "$run/$1.ini"
 }
 
 bench() { # arguments: runs a command of the bench
--- a/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
@@ -8,6 +8,8 @@
 import org.masticweir.bench.demo.PublishCommand;
 import org.masticweir.bench.experiment.ExperimentCommand;
 import org.masticweir.bench.load.LoadCommand;
+import org.masticweir.bench.slopes.SlopePointCommand;
+import org.masticweir.bench.slopes.SlopesCommand;
 
 /** The program for load, experiments and the demo. */
 public final class Bench {
@@ -22,7 +24,9 @@
                         new DemoCommand(),
                         new PublishCommand(),
                         new LoadCommand(),
-                        new ExperimentCommand());
+                        new ExperimentCommand(),
+                        new SlopePointCommand(),
+                        new SlopesCommand());
         JCommander parser = new JCommander();
         parser.setProgramName("masticweir-bench");
         commands.forEach(c -> parser.addCommand(c.name(), c));
--- /dev/null
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/Sweep.java
@@ -0,0 +1,16 @@
+package org.masticweir.bench.slopes;
+
+import java.util.Locale;
+
+/** What is made more of from point to point. */
+public enum Sweep {
+    ROUTERS,
+    ENGINES,
+    TEAMS,
+    ;
+
+    /** Returns the word that files and flags use. */
+    String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what one more router, engine or team costs, and fits a line to it. */
+package org.masticweir.bench.slopes;
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -106,6 +106,7 @@
                 RouterAddress.of(
                         own.id(), own.domain(), own.advertisedPeerAddress(), clock.wallMs());
         links = openLinks(own.peerAddress(), self, clock);
+        LinkGauges.register(metrics, links::counters);
         worker = newWorker(own.ioThreads());
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
         platform = HttpPlatform.at(settings.platform().address(), calls);
