--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/Cost.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/Cost.java
@@ -10,6 +10,7 @@
     PEER_BYTES_PER_S("bytes of a router's peer links, in and out, B/s"),
     TABLE_READS_PER_S("table reads by all routers, 1/s"),
     TABLE_WRITES_PER_S("table writes by all routers, 1/s"),
+    ROUTER_TOKENS_PER_S("tokens of answers that a router completed, 1/s"),
     CONFIG_DELAY_MS("a change sent until the last router holds it, ms"),
     ;
 
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/CostMeter.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/CostMeter.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.function.ToLongFunction;
 import org.masticweir.time.Clock;
 
@@ -37,21 +38,35 @@
         ImmutableList.Builder<ProcessReading> processes = ImmutableList.builder();
         long frames = 0;
         long bytes = 0;
+        long tokens = 0;
         for (RouterProcess router : routers) {
-            JsonNode gauges = calls.get(router.operators(), "/metrics").path("gauges");
+            JsonNode metrics = calls.get(router.operators(), "/metrics");
+            JsonNode gauges = metrics.path("gauges");
+            tokens += tokens(metrics.path("counters"));
             frames += sum(gauges, "peer_frames_in", "peer_frames_out");
             bytes += sum(gauges, "peer_bytes_in", "peer_bytes_out");
             processes.add(ProcessReading.of(router.pid()));
         }
         long reads = table.path("reads").asLong();
         long writes = table.path("writes").asLong();
-        return new Totals(clock.nowMs(), reads, writes, frames, bytes, processes.build());
+        return new Totals(clock.nowMs(), reads, writes, frames, bytes, tokens, processes.build());
     }
 
     private static long sum(JsonNode gauges, String in, String out) {
         return gauges.path(in).asLong() + gauges.path(out).asLong();
     }
 
+    /** Sums over the classes; the same tokens are counted by team as well. */
+    private static long tokens(JsonNode counters) {
+        long sum = 0;
+        for (Map.Entry<String, JsonNode> counter : counters.properties()) {
+            if (counter.getKey().startsWith("tokens.class.")) {
+                sum += counter.getValue().asLong();
+            }
+        }
+        return sum;
+    }
+
     /** Totals since the processes' starts; immutable. */
     record Totals(
             long atMs,
@@ -59,6 +74,7 @@
             long tableWrites,
             long peerFrames,
             long peerBytes,
+            long tokens,
             ImmutableList<ProcessReading> processes) {
 
         /** Returns what the time from {@code before} until this reading cost. */
@@ -76,6 +92,7 @@
                     .put(Cost.ROUTER_WRITTEN_KB_PER_S, written / BYTES_PER_KB / routerSeconds)
                     .put(Cost.PEER_FRAMES_PER_S, (peerFrames - before.peerFrames) / routerSeconds)
                     .put(Cost.PEER_BYTES_PER_S, (peerBytes - before.peerBytes) / routerSeconds)
+                    .put(Cost.ROUTER_TOKENS_PER_S, (tokens - before.tokens) / routerSeconds)
                     .put(Cost.TABLE_READS_PER_S, (tableReads - before.tableReads) / seconds)
                     .put(Cost.TABLE_WRITES_PER_S, (tableWrites - before.tableWrites) / seconds)
                     .build();
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/SlopePointCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/SlopePointCommand.java
@@ -24,7 +24,7 @@
 public final class SlopePointCommand implements BenchCommand {
     private static final long MS_PER_S = 1000;
 
-    @Parameter(names = "--sweep", required = true, description = "ROUTERS, ENGINES or TEAMS")
+    @Parameter(names = "--sweep", required = true, description = "what the sweep varies")
     private Sweep sweep = Sweep.ROUTERS;
 
     @Parameter(names = "--at", required = true, description = "how many there are of these")
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/SlopeTable.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/SlopeTable.java
@@ -11,6 +11,9 @@
             "| more of | cost | points (size: figure) | slope | intercept | residual |\n"
                     + "|---|---|---|---|---|---|\n";
 
+    /** Below it a figure is written with an exponent. */
+    private static final double SMALL = 0.01;
+
     private SlopeTable() {}
 
     /** Returns one row for each fit, in the order given. */
@@ -34,11 +37,13 @@
                 number(fit.line().residual()));
     }
 
-    /** Four digits at most; whole numbers without a point. */
+    /** Three significant digits at least; whole numbers without a point. */
     private static String number(double d) {
         if (d == Math.rint(d)) {
             return String.format(Locale.ROOT, "%.0f", d);
         }
-        return String.format(Locale.ROOT, Math.abs(d) < 1 ? "%.4f" : "%.2f", d);
+        double size = Math.abs(d);
+        String format = size >= 1 ? "%.2f" : size >= SMALL ? "%.4f" : "%.2e";
+        return String.format(Locale.ROOT, format, d);
     }
 }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/Sweep.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/Sweep.java
@@ -7,6 +7,8 @@
     ROUTERS,
     ENGINES,
     TEAMS,
+    /** Callers' requests a second, over all routers. */
+    REQUESTS_PER_S,
     ;
 
     /** Returns the word that files and flags use. */
