One address class and one shared-bed extension; copies outlive long classes

Cause: addresses were still parsed twice, and the extension that shares a bed of processes stood twice; a copy without news was dropped after 15 minutes, though the examples' reports may take 20 and a placement hears nothing between two attempts. Ruled out: a bound from the class's total time, which the holder does not know. Change: http.IpAddress alone; SharedBed and HealableBed; abandoned copies are kept for two hours within the bounds on count and bytes.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.masticweir.bench.BenchCommand;
 import org.masticweir.bench.BenchWorker;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.bench.caller.CallerClient;
 import org.masticweir.bench.demo.NoSplitter;
 import org.masticweir.bench.load.LoadFlags;
@@ -28,6 +27,7 @@
 import org.masticweir.bench.standin.StandInControl;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
+import org.masticweir.http.IpAddress;
 import org.masticweir.time.Clock;
 import org.xnio.XnioWorker;
 
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/RouterProcess.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/RouterProcess.java
@@ -5,7 +5,7 @@
 import com.google.common.base.Splitter;
 import java.net.InetSocketAddress;
 import java.util.List;
-import org.masticweir.bench.IpAddress;
+import org.masticweir.http.IpAddress;
 
 /** A router under measurement: its operators' address and its process; immutable. */
 record RouterProcess(InetSocketAddress operators, long pid) {
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/SlopePointCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/SlopePointCommand.java
@@ -11,11 +11,11 @@
 import java.util.List;
 import org.masticweir.bench.BenchCommand;
 import org.masticweir.bench.BenchWorker;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.bench.demo.NoSplitter;
 import org.masticweir.bench.report.ResultJson;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
+import org.masticweir.http.IpAddress;
 import org.masticweir.time.Clock;
 import org.xnio.XnioWorker;
 
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineProcess.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineProcess.java
@@ -9,7 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import org.masticweir.bench.IpAddress;
+import org.masticweir.http.IpAddress;
 
 /**
  * An engine stand-in that the bench may kill.
--- a/masticweir-it/src/test/java/org/masticweir/it/BackEndProcess.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/BackEndProcess.java
@@ -4,7 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
-import org.masticweir.bench.IpAddress;
+import org.masticweir.http.IpAddress;
 
 /** A model engine or plain service that can be killed and started again at its address. */
 final class BackEndProcess {
--- a/masticweir-it/src/test/java/org/masticweir/it/CallerHttp.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/CallerHttp.java
@@ -13,8 +13,8 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.OptionalLong;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.bench.caller.CallRequest;
+import org.masticweir.http.IpAddress;
 
 /** Makes calls at a callers' port as an ordinary HTTP client does; thread-safe. */
 final class CallerHttp {
--- a/masticweir-it/src/test/java/org/masticweir/it/ChildProcess.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ChildProcess.java
@@ -13,7 +13,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.masticweir.bench.IpAddress;
+import org.masticweir.http.IpAddress;
 
 /** One process that a test started, known by its handle; thread-safe. */
 final class ChildProcess implements AutoCloseable {
--- a/masticweir-it/src/test/java/org/masticweir/it/CommandLineRun.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/CommandLineRun.java
@@ -9,8 +9,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.cli.Masticweir;
+import org.masticweir.http.IpAddress;
 
 /**
  * What one run of the operators' command line printed and how it ended.
--- a/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
@@ -29,7 +29,7 @@
  * their defaults, so that delays measured here are those of a deployment. Used by one test at a
  * time.
  */
-final class DomainBed implements AutoCloseable {
+final class DomainBed implements HealableBed {
     static final long LIST_LAG_MS = 300;
     static final long STEP_MS = 10;
     private static final long ORDER_TIMEOUT_MS = 2_000;
@@ -208,7 +208,8 @@
     }
 
     /** Ends every fault, ends what the test added, and returns once all is as it was. */
-    void heal() {
+    @Override
+    public void heal() {
         proxy.passAll();
         platformFault("{\"outage_ms\":0,\"slow_ms\":0,\"lose_answers\":0,\"list_lag_ms\":300}");
         for (DomainRouter router : added) {
--- a/masticweir-it/src/test/java/org/masticweir/it/DomainRouter.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainRouter.java
@@ -5,7 +5,7 @@
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 import java.util.List;
-import org.masticweir.bench.IpAddress;
+import org.masticweir.http.IpAddress;
 
 /**
  * A router that can be ended and started again under its id, its links all behind the proxy.
--- a/masticweir-it/src/test/java/org/masticweir/it/InstanceListClient.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/InstanceListClient.java
@@ -7,10 +7,10 @@
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
+import org.masticweir.http.IpAddress;
 
 /** Puts instances on a platform's list and takes them off; thread-safe, blocks. */
 final class InstanceListClient {
--- a/masticweir-it/src/test/java/org/masticweir/it/PlatformClient.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/PlatformClient.java
@@ -7,10 +7,10 @@
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
+import org.masticweir.http.IpAddress;
 
 /** Writes the first configuration and the instance list of a test's platform; thread-safe. */
 final class PlatformClient {
--- a/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
@@ -5,8 +5,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.util.Optional;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.bench.standin.StandInControl;
+import org.masticweir.http.IpAddress;
 
 /** Adds routes to the fault-injecting proxy and sets their faults; thread-safe. */
 final class ProxyControl {
--- a/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.masticweir.bench.IpAddress;
+import org.masticweir.http.IpAddress;
 
 /** Starts routers whose links to the platform and to each other pass through the proxy. */
 final class RouterLauncher {
--- a/masticweir-it/src/test/java/org/masticweir/it/SocketCaller.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/SocketCaller.java
@@ -9,8 +9,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import org.masticweir.bench.IpAddress;
 import org.masticweir.bench.caller.CallRequest;
+import org.masticweir.http.IpAddress;
 import org.masticweir.id.RequestId;
 import org.masticweir.id.TeamId;
 
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -29,7 +29,7 @@
  * <p>Four engines, two plain services, two routers and the platform. Routers reach everything
  * through the proxy; the test reaches the processes themselves. Used by one test at a time.
  */
-final class TestBed implements AutoCloseable {
+final class TestBed implements HealableBed {
     /** How long a generation goes on without a caller. */
     static final long ORPHAN_MS = 1_000;
 
@@ -218,7 +218,8 @@
     }
 
     /** Ends every fault, starts what was killed, and lets the routers see it. */
-    void heal() {
+    @Override
+    public void heal() {
         proxy.passAll();
         platformOutage(0);
         for (BackEndProcess backEnd : backEnds()) {
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/StoreLimits.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/StoreLimits.java
@@ -15,7 +15,7 @@
     private static final int MAX_COPIES = 20_000;
     private static final long MAX_BYTES = 64L << 20;
     private static final long RETAIN_MS = 60_000;
-    private static final long ABANDON_MS = 900_000;
+    private static final long ABANDON_MS = 7_200_000;
 
     public StoreLimits {
         checkArgument(maxCopies > 0, "max_copies %s", maxCopies);
