standins: set one timer for what a delayed route reads

Cause: on a timer, the proxy finds the readiness of the last select and sets a timer though nothing is read; once both ends have sent, each timer sets two. A route in mode delay filled the proxy's heap, and all other routes died with it. Ruled out: the routers (all back ends became suspect at one moment on each, the proxy's log ends in an OutOfMemoryError below EventLoop.at). Change: a timer is set only when bytes or the end of the stream came. A test of the proxy alone answered all exchanges also before, so none was added. Conclusion: a link can be delayed for as long as a test lasts.

--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Connection.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Connection.java
@@ -105,8 +105,10 @@
         }
         if (pipe.wantsBytes() && sourceKey.isReadable()) {
             long dueMs = loop.nowMs() + route.delayMs();
-            pipe.read(source, scratch, dueMs);
-            if (route.delayMs() > 0) {
+            boolean came = pipe.read(source, scratch, dueMs);
+            // A timer finds the readiness of the last select, for bytes long since read. Were a
+            // timer set all the same, each one would set two, until the heap is full.
+            if (came && route.delayMs() > 0) {
                 loop.at(dueMs, this::pump);
             }
         }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Pipe.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Pipe.java
@@ -39,8 +39,12 @@
         return queue.peek().dueMs() <= nowMs;
     }
 
-    /** Reads once from {@code source}; what comes may pass from {@code dueMs} on. */
-    void read(SocketChannel source, ByteBuffer scratch, long dueMs) throws IOException {
+    /**
+     * Reads once from {@code source}; what comes may pass from {@code dueMs} on.
+     *
+     * @return whether bytes or the end of the stream came
+     */
+    boolean read(SocketChannel source, ByteBuffer scratch, long dueMs) throws IOException {
         scratch.clear().limit(MAX_QUEUED_BYTES - queuedBytes);
         int count = source.read(scratch);
         if (count == END_OF_STREAM) {
@@ -51,6 +55,7 @@
             queue.add(new Chunk(bytes, dueMs));
             queuedBytes += count;
         }
+        return count != 0;
     }
 
     /** Writes what is due and fits, and returns the number of bytes written. */
