serving: run one key once when two routers are asked for it

Cause: a router asks its first holder before it runs a request. The holder itself asks another router, and an owner that is asked to hold its own request knows of no copy; in both cases the copy was granted and a second generation began. Also, a request that joins had already begun a generation number of its own, drawn at random, so that the owner's could be lower and was never taken. Ruled out: differing views of the members (all routers saw each other serving). Change: a router joins when a copy of the request is here; an owner refuses to hold its own request; of two that ask each other at one moment the lower epoch yields; the log takes its generation once the request is certain to run here. Not covered: routers of two domains that each have a holder of their own.

--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyHandlers.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyHandlers.java
@@ -39,7 +39,7 @@
     }
 
     void register(PeerLinks links) {
-        links.on(WholeCopy.class, (from, m, reply) -> wholeCopy(m, reply));
+        links.on(WholeCopy.class, (from, m, reply) -> reply.send(new HolderReply(wholeCopy(m))));
         links.on(AppendBatch.class, (from, m, reply) -> appends(m, reply));
         links.on(FindCopy.class, (from, m, reply) -> reply.send(new FoundCopy(find(m.request()))));
         links.on(TakeOverCopy.class, this::takeOver);
@@ -74,10 +74,21 @@
         reads.answerOlderThan(clock.nowMs() - ms);
     }
 
-    private void wholeCopy(WholeCopy m, Reply reply) {
-        CopyCommand command =
-                m.opening() ? new CopyCommand.Open(m.copy()) : new CopyCommand.Replace(m.copy());
-        reply.send(new HolderReply(store.apply(command, clock.nowMs())));
+    private HolderAnswer wholeCopy(WholeCopy m) {
+        GenerationCopy copy = m.copy();
+        if (!m.opening()) {
+            return store.apply(new CopyCommand.Replace(copy), clock.nowMs());
+        }
+        // The owner may be asked to hold a copy of its own request, which its store knows nothing
+        // of: granted, the request would run a second time under another generation.
+        Optional<CopyEpoch> own =
+                owned.find(copy.request())
+                        .filter(o -> !o.yieldsTo(copy.epoch()))
+                        .map(OwnedAnswer::epoch);
+        if (own.isPresent()) {
+            return new HolderAnswer.HeldByOther(own.get());
+        }
+        return store.apply(new CopyCommand.Open(copy), clock.nowMs());
     }
 
     private void appends(AppendBatch m, Reply reply) {
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
@@ -102,6 +102,11 @@
                         });
     }
 
+    /** Tells whether this router holds a copy of {@code request}, or knows of its owner by one. */
+    public boolean holds(RequestId request) {
+        return store.reads().find(request).isPresent();
+    }
+
     /** Tells all owners here that {@code holder} is dead, as membership found it. */
     public void lost(RouterId holder) {
         watch.lost(holder);
--- a/masticweir/src/main/java/org/masticweir/serving/Ownership.java
+++ b/masticweir/src/main/java/org/masticweir/serving/Ownership.java
@@ -13,6 +13,7 @@
 import org.masticweir.generation.GenerationSpec;
 import org.masticweir.id.AttemptId;
 import org.masticweir.id.EngineId;
+import org.masticweir.id.RouterId;
 import org.masticweir.recovery.copy.CopyAction;
 import org.masticweir.recovery.copy.CopyEpoch;
 import org.masticweir.recovery.copy.CopyEvent;
@@ -51,6 +52,7 @@
     private final Outcomes outcomes;
     private final SenderDriver driver;
     private final CopyEpoch epoch;
+    private final boolean opens;
     private GenerationSpec generation;
     private boolean toldUnprotected;
 
@@ -60,12 +62,14 @@
             XnioIoThread thread,
             GenerationSpec generation,
             CopySender sender,
+            boolean opens,
             Outcomes outcomes) {
         this.context = checkNotNull(context, "context");
         this.request = checkNotNull(request, "request");
         this.thread = checkNotNull(thread, "thread");
         this.generation = checkNotNull(generation, "generation");
         this.outcomes = checkNotNull(outcomes, "outcomes");
+        this.opens = opens;
         epoch = sender.epoch();
         driver =
                 SenderDriver.of(
@@ -94,7 +98,8 @@
                         request.log()::accepted,
                         context.copies().ranking(),
                         context.clock().nowMs());
-        return new Ownership(context, request, thread, generation, sender, outcomes);
+        boolean opens = reliability.copiesPlacement();
+        return new Ownership(context, request, thread, generation, sender, opens, outcomes);
     }
 
     /** Returns the ownership of a request taken over; the copy's tokens must be in its log. */
@@ -113,12 +118,54 @@
                         request.log()::accepted,
                         context.copies().ranking(),
                         clock.nowMs());
-        return new Ownership(context, request, thread, copy.generation(), sender, outcomes);
+        return new Ownership(context, request, thread, copy.generation(), sender, false, outcomes);
     }
 
     /** Starts copying; the outcome may come at once. */
     void start() {
-        driver.start();
+        if (!opens) {
+            driver.start();
+        } else if (heldHere()) {
+            join();
+        } else {
+            publish(firstHolder());
+            driver.start();
+        }
+    }
+
+    /**
+     * Tells whether another router's copy of the request is here.
+     *
+     * <p>The holder of a copy never asks itself. A caller who came back to it with a new submission
+     * would have the request run anew, beside the generation that the copy belongs to.
+     */
+    private boolean heldHere() {
+        return opens && context.copies().links().holds(request.spec().id());
+    }
+
+    private Optional<RouterId> firstHolder() {
+        return context
+                .copies()
+                .ranking()
+                .holdersFor(request.spec().id(), context.copies().self(), 1)
+                .stream()
+                .findFirst();
+    }
+
+    private void join() {
+        request.ownedAs(Optional.empty());
+        driver.close();
+        outcomes.join();
+    }
+
+    private void started() {
+        if (heldHere()) {
+            // Left to another router while the answer of the holder asked was on its way.
+            join();
+            return;
+        }
+        publish(Optional.empty());
+        outcomes.run();
     }
 
     /** Notes that an attempt is about to be sent or read again. */
@@ -134,7 +181,7 @@
     /** Notes that a new generation starts; the log must have been emptied before. */
     void newGeneration(GenerationSpec next) {
         generation = next;
-        publish();
+        publish(Optional.empty());
         driver.on(new CopyEvent.NewGeneration(next));
     }
 
@@ -147,13 +194,11 @@
         if (action instanceof CopyAction.ReleaseTo release) {
             request.log().releaseTo(release.index());
         } else if (action instanceof CopyAction.Start) {
-            publish();
-            outcomes.run();
+            started();
         } else if (action instanceof CopyAction.ReleaseEnd end) {
             RequestEnd.end(context, request, thread, end.end());
         } else if (action instanceof CopyAction.Join) {
-            driver.close();
-            outcomes.join();
+            join();
         } else if (action instanceof CopyAction.Fenced fenced) {
             onFenced(fenced.by());
         } else if (action instanceof CopyAction.Unprotected state) {
@@ -183,8 +228,10 @@
         RequestEnd.end(context, request, thread, new AnswerEnd.Failed(error));
     }
 
-    private void publish() {
+    private void publish(Optional<RouterId> openedAt) {
         request.ownedAs(
-                Optional.of(new OwnedAnswer(epoch, request.spec(), generation, request.log())));
+                Optional.of(
+                        new OwnedAnswer(
+                                epoch, request.spec(), generation, request.log(), openedAt)));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
@@ -73,13 +73,14 @@
 
     /** Starts; call once. */
     void start() {
-        request.log().startGeneration(generation.id().number());
         new OrphanWatch(context, request, thread).start();
         ownership.start();
     }
 
     @Override
     public void run() {
+        // Not before: the log of a request that joins another router's takes that one's generation.
+        request.log().startGeneration(generation.id().number());
         if (taken.isPresent() && taken.get().copy().end().isPresent()) {
             return;
         }
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLinksTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLinksTest.java
@@ -180,6 +180,59 @@
         assertTrue(t.bytesPerToken() > 2, t.toString());
     }
 
+    /** One key is submitted to two routers, one of which is asked to hold the other's copy. */
+    @Nested
+    final class Opening {
+        private static final long NUMBER = 1;
+        private final AnswerLog log = new AnswerLog();
+
+        /**
+         * A caller submits a key again through a router whose first holder is the owner. Granted a
+         * copy there, that router would run the request a second time.
+         */
+        @Test
+        void ownerRefusesToHoldItsOwnRequest() throws Exception {
+            connect();
+            a.owned = Optional.of(owned(Optional.empty()));
+            assertEquals(new HolderAnswer.HeldByOther(FIRST), openAtA(B));
+        }
+
+        /** Both open at one moment, each at the other: the higher epoch goes first. */
+        @Test
+        void lowerOfTwoThatAskEachOtherYields() throws Exception {
+            connect();
+            a.owned = Optional.of(owned(Optional.of(B)));
+            assertEquals(new HolderAnswer.Granted(), openAtA(B));
+            assertTrue(a.copies.holds(REQUEST));
+        }
+
+        /** Both open at one moment, but only one asks the other: it hears of it. */
+        @Test
+        void oneThatAskedElsewhereDoesNotYield() throws Exception {
+            connect();
+            a.owned = Optional.of(owned(Optional.of(H1)));
+            assertEquals(new HolderAnswer.HeldByOther(FIRST), openAtA(B));
+        }
+
+        private OwnedAnswer owned(Optional<RouterId> openedAt) {
+            return new OwnedAnswer(
+                    FIRST, Samples.spec(REQUEST), Samples.generation(REQUEST, 1), log, openedAt);
+        }
+
+        private HolderAnswer openAtA(RouterId opener) throws Exception {
+            GenerationCopy copy =
+                    GenerationCopy.fresh(
+                            CopyEpoch.first(opener),
+                            Samples.spec(REQUEST),
+                            Samples.generation(REQUEST, 2));
+            CompletableFuture<CopyEvent> event = new CompletableFuture<>();
+            CopyCommand.Open open = new CopyCommand.Open(copy);
+            b.copies.send(new CopyAction.SendToHolder(A, NUMBER, open), event::complete);
+            CopyEvent answered = event.get(WAIT_S, TimeUnit.SECONDS);
+            return ((CopyEvent.Answered) answered).answer();
+        }
+    }
+
     /** One router with its links, its store and the requests it owns. */
     private final class Router {
         private final RouterId id;
