serving: read on at another router while the owner lives

Cause: a caller who moves with Last-Event-ID was answered before the owner's first tokens came; the log showed generation 0 by then, and the caller was told that all its tokens were void. On loopback the owner's answer mostly won. Ruled out: a taken-over request, whose log is filled before it is read. Change: the log begins with the generation that the lookup found.

--- a/masticweir/src/main/java/org/masticweir/serving/RequestLookup.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestLookup.java
@@ -66,6 +66,9 @@
     private RunningRequest follow(LookupAction.Following following) {
         RequestRegistry.Admission admission = admit(following.spec(), 0);
         if (admission.fresh()) {
+            // Before the owner's first answer the log would show no generation, and a caller who
+            // names the one that it has would be told that its tokens are void.
+            admission.request().log().startGeneration(following.generation().id().number());
             new RequestFollow(context, admission.request(), thread, takeOver)
                     .follow(following.owner());
         }
