claims: say when to come back, and don't keep a duplicate's answer

Cause: a claim given up after lost answers was refused without retry_after_ms; and a router kept "another submission has the claim" for a minute, so whoever came back as advised was not given the answer stored meanwhile. Ruled out: the stored row, which the claiming router and a third one read. Change: the refusal carries the policy's advice; a duplicate is forgotten at once, since nothing was sent for it here, and the row is asked again. Conclusion: a caller who comes back learns the stored answer from any router.

--- a/masticweir/src/main/java/org/masticweir/claims/ClaimState.java
+++ b/masticweir/src/main/java/org/masticweir/claims/ClaimState.java
@@ -200,7 +200,8 @@
      * written under the same check: whichever lands first, the other one fails.
      */
     private List<ClaimAction> giveUp(long nowMs) {
-        ClaimAction refusal = new ClaimAction.Refuse(unavailable());
+        ClaimAction refusal =
+                new ClaimAction.Refuse(unavailable().retryAfterMs(policy.retryAfterMs()));
         settle(claim.released());
         return ImmutableList.of(refusal, nextWrite(nowMs));
     }
--- a/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestEnd.java
@@ -39,8 +39,11 @@
             return false;
         }
         Verdict verdict = failed.error().verdict();
+        // Of a duplicate nothing was sent here; the claim's row is asked again, since the answer of
+        // the submission that has the claim may be stored by then.
         return request.spec().idempotent()
                 || verdict.safeToSendAgain()
+                || failed.error().code() == ErrorCode.DUPLICATE
                 || failed.error().code() == ErrorCode.SUPERSEDED;
     }
 }
--- a/masticweir/src/test/java/org/masticweir/claims/ClaimServiceTest.java
+++ b/masticweir/src/test/java/org/masticweir/claims/ClaimServiceTest.java
@@ -131,7 +131,9 @@
         @Test
         void claimGivenUpIsReleasedForTheNextSubmission() {
             table.loseAnswers(ClaimPolicy.defaults().maxTries());
-            assertInstanceOf(ClaimDecision.NotRun.class, claim(first, LETTER).join());
+            ClaimDecision refused = claim(first, LETTER).join();
+            var error = assertInstanceOf(ClaimDecision.NotRun.class, refused).error();
+            assertTrue(error.retryAfterMs().isPresent(), "told when to come back");
             ClaimDecision next = claim(second, LETTER).join();
             while (next instanceof ClaimDecision.JoinOrStored) {
                 next = claim(second, LETTER).join();
