Test the loss and the pause of routers on real processes

Cause: the loss of a router under an answer had no test with real processes. Ruled out: the shared bed (its routers would meet the killed ones), and ports of the system's own range (a connection can take one while its router is down). Change: three routers in two domains on a bed of their own; killed, paused past their replacement, killed with an engine or after their holder; one key at two routers; the caller comes back by id or by key.

--- a/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
@@ -38,6 +38,11 @@
         send("{\"route\":\"%s\",\"mode\":\"%s\"}", route, mode);
     }
 
+    /** Delays what passes on a route by {@code ms} each way. */
+    void delay(String route, long ms) {
+        send("{\"route\":\"%s\",\"mode\":\"delay\",\"delay_ms\":%d}", route, ms);
+    }
+
     /** Resets the connections of a route, which passes new ones at once. */
     void reset(String route) {
         send(
--- a/masticweir-it/src/test/java/org/masticweir/it/RunningCall.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RunningCall.java
@@ -32,6 +32,17 @@
         return call;
     }
 
+    /** Reads the answer again at {@code router}, after the event {@code lastEventId}. */
+    static RunningCall readAgain(
+            CallerClient client,
+            InetSocketAddress router,
+            CallRequest request,
+            String lastEventId) {
+        RunningCall call = new RunningCall(request);
+        call.done = client.readAgain(router, request, lastEventId, call::progress);
+        return call;
+    }
+
     CallRequest request() {
         return request;
     }
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -65,7 +65,7 @@
     private final RouterLauncher launcher;
     private final ImmutableList<RouterProcess> routers;
 
-    private TestBed() {
+    private TestBed(ImmutableList<RouterLauncher.Spec> specs) {
         try {
             ChildProcess platformProcess = startPlatform();
             ChildProcess proxyProcess =
@@ -81,11 +81,7 @@
             instances.install(DeploymentText.ini());
             announced = announceAll();
             launcher = new RouterLauncher(processes, proxy, instances, platform);
-            routers =
-                    launch(
-                            ImmutableList.of(
-                                    new RouterLauncher.Spec("r1", "a"),
-                                    new RouterLauncher.Spec("r2", "b")));
+            routers = launch(specs);
         } catch (RuntimeException | Error e) {
             close();
             throw e;
@@ -94,7 +90,14 @@
 
     /** Starts all processes and returns once the routers take work. */
     static TestBed start() {
-        return new TestBed();
+        return new TestBed(
+                ImmutableList.of(
+                        new RouterLauncher.Spec("r1", "a"), new RouterLauncher.Spec("r2", "b")));
+    }
+
+    /** Starts all processes but routers, for a test that brings its own. */
+    static TestBed startWithoutRouters() {
+        return new TestBed(ImmutableList.of());
     }
 
     CallerClient caller() {
@@ -220,6 +223,12 @@
     /** Ends every fault, starts what was killed, and lets the routers see it. */
     @Override
     public void heal() {
+        healBackEnds();
+        awaitAllLive(routers);
+    }
+
+    /** Ends every fault and starts the back ends that were killed. */
+    void healBackEnds() {
         proxy.passAll();
         platformOutage(0);
         for (BackEndProcess backEnd : backEnds()) {
@@ -228,7 +237,6 @@
             }
             announce(backEnd, "live");
         }
-        awaitAllLive(routers);
     }
 
     @Override
