--- a/masticweir-it/src/test/java/org/masticweir/it/FleetPerClass.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FleetPerClass.java
@@ -2,7 +2,7 @@
 
 import org.junit.jupiter.api.extension.ExtensionContext;
 
-/** Gives one test class with its nested ones a fleet of routers, closed when the class ends. */
+/** Gives each top-level test class one fleet of routers, and ends each test's faults after it. */
 final class FleetPerClass extends SharedBed<RouterFleet> {
     FleetPerClass() {
         super(RouterFleet.class, RouterFleet::start);
