bench: random faults from a seed, under load and checked token by token

Cause: only hand-picked faults were run over real processes. Ruled out: a harness of its own; the experiment already injects, records and checks.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
@@ -72,6 +72,12 @@
     @Parameter(names = "--faults", description = "JSON file with more faults")
     private String faultFile = "";
 
+    @Parameter(names = "--random-faults", description = "faults drawn from the seed, beside others")
+    private int randomFaults;
+
+    @Parameter(names = "--fault-seed", description = "of the drawn faults; a fresh one is printed")
+    private long faultSeed = System.nanoTime();
+
     @Parameter(names = "--runs", description = "runs of each set")
     private int runs = 3;
 
@@ -143,10 +149,10 @@
     private FaultSchedule schedule(ImmutableList<EngineProcess> processes) {
         try {
             FaultSchedule flags = FaultSchedule.parse(faults);
-            FaultSchedule all =
-                    faultFile.isEmpty()
-                            ? flags
-                            : flags.plus(FaultSchedule.read(Path.of(faultFile)));
+            FaultSchedule all = flags.plus(drawn(processes));
+            if (!faultFile.isEmpty()) {
+                all = all.plus(FaultSchedule.read(Path.of(faultFile)));
+            }
             all.checkEngines(
                     processes.stream()
                             .map(EngineProcess::id)
@@ -157,6 +163,18 @@
         }
     }
 
+    private FaultSchedule drawn(ImmutableList<EngineProcess> processes) {
+        List<String> ids = processes.stream().map(EngineProcess::id).toList();
+        RandomFaults random =
+                new RandomFaults(faultSeed, ids, !proxy.isEmpty(), !platformA.isEmpty());
+        FaultSchedule schedule =
+                random.draw(randomFaults, Math.round(load.shape().seconds() * MS_PER_S));
+        if (randomFaults > 0) {
+            System.out.println("fault seed " + faultSeed + ": " + schedule.faults());
+        }
+        return schedule;
+    }
+
     private static Optional<InetSocketAddress> address(String text) {
         return text.isEmpty() ? Optional.empty() : Optional.of(IpAddress.parse(text));
     }
