callers: read a body that is too long to its end before refusing it

The router refused before the body was read; closing with unread bytes resets the connection, and the reset can overtake the answer. Found besides: the server's own bound of 2 MB cut off longer bodies whatever the setting said. Ruled out: dropping parts as they come, as the exchange ends between two parts of a chunked body. Change: up to four times the longest body is read, then refused; beyond that the caller is cut off as before; the server's bound follows the setting.

--- a/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.primitives.Ints;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderValues;
@@ -25,6 +26,7 @@
 /** Answers callers; thread-safe, each exchange stays on its I/O thread. */
 public final class CallerHandler implements HttpHandler {
     private static final Logger LOG = LogManager.getLogger(CallerHandler.class);
+    private static final int READ_FACTOR = 4;
     private static final String REQUESTS = "/v1/requests";
     private static final String READY = "/v1/ready";
     private static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-ID");
@@ -92,18 +94,28 @@
 
     private void receiveSubmission(HttpServerExchange exchange) {
         TeamId team = authenticate(exchange);
-        if (exchange.getRequestContentLength() > limits.maxBodyBytes()) {
+        if (exchange.getRequestContentLength() > readBound()) {
             exchange.setPersistent(false);
             throw tooLarge();
         }
-        exchange.getRequestReceiver().setMaxBufferSize(limits.maxBodyBytes());
+        // Read to its end also when it is too long: closing a connection with unread bytes resets
+        // it, the reset can overtake the refusal, and the caller would see no code.
+        exchange.getRequestReceiver().setMaxBufferSize(readBound());
         exchange.getRequestReceiver()
                 .receiveFullBytes(
                         (ex, bytes) -> guarded(ex, () -> submit(ex, team, bytes)),
                         (ex, e) -> ErrorAnswer.send(ex, tooLarge()));
     }
 
+    /** Returns how much of a body that is too long is read before its caller is cut off. */
+    private int readBound() {
+        return Ints.saturatedCast((long) limits.maxBodyBytes() * READ_FACTOR);
+    }
+
     private void submit(HttpServerExchange exchange, TeamId team, byte[] bytes) {
+        if (bytes.length > limits.maxBodyBytes()) {
+            throw tooLarge();
+        }
         SubmitBody body = SubmitBody.parse(bytes);
         RequestSpec spec = body.toSpec(team, limits);
         RunningRequest request = service.submit(spec, exchange.getIoThread());
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -77,6 +77,7 @@
 
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final int HEADER_SLACK = 4;
+    private static final long BODY_SLACK = 8;
     private static final int MAX_HEADERS = 200;
     private static final int MAX_TOKENS = 1 << 20;
     private static final long NO_ENGINE_WAIT_MS = 4_000;
@@ -302,6 +303,8 @@
                 .setServerOption(
                         UndertowOptions.MAX_HEADER_SIZE, bounds.maxHeaderBytes() * HEADER_SLACK)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(
+                        UndertowOptions.MAX_ENTITY_SIZE, (long) bounds.maxBodyBytes() * BODY_SLACK)
                 .setHandler(CallerHandler.of(RequestService.of(context), limits))
                 .build();
     }
