daemon: name the settings file also when a port is in use

Cause: the sentence of a port in use named section, key and value, not the file, as all other settings errors do. Change: the daemon puts the file first. Measured: run by hand with the callers' port taken: exit code 2 and one sentence with file, section, key, value and what is allowed; an unknown key likewise.

--- a/masticweir-daemon/src/main/java/org/masticweir/daemon/Masticweird.java
+++ b/masticweir-daemon/src/main/java/org/masticweir/daemon/Masticweird.java
@@ -51,7 +51,7 @@
         LogSetup.configure(
                 LogLayout.parse(checked.log().layout().name()),
                 Level.valueOf(checked.log().level().name()));
-        Router router = Router.start(checked, Clock.system());
+        Router router = start(checked);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(router), "shutdown"));
         System.out.println(
                 "ready router "
@@ -65,6 +65,16 @@
         System.exit(EXIT_LEFT);
     }
 
+    /** Starts the router; an error names the file as every other error of the settings does. */
+    private Router start(DaemonSettings checked) {
+        try {
+            return Router.start(checked, Clock.system());
+        } catch (MasticweirException e) {
+            throw MasticweirException.causedBy(
+                    e.code(), e.verdict(), settings + ": " + e.getMessage(), e);
+        }
+    }
+
     /**
      * A signal to end is a graceful shutdown: nothing under way is cut off.
      *
