--- a/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
@@ -97,21 +97,8 @@
     }
 
     private void endAs(ClaimRow row) {
-        boolean completed = row.status() == ClaimStatus.DONE && row.verdict() == Verdict.COMPLETED;
-        if (completed && row.result().isEmpty()) {
-            // Too long for its row: without its tokens it must not pass for a whole answer.
-            fail(
-                    MasticweirException.of(
-                            ErrorCode.DUPLICATE,
-                            Verdict.COMPLETED,
-                            "the request ran to its end and its answer is no longer kept"));
-            return;
-        }
-        if (completed) {
-            StoredAnswer answer = StoredAnswer.decode(row.result());
-            request.log().append(0, answer.tokens());
-            ownership.accepted(answer.tokens().length());
-            ownership.ended(new AnswerEnd.Completed(answer.result()));
+        if (row.status() == ClaimStatus.DONE && row.verdict() == Verdict.COMPLETED) {
+            StoredAnswer.decode(row.result()).ifPresentOrElse(this::endAs, this::endWithoutAnswer);
             return;
         }
         LOG.info("claims: request {} is claimed by {}", request.spec().id(), row.owner());
@@ -124,6 +111,21 @@
                         .retryAfterMs(JOIN_RETRY_MS));
     }
 
+    private void endAs(StoredAnswer answer) {
+        request.log().append(0, answer.tokens());
+        ownership.accepted(answer.tokens().length());
+        ownership.ended(new AnswerEnd.Completed(answer.result()));
+    }
+
+    /** Too long for its row: without its tokens it must not pass for a whole answer. */
+    private void endWithoutAnswer() {
+        fail(
+                MasticweirException.of(
+                        ErrorCode.DUPLICATE,
+                        Verdict.COMPLETED,
+                        "the request ran to its end and its answer is no longer kept"));
+    }
+
     private void fail(MasticweirException error) {
         long ms = context.clock().nowMs() - request.acceptedAtMs();
         context.observer().failed(request.spec(), error, ms);
--- a/masticweir/src/main/java/org/masticweir/serving/StoredAnswer.java
+++ b/masticweir/src/main/java/org/masticweir/serving/StoredAnswer.java
@@ -5,6 +5,7 @@
 import com.google.common.base.Joiner;
 import com.google.common.base.Splitter;
 import com.google.common.primitives.ImmutableIntArray;
+import java.util.Optional;
 
 /**
  * A whole answer as a claim's row keeps it: a service's text, or a model's tokens.
@@ -23,15 +24,19 @@
         return TOKENS + Joiner.on(',').join(tokens.asList());
     }
 
-    static StoredAnswer decode(String text) {
+    /** Returns the answer that a row keeps; empty when it was too long for its row. */
+    static Optional<StoredAnswer> decode(String text) {
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
         if (!text.startsWith(TOKENS)) {
             String result = text.startsWith(RESULT) ? text.substring(RESULT.length()) : text;
-            return new StoredAnswer(result, ImmutableIntArray.of());
+            return Optional.of(new StoredAnswer(result, ImmutableIntArray.of()));
         }
         ImmutableIntArray.Builder tokens = ImmutableIntArray.builder();
         for (String token : Splitter.on(',').split(text.substring(TOKENS.length()))) {
             tokens.add(Integer.parseInt(token));
         }
-        return new StoredAnswer("", tokens.build());
+        return Optional.of(new StoredAnswer("", tokens.build()));
     }
 }
