tests: lose the answer of the write that is meant, and write routers' settings in one place

Cause: the last run of continuous integration failed in ConfigChangeTest.OutDuring with 503 PLATFORM_UNAVAILABLE, NOT_RUN. The stand-in's lose_answers took the next transaction of any table; a lease is renewed about once a second, so a renewal could use the fault up while the change was still at its first read, and the outage set after it met a change that had written nothing. The router's answer was true; the test had not caused the failure of its story. AnswerLost could pass without its fault for the same reason.

Ruled out: a wrong verdict of OpenChange. NOT_WRITTEN needs that no write had an unknown outcome.

Change: lose_answers_table names the table whose writes lose their answer. The tests of lost answers name theirs, and AnswerLost now also checks that an answer was lost. The tests stay as strict: the accepted outcomes are the same.

Also: the settings of test routers, their ports, the start of platform and proxy and the logs' directory stood three times each in RouterLauncher, FleetRouter, DomainRouter and the beds; they are now in RouterIni, RouterPorts and Processes.

--- a/masticweir-it/src/test/java/org/masticweir/it/AtMostOnceTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/AtMostOnceTest.java
@@ -91,7 +91,7 @@
 
         private void assertOneRun(CallRequest request) {
             long lost = platformCount("lost_answers");
-            fleet.platformFault("{\"lose_answers\":1}");
+            fleet.platformFault("{\"lose_answers\":1,\"lose_answers_table\":\"claims\"}");
             CallRecord record = fleet.submit(fleet.first(), request).record();
             assertTrue(completed(record), () -> "answer " + record);
             assertEquals(lost + 1, platformCount("lost_answers"), "answers lost");
--- a/masticweir-it/src/test/java/org/masticweir/it/ConfigChangeTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ConfigChangeTest.java
@@ -120,10 +120,12 @@
         @Test
         void readingSettlesItAndItIsAcceptedOnce() {
             long base = a.revision();
-            bed.platformFault("{\"lose_answers\":1}");
+            long lostBefore = bed.platformCount("lost_answers");
+            bed.platformFault("{\"lose_answers\":1,\"lose_answers_table\":\"config\"}");
             Answer answer = a.apply(change(base, "lost-answer", 530));
             assertEquals("accepted", answer.outcome(), answer::toString);
             assertEquals(base + 1, a.revision());
+            assertEquals(lostBefore + 1, bed.platformCount("lost_answers"), "answers lost");
             assertEquals(1, timesInHistory("lost-answer"));
         }
     }
@@ -169,7 +171,8 @@
             long base = a.revision();
             Change change = change(base, "out-during", 550);
             long lostBefore = bed.platformCount("lost_answers");
-            bed.platformFault("{\"slow_ms\":300,\"lose_answers\":1}");
+            bed.platformFault(
+                    "{\"slow_ms\":300,\"lose_answers\":1,\"lose_answers_table\":\"config\"}");
             long sinceMs = RevisionWatch.nowMs();
             CompletableFuture<Answer> asked = a.propose(change);
             Await.until(
--- a/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
@@ -2,10 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,14 +34,12 @@
     private static final long HEALED_BOUND_MS = 30_000;
     private static final int HEAP_MB = 64;
     private static final int MAX_BATCH = 8;
-    private static final Path LOGS = Path.of("target", "domain-bed");
 
     private final XnioWorker worker = BenchWorker.start(2);
     private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
     private final CallerClient caller = CallerClient.on(worker, Clock.system());
     private final StandInControl control = StandInControl.over(calls);
-    private final Path directory = emptyDirectory();
-    private final Processes processes = Processes.in(directory);
+    private final Processes processes = Processes.inNew("domain-bed");
     private final List<DomainRouter> added = new ArrayList<>();
     private final ImmutableList<BackEndProcess> engines;
     private final ImmutableList<InstanceListClient.Entry> engineEntries;
@@ -55,12 +50,8 @@
 
     private DomainBed() {
         try {
-            ChildProcess platformProcess = startPlatform();
-            ChildProcess proxyProcess =
-                    processes.standIn(
-                            "proxy",
-                            HEAP_MB,
-                            ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+            ChildProcess platformProcess = processes.platform(HEAP_MB, LIST_LAG_MS);
+            ChildProcess proxyProcess = processes.proxy(HEAP_MB);
             engines = ImmutableList.of(startEngine("e1", "a"), startEngine("e2", "b"));
             platform = platformProcess.awaitAddress();
             proxy = new ProxyControl(control, proxyProcess.awaitAddress());
@@ -98,7 +89,7 @@
 
     /** Returns the directory of the processes' logs, for a test's files. */
     Path directory() {
-        return directory;
+        return processes.directory();
     }
 
     ImmutableList<DomainRouter> routers() {
@@ -262,18 +253,6 @@
         return router;
     }
 
-    private ChildProcess startPlatform() {
-        return processes.standIn(
-                "platform",
-                HEAP_MB,
-                ImmutableList.of(
-                        "platform",
-                        "--listen",
-                        "127.0.0.1:0",
-                        "--list-lag-ms",
-                        Long.toString(LIST_LAG_MS)));
-    }
-
     private BackEndProcess startEngine(String id, String domain) {
         return BackEndProcess.start(
                 processes,
@@ -288,13 +267,4 @@
                 "--max-batch",
                 Integer.toString(MAX_BATCH));
     }
-
-    private static Path emptyDirectory() {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "run");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/DomainRouter.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainRouter.java
@@ -2,10 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
-import java.util.List;
-import org.masticweir.http.IpAddress;
 
 /**
  * A router that can be ended and started again under its id, its links all behind the proxy.
@@ -17,18 +14,8 @@
     static final long BALANCER_LAG_MS = 1_500;
 
     private static final int HEAP_MB = 96;
-    private static final int PORTS = 3;
     private static final String SETTINGS =
             """
-            [router]
-            id = %s
-            domain = %s
-            caller_address = %s
-            operator_address = %s
-            peer_address = %s
-            advertised_peer_address = %s
-            [platform]
-            address = %s
             [callers]
             orphan_ms = 1000
             [config]
@@ -40,7 +27,7 @@
     private final Processes processes;
     private final String id;
     private final String domain;
-    private final List<Integer> ports;
+    private final RouterPorts ports;
     private final InetSocketAddress advertised;
     private final InetSocketAddress platform;
     private ChildProcess process;
@@ -54,8 +41,8 @@
         this.processes = checkNotNull(processes, "processes");
         this.id = checkNotNull(id, "id");
         this.domain = checkNotNull(domain, "domain");
-        ports = ServerPorts.choose(PORTS);
-        advertised = proxy.add(peerRoute(id), loopback(ports.get(2)));
+        ports = RouterPorts.of(ServerPorts.choose(RouterPorts.COUNT));
+        advertised = proxy.add(peerRoute(id), ports.peers());
         this.platform = proxy.add(platformRoute(id), platform);
     }
 
@@ -81,17 +68,8 @@
 
     /** Starts the process; it is not ready yet. */
     void start() {
-        String settings =
-                String.format(
-                        SETTINGS,
-                        id,
-                        domain,
-                        IpAddress.text(callers()),
-                        IpAddress.text(operators()),
-                        IpAddress.text(loopback(ports.get(2))),
-                        IpAddress.text(advertised),
-                        IpAddress.text(platform),
-                        BALANCER_LAG_MS);
+        String more = String.format(SETTINGS, BALANCER_LAG_MS);
+        String settings = RouterIni.of(id, domain, ports, advertised, platform, more);
         process = processes.router(id, HEAP_MB, settings);
     }
 
@@ -108,11 +86,11 @@
     }
 
     InetSocketAddress callers() {
-        return loopback(ports.get(0));
+        return ports.callers();
     }
 
     InetSocketAddress operators() {
-        return loopback(ports.get(1));
+        return ports.operators();
     }
 
     /** Returns the row of the instance list that names this router. */
@@ -124,8 +102,4 @@
     public String toString() {
         return id;
     }
-
-    private static InetSocketAddress loopback(int port) {
-        return new InetSocketAddress(InetAddresses.forString("127.0.0.1"), port);
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/FleetRouter.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FleetRouter.java
@@ -2,31 +2,16 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
-import java.util.List;
-import org.masticweir.http.IpAddress;
 
 /** A router of a fleet, which can be killed and started again at its addresses. */
 final class FleetRouter {
-    static final int PORTS = 3;
-
     /** How long a request goes on without a caller; longer than any test's caller stays away. */
     static final long ORPHAN_MS = 8_000;
 
     private static final int HEAP_MB = 96;
     private static final String SETTINGS =
             """
-            [router]
-            id = %s
-            domain = %s
-            caller_address = %s
-            operator_address = %s
-            peer_address = %s
-            advertised_peer_address = %s
-            [platform]
-            address = %s
             config_poll_ms = 200
             instances_poll_ms = 200
             [callers]
@@ -36,7 +21,7 @@
     private final Processes processes;
     private final String id;
     private final String domain;
-    private final ImmutableList<Integer> ports;
+    private final RouterPorts ports;
     private final InetSocketAddress platform;
     private final InetSocketAddress advertised;
     private ChildProcess process;
@@ -45,7 +30,6 @@
     /**
      * Starts a router; it is not ready yet.
      *
-     * @param ports of callers, operators and peers
      * @param platform where the router reaches the platform
      * @param advertised where other routers reach it
      */
@@ -53,13 +37,13 @@
             Processes processes,
             String id,
             String domain,
-            List<Integer> ports,
+            RouterPorts ports,
             InetSocketAddress platform,
             InetSocketAddress advertised) {
         this.processes = checkNotNull(processes, "processes");
         this.id = checkNotNull(id, "id");
         this.domain = checkNotNull(domain, "domain");
-        this.ports = ImmutableList.copyOf(ports);
+        this.ports = checkNotNull(ports, "ports");
         this.platform = checkNotNull(platform, "platform");
         this.advertised = checkNotNull(advertised, "advertised");
         process = launch();
@@ -74,11 +58,11 @@
     }
 
     InetSocketAddress callers() {
-        return loopback(ports.get(0));
+        return ports.callers();
     }
 
     InetSocketAddress operators() {
-        return loopback(ports.get(1));
+        return ports.operators();
     }
 
     /** Returns where other routers reach it. */
@@ -126,21 +110,8 @@
     }
 
     private ChildProcess launch() {
-        String settings =
-                String.format(
-                        SETTINGS,
-                        id,
-                        domain,
-                        IpAddress.text(callers()),
-                        IpAddress.text(operators()),
-                        IpAddress.text(loopback(ports.get(2))),
-                        IpAddress.text(advertised),
-                        IpAddress.text(platform),
-                        ORPHAN_MS);
+        String more = String.format(SETTINGS, ORPHAN_MS);
+        String settings = RouterIni.of(id, domain, ports, advertised, platform, more);
         return processes.router(id, HEAP_MB, settings);
     }
-
-    static InetSocketAddress loopback(int port) {
-        return new InetSocketAddress(InetAddresses.forString("127.0.0.1"), port);
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/Processes.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/Processes.java
@@ -37,6 +37,35 @@
         return processes;
     }
 
+    /** Returns a launcher that keeps settings and logs in a new directory below target. */
+    static Processes inNew(String logs) {
+        try {
+            Path parent = Files.createDirectories(Path.of("target", logs));
+            return in(Files.createTempDirectory(parent.toAbsolutePath(), "run"));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns the directory of settings and logs. */
+    Path directory() {
+        return directory;
+    }
+
+    /** Starts the platform on a port of its own choice, with a lagging instance list. */
+    ChildProcess platform(int heapMb, long listLagMs) {
+        String lag = Long.toString(listLagMs);
+        return standIn(
+                "platform",
+                heapMb,
+                ImmutableList.of("platform", "--listen", "127.0.0.1:0", "--list-lag-ms", lag));
+    }
+
+    /** Starts the fault-injecting proxy, without routes, on a port of its own choice. */
+    ChildProcess proxy(int heapMb) {
+        return standIn("proxy", heapMb, ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+    }
+
     /** Starts a stand-in with at most {@code heapMb} of heap. */
     ChildProcess standIn(String name, int heapMb, List<String> arguments) {
         return start(name, heapMb, StandIns.class, arguments);
--- a/masticweir-it/src/test/java/org/masticweir/it/RouterFleet.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterFleet.java
@@ -1,25 +1,19 @@
 package org.masticweir.it;
 
 import static com.google.common.base.Preconditions.checkNotNull;
-import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import org.masticweir.bench.BenchWorker;
 import org.masticweir.bench.caller.CallRequest;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.http.HttpOutcome;
-import org.masticweir.http.IpAddress;
 import org.masticweir.id.RequestId;
 import org.masticweir.id.TeamId;
 import org.xnio.XnioWorker;
@@ -34,7 +28,6 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long KNOWN_BOUND_MS = 20_000;
     private static final long CALL_TIMEOUT_MS = 2_000;
-    private static final Path LOGS = Path.of("target", "test-bed");
 
     private final TestBed bed;
     private final XnioWorker worker;
@@ -46,9 +39,9 @@
         this.bed = checkNotNull(bed, "bed");
         worker = BenchWorker.start(1);
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
-        processes = Processes.in(emptyDirectory());
+        processes = Processes.inNew("fleet");
         try {
-            ImmutableList<Integer> ports = ServerPorts.choose(3 * FleetRouter.PORTS);
+            ImmutableList<Integer> ports = ServerPorts.choose(3 * RouterPorts.COUNT);
             routers =
                     ImmutableList.of(
                             launch("n1", "a", ports.subList(0, 3)),
@@ -200,44 +193,19 @@
         return "peer-" + id;
     }
 
-    private FleetRouter launch(String id, String domain, ImmutableList<Integer> ports) {
+    private FleetRouter launch(String id, String domain, ImmutableList<Integer> numbers) {
+        RouterPorts ports = RouterPorts.of(numbers);
         InetSocketAddress platform =
                 bed.proxy().addOnce(RouterLauncher.platformRoute(id), bed.platform());
-        InetSocketAddress peers =
-                bed.proxy().addOnce(peerRoute(id), FleetRouter.loopback(ports.get(2)));
+        InetSocketAddress peers = bed.proxy().addOnce(peerRoute(id), ports.peers());
         return new FleetRouter(processes, id, domain, ports, platform, peers);
     }
 
     /** Puts {@code router} on the instance list. */
     private void announce(FleetRouter router) {
-        String json =
-                MAPPER.createObjectNode()
-                        .put("id", router.id())
-                        .put("kind", "router")
-                        .put("group", "routers")
-                        .put("domain", router.domain())
-                        .put("address", IpAddress.text(router.advertised()))
-                        .put("state", "live")
-                        .toString();
-        HttpCall call =
-                new HttpCall(
-                        "PUT",
-                        bed.platform(),
-                        "/instances/" + router,
-                        ImmutableMap.of("Content-Type", "application/json"),
-                        json.getBytes(UTF_8));
-        HttpOutcome outcome = calls.call(call, CALL_TIMEOUT_MS).join();
-        if (!(outcome instanceof HttpOutcome.Answered a && a.answer().isSuccess())) {
-            throw new AssertionError("the platform did not take " + router + ": " + outcome);
-        }
-    }
-
-    private static Path emptyDirectory() {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "fleet");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        InstanceListClient.Entry entry =
+                new InstanceListClient.Entry(
+                        "router", router.id(), router.domain(), "", router.advertised());
+        new InstanceListClient(calls, bed.platform()).put(entry, "live");
     }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
@@ -3,32 +3,20 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.masticweir.http.IpAddress;
 
 /** Starts routers whose links to the platform and to each other pass through the proxy. */
 final class RouterLauncher {
     private static final int HEAP_MB = 128;
-    private static final int PORTS = 3;
     private static final int TRIES = 3;
     private static final int EXIT_PORT_IN_USE = 2;
     private static final long READY_BOUND_MS = 20_000;
     private static final String SETTINGS =
             """
-            [router]
-            id = %s
-            domain = %s
-            caller_address = %s
-            operator_address = %s
-            peer_address = %s
-            advertised_peer_address = %s
-            [platform]
-            address = %s
             config_poll_ms = 200
             instances_poll_ms = 200
             [callers]
@@ -60,7 +48,7 @@
     /** Starts routers that know each other; their ports are taken anew when one was in use. */
     ImmutableList<RouterProcess> start(List<Spec> specs) {
         for (int i = 0; i < TRIES; i++) {
-            ImmutableList<Integer> ports = Processes.freePorts(PORTS * specs.size());
+            ImmutableList<Integer> ports = Processes.freePorts(RouterPorts.COUNT * specs.size());
             ImmutableList<RouterProcess> routers = launchAll(specs, ports);
             if (allReady(routers)) {
                 routers.forEach(instances::announceRouter);
@@ -97,40 +85,26 @@
     private ImmutableList<RouterProcess> launchAll(List<Spec> specs, List<Integer> ports) {
         ImmutableList.Builder<RouterProcess> routers = ImmutableList.builder();
         for (int i = 0; i < specs.size(); i++) {
-            routers.add(launch(specs.get(i), ports.subList(PORTS * i, PORTS * i + PORTS)));
+            int first = RouterPorts.COUNT * i;
+            List<Integer> own = ports.subList(first, first + RouterPorts.COUNT);
+            routers.add(launch(specs.get(i), RouterPorts.of(own)));
         }
         return routers.build();
     }
 
-    private RouterProcess launch(Spec spec, List<Integer> ports) {
-        InetSocketAddress callers = loopback(ports.get(0));
-        InetSocketAddress operators = loopback(ports.get(1));
-        InetSocketAddress peers = loopback(ports.get(2));
+    private RouterProcess launch(Spec spec, RouterPorts ports) {
         String route = "peer-" + spec.id() + "-" + routes.incrementAndGet();
-        InetSocketAddress throughProxy = proxy.add(route, peers);
+        InetSocketAddress advertised = proxy.add(route, ports.peers());
+        String more = String.format(SETTINGS, TestBed.ORPHAN_MS, TestBed.BALANCER_LAG_MS);
         String settings =
-                String.format(
-                        SETTINGS,
-                        spec.id(),
-                        spec.domain(),
-                        IpAddress.text(callers),
-                        IpAddress.text(operators),
-                        IpAddress.text(peers),
-                        IpAddress.text(throughProxy),
-                        IpAddress.text(platformOf(spec)),
-                        TestBed.ORPHAN_MS,
-                        TestBed.BALANCER_LAG_MS);
+                RouterIni.of(spec.id(), spec.domain(), ports, advertised, platformOf(spec), more);
         ChildProcess process = processes.router(spec.id(), HEAP_MB, settings);
         return new RouterProcess(
-                spec.id(), spec.domain(), process, callers, operators, throughProxy);
+                spec.id(), spec.domain(), process, ports.callers(), ports.operators(), advertised);
     }
 
     private InetSocketAddress platformOf(Spec spec) {
         String name = platformRoute(spec.id());
         return proxy.addOnce(name, platform);
     }
-
-    private static InetSocketAddress loopback(int port) {
-        return new InetSocketAddress(InetAddresses.forString("127.0.0.1"), port);
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -4,11 +4,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.List;
 import org.masticweir.bench.BenchWorker;
@@ -49,13 +45,12 @@
 
     private static final int PLATFORM_HEAP_MB = 96;
     private static final int PROXY_HEAP_MB = 96;
-    private static final Path LOGS = Path.of("target", "test-bed");
 
     private final XnioWorker worker = BenchWorker.start(2);
     private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
     private final CallerClient caller = CallerClient.on(worker, Clock.system());
     private final StandInControl control = StandInControl.over(calls);
-    private final Processes processes = Processes.in(emptyDirectory());
+    private final Processes processes = Processes.inNew("test-bed");
     private final ImmutableList<BackEndProcess> engines;
     private final ImmutableList<BackEndProcess> services;
     private final InetSocketAddress platform;
@@ -67,12 +62,8 @@
 
     private TestBed(ImmutableList<RouterLauncher.Spec> specs) {
         try {
-            ChildProcess platformProcess = startPlatform();
-            ChildProcess proxyProcess =
-                    processes.standIn(
-                            "proxy",
-                            PROXY_HEAP_MB,
-                            ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+            ChildProcess platformProcess = processes.platform(PLATFORM_HEAP_MB, LIST_LAG_MS);
+            ChildProcess proxyProcess = processes.proxy(PROXY_HEAP_MB);
             engines = startEngines();
             services = startServices();
             platform = platformProcess.awaitAddress();
@@ -272,18 +263,6 @@
         return runsOn(engine, request).stream().mapToInt(RunGeneration::attempt).max().orElse(0);
     }
 
-    private ChildProcess startPlatform() {
-        return processes.standIn(
-                "platform",
-                PLATFORM_HEAP_MB,
-                ImmutableList.of(
-                        "platform",
-                        "--listen",
-                        "127.0.0.1:0",
-                        "--list-lag-ms",
-                        Long.toString(LIST_LAG_MS)));
-    }
-
     private ImmutableList<BackEndProcess> startEngines() {
         return ImmutableList.of(
                 startEngine("e1", "a"),
@@ -334,13 +313,4 @@
         awaitAllLive(added);
         return added;
     }
-
-    private static Path emptyDirectory() {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "run");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/Faults.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/Faults.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.masticweir.standins.platform.http.Disruption;
 import org.masticweir.time.Clock;
@@ -12,6 +13,7 @@
 
     private final Clock clock;
     private final AtomicInteger answersToLose = new AtomicInteger();
+    private volatile Optional<String> losingTable = Optional.empty();
     private volatile long outageUntilMs;
     private volatile long slowMs;
 
@@ -35,13 +37,23 @@
         slowMs = ms;
     }
 
-    void setAnswersToLose(int count) {
+    /**
+     * Loses the answers to the next {@code count} transactions that write.
+     *
+     * <p>With a {@code table} only those count that write a row of it: other tables are written on
+     * timers of their own, whose transactions would use up the fault before the one meant.
+     */
+    void setAnswersToLose(int count, Optional<String> table) {
         checkArgument(count >= 0, "%s answers to lose", count);
+        losingTable = table;
         answersToLose.set(count);
     }
 
     /** Tells whether the answer to the transaction just applied is lost, and counts it if so. */
-    boolean takeLostAnswer() {
+    boolean takeLostAnswer(Transaction applied) {
+        if (!losingTable.map(applied::writesTo).orElse(true)) {
+            return false;
+        }
         return answersToLose.getAndUpdate(n -> Math.max(0, n - 1)) > 0;
     }
 
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformMessages.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformMessages.java
@@ -42,7 +42,12 @@
     record RetryAfter(long retryAfterMs) {}
 
     /** Faults to set; a field left out leaves its fault as it is. */
-    record Control(Long outageMs, Long slowMs, Integer loseAnswers, Long listLagMs) {}
+    record Control(
+            Long outageMs,
+            Long slowMs,
+            Integer loseAnswers,
+            String loseAnswersTable,
+            Long listLagMs) {}
 
     /** What the stand-in saw. */
     record Records(
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformService.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformService.java
@@ -78,12 +78,13 @@
     }
 
     private Answer commit(Call call) {
-        Transaction.Result result = tables.commit(call.message(Transaction.class));
+        Transaction transaction = call.message(Transaction.class);
+        Transaction.Result result = tables.commit(transaction);
         if (!result.applied()) {
             conflicts.incrementAndGet();
             return Answer.json(STATUS_CONFLICT, PlatformMessages.Conflicts.of(result.conflicts()));
         }
-        if (faults.takeLostAnswer()) {
+        if (faults.takeLostAnswer(transaction)) {
             lostAnswers.incrementAndGet();
             return Answer.lost();
         }
@@ -154,7 +155,9 @@
     private Answer control(PlatformMessages.Control control) {
         try {
             Optional.ofNullable(control.listLagMs()).ifPresent(instances::setLagMs);
-            Optional.ofNullable(control.loseAnswers()).ifPresent(faults::setAnswersToLose);
+            Optional<String> table = Optional.ofNullable(control.loseAnswersTable());
+            Optional.ofNullable(control.loseAnswers())
+                    .ifPresent(count -> faults.setAnswersToLose(count, table));
             Optional.ofNullable(control.slowMs()).ifPresent(faults::setSlowMs);
             Optional.ofNullable(control.outageMs()).ifPresent(faults::setOutageMs);
         } catch (IllegalArgumentException e) {
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/Transaction.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/Transaction.java
@@ -24,6 +24,12 @@
         return !puts.isEmpty() || !deletes.isEmpty();
     }
 
+    /** Tells whether a row of {@code table} is set or taken away. */
+    boolean writesTo(String table) {
+        return puts.stream().anyMatch(put -> put.table().equals(table))
+                || deletes.stream().anyMatch(delete -> delete.table().equals(table));
+    }
+
     private static <T> List<T> orEmpty(List<T> list) {
         return list == null ? ImmutableList.of() : ImmutableList.copyOf(list);
     }
--- a/masticweir-standins/src/test/java/org/masticweir/standins/platform/PlatformServerTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/platform/PlatformServerTest.java
@@ -163,6 +163,22 @@
             assertEquals(1, records().get("lost_answers").asInt());
         }
 
+        /**
+         * Only a configuration write is to lose its answer. A write to another table comes first
+         * and is answered; the next write to the named one is not. Before the fault could name a
+         * table, a lease's renewal used it up and the change met no fault.
+         */
+        @Test
+        void lostAnswerOfATableLeavesOthersAnswered() throws Exception {
+            post("/control", "{\"lose_answers\":1,\"lose_answers_table\":\"config\"}");
+            assertEquals(200, put("a", "x", 0).status());
+            assertEquals(0, records().get("lost_answers").asInt());
+            String write = "{\"puts\":[{\"table\":\"config\",\"key\":\"k\",\"value\":\"v\"}]}";
+            assertThrows(IOException.class, () -> post("/tables/txn", write));
+            assertEquals(1, records().get("lost_answers").asInt());
+            assertEquals(200, put("a", "y", 1).status());
+        }
+
         /**
          * The platform goes away for a while. Every caller's connection is closed without an answer
          * and no write takes effect; when the time is over calls are answered again.
