settings: let operators say how long loads take and when versions are unloaded

Cause: both times of control were fixed at 2 minutes and 30 minutes. A load that a lost holder left counts as under way for the first, whatever the store's real time; no test with real processes could see an unload at all.

Ruled out: a shorter fixed time, as weights of the largest models take minutes.

Change: section [control] with unload_after_ms and load_timeout_ms; the defaults stay.

Conclusion: behaviour without the section is unchanged.

--- a/masticweir/src/main/java/org/masticweir/control/ControlSettings.java
+++ b/masticweir/src/main/java/org/masticweir/control/ControlSettings.java
@@ -39,6 +39,17 @@
         return new ControlSettings(lease, orders, loads, other, tickMs, tableTimeoutMs);
     }
 
+    /** Returns these settings with another time before a version is unloaded. */
+    public ControlSettings unloadingAfter(long ms) {
+        return new ControlSettings(
+                lease, orders.unloadingAfter(ms), loads, sweep, tickMs, tableTimeoutMs);
+    }
+
+    /** Returns these settings with another longest time of a load. */
+    public ControlSettings loadingWithin(long ms) {
+        return new ControlSettings(lease, orders, loads.within(ms), sweep, tickMs, tableTimeoutMs);
+    }
+
     public static ControlSettings defaults() {
         return DEFAULTS;
     }
--- a/masticweir/src/main/java/org/masticweir/control/LoadSettings.java
+++ b/masticweir/src/main/java/org/masticweir/control/LoadSettings.java
@@ -20,6 +20,11 @@
         checkArgument(timeoutMs >= 1, "timeout %s ms", timeoutMs);
     }
 
+    /** Returns these settings with another longest time of a load. */
+    public LoadSettings within(long ms) {
+        return new LoadSettings(perSecond, burst, replicasPerLoad, ms);
+    }
+
     public static LoadSettings defaults() {
         return DEFAULTS;
     }
--- a/masticweir/src/main/java/org/masticweir/control/OrderSettings.java
+++ b/masticweir/src/main/java/org/masticweir/control/OrderSettings.java
@@ -29,6 +29,11 @@
         checkArgument(writesPerSecond > 0, "writes per second %s", writesPerSecond);
     }
 
+    /** Returns these settings with another time before a version is unloaded. */
+    public OrderSettings unloadingAfter(long ms) {
+        return new OrderSettings(timeoutMs, longestDelayMs, auditMs, retryMs, ms, writesPerSecond);
+    }
+
     public static OrderSettings defaults() {
         return DEFAULTS;
     }
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -208,12 +208,17 @@
                 calls,
                 control.executor(),
                 clock,
-                ControlSettings.defaults()
-                        .sweeping(
-                                SweepSettings.defaults().keeping(settings.claims().retentionMs())),
+                controlSettings(),
                 control::controlInput);
     }
 
+    private ControlSettings controlSettings() {
+        return ControlSettings.defaults()
+                .sweeping(SweepSettings.defaults().keeping(settings.claims().retentionMs()))
+                .unloadingAfter(settings.control().unloadAfterMs())
+                .loadingWithin(settings.control().loadTimeoutMs());
+    }
+
     private ServingContext context() {
         DaemonSettings.Recovery recovery = settings.recovery();
         InFlight inFlight = InFlight.create();
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -234,6 +234,25 @@
                     WEEK_MS,
                     "Claims and verdicts are kept for so long.");
 
+    static final Setting<Integer> UNLOAD_AFTER_MS =
+            integer(
+                    "control",
+                    "unload_after_ms",
+                    30 * MINUTE_MS,
+                    1000,
+                    DAY_MS,
+                    "A version that nothing declares is unloaded after so long; must be above the"
+                            + " longest generation.");
+    static final Setting<Integer> LOAD_TIMEOUT_MS =
+            integer(
+                    "control",
+                    "load_timeout_ms",
+                    2 * MINUTE_MS,
+                    1000,
+                    DAY_MS,
+                    "Longest time that fetching weights takes; after a loss of the router that"
+                            + " fetched, the engine waits for so long.");
+
     static final Setting<Integer> CONFIG_RETRY_MS =
             integer(
                     "config",
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -26,6 +26,7 @@
         Engines engines,
         Peers peers,
         Claims claims,
+        Control control,
         Config config,
         Shutdown shutdown) {
     /** Exit code of a program whose settings are invalid. */
@@ -68,6 +69,9 @@
                 new Engines(in.get(DaemonSetting.STATE_POLL_MS)),
                 Peers.from(in),
                 new Claims(in.get(DaemonSetting.BATCH_WAIT_MS), in.get(DaemonSetting.RETENTION_MS)),
+                new Control(
+                        in.get(DaemonSetting.UNLOAD_AFTER_MS),
+                        in.get(DaemonSetting.LOAD_TIMEOUT_MS)),
                 Config.from(in),
                 new Shutdown(
                         in.get(DaemonSetting.BALANCER_LAG_MS), in.get(DaemonSetting.DRAIN_MS)));
@@ -165,6 +169,9 @@
     /** Section {@code [claims]}: claims of requests that run at most once. */
     public record Claims(int batchWaitMs, int retentionMs) {}
 
+    /** Section {@code [control]}: the orders to the domain's engines. */
+    public record Control(int unloadAfterMs, int loadTimeoutMs) {}
+
     /** Section {@code [config]}: changes of the deployment document. */
     public record Config(int retryMs, int settleWaitMs, int domainWaitMs) {
         private static Config from(SettingsReader in) {
--- a/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
@@ -45,6 +45,8 @@
             assertEquals(LogLayout.TEXT, read.log().layout());
             assertEquals(1_048_576, read.callers().maxBodyBytes());
             assertEquals(2000, read.shutdown().balancerLagMs());
+            assertEquals(1_800_000, read.control().unloadAfterMs());
+            assertEquals(120_000, read.control().loadTimeoutMs());
             assertEquals(read.router().peerAddress(), read.router().advertisedPeerAddress());
         }
 
