--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineStandIn.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineStandIn.java
@@ -27,7 +27,7 @@
     static EngineStandIn start(EngineSettings settings, Clock clock) {
         checkNotNull(settings, "settings");
         Faults faults = Faults.none(clock);
-        Orders orders = Orders.of(settings);
+        Orders orders = Orders.of(settings, clock);
         Ticker ticker = Ticker.of(clock, faults);
         Engine engine = Engine.idle(settings, clock, faults, orders, ticker::workArrived);
         HttpHandler handler = EngineApi.handler(settings, engine, orders, faults);
