copies: don't rank all routers for each append

Cause: after each append CopySender asked whether the router is alone. The answer comes from HolderChoice.alone, which ranks every known router by a hash of its name and the request's id, with a hash on both sides of each comparison. It was found in a profile: 20 of 402 samples of traffic threads with two routers, and it grows with n log n of the routers. Ruled out: a quicker ranking (a weight a router, not a comparison). It would leave a cost that grows with the routers on each token; a ranking is now made only when a holder is chosen or missing. Change: while a holder has the copy the question isn't asked. A router whose last peer leaves hears of it as the holder's loss, as before, and then goes on alone at once.

--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
@@ -284,8 +284,12 @@
      * a take-over either, but its callers are on its side of the cut; waiting would fail them all.
      */
     private void goOnAloneIfDue(long nowMs) {
-        long since = noHolderSinceMs.orElse(nowMs);
-        if (unprotected || nowMs - since < plan.noHolderBoundMs() && !holders.alone()) {
+        if (unprotected || noHolderSinceMs.isEmpty()) {
+            // A holder has the copy: whether other routers are known, which takes a ranking of all
+            // of them to tell, is not asked for each append.
+            return;
+        }
+        if (nowMs - noHolderSinceMs.get() < plan.noHolderBoundMs() && !holders.alone()) {
             return;
         }
         unprotected = true;
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopySenderTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopySenderTest.java
@@ -26,10 +26,17 @@
     private final List<CopyAction> seen = new ArrayList<>();
     private CopySender sender;
 
+    private int rankings;
+
     private void open(Reliability reliability) {
+        HolderRanking counting =
+                (request, owner, n) -> {
+                    rankings++;
+                    return RANKING.holdersFor(request, owner, n);
+                };
         CopyPlan plan = new CopyPlan(reliability, ACK_MS, ALONE_MS, 50, 3);
         TokenSource source = (from, to) -> ImmutableIntArray.copyOf(Samples.tokens(from, to));
-        sender = CopySender.opening(plan, Samples.fresh(FIRST), source, RANKING, 0);
+        sender = CopySender.opening(plan, Samples.fresh(FIRST), source, counting, 0);
         seen.addAll(sender.start(0));
     }
 
@@ -112,6 +119,22 @@
             assertEquals(3, sent().size());
         }
 
+        /**
+         * A user sees a router of a large domain stream slowly, and slower with each router added.
+         * Cause: each append asked whether the router is alone, which ranks all the others.
+         */
+        @Test
+        void routersAreNotRankedForEachAppend() {
+            openAtFirstHolder(Reliability.TOKENS);
+            int before = rankings;
+            for (int i = 1; i <= 50; i++) {
+                on(new CopyEvent.Accepted(i), i);
+                answer(new HolderAnswer.Acked(1, i), i);
+            }
+            assertEquals(50, released());
+            assertEquals(before, rankings);
+        }
+
         @Test
         void endFollowsTheLastToken() {
             openAtFirstHolder(Reliability.TOKENS);
