bench: measure what a token and a request cost a router

Cause: the cost of 290 us a token in docs/CAPACITY.md is an upper reading: short answers, the C1 compiler alone, and each request's fixed cost is in it. What a router adds to a token's latency is not measured. Ruled out: the load command, whose open loop and mixed lengths don't tell tokens from requests; a token's time in a field of its own, which would change the engines' protocol; a second reader of the same generation, which engines don't allow. Change: bin/path-cost and `masticweir-bench path` keep a number of streams open through one router and straight to the engines, and split the router's processor time by least squares over loads of different length. MASTICWEIR_DAEMON_JAR runs another build for a comparison.

--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -5,7 +5,7 @@
 pids=()
 java_flags="-Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1"
 standins_jar=masticweir-standins/target/masticweir-standins.jar
-daemon_jar=masticweir-daemon/target/masticweir-daemon.jar
+daemon_jar=${MASTICWEIR_DAEMON_JAR:-masticweir-daemon/target/masticweir-daemon.jar}
 bench_jar=masticweir-bench/target/masticweir-bench.jar
 
 # Ends all that was started here, by process id; keeps the logs where MASTICWEIR_KEEP says.
@@ -88,7 +88,7 @@
   shift 5
   "$@" "$name" 64m $standins_jar engine --listen "$address" --id "$name" --step-ms "$step" \
     --models "$(held "$document" "$model")" \
-    --vendor "$(setting "$document" "engines.$(group_of "$model")" vendor)"
+    --vendor "$(setting "$document" "engines.$(group_of "$model")" vendor)" ${engine_flags:-}
 }
 
 publish() { # platform, document, instance flags
@@ -105,11 +105,12 @@
 caller_address = 127.0.0.1:$3
 operator_address = 127.0.0.1:$4
 peer_address = 127.0.0.1:$5
+io_threads = ${router_io_threads:-2}
 [platform]
 address = $6
 INI
   if [ -n "$7" ]; then cat "$7" >>"$run/$1.ini"; fi
-  start "$1" "${router_heap:-128m}" $daemon_jar --settings "$run/$1.ini"
+  start "$1" "${router_heap:-128m}" "$daemon_jar" --settings "$run/$1.ini"
 }
 
 bench() { # arguments: runs a command of the bench
--- a/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
@@ -8,6 +8,7 @@
 import org.masticweir.bench.demo.PublishCommand;
 import org.masticweir.bench.experiment.ExperimentCommand;
 import org.masticweir.bench.load.LoadCommand;
+import org.masticweir.bench.path.PathCommand;
 import org.masticweir.bench.slopes.SlopePointCommand;
 import org.masticweir.bench.slopes.SlopesCommand;
 
@@ -25,6 +26,7 @@
                         new PublishCommand(),
                         new LoadCommand(),
                         new ExperimentCommand(),
+                        new PathCommand(),
                         new SlopePointCommand(),
                         new SlopesCommand());
         JCommander parser = new JCommander();
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -83,7 +83,9 @@
 
     private Sequence admit(GenerationRequest request) {
         long now = clock.nowMs();
-        Sequence sequence = Sequence.admitted(request, records.open(request), arrivals++, now);
+        Sequence sequence =
+                Sequence.admitted(
+                        request, records.open(request), arrivals++, now, settings.stampTokens());
         known.put(request.id(), sequence);
         if (!sequence.done()) {
             batch.add(sequence);
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineCommand.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineCommand.java
@@ -65,6 +65,9 @@
     @Parameter(names = "--keep-ms")
     private long keepMs = 30_000;
 
+    @Parameter(names = "--stamp-tokens", description = "tokens tell when they were computed")
+    private boolean stampTokens;
+
     @Parameter(names = "--log-level")
     private String logLevel = "INFO";
 
@@ -97,7 +100,8 @@
                 cacheEventDrop,
                 seed,
                 checksFencing,
-                keepMs);
+                keepMs,
+                stampTokens);
     }
 
     private Vendor vendor() {
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineSettings.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineSettings.java
@@ -14,6 +14,7 @@
  * @param stepMs time of one decode step of the whole batch
  * @param stepPerSequenceUs time that each sequence adds to a step
  * @param keepMs how long a stream without a reader goes on and can be read again
+ * @param stampTokens whether each token tells when it was computed, as {@link TokenStamp} does
  */
 record EngineSettings(
         InetSocketAddress listen,
@@ -31,7 +32,8 @@
         double cacheEventDrop,
         long seed,
         boolean checksFencing,
-        long keepMs) {
+        long keepMs,
+        boolean stampTokens) {
     EngineSettings {
         checkNotNull(listen, "listen");
         checkNotNull(id, "id");
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Sequence.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Sequence.java
@@ -17,11 +17,14 @@
             Comparator.<Sequence>comparingInt(s -> s.request.priority())
                     .thenComparingLong(s -> s.arrival);
 
+    private static final int[] NOT_STAMPED = {};
+
     private final GenerationRequest request;
     private final EngineRecords.Run run;
     private final long arrival;
     private final BlockChain chain;
     private final ImmutableList<String> promptBlocks;
+    private final int[] stamps;
     private int prefillLeft;
     private int next;
     private int attempt;
@@ -30,11 +33,16 @@
     private long unreadSinceMs;
 
     private Sequence(
-            GenerationRequest request, EngineRecords.Run run, long arrival, long unreadSinceMs) {
+            GenerationRequest request,
+            EngineRecords.Run run,
+            long arrival,
+            long unreadSinceMs,
+            boolean stamped) {
         this.request = checkNotNull(request, "request");
         this.run = checkNotNull(run, "run");
         this.arrival = arrival;
         this.unreadSinceMs = unreadSinceMs;
+        this.stamps = stamped ? new int[request.maxTokens()] : NOT_STAMPED;
         this.next = request.prefix().size();
         this.attempt = request.attempt();
         this.chain = BlockChain.of(request.wanted());
@@ -42,10 +50,18 @@
         this.prefillLeft = request.prompt().size() + request.prefix().size();
     }
 
-    /** Returns an admitted sequence, the {@code arrival}-th of its engine. */
+    /**
+     * Returns an admitted sequence, the {@code arrival}-th of its engine.
+     *
+     * @param stamped whether its tokens tell when they were computed
+     */
     static Sequence admitted(
-            GenerationRequest request, EngineRecords.Run run, long arrival, long nowMs) {
-        return new Sequence(request, run, arrival, nowMs);
+            GenerationRequest request,
+            EngineRecords.Run run,
+            long arrival,
+            long nowMs,
+            boolean stamped) {
+        return new Sequence(request, run, arrival, nowMs, stamped);
     }
 
     private ImmutableList<String> blocks() {
@@ -80,6 +96,9 @@
 
     /** Computes one token and returns the name of the prefix it completes, if it fills a block. */
     Optional<String> decode() {
+        if (stamps.length > 0) {
+            stamps[next] = TokenStamp.now();
+        }
         int token = token(next);
         next++;
         return chain.append(token);
@@ -87,9 +106,10 @@
 
     /** Returns the token at {@code index}, which the caller gave or the engine computed. */
     int token(int index) {
-        return index < request.prefix().size()
-                ? request.prefix().get(index)
-                : TokenSource.token(request.seed(), index);
+        if (index < request.prefix().size()) {
+            return request.prefix().get(index);
+        }
+        return stamps.length > 0 ? stamps[index] : TokenSource.token(request.seed(), index);
     }
 
     int next() {
