security: TLS and operators' credentials from files that are read again without a restart

Ruled out: a password in the settings (it would be copied with them); PEM keys, which the JDK does not read without code of our own; a restart to renew a certificate, as it would drain every router.

ReloadedFiles keeps the last valid content while a file is half written or gone. DaemonSettings refuses a key without its password's file.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/CliCommand.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/CliCommand.java
@@ -17,7 +17,10 @@
     abstract ExitCode run(Console console);
 
     final OperatorClient openClient() {
-        return OperatorClient.open(options.router(), options.timeoutMs());
+        return OperatorClient.open(
+                options.router(),
+                options.timeoutMs(),
+                ClientSecurity.read(options.credentialFile(), options.trustFile()));
     }
 
     /** Prints why a call failed; {@code unanswered} is the exit code when it may have been done. */
--- a/masticweir-cli/src/main/java/org/masticweir/cli/GlobalOptions.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/GlobalOptions.java
@@ -5,6 +5,8 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
 import org.masticweir.settings.ValueRule;
 
 /** The options that every command takes, before or after its name; one instance a run. */
@@ -27,6 +29,16 @@
             validateValueWith = TimeoutRange.class)
     private Integer timeoutMs = DEFAULT_TIMEOUT_MS;
 
+    @Parameter(
+            names = "--credential-file",
+            description = "File whose first line is the operator's credential")
+    private String credentialFile = "";
+
+    @Parameter(
+            names = "--trust-file",
+            description = "PEM file of the certificates to trust; calls the router by TLS")
+    private String trustFile = "";
+
     @Parameter(names = "--json", description = "Print the raw JSON")
     private boolean json;
 
@@ -41,6 +53,20 @@
         return timeoutMs;
     }
 
+    /** Returns the file of the operator's credential; empty if none is shown. */
+    Optional<Path> credentialFile() {
+        return path(credentialFile);
+    }
+
+    /** Returns the file of the certificates to trust; empty for calls without TLS. */
+    Optional<Path> trustFile() {
+        return path(trustFile);
+    }
+
+    private static Optional<Path> path(String text) {
+        return text.isEmpty() ? Optional.empty() : Optional.of(Path.of(text));
+    }
+
     boolean json() {
         return json;
     }
--- a/masticweir-cli/src/main/java/org/masticweir/cli/OperatorCall.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorCall.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.masticweir.http.IpAddress;
@@ -30,24 +31,32 @@
     private final HttpString method;
     private final String path;
     private final String body;
+    private final Optional<String> authorization;
     private final ByteBufferPool buffers;
     private final CompletableFuture<CallResult> result = new CompletableFuture<>();
     private volatile ClientConnection connection;
     private volatile boolean closed;
 
-    private OperatorCall(HttpString method, String path, String body, ByteBufferPool buffers) {
+    private OperatorCall(
+            HttpString method,
+            String path,
+            String body,
+            Optional<String> authorization,
+            ByteBufferPool buffers) {
         this.method = checkNotNull(method, "method");
         this.path = checkNotNull(path, "path");
         this.body = checkNotNull(body, "body");
+        this.authorization = checkNotNull(authorization, "authorization");
         this.buffers = checkNotNull(buffers, "buffers");
     }
 
-    static OperatorCall get(String path, ByteBufferPool buffers) {
-        return new OperatorCall(Methods.GET, path, "", buffers);
+    static OperatorCall get(String path, Optional<String> authorization, ByteBufferPool buffers) {
+        return new OperatorCall(Methods.GET, path, "", authorization, buffers);
     }
 
-    static OperatorCall post(String path, String body, ByteBufferPool buffers) {
-        return new OperatorCall(Methods.POST, path, body, buffers);
+    static OperatorCall post(
+            String path, String body, Optional<String> authorization, ByteBufferPool buffers) {
+        return new OperatorCall(Methods.POST, path, body, authorization, buffers);
     }
 
     CompletableFuture<CallResult> result() {
@@ -85,6 +94,8 @@
     private ClientRequest request(ClientConnection opened) {
         ClientRequest request = new ClientRequest().setMethod(method).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, hostOf(opened));
+        authorization.ifPresent(
+                text -> request.getRequestHeaders().put(Headers.AUTHORIZATION, text));
         if (!body.isEmpty()) {
             long bytes = body.getBytes(StandardCharsets.UTF_8).length;
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, bytes);
--- a/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
@@ -2,17 +2,14 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.masticweir.http.IpAddress;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -30,15 +27,18 @@
     private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
     private final InetSocketAddress router;
     private final int timeoutMs;
+    private final ClientSecurity security;
 
-    private OperatorClient(XnioWorker worker, InetSocketAddress router, int timeoutMs) {
+    private OperatorClient(
+            XnioWorker worker, InetSocketAddress router, int timeoutMs, ClientSecurity security) {
         this.worker = checkNotNull(worker, "worker");
         this.router = checkNotNull(router, "router");
         this.timeoutMs = timeoutMs;
+        this.security = checkNotNull(security, "security");
     }
 
     /** Returns a client of the router at {@code router}; close it after use. */
-    static OperatorClient open(InetSocketAddress router, int timeoutMs) {
+    static OperatorClient open(InetSocketAddress router, int timeoutMs, ClientSecurity security) {
         OptionMap options =
                 OptionMap.builder()
                         .set(Options.WORKER_IO_THREADS, 1)
@@ -47,18 +47,19 @@
                         .set(Options.THREAD_DAEMON, true)
                         .getMap();
         try {
-            return new OperatorClient(Xnio.getInstance().createWorker(options), router, timeoutMs);
+            XnioWorker worker = Xnio.getInstance().createWorker(options);
+            return new OperatorClient(worker, router, timeoutMs, security);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
     CallResult get(String path) {
-        return await(OperatorCall.get(path, buffers));
+        return await(OperatorCall.get(path, security.authorization(), buffers));
     }
 
     CallResult post(String path, String body) {
-        return await(OperatorCall.post(path, body, buffers));
+        return await(OperatorCall.post(path, body, security.authorization(), buffers));
     }
 
     @Override
@@ -69,7 +70,7 @@
 
     private CallResult await(OperatorCall call) {
         try (call) {
-            UndertowClient.getInstance().connect(call, uri(), worker, buffers, OptionMap.EMPTY);
+            security.connect(call, router, worker, buffers);
             return call.result().get(timeoutMs, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
             return call.failure("no answer within " + timeoutMs + " ms");
@@ -80,8 +81,4 @@
             return call.failure("interrupted");
         }
     }
-
-    private URI uri() {
-        return URI.create("http://" + IpAddress.text(router));
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/operators/OperatorHandler.java
+++ b/masticweir/src/main/java/org/masticweir/operators/OperatorHandler.java
@@ -9,6 +9,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -37,10 +38,12 @@
 
     private final OperatorSources sources;
     private final OperatorLimits limits;
+    private final OperatorAccess access;
 
-    private OperatorHandler(OperatorSources sources, OperatorLimits limits) {
+    private OperatorHandler(OperatorSources sources, OperatorLimits limits, OperatorAccess access) {
         this.sources = checkNotNull(sources, "sources");
         this.limits = checkNotNull(limits, "limits");
+        this.access = checkNotNull(access, "access");
     }
 
     /** Returns a handler for the whole of the operators' port. */
@@ -48,14 +51,20 @@
             OperatorQueries queries,
             OperatorCommands commands,
             MetricsPage metrics,
-            OperatorLimits limits) {
-        return new OperatorHandler(new OperatorSources(queries, commands, metrics), limits);
+            OperatorLimits limits,
+            OperatorAccess access) {
+        return new OperatorHandler(new OperatorSources(queries, commands, metrics), limits, access);
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         try {
-            receive(exchange, callOf(exchange));
+            String operator = access.operatorOf(exchange);
+            OperatorCall call = callOf(exchange);
+            if (!call.method().equals(Methods.GET)) {
+                LOG.info("operators: {} by {}", call, operator);
+            }
+            receive(exchange, call);
         } catch (RuntimeException e) {
             fail(exchange, e);
         }
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -88,6 +88,7 @@
     private final Clock clock;
     private final XnioWorker worker;
     private final HttpCaller calls;
+    private final PortSecurity security;
     private final HttpPlatform platform;
     private final PeerLinks links;
     private final ControlLoop control;
@@ -102,6 +103,7 @@
     private Router(DaemonSettings settings, Clock clock) {
         this.settings = checkNotNull(settings, "settings");
         this.clock = checkNotNull(clock, "clock");
+        security = PortSecurity.of(settings.security(), clock);
         DaemonSettings.Router own = settings.router();
         RouterAddress self =
                 RouterAddress.of(
@@ -299,11 +301,9 @@
                         bounds.maxHeaderBytes(),
                         bounds.stallMs(),
                         MAX_TOKENS);
-        return Undertow.builder()
-                .setWorker(worker)
-                .addHttpListener(
-                        settings.router().callerAddress().getPort(),
-                        settings.router().callerAddress().getHostString())
+        Undertow.Builder server = Undertow.builder().setWorker(worker);
+        security.listen(server, settings.router().callerAddress());
+        return server
                 // The server's own limit is above ours: up to it we can still answer with a code.
                 .setServerOption(
                         UndertowOptions.MAX_HEADER_SIZE, bounds.maxHeaderBytes() * HEADER_SLACK)
@@ -326,14 +326,14 @@
                         shutdown::start);
         OperatorHandler handler =
                 OperatorHandler.of(
-                        answers, answers, MetricsPage.of(metrics), OperatorLimits.defaults());
-        return Undertow.builder()
-                .setWorker(worker)
-                .addHttpListener(
-                        settings.router().operatorAddress().getPort(),
-                        settings.router().operatorAddress().getHostString())
-                .setHandler(handler)
-                .build();
+                        answers,
+                        answers,
+                        MetricsPage.of(metrics),
+                        OperatorLimits.defaults(),
+                        security.operators());
+        Undertow.Builder server = Undertow.builder().setWorker(worker);
+        security.listen(server, settings.router().operatorAddress());
+        return server.setHandler(handler).build();
     }
 
     private static XnioWorker newWorker(int ioThreads) {
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
 
@@ -19,6 +20,8 @@
     private static final int WEEK_MS = 7 * DAY_MS;
     private static final int MIB = 1 << 20;
 
+    private static final Pattern FILE = Pattern.compile("\\S.*");
+
     private static final List<Setting<?>> ROWS = new ArrayList<>();
 
     static final Setting<RouterId> ID =
@@ -253,6 +256,24 @@
                     "Longest time that fetching weights takes; after a loss of the router that"
                             + " fetched, the engine waits for so long.");
 
+    static final Setting<String> KEYSTORE_FILE =
+            file(
+                    "security",
+                    "keystore_file",
+                    "PKCS #12 file with key and certificate; callers and operators are served by"
+                            + " TLS when it is named.");
+    static final Setting<String> KEYSTORE_PASSWORD_FILE =
+            file(
+                    "security",
+                    "keystore_password_file",
+                    "File whose first line is the password of keystore_file.");
+    static final Setting<String> OPERATOR_CREDENTIALS_FILE =
+            file(
+                    "security",
+                    "operator_credentials_file",
+                    "File of lines name = SHA-256 of a credential; operators need one of them when"
+                            + " it is named.");
+
     static final Setting<Integer> CONFIG_RETRY_MS =
             integer(
                     "config",
@@ -294,6 +315,11 @@
         return add(Setting.required(section, key, ValueRule.address(), doc));
     }
 
+    private static Setting<String> file(String section, String key, String doc) {
+        ValueRule<String> rule = ValueRule.text("the path of a file", FILE, "name.txt");
+        return add(Setting.optional(section, key, rule, "", doc));
+    }
+
     private static Setting<Integer> integer(
             String section, String key, int standard, int min, int max, String doc) {
         ValueRule<Integer> rule = ValueRule.integer(key, min, max);
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.id.DomainId;
@@ -27,6 +28,7 @@
         Peers peers,
         Claims claims,
         Control control,
+        Security security,
         Config config,
         Shutdown shutdown) {
     /** Exit code of a program whose settings are invalid. */
@@ -60,6 +62,7 @@
         in.checkAbove(DaemonSetting.HEARTBEAT_MS, 2, DaemonSetting.SUSPECT_MS);
         in.checkAbove(DaemonSetting.SUSPECT_MS, 1, DaemonSetting.DEAD_MS);
         in.checkOrder(DaemonSetting.SILENCE_FLOOR_MS, DaemonSetting.SILENCE_START_MS);
+        in.checkTogether(DaemonSetting.KEYSTORE_FILE, DaemonSetting.KEYSTORE_PASSWORD_FILE);
         return new DaemonSettings(
                 Router.from(in),
                 Platform.from(in),
@@ -72,6 +75,7 @@
                 new Control(
                         in.get(DaemonSetting.UNLOAD_AFTER_MS),
                         in.get(DaemonSetting.LOAD_TIMEOUT_MS)),
+                Security.from(in),
                 Config.from(in),
                 new Shutdown(
                         in.get(DaemonSetting.BALANCER_LAG_MS), in.get(DaemonSetting.DRAIN_MS)));
@@ -172,6 +176,23 @@
     /** Section {@code [control]}: the orders to the domain's engines. */
     public record Control(int unloadAfterMs, int loadTimeoutMs) {}
 
+    /** Section {@code [security]}: keys and credentials, each in a file of its own. */
+    public record Security(
+            Optional<Path> keystoreFile,
+            Optional<Path> keystorePasswordFile,
+            Optional<Path> operatorCredentialsFile) {
+        private static Security from(SettingsReader in) {
+            return new Security(
+                    path(in, DaemonSetting.KEYSTORE_FILE),
+                    path(in, DaemonSetting.KEYSTORE_PASSWORD_FILE),
+                    path(in, DaemonSetting.OPERATOR_CREDENTIALS_FILE));
+        }
+
+        private static Optional<Path> path(SettingsReader in, Setting<String> row) {
+            return Optional.of(in.getOr(row, "")).filter(text -> !text.isEmpty()).map(Path::of);
+        }
+    }
+
     /** Section {@code [config]}: changes of the deployment document. */
     public record Config(int retryMs, int settleWaitMs, int domainWaitMs) {
         private static Config from(SettingsReader in) {
--- a/masticweir/src/main/java/org/masticweir/settings/SettingsReader.java
+++ b/masticweir/src/main/java/org/masticweir/settings/SettingsReader.java
@@ -67,6 +67,16 @@
         }
     }
 
+    /** Records a problem when the file holds one of two keys of a section without the other. */
+    void checkTogether(Setting<?> one, Setting<?> other) {
+        IniSection section = section(one);
+        if (section.holds(one.key()) != section.holds(other.key())) {
+            String lacking = section.holds(one.key()) ? other.key() : one.key();
+            String present = section.holds(one.key()) ? one.key() : other.key();
+            section.reject(present, "beside " + lacking + ", which is missing");
+        }
+    }
+
     private <T> Optional<T> settled(Setting<T> row) {
         return section(row).holds(row.key())
                 ? section(row).valid(row.key(), row.rule())
--- a/masticweir/src/test/java/org/masticweir/operators/OperatorHandlerTest.java
+++ b/masticweir/src/test/java/org/masticweir/operators/OperatorHandlerTest.java
@@ -73,7 +73,8 @@
 
     private Undertow serve(OperatorLimits limits) {
         OperatorHandler handler =
-                OperatorHandler.of(router, router, MetricsPage.of(metrics), limits);
+                OperatorHandler.of(
+                        router, router, MetricsPage.of(metrics), limits, OperatorAccess.open());
         Undertow built = Undertow.builder().addHttpListener(0, "127.0.0.1", handler).build();
         built.start();
         return built;
