shutdown: don't wait for readers that are none

A router told to leave stayed for up to a minute after its last answer when it had read a request for another router's owner, or had run one under a claim.

Cause: the answer log counted every listener as a reader. The follower of another router's answer and the settling of a claim listen too and never unlisten after the end, so the request counted as busy until the registry forgot it, 60 s after its end. Ruled out: callers' connections (the callers' records show none open at that router), unfinished requests (the router's own list shows all completed).

Such parts now watch the log, which makes them no reader. What a request without a caller does is unchanged: one that is watched goes on, as before.

--- a/masticweir-it/src/test/java/org/masticweir/it/RouterShutdownTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterShutdownTest.java
@@ -74,4 +74,46 @@
             Await.get("exit of the router", exit, EXIT_BOUND_MS);
         }
     }
+
+    /**
+     * A router that is told to leave ends soon though it read for another one or held a claim.
+     *
+     * <p>A caller reads a report through a router that does not run it, another one gets a letter
+     * that ran under a claim; both answers are whole, the router is told to leave and ends. The
+     * cause of a router that stays for a minute is a part of its own that counts as a reader of an
+     * answer that has ended.
+     */
+    @Nested
+    final class RouterWithEndedAnswersToldToLeave {
+        private RouterProcess router;
+
+        @BeforeEach
+        void startOneMoreRouter() {
+            router = bed.addRouter("r4", "a");
+        }
+
+        @AfterEach
+        void takeItOff() {
+            bed.remove(router);
+        }
+
+        @Test
+        void itEndsAfterReadingForAnother() {
+            RunningCall report = bed.submit(Requests.report(TOKENS)).awaitTokens(50);
+            RunningCall along = bed.submit(router, report.request());
+            bed.check().whole(report);
+            bed.check().whole(along);
+            assertEnds();
+        }
+
+        @Test
+        void itEndsAfterAClaimedLetter() {
+            bed.check().whole(bed.submit(router, Letters.followUp(TOKENS)));
+            assertEnds();
+        }
+
+        private void assertEnds() {
+            Await.get("exit of the router", router.process().terminate(), EXIT_BOUND_MS);
+        }
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/generation/AnswerLog.java
+++ b/masticweir/src/main/java/org/masticweir/generation/AnswerLog.java
@@ -21,6 +21,7 @@
     private static final int FIRST_CAPACITY = 64;
 
     private final List<Runnable> listeners = new ArrayList<>();
+    private final List<Runnable> watches = new ArrayList<>();
     private int[] tokens = new int[FIRST_CAPACITY];
     private int size;
     private int released;
@@ -91,6 +92,18 @@
         listeners.remove(listener);
     }
 
+    /**
+     * Runs {@code watch} after every change until {@link #unwatch}, as {@link #listen} does, but
+     * for a part of this router that is no reader: the answer reaches nobody through it.
+     */
+    public synchronized void watch(Runnable watch) {
+        watches.add(checkNotNull(watch, "watch"));
+    }
+
+    public synchronized void unwatch(Runnable watch) {
+        watches.remove(watch);
+    }
+
     /** Returns up to {@code limit} tokens from index {@code from} on, with the state seen. */
     public synchronized View read(int from, int limit) {
         checkArgument(from >= 0, "from %s", from);
@@ -115,10 +128,15 @@
         return reads;
     }
 
+    /** Returns the count of those who listen; watches are none of them. */
     public synchronized int readers() {
         return listeners.size();
     }
 
+    public synchronized boolean watched() {
+        return !watches.isEmpty();
+    }
+
     public synchronized boolean ended() {
         return end != null;
     }
@@ -138,7 +156,8 @@
     private void tellListeners() {
         List<Runnable> told;
         synchronized (this) {
-            told = List.copyOf(listeners);
+            told = new ArrayList<>(listeners);
+            told.addAll(watches);
         }
         told.forEach(Runnable::run);
     }
--- a/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ClaimedRun.java
@@ -67,7 +67,7 @@
     private void onDecision(ClaimDecision decision) {
         if (decision instanceof ClaimDecision.MayRun may) {
             permit = may.permit();
-            request.log().listen(settle);
+            request.log().watch(settle);
             run.accept(permit::maySend);
         } else if (decision instanceof ClaimDecision.JoinOrStored other) {
             endAs(other.row());
--- a/masticweir/src/main/java/org/masticweir/serving/OrphanWatch.java
+++ b/masticweir/src/main/java/org/masticweir/serving/OrphanWatch.java
@@ -38,7 +38,8 @@
             return;
         }
         long reads = request.log().reads();
-        if (request.log().readers() == 0 && reads == readsSeen) {
+        boolean heard = request.log().readers() > 0 || request.log().watched();
+        if (!heard && reads == readsSeen) {
             LOG.info("serving: request {} has no caller, cancelled", request.spec().id());
             request.cancel();
             return;
--- a/masticweir/src/main/java/org/masticweir/serving/RequestFollow.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestFollow.java
@@ -71,7 +71,7 @@
     void follow(RouterId owner) {
         LOG.info("serving: request {} is read from {}", request.spec().id(), owner);
         request.cancelWith(() -> thread.execute(this::leave));
-        request.log().listen(onEnd);
+        request.log().watch(onEnd);
         new OrphanWatch(context, request, thread).start();
         remote =
                 Optional.of(
@@ -108,7 +108,7 @@
 
     private void onLost() {
         remote.ifPresent(RemoteAnswer::close);
-        request.log().unlisten(onEnd);
+        request.log().unwatch(onEnd);
         if (!over) {
             lookUp();
         }
