bench: goodput, teams, sends and returns of callers

Cause: the load tool could not tell goodput a second, results of each class and team of an experiment, sends for each first send, or whether callers who keep Retry-After come back spread out.

Engine stand-ins record the runs that they refuse, so that an experiment counts all sends that reached an engine, fresh and resumed ones apart. An experiment prints a line for each class and team with both settings. A call that says NOT_RUN counts as refused.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/caller/CallRecord.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/caller/CallRecord.java
@@ -17,6 +17,7 @@
  * @param outcome how it ended
  * @param code error code, empty when there was none
  * @param verdict verdict told, empty when none was
+ * @param retryAfterMs when the caller was told to come back, 0 when it was not
  */
 public record CallRecord(
         int status,
@@ -28,6 +29,7 @@
         Outcome outcome,
         String code,
         String verdict,
+        long retryAfterMs,
         long startedAtMs,
         long endedAtMs) {
     public CallRecord {
--- a/masticweir-bench/src/main/java/org/masticweir/bench/caller/EventReader.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/caller/EventReader.java
@@ -27,6 +27,7 @@
     private CallRecord.Outcome outcome = CallRecord.Outcome.BROKEN;
     private String code = "";
     private String verdict = "";
+    private long retryAfterMs;
 
     void bytes(ByteBuffer part, long nowMs) throws IOException {
         while (part.hasRemaining()) {
@@ -61,6 +62,7 @@
                 outcome,
                 code,
                 verdict,
+                retryAfterMs,
                 startedAtMs,
                 endedAtMs);
     }
@@ -114,6 +116,7 @@
     private void error(JsonNode json) {
         outcome = CallRecord.Outcome.ERROR;
         code = json.path("code").asText();
+        retryAfterMs = json.path("retry_after_ms").asLong();
         verdict = json.path("verdict").asText();
     }
 }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentCommand.java
@@ -190,6 +190,7 @@
         ResultJson.write(Path.of(out, "experiment.json"), result);
         HtmlReport.write(Path.of(out, "experiment.html"), result);
         System.out.println(result.summaryLine());
+        result.groupLines().forEach(System.out::println);
         return result.runs().stream().allMatch(r -> r.load().tokens().clean()) ? 0 : 1;
     }
 }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentRunner.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/ExperimentRunner.java
@@ -94,6 +94,7 @@
                                 .flatMap(e -> e.resumeMs().stream())
                                 .toList()),
                 RecoveryCost.extraWork(calls, ledger),
+                RecoveryCost.sends(calls, ledger),
                 RecoveryCost.moves(stays),
                 RecoveryCost.falseMoves(stays, faults));
     }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/experiment/RecoveryCost.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/experiment/RecoveryCost.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.masticweir.bench.load.ObservedCall;
 import org.masticweir.bench.report.ExtraWork;
+import org.masticweir.bench.report.SendCounts;
 import org.masticweir.bench.standin.EngineLedger;
 import org.masticweir.bench.standin.EngineRun;
 
@@ -31,6 +32,22 @@
                 usefulDecode, decode, usefulPrefill, ledger.prefillTokens(), repeatedPrefill);
     }
 
+    /** Returns what engines were asked for. */
+    static SendCounts sends(List<ObservedCall> calls, EngineLedger ledger) {
+        long requests = 0;
+        long fresh = 0;
+        long resumed = 0;
+        for (ObservedCall call : calls) {
+            ImmutableList<EngineRun> runs = ledger.runsOf(call.requestId());
+            long resumedRuns = runs.stream().filter(r -> r.first() > 0).count();
+            long freshRuns = runs.size() - resumedRuns + ledger.refusalsOf(call.requestId());
+            requests += resumedRuns + freshRuns > 0 ? 1 : 0;
+            fresh += freshRuns;
+            resumed += resumedRuns;
+        }
+        return new SendCounts(requests, fresh, resumed);
+    }
+
     /** Returns how many times a generation went from one engine to another. */
     static long moves(List<ImmutableList<Placement>> calls) {
         return calls.stream().mapToLong(stays -> moves(stays, ImmutableList.of())).sum();
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadFlags.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadFlags.java
@@ -1,6 +1,9 @@
 package org.masticweir.bench.load;
 
 import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
+import org.masticweir.bench.demo.NoSplitter;
 
 /** The flags that shape a load; JCommander fills its fields. */
 public final class LoadFlags {
@@ -24,9 +27,27 @@
     @Parameter(names = "--drain-s", description = "longest wait for answers after the last call")
     private long drainS = 30;
 
+    @Parameter(
+            names = "--returns",
+            description = "times that a refused caller comes back when it was told to")
+    private int returns;
+
+    @Parameter(
+            names = "--burst",
+            splitter = NoSplitter.class,
+            description = "team,class,from_ms,for_ms,rate: more calls of a team; may be repeated")
+    private List<String> bursts = new ArrayList<>();
+
     /** Returns the load asked for. */
     public LoadShape shape() {
-        return new LoadShape(mix, seconds, rate, seed, scaleTokens);
+        return new LoadShape(
+                mix,
+                seconds,
+                rate,
+                seed,
+                scaleTokens,
+                returns,
+                bursts.stream().map(Burst::parse).toList());
     }
 
     /** Returns how long to wait for answers after the last arrival. */
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadMeasurement.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadMeasurement.java
@@ -1,6 +1,9 @@
 package org.masticweir.bench.load;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.Multimaps;
+import java.util.Collections;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Function;
@@ -13,6 +16,8 @@
 import org.masticweir.bench.report.LatencySummary;
 import org.masticweir.bench.report.LoadResult;
 import org.masticweir.bench.report.NamedCount;
+import org.masticweir.bench.report.ReturnCounts;
+import org.masticweir.bench.report.TeamResult;
 import org.masticweir.bench.report.TimelinePoint;
 import org.masticweir.bench.standin.EngineLedger;
 
@@ -40,6 +45,8 @@
                 shape.ratePerS(),
                 shape.seed(),
                 classes,
+                teams(shape, calls),
+                returns(calls),
                 TokenChecker.against(ledger).check(calls),
                 summary(
                         calls.stream()
@@ -71,6 +78,40 @@
                                 .mapToLong(ObservedCall::totalMs)));
     }
 
+    private static ImmutableList<TeamResult> teams(LoadShape shape, List<ObservedCall> calls) {
+        ImmutableListMultimap<String, ObservedCall> byTeam =
+                Multimaps.index(calls, c -> c.planned().request().team());
+        return shape.mix().teams().stream()
+                .map(TeamShare::team)
+                .map(t -> new TeamResult(t, byTeam.get(t).size(), withinTarget(byTeam.get(t))))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static long withinTarget(List<ObservedCall> calls) {
+        return calls.stream().filter(ObservedCall::withinTarget).count();
+    }
+
+    private static ReturnCounts returns(List<ObservedCall> calls) {
+        ImmutableList<ObservedCall> returned = only(calls, c -> !c.returnedAtMs().isEmpty());
+        if (returned.isEmpty()) {
+            return ReturnCounts.none();
+        }
+        TreeMap<Long, Long> slots =
+                returned.stream()
+                        .flatMap(c -> c.returnedAtMs().stream())
+                        .collect(
+                                Collectors.groupingBy(
+                                        at -> at / INTERVAL_MS,
+                                        TreeMap::new,
+                                        Collectors.counting()));
+        return new ReturnCounts(
+                returned.size(),
+                slots.values().stream().mapToLong(n -> n).sum(),
+                withinTarget(returned),
+                Collections.max(slots.values()),
+                slots.lastKey() - slots.firstKey() + 1);
+    }
+
     private static ImmutableList<ObservedCall> only(
             List<ObservedCall> calls, Predicate<ObservedCall> condition) {
         return calls.stream().filter(condition).collect(ImmutableList.toImmutableList());
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadPlan.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadPlan.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.ImmutableLongArray;
+import java.util.Comparator;
 import java.util.Random;
 import org.masticweir.bench.caller.CallRequest;
 
@@ -38,6 +39,7 @@
         private final String tag;
         private final Random random;
         private final Random content;
+        private final ImmutableList<ClassProfile> profiles;
         private final WeightedChoice<ClassProfile> classes;
         private final WeightedChoice<TeamShare> teams;
 
@@ -46,7 +48,7 @@
             this.tag = tag;
             random = new Random(shape.seed());
             content = new Random(tag.hashCode());
-            ImmutableList<ClassProfile> profiles =
+            profiles =
                     shape.mix().classes().stream()
                             .map(c -> c.scaled(shape.scaleTokens()))
                             .collect(ImmutableList.toImmutableList());
@@ -63,11 +65,32 @@
                 CallRequest request = request(profile, tag + "-" + i);
                 calls.add(new PlannedCall(times.get(i), profile, request));
             }
-            return calls.build();
+            shape.bursts().forEach(b -> add(b, calls));
+            return calls.build().stream()
+                    .sorted(Comparator.comparingLong(PlannedCall::atMs))
+                    .collect(ImmutableList.toImmutableList());
+        }
+
+        private void add(Burst burst, ImmutableList.Builder<PlannedCall> calls) {
+            ClassProfile profile =
+                    profiles.stream()
+                            .filter(p -> p.name().equals(burst.workClass()))
+                            .findFirst()
+                            .orElseThrow();
+            ImmutableLongArray times =
+                    new PoissonArrivals(burst.ratePerS()).until(burst.forMs(), random);
+            for (int i = 0; i < times.length(); i++) {
+                String key = tag + "-" + burst.team() + burst.fromMs() + "-" + i;
+                CallRequest request = request(profile, burst.team(), key);
+                calls.add(new PlannedCall(burst.fromMs() + times.get(i), profile, request));
+            }
         }
 
         private CallRequest request(ClassProfile profile, String key) {
-            String team = teams.draw(random).team();
+            return request(profile, teams.draw(random).team(), key);
+        }
+
+        private CallRequest request(ClassProfile profile, String team, String key) {
             return new CallRequest(
                     team,
                     team + "-secret",
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadRun.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/LoadRun.java
@@ -3,7 +3,11 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static java.util.concurrent.TimeUnit.MILLISECONDS;
 
+import com.google.common.collect.ArrayListMultimap;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.Iterables;
+import com.google.common.collect.ListMultimap;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -29,6 +33,9 @@
     private final ScheduledExecutorService senders;
     private final ImmutableList<CompletableFuture<CallRecord>> answers;
 
+    /** When calls came back, of each call's index the last time last; guarded by itself. */
+    private final ListMultimap<Integer, Long> returnedAtMs = ArrayListMultimap.create();
+
     private LoadRun(
             CallerClient caller, Clock clock, List<InetSocketAddress> routers, LoadPlan plan) {
         this.clock = clock;
@@ -42,7 +49,7 @@
                                 .build());
         ImmutableList.Builder<CompletableFuture<CallRecord>> sent = ImmutableList.builder();
         for (int i = 0; i < plan.calls().size(); i++) {
-            sent.add(send(caller, routers.get(i % routers.size()), plan.calls().get(i)));
+            sent.add(send(caller, routers, i));
         }
         answers = sent.build();
     }
@@ -55,24 +62,66 @@
     }
 
     private CompletableFuture<CallRecord> send(
-            CallerClient caller, InetSocketAddress router, PlannedCall call) {
+            CallerClient caller, List<InetSocketAddress> routers, int index) {
         CompletableFuture<CallRecord> answer = new CompletableFuture<>();
-        long delayMs = startedAtMs + call.atMs() - clock.nowMs();
-        senders.schedule(
-                () ->
-                        caller.submit(router, call.request(), count -> {})
-                                .thenAccept(answer::complete),
-                delayMs,
-                MILLISECONDS);
+        long delayMs = startedAtMs + plan.calls().get(index).atMs() - clock.nowMs();
+        schedule(delayMs, () -> submit(caller, routers, index, 0, answer));
         return answer;
     }
 
+    private void submit(
+            CallerClient caller,
+            List<InetSocketAddress> routers,
+            int index,
+            int returns,
+            CompletableFuture<CallRecord> answer) {
+        InetSocketAddress router = routers.get((index + returns) % routers.size());
+        caller.submit(router, plan.calls().get(index).request(), count -> {})
+                .thenAccept(
+                        record -> {
+                            if (ObservedCall.mayReturn(record)
+                                    && returns < plan.shape().maxReturns()) {
+                                schedule(
+                                        record.retryAfterMs(),
+                                        () -> {
+                                            noteReturn(index);
+                                            submit(caller, routers, index, returns + 1, answer);
+                                        });
+                            } else {
+                                answer.complete(record);
+                            }
+                        });
+    }
+
+    private void schedule(long delayMs, Runnable then) {
+        if (!senders.isShutdown()) {
+            senders.schedule(then, delayMs, MILLISECONDS);
+        }
+    }
+
+    private void noteReturn(int index) {
+        synchronized (returnedAtMs) {
+            returnedAtMs.put(index, clock.nowMs());
+        }
+    }
+
+    /** Returns when refused callers came back, on the caller's clock. */
+    public ImmutableListMultimap<Integer, Long> returnedAtMs() {
+        synchronized (returnedAtMs) {
+            return ImmutableListMultimap.copyOf(returnedAtMs);
+        }
+    }
+
     /** Returns when the load started, on the caller's clock. */
     public long startedAtMs() {
         return startedAtMs;
     }
 
-    /** Waits for all calls, until {@code drainMs} after the last planned arrival at most. */
+    /**
+     * Waits for all calls, until {@code drainMs} after the last planned arrival at most.
+     *
+     * <p>The latencies of a caller that came back count from its last return.
+     */
     public ImmutableList<ObservedCall> await(long drainMs) {
         CompletableFuture<Void> all =
                 CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new));
@@ -80,15 +129,17 @@
         long leftMs = Math.max(1, startedAtMs + planned + drainMs - clock.nowMs());
         all.completeOnTimeout(null, leftMs, MILLISECONDS).join();
         long nowMs = clock.nowMs();
+        ImmutableListMultimap<Integer, Long> returned = returnedAtMs();
         ImmutableList.Builder<ObservedCall> seen = ImmutableList.builder();
         for (int i = 0; i < answers.size(); i++) {
             PlannedCall call = plan.calls().get(i);
-            long intended = startedAtMs + call.atMs();
+            List<Long> returns = returned.get(i);
+            long intended = Iterables.getLast(returns, startedAtMs + call.atMs());
             CallRecord record = answers.get(i).getNow(null);
             seen.add(
                     record == null
-                            ? ObservedCall.unfinished(call, intended, nowMs)
-                            : new ObservedCall(call, intended, record));
+                            ? ObservedCall.unfinished(call, intended, returns, nowMs)
+                            : new ObservedCall(call, intended, returns, record));
         }
         return seen.build();
     }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/load/ObservedCall.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/load/ObservedCall.java
@@ -2,9 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.ImmutableIntArray;
 import com.google.common.primitives.ImmutableLongArray;
+import java.util.List;
 import org.masticweir.bench.caller.CallRecord;
+import org.masticweir.error.Verdict;
 
 /**
  * A call and what its caller saw.
@@ -12,19 +15,29 @@
  * <p>Its latencies count from the intended arrival: a load that sends late would otherwise leave
  * out the waits of the very calls that it delayed (coordinated omission).
  *
- * @param intendedAtMs intended arrival, on the caller's clock
+ * @param intendedAtMs intended arrival or last return, on the caller's clock
+ * @param returnedAtMs when the caller came back after a refusal
  */
-public record ObservedCall(PlannedCall planned, long intendedAtMs, CallRecord record) {
+public record ObservedCall(
+        PlannedCall planned, long intendedAtMs, List<Long> returnedAtMs, CallRecord record) {
     private static final int STATUS_OK = 200;
+    private static final String NOT_RUN = Verdict.NOT_RUN.name();
     private static final String UNFINISHED = "UNFINISHED";
 
     public ObservedCall {
         checkNotNull(planned, "planned");
+        returnedAtMs = ImmutableList.copyOf(returnedAtMs);
         checkNotNull(record, "record");
     }
 
+    /** Returns a call whose caller never came back. */
+    static ObservedCall of(PlannedCall planned, long intendedAtMs, CallRecord record) {
+        return new ObservedCall(planned, intendedAtMs, ImmutableList.of(), record);
+    }
+
     /** Returns a call that had no end when the load stopped waiting for it at {@code nowMs}. */
-    static ObservedCall unfinished(PlannedCall planned, long intendedAtMs, long nowMs) {
+    static ObservedCall unfinished(
+            PlannedCall planned, long intendedAtMs, List<Long> returnedAtMs, long nowMs) {
         CallRecord record =
                 new CallRecord(
                         STATUS_OK,
@@ -36,9 +49,10 @@
                         CallRecord.Outcome.BROKEN,
                         UNFINISHED,
                         "",
+                        0,
                         intendedAtMs,
                         nowMs);
-        return new ObservedCall(planned, intendedAtMs, record);
+        return new ObservedCall(planned, intendedAtMs, returnedAtMs, record);
     }
 
     /** Returns the id under which routers and engines know the request. */
@@ -56,9 +70,19 @@
         return record.outcome() == CallRecord.Outcome.COMPLETED;
     }
 
-    /** Tells whether a final error came in place of a stream. */
+    /** Tells whether the call was not run: an error in place of a stream, or one that says so. */
     boolean refused() {
-        return record.outcome() == CallRecord.Outcome.ERROR && record.status() != STATUS_OK;
+        return refused(record);
+    }
+
+    private static boolean refused(CallRecord record) {
+        return record.outcome() == CallRecord.Outcome.ERROR
+                && (record.status() != STATUS_OK || record.verdict().equals(NOT_RUN));
+    }
+
+    /** Tells whether the caller was refused and told when to come back. */
+    static boolean mayReturn(CallRecord record) {
+        return refused(record) && record.retryAfterMs() > 0;
     }
 
     /** Returns the error code of a refused call. */
--- a/masticweir-bench/src/main/java/org/masticweir/bench/report/ClassResult.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/report/ClassResult.java
@@ -8,7 +8,7 @@
 /**
  * What the callers of one class saw; latencies count from the intended arrival.
  *
- * @param refused calls that got no stream, by error code
+ * @param refused calls that were not run, by error code
  * @param failed calls whose stream ended without the whole answer, by verdict
  * @param withinTarget calls completed within the class's targets
  * @param goodputPerS those calls for each second of the load
--- a/masticweir-bench/src/main/java/org/masticweir/bench/report/ExperimentResult.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/report/ExperimentResult.java
@@ -61,6 +61,11 @@
                         .collect(Collectors.joining("; "));
     }
 
+    /** Returns lines that compare each class and each team. */
+    public List<String> groupLines() {
+        return GroupLines.of(runs).all();
+    }
+
     private String summary(Metric metric) {
         return Ascii.toLowerCase(metric.name())
                 + " "
--- a/masticweir-bench/src/main/java/org/masticweir/bench/report/LoadResult.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/report/LoadResult.java
@@ -17,12 +17,16 @@
         double ratePerS,
         long seed,
         List<ClassResult> classes,
+        List<TeamResult> teams,
+        ReturnCounts returns,
         TokenCheck tokens,
         LatencySummary longestGap,
         List<TimelinePoint> timeline) {
     public LoadResult {
         checkNotNull(mix, "mix");
         classes = ImmutableList.copyOf(classes);
+        teams = ImmutableList.copyOf(teams);
+        checkNotNull(returns, "returns");
         checkNotNull(tokens, "tokens");
         checkNotNull(longestGap, "longestGap");
         timeline = ImmutableList.copyOf(timeline);
--- a/masticweir-bench/src/main/java/org/masticweir/bench/report/Metric.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/report/Metric.java
@@ -79,6 +79,53 @@
                     : (double) sum(run.load().classes(), ClassResult::withinTarget) / sent;
         }
     },
+    /** Calls within their class's target for each second of the load. */
+    GOODPUT_PER_S {
+        @Override
+        double of(RunResult run) {
+            return sum(run.load().classes(), ClassResult::withinTarget) / run.load().seconds();
+        }
+    },
+    /** Calls that were refused, for the last time where callers came back. */
+    REFUSED_CALLS {
+        @Override
+        double of(RunResult run) {
+            return sum(run.load().classes(), ClassResult::refusedCalls);
+        }
+    },
+    /** Sends for each first send, recoveries included. */
+    SENDS_PER_FIRST {
+        @Override
+        double of(RunResult run) {
+            return run.sends().perFirst();
+        }
+    },
+    /** Sends from the first token on for each first send. */
+    FRESH_SENDS_PER_FIRST {
+        @Override
+        double of(RunResult run) {
+            return run.sends().freshPerFirst();
+        }
+    },
+    /** Times that refused callers came back. */
+    RETURNS {
+        @Override
+        double of(RunResult run) {
+            return run.load().returns().returns();
+        }
+    },
+    /** Busiest quarter of a second of the returns as a multiple of the mean one. */
+    RETURNS_PEAK {
+        @Override
+        double of(RunResult run) {
+            return run.load().returns().peak();
+        }
+
+        @Override
+        boolean appliesTo(RunResult run) {
+            return run.load().returns().returns() > 0;
+        }
+    },
     /** Calls whose stream ended without the whole answer. */
     FAILED_CALLS {
         @Override
--- a/masticweir-bench/src/main/java/org/masticweir/bench/report/RunResult.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/report/RunResult.java
@@ -19,6 +19,7 @@
         List<FaultResult> faults,
         LatencySummary resume,
         ExtraWork extra,
+        SendCounts sends,
         long moves,
         long falseMoves) {
     public RunResult {
@@ -27,5 +28,6 @@
         faults = ImmutableList.copyOf(faults);
         checkNotNull(resume, "resume");
         checkNotNull(extra, "extra");
+        checkNotNull(sends, "sends");
     }
 }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineLedger.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineLedger.java
@@ -4,18 +4,22 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMultiset;
 import java.util.Comparator;
 import java.util.List;
 import java.util.OptionalLong;
 
 /** What all engines computed during one load; immutable. */
 public final class EngineLedger {
-    private static final EngineLedger EMPTY = new EngineLedger(ImmutableList.of(), 0);
+    private static final EngineLedger EMPTY =
+            new EngineLedger(ImmutableList.of(), ImmutableList.of(), 0);
 
     private final ImmutableListMultimap<String, EngineRun> runs;
+    private final ImmutableMultiset<String> refusals;
     private final long prefillTokens;
 
-    private EngineLedger(List<EngineRun> runs, long prefillTokens) {
+    private EngineLedger(List<EngineRun> runs, List<String> refusals, long prefillTokens) {
+        this.refusals = ImmutableMultiset.copyOf(refusals);
         this.runs =
                 runs.stream()
                         .sorted(Comparator.comparingInt(EngineRun::attempt))
@@ -26,7 +30,12 @@
     }
 
     public static EngineLedger of(List<EngineRun> runs, long prefillTokens) {
-        return new EngineLedger(runs, prefillTokens);
+        return of(runs, ImmutableList.of(), prefillTokens);
+    }
+
+    /** Returns the ledger of a load in which engines refused runs of {@code refusals}. */
+    public static EngineLedger of(List<EngineRun> runs, List<String> refusals, long prefillTokens) {
+        return new EngineLedger(runs, refusals, prefillTokens);
     }
 
     /** Returns the ledger of a load whose engines are not known. */
@@ -39,6 +48,11 @@
         return runs.get(request);
     }
 
+    /** Returns how many times engines refused to run a request. */
+    public int refusalsOf(String request) {
+        return refusals.count(request);
+    }
+
     /** Returns the seed of a generation, when an engine told it. */
     public OptionalLong seed(String request, int generation) {
         return runs.get(request).stream()
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineReading.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineReading.java
@@ -13,9 +13,14 @@
 import java.util.List;
 import java.util.Optional;
 
-/** An engine's records at one moment. */
+/**
+ * An engine's records at one moment.
+ *
+ * @param refusals request of each run that it did not admit
+ */
 @JsonIgnoreProperties(ignoreUnknown = true)
-record EngineReading(List<Run> generations, long prefillTokens, long decodeTokens) {
+record EngineReading(
+        List<Run> generations, long prefillTokens, long decodeTokens, List<String> refusals) {
     private static final ObjectMapper MAPPER =
             JsonMapper.builder()
                     .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
@@ -23,6 +28,7 @@
 
     EngineReading {
         generations = ImmutableList.copyOf(generations);
+        refusals = ImmutableList.copyOf(refusals);
     }
 
     /** One attempt as the engine recorded it. */
--- a/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineRecorder.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/standin/EngineRecorder.java
@@ -19,6 +19,7 @@
     private final ImmutableList<EngineProcess> engines;
     private final Map<String, Long> prefillBefore = new HashMap<>();
     private final List<EngineRun> runs = new ArrayList<>();
+    private final List<String> refusals = new ArrayList<>();
     private long prefillTokens;
 
     private EngineRecorder(StandInControl control, List<EngineProcess> engines) {
@@ -49,7 +50,7 @@
     /** Reads all engines that answer and returns what was computed. */
     public synchronized EngineLedger finish() {
         engines.forEach(this::take);
-        return EngineLedger.of(runs, prefillTokens);
+        return EngineLedger.of(runs, refusals, prefillTokens);
     }
 
     private void take(EngineProcess engine) {
@@ -61,6 +62,7 @@
 
     private void add(String engine, EngineReading reading) {
         prefillTokens += reading.prefillTokens() - prefillBefore.getOrDefault(engine, 0L);
+        refusals.addAll(reading.refusals());
         for (EngineReading.Run r : reading.generations()) {
             runs.add(
                     new EngineRun(
--- a/masticweir-bench/src/test/java/org/masticweir/bench/experiment/FaultEffectTest.java
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/experiment/FaultEffectTest.java
@@ -16,6 +16,7 @@
 import org.masticweir.bench.load.Calls;
 import org.masticweir.bench.load.ObservedCall;
 import org.masticweir.bench.report.ExtraWork;
+import org.masticweir.bench.report.SendCounts;
 import org.masticweir.bench.standin.EngineLedger;
 import org.masticweir.bench.standin.EngineRun;
 
@@ -67,6 +68,18 @@
             assertEquals(0.25, extra.decodeShare(), 1e-9);
         }
 
+        @Test
+        void countsSendsAndRefusals() {
+            EngineLedger refused =
+                    EngineLedger.of(
+                            ImmutableList.of(run("e1", 1, 0, 3), run("e2", 2, 2, 2)),
+                            ImmutableList.of(call.requestId(), "another", call.requestId()),
+                            8);
+            SendCounts sends = RecoveryCost.sends(ImmutableList.of(call), refused);
+            assertEquals(new SendCounts(1, 3, 1), sends);
+            assertEquals(4, sends.perFirst(), 1e-9);
+        }
+
         @Test
         void tellsMovesOffLiveEnginesFromOthers() {
             ImmutableList<ImmutableList<Placement>> calls = ImmutableList.of(stays);
--- a/masticweir-bench/src/test/java/org/masticweir/bench/load/Calls.java
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/load/Calls.java
@@ -28,9 +28,29 @@
                         CallRecord.Outcome.COMPLETED,
                         "",
                         "COMPLETED",
+                        0,
                         startedAtMs,
                         at[at.length - 1]);
-        return new ObservedCall(
+        return ObservedCall.of(
                 new PlannedCall(intendedAtMs, LOOKUPS, request), intendedAtMs, record);
     }
+
+    /** Returns a call like {@code other} whose stream ended with an error and no token. */
+    static ObservedCall ended(ObservedCall other, String code, String verdict) {
+        CallRecord record =
+                new CallRecord(
+                        200,
+                        0,
+                        ImmutableIntArray.of(),
+                        ImmutableLongArray.of(),
+                        0,
+                        0,
+                        CallRecord.Outcome.ERROR,
+                        code,
+                        verdict,
+                        500,
+                        other.intendedAtMs(),
+                        other.intendedAtMs());
+        return ObservedCall.of(other.planned(), other.intendedAtMs(), record);
+    }
 }
--- a/masticweir-bench/src/test/java/org/masticweir/bench/load/LoadMeasurementTest.java
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/load/LoadMeasurementTest.java
@@ -16,7 +16,7 @@
 
 /** Tests the figures drawn from what callers saw. */
 class LoadMeasurementTest {
-    private static final LoadShape SHAPE = new LoadShape(Mix.SPAARSTRAAL, 10, 1, 1, 1);
+    private static final LoadShape SHAPE = LoadShape.of(Mix.SPAARSTRAAL, 10, 1, 1, 1);
     private static final long SEED = 42;
 
     private static ImmutableIntArray tokens(int... indexes) {
@@ -63,10 +63,27 @@
         assertEquals(0.1, result.goodputPerS(), 1e-9);
     }
 
+    /**
+     * A caller asks for a stream, waits in the queue and gets an error event that says NOT_RUN:
+     * that is a refusal, though its status is 200.
+     */
+    @Test
+    void countsCallsThatWereNotRunAsRefused() {
+        ObservedCall done = Calls.completed("k", 0, 0, tokens(0), 10);
+        ClassResult result =
+                lookups(
+                        measure(
+                                EngineLedger.empty(),
+                                Calls.ended(done, "OVERLOADED", "NOT_RUN"),
+                                Calls.ended(done, "ENGINE_LOST", "MAY_HAVE_RUN")));
+        assertEquals(ImmutableList.of(new NamedCount("OVERLOADED", 1)), result.refused());
+        assertEquals(ImmutableList.of(new NamedCount("MAY_HAVE_RUN", 1)), result.failed());
+    }
+
     @Test
     void countsCallsWithoutAnEndAsFailed() {
         ObservedCall done = Calls.completed("k", 0, 0, tokens(0), 10);
-        ObservedCall open = ObservedCall.unfinished(done.planned(), 0, 5000);
+        ObservedCall open = ObservedCall.unfinished(done.planned(), 0, ImmutableList.of(), 5000);
         ClassResult result = lookups(measure(EngineLedger.empty(), open));
         assertEquals(0, result.completed());
         assertEquals(ImmutableList.of(new NamedCount("UNFINISHED", 1)), result.failed());
--- a/masticweir-bench/src/test/java/org/masticweir/bench/load/LoadPlanTest.java
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/load/LoadPlanTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.primitives.ImmutableLongArray;
 import java.util.List;
 import java.util.Random;
@@ -16,7 +17,7 @@
 /** Tests what a load will ask for. */
 class LoadPlanTest {
     private static LoadPlan plan(Mix mix, long seed, String tag) {
-        return LoadPlan.draw(new LoadShape(mix, 100, 20, seed, 1), tag);
+        return LoadPlan.draw(LoadShape.of(mix, 100, 20, seed, 1), tag);
     }
 
     private static List<String> work(LoadPlan plan) {
@@ -53,6 +54,20 @@
         }
     }
 
+    @Test
+    void burstsComeBesideTheOtherCalls() {
+        Burst burst = Burst.parse("training,lookups,4000,2000,50");
+        LoadShape shape = new LoadShape(Mix.SPAARSTRAAL, 10, 5, 1, 1, 0, ImmutableList.of(burst));
+        List<PlannedCall> calls = LoadPlan.draw(shape, "burst").calls();
+        List<String> others = work(LoadPlan.draw(LoadShape.of(Mix.SPAARSTRAAL, 10, 5, 1, 1), "n"));
+        assertEquals(100, calls.size() - others.size(), 30);
+        assertTrue(
+                calls.stream()
+                        .map(PlannedCall::atMs)
+                        .toList()
+                        .equals(calls.stream().map(PlannedCall::atMs).sorted().toList()));
+    }
+
     /** What a seed decides and what it does not. */
     @Nested
     class Seeds {
--- a/masticweir-bench/src/test/java/org/masticweir/bench/report/ReportTest.java
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/report/ReportTest.java
@@ -31,6 +31,8 @@
                                     LATENCY,
                                     LATENCY,
                                     LATENCY)),
+                    ImmutableList.of(new TeamResult("advisers", 4, 3)),
+                    new ReturnCounts(2, 6, 1, 3, 4),
                     new TokenCheck(7, 0, 0, 0, 0),
                     LATENCY,
                     ImmutableList.of(new TimelinePoint(0, 4), new TimelinePoint(250, 6)));
@@ -43,6 +45,7 @@
                 ImmutableList.of(fault),
                 resume,
                 new ExtraWork(100, 110, 50, 60, 10),
+                new SendCounts(10, 11, 2),
                 3,
                 1);
     }
@@ -78,6 +81,21 @@
                         // A run whose faults met no generation has no wait to tell.
                         new MetricSpread(Metric.RESUME_P99_MS, "B", new Spread(1, 40, 40, 40))),
                 EXPERIMENT.of(Metric.RESUME_P99_MS));
+        assertEquals(
+                ImmutableList.of(
+                        new MetricSpread(Metric.SENDS_PER_FIRST, "A", new Spread(3, 1.3, 1.3, 1.3)),
+                        new MetricSpread(
+                                Metric.SENDS_PER_FIRST, "B", new Spread(2, 1.3, 1.3, 1.3))),
+                EXPERIMENT.of(Metric.SENDS_PER_FIRST));
+        assertEquals(2, EXPERIMENT.of(Metric.RETURNS_PEAK).get(0).spread().median());
+        assertTrue(
+                EXPERIMENT
+                        .groupLines()
+                        .contains(
+                                "team advisers: in target A 0.750 (0.750..0.750 of 3), B 0.750"
+                                        + " (0.750..0.750 of 2); sent A 4 (4..4 of 3), B 4 (4..4 of"
+                                        + " 2)"),
+                EXPERIMENT.groupLines().toString());
         assertTrue(
                 EXPERIMENT.summaryLine().contains("resume_p99_ms A 120 (100..300 of 3)"),
                 EXPERIMENT.summaryLine());
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -64,6 +64,14 @@
 
     /** Admits a new run, which ends an older one of the same generation, or refuses it. */
     synchronized Admission submit(GenerationRequest request) {
+        Admission admission = decide(request);
+        if (admission.refusal().isPresent()) {
+            records.refused(request);
+        }
+        return admission;
+    }
+
+    private Admission decide(GenerationRequest request) {
         if (faults.refusingForMs() > 0) {
             return Admission.refused(UNAVAILABLE, "OVERLOADED", RETRY_AFTER_MS);
         }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineRecords.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineRecords.java
@@ -25,6 +25,7 @@
             ImmutableList<Generation> generations,
             long prefillTokens,
             long decodeTokens,
+            ImmutableList<String> refusals,
             ImmutableList<Orders.Recorded> orders) {}
 
     /** One run while it goes on. */
@@ -55,9 +56,15 @@
     }
 
     private final List<Run> runs = new ArrayList<>();
+    private final List<String> refusals = new ArrayList<>();
     private long prefillTokens;
     private long decodeTokens;
 
+    /** Takes note of a run that was asked for and not admitted. */
+    void refused(GenerationRequest spec) {
+        refusals.add(spec.request());
+    }
+
     /** Returns the record of a run that has been admitted just now. */
     Run open(GenerationRequest spec) {
         Run run = new Run(spec);
@@ -77,6 +84,7 @@
     Snapshot snapshot(ImmutableList<Orders.Recorded> orders) {
         ImmutableList<Generation> generations =
                 runs.stream().map(Run::view).collect(ImmutableList.toImmutableList());
-        return new Snapshot(generations, prefillTokens, decodeTokens, orders);
+        return new Snapshot(
+                generations, prefillTokens, decodeTokens, ImmutableList.copyOf(refusals), orders);
     }
 }
