limits, retries, routing: settings for what were constants

Cause: the share of each mechanism of admission and retries could not be measured, as none could be turned off; their tunables were constants in the code.

Change: sections [limits], [retries] and [routing]. A switch each for class priority, queue deadlines, fair shares, predicted refusal and recovery admission; headroom, burst, recovery share, queue length, retry budget, its floor and the sends of a request as numbers; the chooser by name, with the two baselines that the library already had. Defaults are the former constants, so nothing changes for a file that leaves them out.

Ruled out: a switch for the order by deadline. Within a class all deadlines are arrival plus one target, so that order is the order of arrival; over all classes it is a form of class priority. class_priority = false therefore means one queue in order of arrival.

--- a/masticweir/src/main/java/org/masticweir/limits/Admission.java
+++ b/masticweir/src/main/java/org/masticweir/limits/Admission.java
@@ -34,8 +34,8 @@
  * <p>Thread-safe: each call holds one lock for a short time.
  */
 public final class Admission {
-    private static final int MAX_QUEUED = 2_048;
-    private static final int MAX_QUEUED_OF_TEAM = MAX_QUEUED / 4;
+    /** One team may hold one in so many of the queue's places. */
+    private static final int TEAM_PART = 4;
 
     /**
      * Places beyond the bound for teams with nothing queued, so that others can't shut them out.
@@ -51,6 +51,7 @@
     private final ToDoubleFunction<TeamId> weight;
     private final ToIntFunction<ModelId> recoveriesWaiting;
     private final RandomGenerator random;
+    private final LimitTuning tuning;
     private final Map<ModelVersion, ModelQueue> queues = new HashMap<>();
     private final Map<RequestId, WorkRequest> queued = new HashMap<>();
     private final Map<RequestId, Running> running = new HashMap<>();
@@ -59,11 +60,13 @@
             CapacitySource capacity,
             ToDoubleFunction<TeamId> weight,
             ToIntFunction<ModelId> recoveriesWaiting,
-            RandomGenerator random) {
+            RandomGenerator random,
+            LimitTuning tuning) {
         this.capacity = checkNotNull(capacity, "capacity");
         this.weight = checkNotNull(weight, "weight");
         this.recoveriesWaiting = checkNotNull(recoveriesWaiting, "recoveriesWaiting");
         this.random = checkNotNull(random, "random");
+        this.tuning = checkNotNull(tuning, "tuning");
     }
 
     /**
@@ -73,12 +76,22 @@
      * @param recoveriesWaiting recoveries of a model that go ahead of new work, for example {@link
      *     RecoveryAdmission#waiting}
      */
+    public static Admission create(
+            CapacitySource capacity,
+            ToDoubleFunction<TeamId> weight,
+            ToIntFunction<ModelId> recoveriesWaiting,
+            RandomGenerator random,
+            LimitTuning tuning) {
+        return new Admission(capacity, weight, recoveriesWaiting, random, tuning);
+    }
+
+    /** Returns an admission with the default tuning. */
     public static Admission create(
             CapacitySource capacity,
             ToDoubleFunction<TeamId> weight,
             ToIntFunction<ModelId> recoveriesWaiting,
             RandomGenerator random) {
-        return new Admission(capacity, weight, recoveriesWaiting, random);
+        return create(capacity, weight, recoveriesWaiting, random, LimitTuning.defaults());
     }
 
     /** Decides on {@code r}; a request offered before and not finished is an error. */
@@ -162,13 +175,16 @@
 
     private Optional<ErrorCode> refusal(
             WorkRequest r, Prediction p, Capacity c, ModelQueue queue, long nowMs) {
-        if (c.engines() == 0 || !p.meetsTargets(r, nowMs)) {
+        boolean late = tuning.predictedRefusal() && !p.meetsTargets(r, nowMs);
+        if (c.engines() == 0 || late) {
             return Optional.of(lateCode(c));
         }
-        if (queue.size(r.team()) >= MAX_QUEUED_OF_TEAM) {
+        int max = tuning.maxQueued();
+        if (tuning.fairShares() && queue.size(r.team()) >= Math.max(1, max / TEAM_PART)) {
             return Optional.of(ErrorCode.OVER_LIMIT);
         }
-        int limit = queue.size(r.team()) == 0 ? MAX_QUEUED + RESERVED_FOR_IDLE_TEAMS : MAX_QUEUED;
+        boolean idle = tuning.fairShares() && queue.size(r.team()) == 0;
+        int limit = idle ? max + RESERVED_FOR_IDLE_TEAMS : max;
         boolean full = queued.size() >= limit || running.size() >= MAX_RUNNING;
         return full ? Optional.of(ErrorCode.OVERLOADED) : Optional.empty();
     }
@@ -204,7 +220,7 @@
     private ModelQueue queue(WorkRequest r) {
         return queues.computeIfAbsent(
                 new ModelVersion(r.model(), r.version()),
-                k -> new ModelQueue(weight, new ReturnSchedule(random)));
+                k -> new ModelQueue(weight, new ReturnSchedule(random), tuning));
     }
 
     /** A request that was let in. */
--- a/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
@@ -17,7 +17,11 @@
 final class ClassQueue {
     private static final int MAX_IDLE = 512;
 
+    /** Stands for every team where they share one queue. */
+    private static final TeamId ALL = TeamId.of("all");
+
     private final ToDoubleFunction<TeamId> weight;
+    private final LimitTuning tuning;
     private final Map<TeamId, TeamQueue> teams = new LinkedHashMap<>();
 
     /** Where teams without requests stand, as long as that is ahead of the clock. */
@@ -26,24 +30,25 @@
     private double clock;
     private int size;
 
-    ClassQueue(ToDoubleFunction<TeamId> weight) {
-        this.weight = weight;
+    ClassQueue(ToDoubleFunction<TeamId> weight, LimitTuning tuning) {
+        this.weight = tuning.fairShares() ? weight : team -> 1;
+        this.tuning = tuning;
     }
 
     void add(WorkRequest r) {
-        teams.computeIfAbsent(r.team(), this::newTeam).add(r);
+        teams.computeIfAbsent(key(r.team()), this::newTeam).add(r);
         size++;
     }
 
     boolean remove(WorkRequest r) {
-        TeamQueue team = teams.get(r.team());
+        TeamQueue team = teams.get(key(r.team()));
         if (team == null || !team.remove(r)) {
             return false;
         }
         size--;
         if (team.isEmpty()) {
-            teams.remove(r.team());
-            remember(r.team(), team.servedPerWeight());
+            teams.remove(key(r.team()));
+            remember(key(r.team()), team.servedPerWeight());
         }
         return true;
     }
@@ -58,7 +63,7 @@
 
     /** Takes {@code r} out and charges its team. */
     void serve(WorkRequest r) {
-        TeamQueue team = teams.get(r.team());
+        TeamQueue team = teams.get(key(r.team()));
         clock = Math.max(clock, team.servedPerWeight());
         team.charge(r.tokens() / weight.applyAsDouble(r.team()));
         remove(r);
@@ -69,7 +74,7 @@
         double perWeight = (own + 1) / weight.applyAsDouble(team);
         double ahead = own;
         for (Map.Entry<TeamId, TeamQueue> e : teams.entrySet()) {
-            if (!e.getKey().equals(team)) {
+            if (!e.getKey().equals(key(team))) {
                 double turns = perWeight * weight.applyAsDouble(e.getKey());
                 ahead += Math.min(e.getValue().size(), turns);
             }
@@ -82,7 +87,7 @@
     }
 
     int size(TeamId team) {
-        TeamQueue q = teams.get(team);
+        TeamQueue q = teams.get(key(team));
         return q == null ? 0 : q.size();
     }
 
@@ -94,9 +99,14 @@
         return teams.get(team);
     }
 
+    private TeamId key(TeamId team) {
+        return tuning.fairShares() ? team : ALL;
+    }
+
     private TeamQueue newTeam(TeamId team) {
         Double stood = idle.remove(team);
-        return new TeamQueue(stood == null ? clock : Math.max(clock, stood));
+        double level = stood == null ? clock : Math.max(clock, stood);
+        return new TeamQueue(level, tuning.classPriority());
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
@@ -10,9 +10,6 @@
 
 /** The waiting requests of one model version, more prompt classes first; not thread-safe. */
 final class ModelQueue {
-    /** Share of the places that only the most prompt class of the model may fill. */
-    private static final double HEADROOM = 0.1;
-
     /** One pick in so many starts from the least prompt class, so that none waits for ever. */
     private static final int REVERSED_ONE_IN = 8;
 
@@ -20,12 +17,14 @@
     private final NavigableMap<Integer, ClassQueue> classes = new TreeMap<>();
     private final ModelLoad load = new ModelLoad();
     private final ReturnSchedule returns;
+    private final LimitTuning tuning;
     private int mostPromptMs = Integer.MAX_VALUE;
     private int picks;
 
-    ModelQueue(ToDoubleFunction<TeamId> weight, ReturnSchedule returns) {
+    ModelQueue(ToDoubleFunction<TeamId> weight, ReturnSchedule returns, LimitTuning tuning) {
         this.weight = weight;
         this.returns = returns;
+        this.tuning = tuning;
     }
 
     ModelLoad load() {
@@ -42,11 +41,11 @@
     }
 
     void add(WorkRequest r) {
-        classes.computeIfAbsent(r.workClass().firstTokenMs(), ms -> new ClassQueue(weight)).add(r);
+        classes.computeIfAbsent(promptness(r), ms -> new ClassQueue(weight, tuning)).add(r);
     }
 
     boolean remove(WorkRequest r) {
-        ClassQueue q = classes.get(r.workClass().firstTokenMs());
+        ClassQueue q = classes.get(promptness(r));
         return q != null && q.remove(r);
     }
 
@@ -61,19 +60,20 @@
     /** Returns the places that {@code r} may use of those that {@code capacity} has free. */
     double freeFor(WorkRequest r, Capacity capacity, int reserved) {
         boolean mostPrompt = r.workClass().firstTokenMs() <= mostPromptMs;
-        double headroom = mostPrompt ? 0 : Math.floor(HEADROOM * capacity.reachablePlaces());
+        double headroom =
+                mostPrompt ? 0 : Math.floor(tuning.headroom() * capacity.reachablePlaces());
         return capacity.freePlaces() - load.notYetSent() - reserved - headroom;
     }
 
     /** Predicts for {@code r} behind all that is queued before it. */
     Prediction predict(WorkRequest r, Capacity capacity, int reserved) {
-        ClassQueue own = classes.get(r.workClass().firstTokenMs());
+        ClassQueue own = classes.get(promptness(r));
         int before = own == null ? 0 : own.size(r.team());
         return predict(r, before, capacity, reserved);
     }
 
     private Prediction predict(WorkRequest r, int before, Capacity capacity, int reserved) {
-        int promptness = r.workClass().firstTokenMs();
+        int promptness = promptness(r);
         ClassQueue own = classes.get(promptness);
         double ahead = own == null ? 0 : own.ahead(r.team(), before);
         for (ClassQueue q : classes.headMap(promptness).values()) {
@@ -98,6 +98,9 @@
 
     /** Takes out those that can no longer meet their targets and adds them to {@code late}. */
     void dropLate(Capacity capacity, int reserved, long nowMs, List<WorkRequest> late) {
+        if (!tuning.queueDeadlines()) {
+            return;
+        }
         for (ClassQueue q : classes.values()) {
             for (TeamId team : q.waitingTeams()) {
                 dropLate(q, team, capacity, reserved, nowMs, late);
@@ -106,8 +109,11 @@
     }
 
     /**
-     * Only a team's first and last are tried, until both hold: the first has least time left, the
-     * last waits longest, and one between them comes to the front before it is due.
+     * Takes out what is late of one team.
+     *
+     * <p>Only a team's first and last are tried, until both hold: the first has least time left,
+     * the last waits longest, and one between them comes to the front before it is due. Without
+     * class priority that last does not hold; what is late then waits for the front.
      */
     private void dropLate(
             ClassQueue q,
@@ -120,10 +126,10 @@
             WorkRequest first = team.first();
             WorkRequest last = team.last();
             int before = team.size() - 1;
-            if (!predict(first, 0, capacity, reserved).meetsTargets(first, nowMs)) {
+            if (isLate(first, 0, capacity, reserved, nowMs)) {
                 q.remove(first);
                 late.add(first);
-            } else if (!predict(last, before, capacity, reserved).meetsTargets(last, nowMs)) {
+            } else if (isLate(last, before, capacity, reserved, nowMs)) {
                 q.remove(last);
                 late.add(last);
             } else {
@@ -131,4 +137,15 @@
             }
         }
     }
+
+    private boolean isLate(WorkRequest r, int before, Capacity capacity, int reserved, long nowMs) {
+        return tuning.predictedRefusal()
+                ? !predict(r, before, capacity, reserved).meetsTargets(r, nowMs)
+                : nowMs >= r.firstTokenDueMs();
+    }
+
+    /** Returns the key of the queue of {@code r}; lower ones go first. */
+    private int promptness(WorkRequest r) {
+        return tuning.classPriority() ? r.workClass().firstTokenMs() : 0;
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/limits/RecoveryAdmission.java
+++ b/masticweir/src/main/java/org/masticweir/limits/RecoveryAdmission.java
@@ -30,9 +30,6 @@
  * <p>Thread-safe: each call holds one lock for a short time.
  */
 public final class RecoveryAdmission {
-    /** Share of this router's places that recoveries may prefill on at a time. */
-    private static final double SHARE = 0.25;
-
     private static final int MIN_STARTING = 2;
     private static final int MAX_WAITING = 8_192;
 
@@ -40,6 +37,7 @@
     private static final long START_LAPSES_MS = 10_000;
 
     private final CapacitySource capacity;
+    private final LimitTuning tuning;
     private final NavigableSet<RecoveryRequest> waiting =
             new TreeSet<>(
                     comparingInt((RecoveryRequest r) -> r.workClass().firstTokenMs())
@@ -48,12 +46,18 @@
     private final Map<GenerationId, RecoveryRequest> byGeneration = new LinkedHashMap<>();
     private final Map<GenerationId, Starting> starting = new LinkedHashMap<>();
 
-    private RecoveryAdmission(CapacitySource capacity) {
+    private RecoveryAdmission(CapacitySource capacity, LimitTuning tuning) {
         this.capacity = checkNotNull(capacity, "capacity");
+        this.tuning = checkNotNull(tuning, "tuning");
+    }
+
+    public static RecoveryAdmission create(CapacitySource capacity, LimitTuning tuning) {
+        return new RecoveryAdmission(capacity, tuning);
     }
 
+    /** Returns an admission with the default tuning. */
     public static RecoveryAdmission create(CapacitySource capacity) {
-        return new RecoveryAdmission(capacity);
+        return create(capacity, LimitTuning.defaults());
     }
 
     /** Decides on a lost generation; one that was starting already is taken as lost again. */
@@ -127,7 +131,13 @@
 
     private int limit(ModelVersion key, long nowMs) {
         Capacity c = capacity.of(key.model(), key.version(), nowMs);
-        return c.engines() == 0 ? 0 : Math.max(MIN_STARTING, (int) (SHARE * c.fairPlaces()));
+        if (c.engines() == 0) {
+            return 0;
+        }
+        if (!tuning.recoveryAdmission()) {
+            return Integer.MAX_VALUE;
+        }
+        return Math.max(MIN_STARTING, (int) (tuning.recoveryShare() * c.fairPlaces()));
     }
 
     /** A recovery that was sent and has no new token yet. */
--- a/masticweir/src/main/java/org/masticweir/limits/SnapshotCapacity.java
+++ b/masticweir/src/main/java/org/masticweir/limits/SnapshotCapacity.java
@@ -21,18 +21,22 @@
  * <p>Thread-safe.
  */
 public final class SnapshotCapacity implements CapacitySource {
-    /** How many times its even part of the free places one router may fill from one report. */
-    private static final double BURST = 4;
-
     private final Supplier<RoutingSnapshot> snapshot;
     private final InFlight inFlight;
     private final IntSupplier routers;
 
+    /** How many times its even part of the free places one router may fill from one report. */
+    private final double burst;
+
     private SnapshotCapacity(
-            Supplier<RoutingSnapshot> snapshot, InFlight inFlight, IntSupplier routers) {
+            Supplier<RoutingSnapshot> snapshot,
+            InFlight inFlight,
+            IntSupplier routers,
+            double burst) {
         this.snapshot = checkNotNull(snapshot, "snapshot");
         this.inFlight = checkNotNull(inFlight, "inFlight");
         this.routers = checkNotNull(routers, "routers");
+        this.burst = burst;
     }
 
     /**
@@ -40,9 +44,18 @@
      *
      * @param routers how many routers, this one included, send to the engines of the snapshot
      */
+    public static SnapshotCapacity create(
+            Supplier<RoutingSnapshot> snapshot,
+            InFlight inFlight,
+            IntSupplier routers,
+            LimitTuning tuning) {
+        return new SnapshotCapacity(snapshot, inFlight, routers, tuning.burst());
+    }
+
+    /** Returns a source with the default tuning. */
     public static SnapshotCapacity create(
             Supplier<RoutingSnapshot> snapshot, InFlight inFlight, IntSupplier routers) {
-        return new SnapshotCapacity(snapshot, inFlight, routers);
+        return create(snapshot, inFlight, routers, LimitTuning.defaults());
     }
 
     @Override
@@ -52,7 +65,7 @@
             return Capacity.none();
         }
         double even = 1.0 / Math.max(1, routers.getAsInt());
-        double part = Math.min(1, BURST * even);
+        double part = Math.min(1, burst * even);
         double places = sum(engines, EngineView::usableCapacity);
         double free = Math.ceil(part * sum(engines, SnapshotCapacity::reportedFree));
         return new Capacity(
--- a/masticweir/src/main/java/org/masticweir/limits/TeamQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/TeamQueue.java
@@ -5,18 +5,24 @@
 
 import java.util.NavigableSet;
 import java.util.TreeSet;
+import java.util.function.ToLongFunction;
 
-/** One team's waiting requests of one class, earliest deadline first; not thread-safe. */
+/** One team's waiting requests of one class, in a given order; not thread-safe. */
 final class TeamQueue {
-    private final NavigableSet<WorkRequest> waiting =
-            new TreeSet<>(
-                    comparingLong(WorkRequest::firstTokenDueMs)
-                            .thenComparing(comparing(r -> r.id().value())));
+    private final NavigableSet<WorkRequest> waiting;
 
     /** Tokens served per unit of weight, on the class's virtual clock. */
     private double servedPerWeight;
 
-    TeamQueue(double servedPerWeight) {
+    /**
+     * Creates an empty queue.
+     *
+     * @param byDeadline whether the earliest deadline goes first, or else the earliest arrival
+     */
+    TeamQueue(double servedPerWeight, boolean byDeadline) {
+        ToLongFunction<WorkRequest> order =
+                byDeadline ? WorkRequest::firstTokenDueMs : WorkRequest::receivedAtMs;
+        waiting = new TreeSet<>(comparingLong(order).thenComparing(comparing(r -> r.id().value())));
         this.servedPerWeight = servedPerWeight;
     }
 
--- a/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
@@ -25,6 +25,9 @@
     private static final double DEFAULT_SHARE = 0.1;
     private static final int DEFAULT_FLOOR = 3;
 
+    /** A share above the sends that a request may have bounds nothing; a trial may ask for it. */
+    private static final double MAX_SHARE = 10;
+
     /** Pairs of class and team remembered; the one used longest ago is dropped first. */
     private static final int MAX_PAIRS = 8_192;
 
@@ -40,7 +43,7 @@
             };
 
     private RetryBudget(double share, int floor) {
-        checkArgument(share >= 0 && share <= 1, "retry share %s outside 0 to 1", share);
+        checkArgument(share >= 0 && share <= MAX_SHARE, "retry share %s", share);
         checkArgument(floor >= 0, "retry floor %s", floor);
         this.share = share;
         this.floor = floor;
--- a/masticweir/src/main/java/org/masticweir/retry/RetryPolicy.java
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryPolicy.java
@@ -1,5 +1,6 @@
 package org.masticweir.retry;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.OptionalLong;
@@ -16,22 +17,32 @@
  * <p>Thread-safe if the supplier gives each thread a generator of its own.
  */
 public final class RetryPolicy {
-    private static final int MAX_SENDS = 3;
+    private static final int DEFAULT_MAX_SENDS = 3;
     private static final long FIRST_BACKOFF_MS = 10;
     private static final long MAX_BACKOFF_MS = 1_000;
     private static final long MIN_RETURN_MS = 500;
 
     private final RetryBudget budget;
     private final Supplier<? extends RandomGenerator> random;
+    private final int maxSends;
 
-    private RetryPolicy(RetryBudget budget, Supplier<? extends RandomGenerator> random) {
+    private RetryPolicy(
+            RetryBudget budget, Supplier<? extends RandomGenerator> random, int maxSends) {
+        checkArgument(maxSends >= 1, "at most %s sends", maxSends);
+        this.maxSends = maxSends;
         this.budget = checkNotNull(budget, "budget");
         this.random = checkNotNull(random, "random");
     }
 
     public static RetryPolicy create(
             RetryBudget budget, Supplier<? extends RandomGenerator> random) {
-        return new RetryPolicy(budget, random);
+        return create(budget, random, DEFAULT_MAX_SENDS);
+    }
+
+    /** Returns a policy by which no request is sent more than {@code maxSends} times. */
+    public static RetryPolicy create(
+            RetryBudget budget, Supplier<? extends RandomGenerator> random, int maxSends) {
+        return new RetryPolicy(budget, random, maxSends);
     }
 
     /** Returns what follows {@code failed}; a send again has been counted in the budget. */
@@ -45,7 +56,7 @@
         }
         long afterMs = delayMs(failed);
         boolean inTime = nowMs + afterMs + failed.expectedMs() < failed.dueMs();
-        if (!inTime || failed.sends() >= MAX_SENDS) {
+        if (!inTime || failed.sends() >= maxSends) {
             return giveUp(failed.code(), failed);
         }
         return budget.tryRetry(failed.workClass(), failed.team(), nowMs)
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -30,6 +30,7 @@
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.id.RouterId;
+import org.masticweir.limits.LimitTuning;
 import org.masticweir.membership.Heartbeat;
 import org.masticweir.membership.RouterAddress;
 import org.masticweir.metrics.MetricsPage;
@@ -50,7 +51,6 @@
 import org.masticweir.recovery.copy.CopyStore;
 import org.masticweir.recovery.copy.RendezvousRanking;
 import org.masticweir.recovery.copy.StoreLimits;
-import org.masticweir.routing.ExpectedDelayChooser;
 import org.masticweir.routing.InFlight;
 import org.masticweir.serving.CopyContext;
 import org.masticweir.serving.GapBounds;
@@ -245,7 +245,7 @@
                 EngineClient.of(
                         new DefaultByteBufferPool(true, BUFFER_BYTES), recovery.connectTimeoutMs()),
                 calls,
-                ExpectedDelayChooser.create(inFlight, ThreadLocalRandom::current),
+                settings.routing().chooser().create(inFlight, ThreadLocalRandom::current),
                 inFlight,
                 gaps,
                 claims(),
@@ -257,7 +257,9 @@
                         inFlight,
                         () -> control.servingRouters().size(),
                         control.executor(),
-                        control.traffic()),
+                        control.traffic(),
+                        LimitTuning.of(settings.limits()),
+                        settings.retries()),
                 ServingMetrics.of(
                         metrics,
                         new MetricsTuning(settings.callers().maxTeamsShown(), METRICS_WINDOW_MS),
--- a/masticweir/src/main/java/org/masticweir/serving/ServingPolicy.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServingPolicy.java
@@ -13,12 +13,14 @@
 import org.masticweir.id.TeamId;
 import org.masticweir.limits.Admission;
 import org.masticweir.limits.CapacitySource;
+import org.masticweir.limits.LimitTuning;
 import org.masticweir.limits.RecoveryAdmission;
 import org.masticweir.limits.SnapshotCapacity;
 import org.masticweir.limits.TeamShares;
 import org.masticweir.retry.RetryBudget;
 import org.masticweir.retry.RetryPolicy;
 import org.masticweir.routing.InFlight;
+import org.masticweir.settings.DaemonSettings;
 import org.masticweir.time.Clock;
 
 /** The decisions and measurements that a router's requests share; all of it is thread-safe. */
@@ -30,6 +32,7 @@
         RetryBudget retryBudget,
         RetryPolicy retries) {
     private static final long SETTLE_EVERY_MS = 1_000;
+    private static final double PERCENT = 100;
 
     /** Share of a team that the configuration does not name. */
     private static final int UNKNOWN_SHARE = 1;
@@ -56,7 +59,9 @@
             InFlight inFlight,
             IntSupplier routers,
             ScheduledExecutorService control,
-            EngineTraffic traffic) {
+            EngineTraffic traffic,
+            LimitTuning limits,
+            DaemonSettings.Retries retries) {
         TeamShares shares = TeamShares.create(self, team -> shareOf(view.get(), team));
         control.scheduleWithFixedDelay(
                 () -> shares.settle(clock.nowMs()),
@@ -64,20 +69,25 @@
                 SETTLE_EVERY_MS,
                 TimeUnit.MILLISECONDS);
         CapacitySource capacity =
-                SnapshotCapacity.create(() -> view.get().routing(), inFlight, routers);
-        RecoveryAdmission recoveries = RecoveryAdmission.create(capacity);
+                SnapshotCapacity.create(() -> view.get().routing(), inFlight, routers, limits);
+        RecoveryAdmission recoveries = RecoveryAdmission.create(capacity, limits);
         Admission admission =
                 Admission.create(
-                        capacity, shares::weight, recoveries::waiting, new SplittableRandom());
+                        capacity,
+                        shares::weight,
+                        recoveries::waiting,
+                        new SplittableRandom(),
+                        limits);
         Gates gates = new Gates(admission, recoveries, clock, control);
-        RetryBudget budget = RetryBudget.create();
+        RetryBudget budget =
+                RetryBudget.create(retries.budgetPercent() / PERCENT, retries.budgetFloor());
         return new ServingPolicy(
                 traffic,
                 gates.admission,
                 gates.recoveries,
                 shares,
                 budget,
-                RetryPolicy.create(budget, ThreadLocalRandom::current));
+                RetryPolicy.create(budget, ThreadLocalRandom::current, retries.maxSends()));
     }
 
     private static int shareOf(ServingView view, TeamId team) {
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -8,6 +8,7 @@
 import java.util.regex.Pattern;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
+import org.masticweir.routing.ChooserKind;
 
 /**
  * The table of a daemon's settings: name with unit, range, default and a sentence on each.
@@ -299,6 +300,70 @@
                     MINUTE_MS,
                     "A written change some domain lacks by then is answered as pending.");
 
+    static final Setting<Boolean> CLASS_PRIORITY =
+            onOff("limits", "class_priority", "Classes with shorter targets are served first.");
+    static final Setting<Boolean> QUEUE_DEADLINES =
+            onOff("limits", "queue_deadlines", "What waits and would be late is refused.");
+    static final Setting<Boolean> FAIR_SHARES =
+            onOff("limits", "fair_shares", "Teams of a class are served by their shares.");
+    static final Setting<Boolean> PREDICTED_REFUSAL =
+            onOff("limits", "predicted_refusal", "What is predicted to be late is refused.");
+    static final Setting<Boolean> RECOVERY_ADMISSION =
+            onOff("limits", "recovery_admission", "Recoveries start a few at a time.");
+    static final Setting<Integer> HEADROOM_PERCENT =
+            integer(
+                    "limits",
+                    "headroom_percent",
+                    10,
+                    0,
+                    90,
+                    "Part of the places kept for a model's most prompt class.");
+    static final Setting<Integer> BURST_PERCENT =
+            integer(
+                    "limits",
+                    "burst_percent",
+                    400,
+                    100,
+                    10_000,
+                    "Part of its even share of free places that a router may fill at once.");
+    static final Setting<Integer> RECOVERY_SHARE_PERCENT =
+            integer(
+                    "limits",
+                    "recovery_share_percent",
+                    25,
+                    1,
+                    100,
+                    "Part of a router's places on which recoveries start at a time.");
+    static final Setting<Integer> MAX_QUEUED =
+            integer("limits", "max_queued", 2048, 1, 1_000_000, "New requests that may wait.");
+
+    static final Setting<Integer> BUDGET_PERCENT =
+            integer(
+                    "retries",
+                    "budget_percent",
+                    10,
+                    0,
+                    1000,
+                    "Retries for each hundred first sends; 1000 bounds nothing.");
+    static final Setting<Integer> BUDGET_FLOOR =
+            integer(
+                    "retries",
+                    "budget_floor",
+                    3,
+                    0,
+                    1000,
+                    "Retries in ten seconds that are allowed in any case.");
+    static final Setting<Integer> MAX_SENDS =
+            integer("retries", "max_sends", 3, 1, 100, "Sends of one request before its start.");
+
+    static final Setting<ChooserKind> CHOOSER =
+            choice(
+                    "routing",
+                    "chooser",
+                    ChooserKind.class,
+                    ChooserKind.EXPECTED_DELAY,
+                    "How an engine is chosen; all but the default are baselines.");
+
     private DaemonSetting() {}
 
     /** Returns every row in the order of the reference. */
@@ -326,6 +391,10 @@
         return add(Setting.optional(section, key, rule, Integer.toString(standard), doc));
     }
 
+    private static Setting<Boolean> onOff(String section, String key, String doc) {
+        return add(Setting.optional(section, key, ValueRule.bool(), "true", doc));
+    }
+
     private static <E extends Enum<E>> Setting<E> choice(
             String section, String key, Class<E> type, E standard, String doc) {
         String word = Ascii.toLowerCase(standard.name());
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -11,6 +11,7 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
+import org.masticweir.routing.ChooserKind;
 
 /**
  * A daemon's own settings, one component for each section of its file; immutable.
@@ -30,7 +31,10 @@
         Control control,
         Security security,
         Config config,
-        Shutdown shutdown) {
+        Shutdown shutdown,
+        Limits limits,
+        Retries retries,
+        Routing routing) {
     /** Exit code of a program whose settings are invalid. */
     public static final int INVALID_EXIT_CODE = 2;
 
@@ -77,8 +81,10 @@
                         in.get(DaemonSetting.LOAD_TIMEOUT_MS)),
                 Security.from(in),
                 Config.from(in),
-                new Shutdown(
-                        in.get(DaemonSetting.BALANCER_LAG_MS), in.get(DaemonSetting.DRAIN_MS)));
+                new Shutdown(in.get(DaemonSetting.BALANCER_LAG_MS), in.get(DaemonSetting.DRAIN_MS)),
+                Limits.from(in),
+                Retries.from(in),
+                new Routing(in.get(DaemonSetting.CHOOSER)));
     }
 
     /** Section {@code [router]}: who this router is and where it listens. */
@@ -202,4 +208,42 @@
                     in.get(DaemonSetting.DOMAIN_WAIT_MS));
         }
     }
+
+    /** Section {@code [limits]}: what new work and recoveries are let in. */
+    public record Limits(
+            boolean classPriority,
+            boolean queueDeadlines,
+            boolean fairShares,
+            boolean predictedRefusal,
+            boolean recoveryAdmission,
+            int headroomPercent,
+            int burstPercent,
+            int recoverySharePercent,
+            int maxQueued) {
+        private static Limits from(SettingsReader in) {
+            return new Limits(
+                    in.get(DaemonSetting.CLASS_PRIORITY),
+                    in.get(DaemonSetting.QUEUE_DEADLINES),
+                    in.get(DaemonSetting.FAIR_SHARES),
+                    in.get(DaemonSetting.PREDICTED_REFUSAL),
+                    in.get(DaemonSetting.RECOVERY_ADMISSION),
+                    in.get(DaemonSetting.HEADROOM_PERCENT),
+                    in.get(DaemonSetting.BURST_PERCENT),
+                    in.get(DaemonSetting.RECOVERY_SHARE_PERCENT),
+                    in.get(DaemonSetting.MAX_QUEUED));
+        }
+    }
+
+    /** Section {@code [retries]}: second and later sends of new work. */
+    public record Retries(int budgetPercent, int budgetFloor, int maxSends) {
+        private static Retries from(SettingsReader in) {
+            return new Retries(
+                    in.get(DaemonSetting.BUDGET_PERCENT),
+                    in.get(DaemonSetting.BUDGET_FLOOR),
+                    in.get(DaemonSetting.MAX_SENDS));
+        }
+    }
+
+    /** Section {@code [routing]}. */
+    public record Routing(ChooserKind chooser) {}
 }
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/limits/LimitTuningTest.java
@@ -0,0 +1,148 @@
+package org.masticweir.limits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.config.RecoveryPreset;
+import org.masticweir.config.Reliability;
+import org.masticweir.config.WorkClass;
+import org.masticweir.id.ModelId;
+import org.masticweir.id.RequestId;
+import org.masticweir.id.TeamId;
+import org.masticweir.id.WorkClassId;
+import org.masticweir.limits.AdmissionDecision.Admit;
+import org.masticweir.limits.AdmissionDecision.Queued;
+import org.masticweir.limits.AdmissionDecision.Refused;
+import org.masticweir.settings.DaemonSettings;
+
+/** Tests what each switch of the limits turns off: the baselines of the trials. */
+class LimitTuningTest {
+    private static final String LEAST =
+            String.join(
+                    "\n",
+                    "[router]",
+                    "id = r1",
+                    "domain = north",
+                    "caller_address = 127.0.0.1:7080",
+                    "operator_address = 127.0.0.1:7081",
+                    "peer_address = 127.0.0.1:7082",
+                    "[platform]",
+                    "address = 127.0.0.1:7090",
+                    "[limits]",
+                    "");
+    private static final int PLACES = 20;
+    private static final WorkClass LOOKUPS = workClass("lookups", 340);
+    private static final WorkClass REPORTS = workClass("reports", 4_000);
+
+    private int busy = PLACES;
+    private int arrivals;
+
+    private static WorkClass workClass(String id, int firstMs) {
+        return new WorkClass(
+                WorkClassId.of(id), firstMs, 60_000, Reliability.TOKENS, RecoveryPreset.PROMPT);
+    }
+
+    private Admission admission(String... lines) {
+        DaemonSettings settings = DaemonSettings.parse("r.ini", LEAST + String.join("\n", lines));
+        return Admission.create(
+                (m, v, now) -> new Capacity(1, PLACES - busy, PLACES, PLACES, 1_000, 10, 5),
+                t -> 1,
+                m -> 0,
+                new Random(3),
+                LimitTuning.of(settings.limits()));
+    }
+
+    private AdmissionDecision offer(Admission a, String id, String team, WorkClass c) {
+        WorkRequest work =
+                new WorkRequest(
+                        RequestId.of(id),
+                        TeamId.of(team),
+                        c,
+                        ModelId.of("m"),
+                        "3",
+                        10,
+                        100,
+                        arrivals++);
+        return a.offer(work, 0);
+    }
+
+    private static ImmutableList<String> ids(List<AdmissionDecision> decisions) {
+        return decisions.stream()
+                .map(d -> d.request().value())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    @Test
+    void settingsLeftOutGiveTheDefaults() {
+        DaemonSettings settings = DaemonSettings.parse("r.ini", LEAST);
+        assertEquals(LimitTuning.defaults(), LimitTuning.of(settings.limits()));
+    }
+
+    /** What comes first from the queue when one place is free. */
+    @Nested
+    class Order {
+        private String firstOf(Admission a) {
+            offer(a, "report", "a", REPORTS);
+            offer(a, "lookup", "a", LOOKUPS);
+            busy = PLACES - 1;
+            return ids(a.tick(1)).get(0);
+        }
+
+        @Test
+        void isByClassUnlessTurnedOff() {
+            assertEquals("lookup", firstOf(admission("headroom_percent = 0")));
+            busy = PLACES;
+            assertEquals("report", firstOf(admission("class_priority = false")));
+        }
+
+        @Test
+        void isByTeamUnlessTurnedOff() {
+            Admission fair = admission("headroom_percent = 0");
+            Admission off = admission("headroom_percent = 0", "fair_shares = false");
+            for (Admission a : List.of(fair, off)) {
+                busy = PLACES;
+                for (int i = 1; i <= 4; i++) {
+                    offer(a, "large-" + i, "large", REPORTS);
+                }
+                offer(a, "small", "small", REPORTS);
+                busy = PLACES - 2;
+                List<String> served = ids(a.tick(1));
+                assertEquals(a == fair, served.contains("small"), served.toString());
+            }
+        }
+    }
+
+    /** Requests that will be late. */
+    @Nested
+    class Late {
+        private AdmissionDecision seventh(Admission a) {
+            for (int i = 1; i <= 6; i++) {
+                offer(a, "q" + i, "a", LOOKUPS);
+            }
+            return offer(a, "late", "a", LOOKUPS);
+        }
+
+        @Test
+        void areRefusedOnArrivalUnlessTurnedOff() {
+            assertInstanceOf(Refused.class, seventh(admission()));
+            assertInstanceOf(Queued.class, seventh(admission("predicted_refusal = false")));
+        }
+
+        @Test
+        void areRefusedFromTheQueueUnlessTurnedOff() {
+            Admission deadlines = admission("predicted_refusal = false");
+            seventh(deadlines);
+            assertEquals(7, deadlines.tick(400).size());
+            Admission off = admission("predicted_refusal = false", "queue_deadlines = false");
+            seventh(off);
+            assertEquals(List.of(), off.tick(10_000));
+            busy = PLACES - 1;
+            assertInstanceOf(Admit.class, off.tick(10_000).get(0));
+        }
+    }
+}
