recovery: register a key at one router of all domains

Cause: a holder is a router of the owner's domain, so two domains that get one key at one moment each grant it to their own router, and an idempotent request is computed in both.

Ruled out: one ranking of holders over all domains (a round trip between domains for each batch of tokens); a row in the table (a few hundred writes a second); asking before the holder has granted (two routers could each be told to follow the other, and nobody would run the request).

WithdrawCopy has a holder forget the copy of a request of which nothing ran.

--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyHandlers.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyHandlers.java
@@ -21,6 +21,7 @@
 import org.masticweir.recovery.copy.CopyMessage.Subscribed;
 import org.masticweir.recovery.copy.CopyMessage.TakeOverCopy;
 import org.masticweir.recovery.copy.CopyMessage.WholeCopy;
+import org.masticweir.recovery.copy.CopyMessage.WithdrawCopy;
 import org.masticweir.time.Clock;
 
 /** Answers other routers, as the holder of their copies and as the owner of requests. */
@@ -44,6 +45,7 @@
         links.on(FindCopy.class, (from, m, reply) -> reply.send(new FoundCopy(find(m.request()))));
         links.on(TakeOverCopy.class, this::takeOver);
         links.on(FenceCopy.class, (from, m, reply) -> reply.send(fence(m.request(), m.epoch())));
+        links.on(WithdrawCopy.class, (from, m, reply) -> store.withdraw(m.request(), m.epoch()));
         links.on(Subscribe.class, (from, m, reply) -> subscribe(m, reply));
         links.on(ReadTokens.class, (from, m, reply) -> read(m, reply));
     }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
@@ -28,6 +28,7 @@
 import org.masticweir.recovery.copy.CopyMessage.Subscribed;
 import org.masticweir.recovery.copy.CopyMessage.TakeOverCopy;
 import org.masticweir.recovery.copy.CopyMessage.WholeCopy;
+import org.masticweir.recovery.copy.CopyMessage.WithdrawCopy;
 import org.masticweir.time.Clock;
 
 /**
@@ -102,6 +103,11 @@
                         });
     }
 
+    /** Has {@code holder} forget a copy of which nothing ran; a best effort. */
+    void withdraw(RouterId holder, RequestId request, CopyEpoch epoch) {
+        links.send(holder, new WithdrawCopy(request, epoch));
+    }
+
     /** Tells whether this router holds a copy of {@code request}, or knows of its owner by one. */
     public boolean holds(RequestId request) {
         return store.reads().find(request).isPresent();
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessage.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessage.java
@@ -12,7 +12,7 @@
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.PeerMessage;
 
-/** The messages about copies; the router that sends one is known from its link. */
+/** The messages about copies and keys; the router that sends one is known from its link. */
 sealed interface CopyMessage extends PeerMessage {
     /** Opens or replaces the sender's copy; answered by {@link HolderReply}. */
     record WholeCopy(boolean opening, GenerationCopy copy) implements CopyMessage {
@@ -123,4 +123,40 @@
             return new SubscribedTokens(generation, from, ImmutableIntArray.of(), Optional.empty());
         }
     }
+
+    /** Forgets the sender's copy, of which nothing ran; one-way. */
+    record WithdrawCopy(RequestId request, CopyEpoch epoch) implements CopyMessage {
+        public WithdrawCopy {
+            checkNotNull(request, "request");
+            checkNotNull(epoch, "epoch");
+        }
+    }
+
+    /**
+     * Registers {@code asking} as the owner of a key that has none; answered by {@link KeyOwner}.
+     *
+     * @param passedOn whether a router of the home's domain sent it on
+     */
+    record RegisterKey(RequestId request, RouterId asking, boolean passedOn)
+            implements CopyMessage {
+        public RegisterKey {
+            checkNotNull(request, "request");
+            checkNotNull(asking, "asking");
+        }
+    }
+
+    /** Who has the key. */
+    record KeyOwner(RouterId owner) implements CopyMessage {
+        public KeyOwner {
+            checkNotNull(owner, "owner");
+        }
+    }
+
+    /** Forgets that {@code owner} has the key; one-way. */
+    record ReleaseKey(RequestId request, RouterId owner, boolean passedOn) implements CopyMessage {
+        public ReleaseKey {
+            checkNotNull(request, "request");
+            checkNotNull(owner, "owner");
+        }
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodecs.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodecs.java
@@ -12,14 +12,18 @@
 import org.masticweir.recovery.copy.CopyMessage.FindCopy;
 import org.masticweir.recovery.copy.CopyMessage.FoundCopy;
 import org.masticweir.recovery.copy.CopyMessage.HolderReply;
+import org.masticweir.recovery.copy.CopyMessage.KeyOwner;
 import org.masticweir.recovery.copy.CopyMessage.ReadTokens;
+import org.masticweir.recovery.copy.CopyMessage.RegisterKey;
+import org.masticweir.recovery.copy.CopyMessage.ReleaseKey;
 import org.masticweir.recovery.copy.CopyMessage.Subscribe;
 import org.masticweir.recovery.copy.CopyMessage.Subscribed;
 import org.masticweir.recovery.copy.CopyMessage.SubscribedTokens;
 import org.masticweir.recovery.copy.CopyMessage.TakeOverCopy;
 import org.masticweir.recovery.copy.CopyMessage.WholeCopy;
+import org.masticweir.recovery.copy.CopyMessage.WithdrawCopy;
 
-/** The codecs of all copy messages, for the registry of a router's links. */
+/** The codecs of all messages about copies and keys, for the registry of a router's links. */
 public final class CopyMessageCodecs {
     static final int WHOLE_COPY = 48;
     static final int APPEND_BATCH = 49;
@@ -34,16 +38,22 @@
     static final int READ_TOKENS = 58;
     static final int SUBSCRIBED_TOKENS = 59;
 
+    static final int WITHDRAW_COPY = 60;
+    static final int REGISTER_KEY = 61;
+    static final int KEY_OWNER = 62;
+    static final int RELEASE_KEY = 63;
+
     private static final int MAX_APPENDS = 1 << 16;
 
     private CopyMessageCodecs() {}
 
-    /** Returns the codecs; they take the type numbers from 48 to 59. */
+    /** Returns the codecs; they take the type numbers from 48 to 63. */
     public static ImmutableList<MessageCodec<?>> all() {
         return ImmutableList.<MessageCodec<?>>builder()
                 .addAll(ofOwners())
                 .addAll(ofLookups())
                 .addAll(ofReaders())
+                .addAll(ofKeys())
                 .build();
     }
 
@@ -171,12 +181,55 @@
                                         ValueCodec.optional(f, ValueCodec::end))));
     }
 
+    private static ImmutableList<MessageCodec<?>> ofKeys() {
+        return ImmutableList.of(
+                CopyMessageCodec.of(
+                        WITHDRAW_COPY,
+                        WithdrawCopy.class,
+                        2,
+                        (m, out) -> {
+                            out.packString(m.request().value());
+                            ValueCodec.one(out, m.epoch(), ValueCodec::epoch);
+                        },
+                        f -> new WithdrawCopy(request(f), ValueCodec.one(f, ValueCodec::epoch))),
+                CopyMessageCodec.of(
+                        REGISTER_KEY,
+                        RegisterKey.class,
+                        3,
+                        (m, out) -> {
+                            out.packString(m.request().value());
+                            out.packString(m.asking().value());
+                            out.packBoolean(m.passedOn());
+                        },
+                        f -> new RegisterKey(request(f), router(f), f.bool())),
+                CopyMessageCodec.of(
+                        KEY_OWNER,
+                        KeyOwner.class,
+                        1,
+                        (m, out) -> out.packString(m.owner().value()),
+                        f -> new KeyOwner(router(f))),
+                CopyMessageCodec.of(
+                        RELEASE_KEY,
+                        ReleaseKey.class,
+                        3,
+                        (m, out) -> {
+                            out.packString(m.request().value());
+                            out.packString(m.owner().value());
+                            out.packBoolean(m.passedOn());
+                        },
+                        f -> new ReleaseKey(request(f), router(f), f.bool())));
+    }
+
+    private static RouterId router(Fields f) throws IOException {
+        return RouterId.of(f.text(ValueCodec.MAX_ID_BYTES));
+    }
+
     private static RequestId request(Fields f) throws IOException {
         return RequestId.of(f.text(ValueCodec.MAX_ID_BYTES));
     }
 
     private static AppendBatch batch(Fields f) throws IOException {
-        RouterId owner = RouterId.of(f.text(ValueCodec.MAX_ID_BYTES));
+        RouterId owner = router(f);
         return new AppendBatch(owner, f.list(MAX_APPENDS, in -> HolderCodec.append(in, owner)));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyStore.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyStore.java
@@ -100,6 +100,21 @@
         return moved(held, nowMs);
     }
 
+    /**
+     * Forgets the copy opened under {@code epoch}, of which nothing ran.
+     *
+     * <p>Left here it would show as a copy of a lost owner, and a caller who came back would have
+     * the request run from it beside the owner that has it.
+     */
+    public synchronized void withdraw(RequestId request, CopyEpoch epoch) {
+        HeldCopy held = lookUp(request);
+        if (held != null && held.epoch().equals(epoch)) {
+            bytes -= held.bytes();
+            running.remove(request);
+            finished.remove(request);
+        }
+    }
+
     /** Forgets what is past its time; returns the count of copies forgotten. */
     public synchronized int expire(long nowMs) {
         return expire(finished, nowMs - limits.retainMs())
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/SenderDriver.java
@@ -4,6 +4,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.masticweir.id.RequestId;
 import org.masticweir.id.RouterId;
 import org.masticweir.recovery.ActionLoop;
 import org.masticweir.time.Clock;
@@ -74,6 +75,12 @@
         unwatch();
     }
 
+    /** Ends the driver of a request of which nothing ran, and has the holder forget its copy. */
+    public void withdraw(RequestId request) {
+        watched.ifPresent(h -> links.withdraw(h, request, sender.epoch()));
+        close();
+    }
+
     private void carryOut(CopyAction action) {
         if (action instanceof CopyAction.SendToHolder send) {
             watch(send.holder());
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyMessageCodecsTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyMessageCodecsTest.java
@@ -82,7 +82,11 @@
                         new CopyMessage.Subscribed(
                                 Samples.spec(REQUEST), Samples.generation(REQUEST, 2)),
                         new CopyMessage.ReadTokens(REQUEST, 2, 8),
-                        new CopyMessage.SubscribedTokens(2, 8, ImmutableIntArray.of(6), WHOLE));
+                        new CopyMessage.SubscribedTokens(2, 8, ImmutableIntArray.of(6), WHOLE),
+                        new CopyMessage.WithdrawCopy(REQUEST, FIRST),
+                        new CopyMessage.RegisterKey(REQUEST, A, true),
+                        new CopyMessage.KeyOwner(A),
+                        new CopyMessage.ReleaseKey(REQUEST, A, false));
         for (CopyMessage m : all) {
             assertEquals(m, roundTrip(m));
         }
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyStoreTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyStoreTest.java
@@ -64,6 +64,23 @@
             assertEquals(50, held().ageMs());
         }
 
+        /**
+         * A caller who comes back would be given a second computing of its report: its router left
+         * the key to another domain's router, and the copy that it had opened stayed here. A copy
+         * that was taken over since is another owner's and stays.
+         */
+        @Test
+        void aCopyOfWhichNothingRanIsWithdrawn() {
+            open(FIRST);
+            store.withdraw(REQUEST, FIRST);
+            assertEquals(Optional.empty(), store.reads().find(REQUEST));
+            assertEquals(0, store.reads().bytes());
+            open(FIRST);
+            store.takeOver(REQUEST, FIRST, B, 1);
+            store.withdraw(REQUEST, FIRST);
+            assertEquals(SECOND, held().epoch());
+        }
+
         /**
          * Two answers would run: two callers come back through two routers, and both find the owner
          * dead. The take-over names the epoch it replaces, so the second one is told of the first.
--- a/masticweir/src/test/java/org/masticweir/replay/Policy.java
+++ b/masticweir/src/test/java/org/masticweir/replay/Policy.java
@@ -12,6 +12,7 @@
             () -> new EnginesReplay(true)),
     CONFIGURATION(
             "applying any revision", () -> new ConfigReplay(false), () -> new ConfigReplay(true)),
+    KEYS("running what each domain grants", () -> new KeyReplay(false), () -> new KeyReplay(true)),
     ORDERS(
             "trusting whoever held the lease",
             () -> new OrdersReplay(false),
