serving: ask a key's home before the first send

Cause: one idempotent key submitted in two domains, each with a holder of its own, was computed twice.

Ruled out: sending the first attempt meanwhile. It would save the wait, but the loser's prefill is computed twice and has to be cancelled.

Change: after its holder's grant a router asks the key's home, before anything is sent, if the request is idempotent, its caller named a key and its class keeps a copy. Who is named another owner withdraws its copy and reads from the owner. An owner that is not found, nor any copy, is forgotten at the home, and the request is run: a domain that is lost takes no key with it.

--- a/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -118,7 +118,7 @@
         }
         SubmitBody body = SubmitBody.parse(bytes);
         RequestSpec spec = body.toSpec(team, limits);
-        RunningRequest request = service.submit(spec, exchange.getIoThread());
+        RunningRequest request = service.submit(spec, body.keyed(), exchange.getIoThread());
         // Dispatched on the same thread, so that the exchange stays open after this call returns.
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
--- a/masticweir/src/main/java/org/masticweir/callers/SubmitBody.java
+++ b/masticweir/src/main/java/org/masticweir/callers/SubmitBody.java
@@ -71,6 +71,13 @@
         return orElse(stream, true);
     }
 
+    /**
+     * Tells whether the caller named a key, under which it may submit the request elsewhere too.
+     */
+    boolean keyed() {
+        return key != null;
+    }
+
     private String keyText() {
         if (key == null && !orElse(idempotent, true)) {
             throw bad("idempotency_key is required when idempotent is false");
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -39,6 +39,7 @@
 import org.masticweir.platform.InstanceRecord;
 import org.masticweir.platform.ReadOutcome;
 import org.masticweir.recovery.copy.CopyLinks;
+import org.masticweir.recovery.copy.KeyLinks;
 import org.masticweir.routing.RoutingSnapshot;
 import org.masticweir.serving.EngineTraffic;
 import org.masticweir.serving.Intake;
@@ -56,6 +57,7 @@
     private static final Logger LOG = LogManager.getLogger(ControlLoop.class);
     private static final long TICK_MS = 50;
     private static final long COPY_TICK_MS = 250;
+    private static final long KEY_TICK_MS = 1_000;
 
     private final ScheduledExecutorService executor =
             Executors.newSingleThreadScheduledExecutor(
@@ -132,10 +134,14 @@
         return peers.serving();
     }
 
-    /** Has copies kept in time, and told of routers that died; call before {@link #start}. */
-    void copyOver(CopyLinks copies) {
+    /**
+     * Has copies and keys kept in time, and copies told of routers that died; call before {@link
+     * #start}.
+     */
+    void copyOver(CopyLinks copies, KeyLinks keys) {
         peers.onDead(copies::lost);
         every(COPY_TICK_MS, copies::tick);
+        every(KEY_TICK_MS, keys::tick);
     }
 
     /** Returns what the control of this domain's engines goes by; control thread only. */
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -49,6 +49,10 @@
 import org.masticweir.recovery.copy.CopyLinks;
 import org.masticweir.recovery.copy.CopyMessageCodecs;
 import org.masticweir.recovery.copy.CopyStore;
+import org.masticweir.recovery.copy.KeyAsk;
+import org.masticweir.recovery.copy.KeyHomes;
+import org.masticweir.recovery.copy.KeyLinks;
+import org.masticweir.recovery.copy.RegisteredKeys;
 import org.masticweir.recovery.copy.RendezvousRanking;
 import org.masticweir.recovery.copy.StoreLimits;
 import org.masticweir.routing.InFlight;
@@ -276,11 +280,27 @@
                         id -> registry.find(id).flatMap(RunningRequest::owned),
                         clock,
                         CopyLinkLimits.defaults());
-        control.copyOver(copyLinks);
+        KeyLinks keys = keyLinks();
+        control.copyOver(copyLinks, keys);
         return new CopyContext(
                 self,
                 copyLinks,
-                RendezvousRanking.of(control::servingRouters, settings.router().domain()));
+                RendezvousRanking.of(control::servingRouters, settings.router().domain()),
+                keys);
+    }
+
+    private KeyLinks keyLinks() {
+        RouterId self = settings.router().id();
+        KeyLinks keys =
+                KeyLinks.open(
+                        links,
+                        self,
+                        KeyHomes.of(control::servingRouters, self, settings.router().domain()),
+                        RegisteredKeys.create(),
+                        clock,
+                        KeyAsk.BOUND_MS);
+        KeyGauges.register(metrics, keys);
+        return keys;
     }
 
     private ClaimService claims() {
--- a/masticweir/src/main/java/org/masticweir/serving/Ownership.java
+++ b/masticweir/src/main/java/org/masticweir/serving/Ownership.java
@@ -168,6 +168,12 @@
         outcomes.run();
     }
 
+    /** Leaves the request, of which nothing ran, to the owner that its key's home named. */
+    void withdraw() {
+        request.ownedAs(Optional.empty());
+        driver.withdraw(request.spec().id());
+    }
+
     /** Notes that an attempt is about to be sent or read again. */
     void placed(AttemptId attempt, EngineId engine) {
         driver.on(new CopyEvent.Placed(new Placement(attempt, engine)));
--- a/masticweir/src/main/java/org/masticweir/serving/RequestFollow.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestFollow.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.error.ErrorCode;
@@ -31,6 +33,8 @@
     private final XnioIoThread thread;
     private final RequestTakeOver takeOver;
     private final Runnable onEnd = this::onEnd;
+    private Optional<RouterId> named = Optional.empty();
+    private Optional<Runnable> ifNobody = Optional.empty();
     private Optional<RemoteAnswer> remote = Optional.empty();
     private boolean over;
 
@@ -45,18 +49,22 @@
         this.takeOver = checkNotNull(takeOver, "takeOver");
     }
 
+    /**
+     * Finds the owner that the key's home named, and follows it or takes over from it.
+     *
+     * @param ifNobody runs when no router knows the request; nothing was shown to callers then
+     */
+    void lookUp(RouterId owner, Runnable ifNobody) {
+        named = Optional.of(owner);
+        this.ifNobody = Optional.of(ifNobody);
+        lookUp();
+    }
+
     /** Finds the owner, and follows it or takes over from it. */
     void lookUp() {
         CopyContext copies = context.copies();
         CopyLookup lookup =
-                CopyLookup.of(
-                        LookupLimits.defaults(),
-                        copies.self(),
-                        copies.ranking()
-                                .candidatesFor(
-                                        request.spec().id(),
-                                        copies.self(),
-                                        RequestLookup.CANDIDATES));
+                CopyLookup.of(LookupLimits.defaults(), copies.self(), candidates(copies));
         LookupDriver.of(
                         lookup,
                         request.spec().id(),
@@ -67,8 +75,19 @@
                 .start();
     }
 
+    private ImmutableList<RouterId> candidates(CopyContext copies) {
+        ImmutableList<RouterId> ranked =
+                copies.ranking()
+                        .candidatesFor(
+                                request.spec().id(), copies.self(), RequestLookup.CANDIDATES);
+        return Stream.concat(named.stream(), ranked.stream())
+                .distinct()
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Reads the answer of {@code owner}, which was found to serve it. */
     void follow(RouterId owner) {
+        ifNobody = Optional.empty();
         LOG.info("serving: request {} is read from {}", request.spec().id(), owner);
         request.cancelWith(() -> thread.execute(this::leave));
         request.log().watch(onEnd);
@@ -96,6 +115,8 @@
             }
         } else if (outcome instanceof LookupAction.TakenOver taken) {
             takeOver.goOn(request, taken.copy(), request.log().size());
+        } else if (ifNobody.isPresent()) {
+            ifNobody.get().run();
         } else {
             fail(
                     MasticweirException.of(
--- a/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
@@ -7,6 +7,7 @@
 import org.masticweir.config.Model;
 import org.masticweir.config.WorkClass;
 import org.masticweir.generation.GenerationSpec;
+import org.masticweir.id.RouterId;
 import org.masticweir.recovery.copy.GenerationCopy;
 import org.xnio.XnioIoThread;
 
@@ -22,7 +23,8 @@
     private final Model model;
     private final XnioIoThread thread;
     private final Ownership ownership;
-    private final Runnable onJoin;
+    private final Joining joining;
+    private final boolean asksHome;
     private final GenerationSpec generation;
     private final Optional<TakenOver> taken;
     private Optional<GenerationRunner> runner = Optional.empty();
@@ -33,14 +35,17 @@
             Service service,
             XnioIoThread thread,
             Optional<TakenOver> taken,
-            Runnable onJoin) {
+            boolean keyed,
+            Joining joining) {
         this.context = checkNotNull(context, "context");
         this.request = checkNotNull(request, "request");
         this.workClass = service.workClass();
         this.model = service.model();
         this.thread = checkNotNull(thread, "thread");
         this.taken = taken;
-        this.onJoin = checkNotNull(onJoin, "onJoin");
+        this.joining = checkNotNull(joining, "joining");
+        asksHome =
+                keyed && request.spec().idempotent() && workClass.reliability().copiesPlacement();
         generation =
                 taken.map(t -> t.copy().generation())
                         .orElseGet(() -> GenerationSpec.firstOf(request.spec().id(), model));
@@ -50,15 +55,16 @@
     /**
      * Returns the run of a new request.
      *
-     * @param onJoin run when another router turns out to own it
+     * @param keyed whether its caller named an idempotency key, which another router may have too
      */
     static RequestRun opening(
             ServingContext context,
             RunningRequest request,
             Service service,
             XnioIoThread thread,
-            Runnable onJoin) {
-        return new RequestRun(context, request, service, thread, Optional.empty(), onJoin);
+            boolean keyed,
+            Joining joining) {
+        return new RequestRun(context, request, service, thread, Optional.empty(), keyed, joining);
     }
 
     /** Returns the run of a request taken over; the copy's tokens must be in its log. */
@@ -68,7 +74,8 @@
             Service service,
             XnioIoThread thread,
             TakenOver taken) {
-        return new RequestRun(context, request, service, thread, Optional.of(taken), () -> {});
+        Joining never = owner -> {};
+        return new RequestRun(context, request, service, thread, Optional.of(taken), false, never);
     }
 
     /** Starts; call once. */
@@ -79,6 +86,27 @@
 
     @Override
     public void run() {
+        if (asksHome) {
+            new KeyTurn(context, request.spec().id(), thread, this::runOwned, this::leaveTo)
+                    .start();
+        } else {
+            runOwned();
+        }
+    }
+
+    private void leaveTo(RouterId owner) {
+        if (request.log().ended()) {
+            return;
+        }
+        ownership.withdraw();
+        joining.joins(Optional.of(owner));
+    }
+
+    private void runOwned() {
+        if (request.log().ended()) {
+            // Taken over from here while the home of its key was asked.
+            return;
+        }
         // Not before: the log of a request that joins another router's takes that one's generation.
         request.log().startGeneration(generation.id().number());
         if (taken.isPresent() && taken.get().copy().end().isPresent()) {
@@ -102,7 +130,7 @@
 
     @Override
     public void join() {
-        onJoin.run();
+        joining.joins(Optional.empty());
     }
 
     @Override
@@ -137,6 +165,17 @@
                 context, request, thread, workClass.reliability(), from.copy(), this);
     }
 
+    /** Reads a request from the router that owns it. */
+    @FunctionalInterface
+    interface Joining {
+        /**
+         * Called at most once, before anything of the request was sent.
+         *
+         * @param named the owner as the key's home named it; empty when a holder knows of one
+         */
+        void joins(Optional<RouterId> named);
+    }
+
     /** How a request is to be served, as the configuration says. */
     record Service(WorkClass workClass, Model model) {
         Service {
--- a/masticweir/src/main/java/org/masticweir/serving/RequestService.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestService.java
@@ -11,6 +11,7 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.generation.RequestSpec;
 import org.masticweir.id.RequestId;
+import org.masticweir.id.RouterId;
 import org.xnio.XnioIoThread;
 
 /** Accepts requests and starts them; thread-safe. */
@@ -30,9 +31,10 @@
     /**
      * Starts the request on {@code thread}, or returns the one that runs under its id.
      *
+     * @param keyed whether the caller named an idempotency key
      * @throws MasticweirException if it is refused; then it did not run
      */
-    public RunningRequest submit(RequestSpec spec, XnioIoThread thread) {
+    public RunningRequest submit(RequestSpec spec, boolean keyed, XnioIoThread thread) {
         checkNotNull(spec, "spec");
         RequestRegistry registry = context.registry();
         ServingView view = context.view().get();
@@ -50,8 +52,8 @@
                     ErrorCode.KEY_REUSED, "the idempotency key was used for another request");
         }
         if (admission.fresh()) {
-            Runnable onJoin = () -> follow(request, thread);
-            RequestRun.opening(context, request, service, thread, onJoin).start();
+            RequestRun.Joining joining = named -> follow(request, service, thread, named);
+            RequestRun.opening(context, request, service, thread, keyed, joining).start();
         }
         return request;
     }
@@ -83,8 +85,36 @@
         return context.tuning();
     }
 
-    private void follow(RunningRequest request, XnioIoThread thread) {
-        new RequestFollow(context, request, thread, takeOver(thread)).lookUp();
+    private void follow(
+            RunningRequest request,
+            RequestRun.Service service,
+            XnioIoThread thread,
+            Optional<RouterId> named) {
+        RequestFollow follow = new RequestFollow(context, request, thread, takeOver(thread));
+        if (named.isPresent()) {
+            Runnable again = () -> openAgain(request, service, thread, named.get());
+            follow.lookUp(named.get(), again);
+        } else {
+            follow.lookUp();
+        }
+    }
+
+    /**
+     * Runs a request whose key is registered for a router that is not found, nor any copy.
+     *
+     * <p>A router that died with its domain shows like this for as long as the home keeps the key:
+     * each submission of it would end in an error. Once only: a router that the home still names
+     * then is one that the home can reach and this router can't.
+     */
+    private void openAgain(
+            RunningRequest request,
+            RequestRun.Service service,
+            XnioIoThread thread,
+            RouterId lost) {
+        context.copies().keys().release(request.spec().id(), lost);
+        RequestRun.Joining joining =
+                named -> new RequestFollow(context, request, thread, takeOver(thread)).lookUp();
+        RequestRun.opening(context, request, service, thread, true, joining).start();
     }
 
     private RequestTakeOver takeOver(XnioIoThread thread) {
