standins: let a test say how long weight loads take, and record their ends

Cause: the time of a load was fixed at the platform's start, so no test could have one load outlast a takeover of the lease and the next ones be short; a fetch's record had no end, so loads under way together could not be counted.

Ruled out: a second platform process with another time, as the records would be split.

Change: control field load_ms of the platform stand-in; a fetch's record has its end, also when whoever asked is gone.

Conclusion: staggering of loads over a takeover can be checked at the store.

--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformMessages.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformMessages.java
@@ -47,7 +47,8 @@
             Long slowMs,
             Integer loseAnswers,
             String loseAnswersTable,
-            Long listLagMs) {}
+            Long listLagMs,
+            Long loadMs) {}
 
     /** What the stand-in saw. */
     record Records(
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformService.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/PlatformService.java
@@ -155,6 +155,7 @@
     private Answer control(PlatformMessages.Control control) {
         try {
             Optional.ofNullable(control.listLagMs()).ifPresent(instances::setLagMs);
+            Optional.ofNullable(control.loadMs()).ifPresent(weights::setLoadMs);
             Optional<String> table = Optional.ofNullable(control.loseAnswersTable());
             Optional.ofNullable(control.loseAnswers())
                     .ifPresent(count -> faults.setAnswersToLose(count, table));
--- a/masticweir-standins/src/main/java/org/masticweir/standins/platform/WeightStore.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/platform/WeightStore.java
@@ -14,13 +14,12 @@
 
     private final Clock clock;
     private final RateLimit limit;
-    private final long loadMs;
+    private volatile long loadMs;
     private final EvictingQueue<Fetch> fetches = EvictingQueue.create(MAX_FETCHES);
 
     WeightStore(Clock clock, double loadsPerS, long loadMs) {
-        checkArgument(loadMs >= 0, "load of %s ms", loadMs);
         this.clock = clock;
-        this.loadMs = loadMs;
+        setLoadMs(loadMs);
         limit = RateLimit.perS(loadsPerS, clock.nowMs());
     }
 
@@ -28,11 +27,18 @@
     synchronized long fetch(FetchBody body) {
         long retryAfterMs = limit.take(clock.nowMs());
         if (retryAfterMs == 0) {
-            fetches.add(new Fetch(body.model(), body.version(), body.engine(), clock.wallMs()));
+            long now = clock.wallMs();
+            fetches.add(new Fetch(body.model(), body.version(), body.engine(), now, now + loadMs));
         }
         return retryAfterMs;
     }
 
+    /** Sets how long the loads admitted from now on take. */
+    void setLoadMs(long ms) {
+        checkArgument(ms >= 0, "load of %s ms", ms);
+        loadMs = ms;
+    }
+
     long loadMs() {
         return loadMs;
     }
@@ -50,6 +56,6 @@
         }
     }
 
-    /** One admitted fetch; its time is wall time. */
-    record Fetch(String model, String version, String engine, long atMs) {}
+    /** One admitted fetch; its times are wall time, and it ends also if nobody waits for it. */
+    record Fetch(String model, String version, String engine, long atMs, long endsAtMs) {}
 }
--- a/masticweir-standins/src/test/java/org/masticweir/standins/platform/PlatformServerTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/platform/PlatformServerTest.java
@@ -144,6 +144,15 @@
             assertEquals("{\"retry_after_ms\":1000}", post("/weights/fetch", body).body());
             assertEquals(1, records().get("weight_fetches").size());
         }
+
+        @Test
+        void loadTimeCanBeSetAndIsRecorded() throws Exception {
+            post("/control", "{\"load_ms\":7}");
+            post("/weights/fetch", "{\"model\":\"m\",\"version\":\"3\",\"engine\":\"e1\"}");
+            JsonNode fetch = records().get("weight_fetches").get(0);
+            assertEquals(7, fetch.get("ends_at_ms").asLong() - fetch.get("at_ms").asLong());
+            assertEquals(400, post("/control", "{\"load_ms\":-1}").status());
+        }
     }
 
     /** The faults that tests set. */
