--- a/masticweir-it/src/test/java/org/masticweir/it/FaultRun.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FaultRun.java
@@ -80,13 +80,23 @@
                         .collect(ImmutableMultiset.toImmutableMultiset());
         long returned = traces.stream().filter(t -> t.parts().size() > 1).count();
         return String.format(
-                "random faults: seed %d, %d steps, %d calls %s, %d came back, %d changes; %s",
+                "random faults: seed %d, %d steps, %d calls %s, %d came back, %d told not run of a key"
+                        + " that ran by another submission, %d changes; %s",
                 plan.seed(),
                 plan.steps().size(),
                 traces.size(),
                 verdicts,
                 returned,
+                toldNotRunBesideARun(),
                 accepted.size(),
                 checks);
     }
+
+    /** Returns how many callers heard "not run" last of a key that another submission ran. */
+    private long toldNotRunBesideARun() {
+        return traces.stream()
+                .filter(t -> t.verdict().equals("NOT_RUN"))
+                .filter(t -> runs.stream().anyMatch(r -> r.request().equals(t.requestId())))
+                .count();
+    }
 }
