claims: store the ends of letters over an hour without the table, replayed

Cause: a claim's end was written back 64 times at most, which is half an hour. Ruled out: the write budget and the pause of an outage, which hold back writes but drop none; a row lost after its commit, since each permission had its row. Change: a settling write is repeated for two hours by time in place of a count. isolation.feature replays the hour (one domain's links silent, one's refused) through ClaimService on a manual scheduler, beside sending without the table.

--- a/masticweir/src/main/java/org/masticweir/claims/ClaimState.java
+++ b/masticweir/src/main/java/org/masticweir/claims/ClaimState.java
@@ -46,6 +46,7 @@
     private int ticket;
     private int tries;
     private boolean mayHaveLanded;
+    private long settleUntilMs;
 
     private ClaimState(
             RowKey key, ClaimRow claim, ClaimPolicy policy, long nowMs, long deadlineMs) {
@@ -189,7 +190,7 @@
             return spent ? giveUp(nowMs) : ImmutableList.of(nextWrite(nowMs));
         }
         // Nobody waits any more. A row left as it is tells others MAY_HAVE_RUN, which is safe.
-        return tries >= policy.settleTries() ? close() : ImmutableList.of(nextWrite(nowMs));
+        return nowMs >= settleUntilMs ? close() : ImmutableList.of(nextWrite(nowMs));
     }
 
     /**
@@ -202,18 +203,19 @@
     private List<ClaimAction> giveUp(long nowMs) {
         ClaimAction refusal =
                 new ClaimAction.Refuse(unavailable().retryAfterMs(policy.retryAfterMs()));
-        settle(claim.released());
+        settle(claim.released(), nowMs);
         return ImmutableList.of(refusal, nextWrite(nowMs));
     }
 
     private List<ClaimAction> end(ClaimRow row, long nowMs) {
         checkState(phase == Phase.PERMITTED, "claim %s ended while %s", key, phase);
-        settle(row);
+        settle(row, nowMs);
         return ImmutableList.of(nextWrite(nowMs));
     }
 
-    private void settle(ClaimRow row) {
+    private void settle(ClaimRow row, long nowMs) {
         phase = Phase.SETTLING;
+        settleUntilMs = nowMs + policy.settleForMs();
         wanted = row;
         tries = 0;
     }
--- a/masticweir/src/test/java/org/masticweir/replay/Policy.java
+++ b/masticweir/src/test/java/org/masticweir/replay/Policy.java
@@ -13,6 +13,10 @@
     CONFIGURATION(
             "applying any revision", () -> new ConfigReplay(false), () -> new ConfigReplay(true)),
     KEYS("running what each domain grants", () -> new KeyReplay(false), () -> new KeyReplay(true)),
+    ISOLATED_CLAIMS(
+            "sending without the table",
+            () -> new IsolatedClaims(false),
+            () -> new IsolatedClaims(true)),
     ORDERS(
             "trusting whoever held the lease",
             () -> new OrdersReplay(false),
