bench: leave the JIT compilers out of a token's cost

Cause: on a busy machine a router's compilers work for minutes after its start. Three 18 s old routers gave 139, 145 and 73 us a token in succession, and 136 to 146 ms/s at rest. Ruled out: longer settling alone, which took over two minutes a point at a load average of 40 to 58 on 12 cores. Change: the processor time is summed over the router's threads without those of the compilers, named C1 and C2.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/path/CostSplit.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/path/CostSplit.java
@@ -12,9 +12,15 @@
     /** One load's rates and its processor time in us a second, less that of the router at rest. */
     record Load(double tokensPerS, double requestsPerS, double usPerS) {}
 
-    /** Splits the loads' cost; at least two of them must differ in tokens for each request. */
+    /**
+     * Splits the loads' cost; two of them must differ in tokens for each request. All of a single
+     * load's cost counts for its tokens.
+     */
     static CostSplit of(List<Load> loads) {
         checkNotNull(loads, "loads");
+        if (loads.size() == 1) {
+            return new CostSplit(loads.get(0).usPerS / loads.get(0).tokensPerS, 0);
+        }
         double tt = loads.stream().mapToDouble(l -> l.tokensPerS * l.tokensPerS).sum();
         double rr = loads.stream().mapToDouble(l -> l.requestsPerS * l.requestsPerS).sum();
         double tr = loads.stream().mapToDouble(l -> l.tokensPerS * l.requestsPerS).sum();
--- a/masticweir-bench/src/main/java/org/masticweir/bench/path/PathCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/path/PathCommand.java
@@ -16,7 +16,6 @@
 import org.masticweir.bench.BenchCommand;
 import org.masticweir.bench.BenchWorker;
 import org.masticweir.bench.report.ResultJson;
-import org.masticweir.bench.slopes.ProcessReading;
 import org.masticweir.bench.standin.StandInControl;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
@@ -184,8 +183,8 @@
     }
 
     private Processors processors() {
-        long peersMs = peers.stream().mapToLong(p -> ProcessReading.of(p).cpuMs()).sum();
-        return new Processors(clock.nowMs(), ProcessReading.of(pid).cpuMs(), peersMs);
+        long peersMs = peers.stream().mapToLong(WorkTime::ofMs).sum();
+        return new Processors(clock.nowMs(), WorkTime.ofMs(pid), peersMs);
     }
 
     private static void pause(long seconds) {
--- a/masticweir-bench/src/main/java/org/masticweir/bench/path/PathPoint.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/path/PathPoint.java
@@ -5,7 +5,8 @@
 /**
  * What one load cost; immutable.
  *
- * @param routerMsPerS processor time of the router that the callers use, in ms a second
+ * @param routerMsPerS processor time of the router that the callers use, its compilers aside, in ms
+ *     a second
  * @param peersMsPerS the same of the other routers, which hold its copies
  * @param p50Us from the engine's computing of a token to the caller's reading of it
  * @param loadAverage of the machine at the end, others' processes included
--- a/masticweir-bench/src/main/java/org/masticweir/bench/slopes/ProcessReading.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/slopes/ProcessReading.java
@@ -16,7 +16,7 @@
  * @param readBytes read since its start, sockets included
  * @param writtenBytes written since its start, sockets included
  */
-public record ProcessReading(long cpuMs, long rssKb, long readBytes, long writtenBytes) {
+record ProcessReading(long cpuMs, long rssKb, long readBytes, long writtenBytes) {
     /** The kernel's tick for user space, the same on all Linux machines in use. */
     private static final long TICK_MS = 10;
 
@@ -28,7 +28,7 @@
     private static final Splitter BY_SPACE = Splitter.on(' ').omitEmptyStrings();
 
     /** Reads the process now. */
-    public static ProcessReading of(long pid) {
+    static ProcessReading of(long pid) {
         String stat = text(pid, "stat");
         List<String> fields = BY_SPACE.splitToList(stat.substring(stat.lastIndexOf(')') + 1));
         long ticks =
--- a/masticweir-bench/src/test/java/org/masticweir/bench/path/CostSplitTest.java
+++ b/masticweir-bench/src/test/java/org/masticweir/bench/path/CostSplitTest.java
@@ -21,6 +21,12 @@
         assertEquals(700, split.usPerRequest(), EXACT);
     }
 
+    @Test
+    void allOfASingleLoadCountsForItsTokens() {
+        CostSplit split = CostSplit.of(ImmutableList.of(new CostSplit.Load(100, 1, 4200)));
+        assertEquals(new CostSplit(42, 0), split);
+    }
+
     @Test
     void loadsOfOneLengthAreRefused() {
         ImmutableList<CostSplit.Load> alike =
