--- a/masticweir-it/src/test/java/org/masticweir/it/FaultFleet.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FaultFleet.java
@@ -7,12 +7,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
 import org.masticweir.bench.BenchWorker;
 import org.masticweir.bench.caller.CallerClient;
@@ -40,13 +37,11 @@
     private static final long LIST_LAG_MS = 300;
     private static final long CALL_TIMEOUT_MS = 3_000;
     private static final long READY_BOUND_MS = 30_000;
-    private static final Path LOGS = Path.of("target", "random-faults");
 
     private final XnioWorker worker = BenchWorker.start(2);
     private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
     private final CallerClient caller = CallerClient.on(worker, Clock.system());
     private final StandInControl control = StandInControl.over(calls);
-    private final Path directory;
     private final Processes processes;
     private final InetSocketAddress platform;
     private final ProxyControl proxy;
@@ -56,15 +51,10 @@
     private final ImmutableList<FleetRouter> routers;
 
     private FaultFleet(long seed) {
-        directory = emptyDirectory(seed);
-        processes = Processes.in(directory);
+        processes = Processes.inNew("random-faults-" + seed);
         try {
-            ChildProcess platformProcess = startPlatform();
-            ChildProcess proxyProcess =
-                    processes.standIn(
-                            "proxy",
-                            HEAP_MB,
-                            ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+            ChildProcess platformProcess = processes.platform(HEAP_MB, LIST_LAG_MS);
+            ChildProcess proxyProcess = processes.proxy(HEAP_MB);
             engines =
                     ImmutableList.of(
                             startEngine("e1", "a", true),
@@ -119,7 +109,7 @@
 
     /** Returns the directory of the processes' logs. */
     Path directory() {
-        return directory;
+        return processes.directory();
     }
 
     ImmutableList<BackEndProcess> engines() {
@@ -274,39 +264,22 @@
     }
 
     private ImmutableList<FleetRouter> startRouters() {
-        ImmutableList<Integer> ports = ServerPorts.choose(FaultPlan.ROUTERS * FleetRouter.PORTS);
         ImmutableList.Builder<FleetRouter> started = ImmutableList.builder();
         for (int i = 0; i < FaultPlan.ROUTERS; i++) {
-            int first = i * FleetRouter.PORTS;
-            started.add(
-                    startRouter(
-                            "n" + (i + 1),
-                            DOMAINS.get(i / 2),
-                            ports.subList(first, first + FleetRouter.PORTS)));
+            started.add(startRouter("n" + (i + 1), DOMAINS.get(i / 2)));
         }
         return started.build();
     }
 
-    private FleetRouter startRouter(String id, String domain, List<Integer> ports) {
+    private FleetRouter startRouter(String id, String domain) {
+        RouterPorts ports = RouterPorts.of(ServerPorts.choose(RouterPorts.COUNT));
         InetSocketAddress toPlatform = proxy.add("platform-" + id, platform);
-        InetSocketAddress peers = proxy.add("peer-" + id, FleetRouter.loopback(ports.get(2)));
+        InetSocketAddress peers = proxy.add("peer-" + id, ports.peers());
         FleetRouter router = new FleetRouter(processes, id, domain, ports, toPlatform, peers);
         instances.put(new InstanceListClient.Entry("router", id, domain, "routers", peers), "live");
         return router;
     }
 
-    private ChildProcess startPlatform() {
-        return processes.standIn(
-                "platform",
-                HEAP_MB,
-                ImmutableList.of(
-                        "platform",
-                        "--listen",
-                        "127.0.0.1:0",
-                        "--list-lag-ms",
-                        Long.toString(LIST_LAG_MS)));
-    }
-
     private BackEndProcess startEngine(String id, String domain, boolean checksFencing) {
         return BackEndProcess.start(
                 processes,
@@ -342,13 +315,4 @@
             throw new UncheckedIOException(e);
         }
     }
-
-    private static Path emptyDirectory(long seed) {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "seed" + seed + "-");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/TwoDomainFleet.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TwoDomainFleet.java
@@ -4,11 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import org.masticweir.bench.BenchWorker;
 import org.masticweir.bench.caller.CallRequest;
@@ -23,24 +19,22 @@
  */
 final class TwoDomainFleet implements HealableBed {
     private static final long SERVING_BOUND_MS = 20_000;
-    private static final Path LOGS = Path.of("target", "test-bed");
 
     private final TestBed bed;
     private final XnioWorker worker = BenchWorker.start(1);
     private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
-    private final Processes processes = Processes.in(emptyDirectory());
+    private final Processes processes = Processes.inNew("two-domains");
     private final ImmutableList<FleetRouter> routers;
 
     private TwoDomainFleet(TestBed bed) {
         this.bed = checkNotNull(bed, "bed");
         try {
-            ImmutableList<Integer> ports = ServerPorts.choose(4 * FleetRouter.PORTS);
             routers =
                     ImmutableList.of(
-                            launch("m1", "a", ports.subList(0, 3)),
-                            launch("m2", "a", ports.subList(3, 6)),
-                            launch("m3", "b", ports.subList(6, 9)),
-                            launch("m4", "b", ports.subList(9, 12)));
+                            launch("m1", "a"),
+                            launch("m2", "a"),
+                            launch("m3", "b"),
+                            launch("m4", "b"));
             InstanceListClient list = new InstanceListClient(calls, bed.platform());
             routers.forEach(r -> list.put(entry(r), "live"));
             awaitServing();
@@ -126,11 +120,11 @@
         return new OperatorPort(calls, router.operators());
     }
 
-    private FleetRouter launch(String id, String domain, List<Integer> ports) {
+    private FleetRouter launch(String id, String domain) {
+        RouterPorts ports = RouterPorts.of(ServerPorts.choose(RouterPorts.COUNT));
         InetSocketAddress platform =
                 bed.proxy().addOnce(RouterLauncher.platformRoute(id), bed.platform());
-        InetSocketAddress peers =
-                bed.proxy().addOnce("peer-" + id, FleetRouter.loopback(ports.get(2)));
+        InetSocketAddress peers = bed.proxy().addOnce("peer-" + id, ports.peers());
         return new FleetRouter(processes, id, domain, ports, platform, peers);
     }
 
@@ -138,13 +132,4 @@
         return new InstanceListClient.Entry(
                 "router", router.id(), router.domain(), "routers", router.advertised());
     }
-
-    private static Path emptyDirectory() {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "two-domains");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
