engines: one router of a domain reads an engine and tells the others

Cause: every router asked every engine for load and holdings each 0.2 s and for cache events each 0.8 s. At 2,600 engines that is 140% of a core and 5.9 MB/s a daemon (docs/CAPACITY.md); a daemon may spend 5% and 12 KB/s.

Ruled out: the lease holder as only reader (289 engines on one router, and no reader without the table); engines that push (nothing of ours runs there); waiting for membership alone when a reader falls silent (a reader cut off from one engine stays alive for it); all peers reading at once.

Change: above share_above listed back ends (64) rendezvous hashing of the engine over the domain's serving routers names the reader. It reads each shared_poll_ms (1 s) and tells what is news: a step of load, role, models, an engine that stops answering; the rest each second poll. The n-th ranked stands in after n bounds of silence. Reports carry their age and are dated back. Health is judged by own reads only. Routers of other domains ask for three candidates a model and asker, and read what they use. Up to 64 back ends all is as before.

Failing first: SharedReportsTest with a reader that is never stood in for (readers kept, silence unbounded): owner killed, owner paused, all peers cut off each "not within 7000 ms", 3 of 5 failed. A leaving engine stayed live for the other domain for its lapse of 10 s, found by the same test ("other domain: not within 6000 ms"): engines that a domain no longer names are now forgotten. ReadingDutyTest holds the plain version beside the new one (30,000 ms old against at most 2,000).

SharedReportsTest 5 of 5 passed: a leaving engine is spared by its domain after 1,205 ms, reader killed 1,390 ms, paused 2,306 ms, all peers cut 811 ms. LaggingReportsTest: longest queue at loads 0.70 and 0.85 is 3 and 6 read directly, 4 and 6 shared. MembershipTest on this change passed 5 of 5 in one run and failed in two runs at load averages of 35 to 57 (a report had 2 or 3 attempts: false moves); unchanged code passed 5 of 5 at 38. IsolationTest WithoutTheOtherDomain failed the same way on this change and on unchanged code.

Conclusion: the processor time and most bytes of reading engines no longer grow with the fleet's engines times routers. Cache events stay with the reader; what that costs in prefill is not measured.

--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -255,6 +255,11 @@
         return events.since(since, clock.nowMs());
     }
 
+    /** Counts a read of the load report, for checkers. */
+    synchronized void stateRead() {
+        records.stateRead();
+    }
+
     synchronized EngineRecords.Snapshot records() {
         return records.snapshot(orders.recorded());
     }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineApi.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineApi.java
@@ -110,6 +110,7 @@
     }
 
     private void state(HttpServerExchange exchange) {
+        engine.stateRead();
         Load load = engine.reportedLoad();
         int slots = settings.maxBatch();
         Object report =
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineRecords.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineRecords.java
@@ -26,6 +26,7 @@
             long prefillTokens,
             long decodeTokens,
             ImmutableList<String> refusals,
+            long stateReads,
             ImmutableList<Orders.Recorded> orders) {}
 
     /** One run while it goes on. */
@@ -59,6 +60,7 @@
     private final List<String> refusals = new ArrayList<>();
     private long prefillTokens;
     private long decodeTokens;
+    private long stateReads;
 
     /** Takes note of a run that was asked for and not admitted. */
     void refused(GenerationRequest spec) {
@@ -81,10 +83,19 @@
         decodeTokens++;
     }
 
+    void stateRead() {
+        stateReads++;
+    }
+
     Snapshot snapshot(ImmutableList<Orders.Recorded> orders) {
         ImmutableList<Generation> generations =
                 runs.stream().map(Run::view).collect(ImmutableList.toImmutableList());
         return new Snapshot(
-                generations, prefillTokens, decodeTokens, ImmutableList.copyOf(refusals), orders);
+                generations,
+                prefillTokens,
+                decodeTokens,
+                ImmutableList.copyOf(refusals),
+                stateReads,
+                orders);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/membership/Rendezvous.java
+++ b/masticweir/src/main/java/org/masticweir/membership/Rendezvous.java
@@ -13,10 +13,11 @@
  *
  * <p>When a member comes or goes, only the keys that ranked it among their first change.
  */
-final class Rendezvous {
+public final class Rendezvous {
     private Rendezvous() {}
 
-    static long weight(String key, RouterId member) {
+    /** Returns the weight of {@code member} for {@code key}; the highest weight ranks first. */
+    public static long weight(String key, RouterId member) {
         return Hashing.murmur3_128()
                 .newHasher()
                 .putString(key, UTF_8)
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -26,6 +27,7 @@
 import org.masticweir.engine.BackEnd;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
 import org.masticweir.membership.ListedRouter;
 import org.masticweir.membership.LoadDigest;
@@ -69,6 +71,7 @@
     private final EnginePoller engines;
     private final ConfigControl config;
     private final PeerControl peers;
+    private final ReportSharing reports;
 
     private volatile ServingView view = ServingView.empty();
     private Optional<Deployment> deployment = Optional.empty();
@@ -103,6 +106,16 @@
                         this::onDeployment);
         peers = new PeerControl(self, membershipSettings(), links, config, executor, clock);
         peers.attach();
+        reports =
+                new ReportSharing(
+                        engines,
+                        peers::membership,
+                        links,
+                        executor,
+                        clock,
+                        self,
+                        settings.engines());
+        reports.attach();
     }
 
     /** Starts polling the platform, the peers and the back ends; any thread. */
@@ -144,6 +157,11 @@
         every(KEY_TICK_MS, keys::tick);
     }
 
+    /** Takes how to tell that this router has work on an engine; call before {@link #start}. */
+    void engineInUse(Predicate<EngineId> inUse) {
+        reports.inUse(inUse);
+    }
+
     /** Returns what the control of this domain's engines goes by; control thread only. */
     ControlInput controlInput() {
         List<ManagedEngine> managed = new ArrayList<>();
@@ -232,13 +250,14 @@
     }
 
     private void announceSelf() {
-        MemberState state = MemberState.STARTING;
+        peers.own(ownState(), config.view().revision(), LoadDigest.NONE);
+    }
+
+    private MemberState ownState() {
         if (intake != Intake.OPEN) {
-            state = MemberState.DRAINING;
-        } else if (deployment.isPresent()) {
-            state = MemberState.SERVING;
+            return MemberState.DRAINING;
         }
-        peers.own(state, config.view().revision(), LoadDigest.NONE);
+        return deployment.isPresent() ? MemberState.SERVING : MemberState.STARTING;
     }
 
     private void readInstances() {
@@ -270,7 +289,7 @@
     }
 
     private void pollEngines() {
-        deployment.ifPresent(engines::poll);
+        deployment.ifPresent(d -> reports.poll(d, ownState()));
         publish();
     }
 
--- a/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
+++ b/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
@@ -14,6 +14,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.config.BackEndKind;
@@ -57,6 +59,7 @@
     private final CacheTrust caches = CacheTrust.create();
     private final Map<EngineId, EngineRecord> records = new HashMap<>();
     private final Set<EngineId> asked = new HashSet<>();
+    private BiConsumer<EngineRecord, Boolean> onRead = (record, answered) -> {};
     private int polls;
 
     EnginePoller(
@@ -96,24 +99,42 @@
         watch.takeTraffic(records, clock.nowMs());
     }
 
-    /** Asks every back end of a declared group for its load and what it holds. */
-    void poll(Deployment deployment) {
+    /**
+     * Asks back ends of the declared groups for their load and what they hold.
+     *
+     * @param reads tells which of them this router asks itself
+     */
+    void poll(Deployment deployment, Predicate<EngineRecord> reads) {
         watch.watch(records);
         polls++;
         for (EngineRecord record : ImmutableList.copyOf(records.values())) {
             Optional<EngineGroup> group = deployment.group(record.backEnd().group());
-            if (group.isPresent() && asked.add(record.backEnd().id())) {
+            if (group.isEmpty()) {
+                continue;
+            }
+            boolean engine = kindOf(deployment, group.get()) == BackEndKind.ENGINE;
+            if (!engine) {
+                record.holds(declared(deployment, group.get()));
+            }
+            if (reads.test(record) && asked.add(record.backEnd().id())) {
                 askState(record, group.get().vendor());
-                if (kindOf(deployment, group.get()) == BackEndKind.ENGINE) {
+                if (engine) {
                     askHoldings(record);
                     askCacheEvents(record);
-                } else {
-                    record.holds(declared(deployment, group.get()));
                 }
             }
         }
     }
 
+    Optional<EngineRecord> record(EngineId id) {
+        return Optional.ofNullable(records.get(id));
+    }
+
+    /** Has {@code listener} told of each end of a read, with whether the engine answered. */
+    void onRead(BiConsumer<EngineRecord, Boolean> listener) {
+        onRead = checkNotNull(listener, "listener");
+    }
+
     Collection<EngineRecord> records() {
         return records.values();
     }
@@ -170,6 +191,7 @@
                     delays.answered(record.backEnd().domain(), nowMs - askedAtMs, nowMs);
                 });
         watch.polled(record.backEnd().id(), json.isPresent(), nowMs);
+        onRead.accept(record, json.isPresent());
     }
 
     /** Only local engines are asked: no other domain's cache decides where a prompt goes. */
--- a/masticweir/src/main/java/org/masticweir/router/EngineRecord.java
+++ b/masticweir/src/main/java/org/masticweir/router/EngineRecord.java
@@ -37,6 +37,20 @@
         holdings = Optional.of(now);
     }
 
+    /** Takes a reading unless a later one is known; returns whether it was taken. */
+    boolean reportedLater(LoadReport report, long atMs) {
+        boolean later = load.isEmpty() || atMs > reportedAtMs;
+        if (later) {
+            reported(report, atMs);
+        }
+        return later;
+    }
+
+    /** Forgets the load, so that nothing new is sent here until it is reported again. */
+    void lapse() {
+        load = Optional.empty();
+    }
+
     void caches(CacheHints hints) {
         cache = checkNotNull(hints, "hints");
     }
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -55,6 +55,8 @@
 import org.masticweir.recovery.copy.RegisteredKeys;
 import org.masticweir.recovery.copy.RendezvousRanking;
 import org.masticweir.recovery.copy.StoreLimits;
+import org.masticweir.reports.CandidatesAsk;
+import org.masticweir.reports.EngineShare;
 import org.masticweir.routing.InFlight;
 import org.masticweir.serving.CopyContext;
 import org.masticweir.serving.GapBounds;
@@ -192,6 +194,7 @@
         List<MessageCodec<?>> codecs =
                 ImmutableList.<MessageCodec<?>>builder()
                         .add(Heartbeat.codec(), ConfigAsk.CODEC, ConfigOffer.CODEC)
+                        .add(EngineShare.CODEC, CandidatesAsk.CODEC)
                         .addAll(CopyMessageCodecs.all())
                         .build();
         try {
@@ -231,6 +234,7 @@
         GapBounds gaps = GapBounds.of(recovery.silenceFloorMs(), recovery.silenceStartMs());
         control.traffic().alsoRetain(inFlight::retain);
         control.traffic().alsoRetain(gaps::retain);
+        control.engineInUse(engine -> inFlight.outstanding(engine) > 0);
         ServingTuning tuning =
                 new ServingTuning(
                         recovery.probeTimeoutMs(),
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -185,6 +185,22 @@
                     20,
                     MINUTE_MS,
                     "Time between two reads of an engine's load report.");
+    static final Setting<Integer> SHARE_ABOVE =
+            integer(
+                    "engines",
+                    "share_above",
+                    64,
+                    0,
+                    100_000,
+                    "With more back ends listed, routers of a domain share reports.");
+    static final Setting<Integer> SHARED_POLL_MS =
+            integer(
+                    "engines",
+                    "shared_poll_ms",
+                    1000,
+                    100,
+                    MINUTE_MS,
+                    "Time between two reads of a load report that routers share.");
 
     static final Setting<Integer> HEARTBEAT_MS =
             integer("peers", "heartbeat_ms", 500, 50, MINUTE_MS, "Time between two heartbeats.");
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -73,7 +73,7 @@
                 new Log(in.get(DaemonSetting.LOG_LAYOUT), in.get(DaemonSetting.LOG_LEVEL)),
                 Callers.from(in),
                 Recovery.from(in),
-                new Engines(in.get(DaemonSetting.STATE_POLL_MS)),
+                Engines.from(in),
                 Peers.from(in),
                 new Claims(in.get(DaemonSetting.BATCH_WAIT_MS), in.get(DaemonSetting.RETENTION_MS)),
                 new Control(
@@ -161,7 +161,14 @@
     }
 
     /** Section {@code [engines]}: reading the engines' reports. */
-    public record Engines(int statePollMs) {}
+    public record Engines(int statePollMs, int shareAbove, int sharedPollMs) {
+        private static Engines from(SettingsReader in) {
+            return new Engines(
+                    in.get(DaemonSetting.STATE_POLL_MS),
+                    in.get(DaemonSetting.SHARE_ABOVE),
+                    in.get(DaemonSetting.SHARED_POLL_MS));
+        }
+    }
 
     /** Section {@code [peers]}: the links to other routers. */
     public record Peers(int heartbeatMs, int suspectMs, int deadMs) {
--- a/masticweir/src/test/java/org/masticweir/routing/LaggingReportsTest.java
+++ b/masticweir/src/test/java/org/masticweir/routing/LaggingReportsTest.java
@@ -18,8 +18,15 @@
     private static final int ENGINES = 20;
     private static final int TICK_MS = 10;
     private static final int END_MS = 30_000;
-    private static final int REPORT_MS = 1_000;
-    private static final int LAG_MS = 200;
+
+    /** How reports reach the routers unless a test says otherwise. */
+    private static final Reporting LATE = new Reporting(1_000, 200, 0);
+
+    /** Each router reads each engine itself: often, and the answer is there at once. */
+    private static final Reporting READ = new Reporting(200, TICK_MS, 0);
+
+    /** One router reads, and tells what moved by a sixteenth of the capacity. */
+    private static final Reporting SHARED = new Reporting(1_000, 200, Engines.CAPACITY / 16);
 
     /** Half a batch: the longest queue that a steady load within capacity may cause. */
     private static final int CHOSEN_BOUND = Engines.CAPACITY / 2;
@@ -54,20 +61,51 @@
         }
     }
 
+    /** One router of a domain reads an engine for all; see {@code org.masticweir.reports}. */
+    @Nested
+    class Sharing {
+        @Test
+        void sharedReportsKeepQueuesShortToo() {
+            for (double load : new double[] {0.7, 0.85}) {
+                int read = expectedDelay(READ, load);
+                int shared = expectedDelay(SHARED, load);
+                System.out.printf(
+                        "longest queue at load %.2f: read %d, shared %d%n", load, read, shared);
+                assertTrue(read <= CHOSEN_BOUND, "read " + read);
+                assertTrue(shared <= CHOSEN_BOUND, "shared " + shared);
+            }
+        }
+
+        private int expectedDelay(Reporting reporting, double load) {
+            Random random = new Random(7);
+            return longestQueue(
+                    f -> ExpectedDelayChooser.create(f, () -> random), load, 0, reporting);
+        }
+    }
+
+    /** How often engines report, how late, and how far a load may move untold. */
+    private record Reporting(int everyMs, int lagMs, int step) {}
+
     /** The longest queue on any engine under each chooser. */
     private record Figures(int leastReported, int roundRobin, int expectedDelay) {
         static Figures measure(double load, int slowEngines) {
             Random random = new Random(7);
             return new Figures(
-                    longestQueue(f -> LeastReportedChooser.create(), load, slowEngines),
-                    longestQueue(f -> RoundRobinChooser.create(), load, slowEngines),
+                    longestQueue(f -> LeastReportedChooser.create(), load, slowEngines, LATE),
+                    longestQueue(f -> RoundRobinChooser.create(), load, slowEngines, LATE),
                     longestQueue(
-                            f -> ExpectedDelayChooser.create(f, () -> random), load, slowEngines));
+                            f -> ExpectedDelayChooser.create(f, () -> random),
+                            load,
+                            slowEngines,
+                            LATE));
         }
     }
 
     private static int longestQueue(
-            Function<InFlight, EngineChooser> chooser, double load, int slowEngines) {
+            Function<InFlight, EngineChooser> chooser,
+            double load,
+            int slowEngines,
+            Reporting reporting) {
         Random random = new Random(42);
         List<InFlight> counts = new ArrayList<>();
         List<EngineChooser> choosers = new ArrayList<>();
@@ -75,7 +113,7 @@
             counts.add(InFlight.create());
             choosers.add(chooser.apply(counts.get(i)));
         }
-        Fleet fleet = new Fleet(counts, slowEngines, random);
+        Fleet fleet = new Fleet(counts, slowEngines, reporting, random);
         double arrivals = load * ENGINES * Engines.CAPACITY * TICK_MS / Engines.HOLD_MS;
         for (long now = 0; now < END_MS; now += TICK_MS) {
             fleet.tick(now);
@@ -93,14 +131,17 @@
     private static final class Fleet {
         private final List<InFlight> counts;
         private final int slowEngines;
+        private final Reporting reporting;
         private final Random random;
+        private final int[] told = new int[ENGINES];
         private final List<List<long[]>> running = new ArrayList<>();
         private final List<Deque<Integer>> waiting = new ArrayList<>();
-        private RoutingSnapshot taken = reports(0);
-        private RoutingSnapshot seen = taken;
+        private RoutingSnapshot taken;
+        private RoutingSnapshot seen;
         private int longestQueue;
 
-        Fleet(List<InFlight> counts, int slowEngines, Random random) {
+        Fleet(List<InFlight> counts, int slowEngines, Reporting reporting, Random random) {
+            this.reporting = reporting;
             this.slowEngines = slowEngines;
             this.counts = counts;
             this.random = random;
@@ -108,6 +149,8 @@
                 running.add(new ArrayList<>());
                 waiting.add(new ArrayDeque<>());
             }
+            taken = reports(0);
+            seen = taken;
         }
 
         void send(EngineChooser chooser, int router, long now) {
@@ -132,10 +175,10 @@
                 }
                 longestQueue = Math.max(longestQueue, waiting.get(i).size());
             }
-            if (now % REPORT_MS == 0) {
+            if (now % reporting.everyMs == 0) {
                 taken = reports(now);
             }
-            if (now % REPORT_MS == LAG_MS) {
+            if (now % reporting.everyMs == reporting.lagMs) {
                 seen = taken;
             }
         }
@@ -143,8 +186,11 @@
         private RoutingSnapshot reports(long now) {
             EngineView[] views = new EngineView[ENGINES];
             for (int i = 0; i < ENGINES; i++) {
-                int load = running.isEmpty() ? 0 : running.get(i).size() + waiting.get(i).size();
-                views[i] = Engines.engine("e" + i, Engines.HOME, load, now);
+                int load = running.get(i).size() + waiting.get(i).size();
+                if (Math.abs(load - told[i]) >= reporting.step) {
+                    told[i] = load;
+                }
+                views[i] = Engines.engine("e" + i, Engines.HOME, told[i], now);
             }
             return Engines.snapshot(views);
         }
