config: read the history's next row, in turns with the domain's routers

Cause: every router read the whole document each second: 520 KB/s at 4,500 teams, over the 12 KB/s that a daemon may spend, and 390 reads a second by the fleet (docs/CAPACITY.md).

Ruled out: a row of its own for the revision's number (rows stored before lack it, and a router of the older version would leave it behind); four fixed readers by rendezvous order (readers that are heard but cannot reach the table leave the domain behind, and no news is silence too, so a take-over has nothing to go by); pushing the document.

Change: a router that knows a revision reads history/REVISION+1, which has been put in one transaction with the document since the first version, and the document only when that row is there, at the start, and at one read in 60. With n over four serving routers in a domain each waits n / 4 polls in the mean, by chance half to one and a half times. Nothing is migrated. Heartbeats spread a revision as before.

Failure tests: DomainReadsTest writes a revision into the table as a router does that is lost at once; of five routers one is killed, one paused, one cut off from the platform, as is the other domain. That a domain with fixed readers stays behind follows there from the choice of the readers; no build with fixed readers was run.

Conclusion: reads of the table no longer grow with teams or routers. A change still carries the whole document to each router, and the table's bytes at rest are those of small rows.

--- /dev/null
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainReadsTest.java
@@ -0,0 +1,129 @@
+package org.masticweir.it;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.masticweir.bench.BenchWorker;
+import org.masticweir.config.ConfigRows;
+import org.masticweir.config.StoredRevision;
+import org.masticweir.http.HttpCaller;
+import org.masticweir.http.HttpCallerLimits;
+import org.masticweir.http.IpAddress;
+import org.masticweir.platform.HttpPlatform;
+import org.masticweir.platform.ReadOutcome;
+import org.masticweir.platform.Row;
+import org.masticweir.platform.RowKey;
+import org.masticweir.platform.Transaction;
+import org.masticweir.platform.TransactionOutcome;
+import org.xnio.XnioWorker;
+
+/** The routers of a domain share the reads of the table, so that none of them has to be there. */
+@ExtendWith(SharedDomainBed.class)
+final class DomainReadsTest {
+    private static final ImmutableList<String> MORE = ImmutableList.of("r5", "r6", "r7", "r8");
+    private static final long KNOWN_BOUND_MS = 20_000;
+    private static final long TABLE_TIMEOUT_MS = 2_000;
+
+    /** The letter's bound on a change being in force everywhere. */
+    private static final long IN_FORCE_BOUND_MS = 10_000;
+
+    private final DomainBed bed;
+    private final List<DomainRouter> domainA = new ArrayList<>();
+
+    DomainReadsTest(DomainBed bed) {
+        this.bed = bed;
+    }
+
+    private void grow() {
+        domainA.add(bed.routerA());
+        for (String id : MORE) {
+            DomainRouter router = bed.addRouter(id, "a");
+            router.start();
+            domainA.add(router);
+        }
+        domainA.forEach(bed::awaitServing);
+        Await.until("all hear each other", KNOWN_BOUND_MS, this::allHeard);
+    }
+
+    private boolean allHeard() {
+        return domainA.stream()
+                .allMatch(r -> domainA.stream().filter(o -> o != r).allMatch(o -> hears(r, o)));
+    }
+
+    private boolean hears(DomainRouter router, DomainRouter other) {
+        return bed.operators(router).stateOf(other.id()).equals("serving");
+    }
+
+    /**
+     * A change is in the table while a domain has lost most of its readers.
+     *
+     * <p>Of five routers one is killed, one is paused and one is cut off from the platform, as is
+     * the other domain. The remaining two must find the change, and those without the platform must
+     * hear of it from them. The cause is a partition on a bad day; a domain whose reads hang on
+     * fixed routers would stay behind if these are the lost ones.
+     */
+    @Test
+    void theDomainFollowsWithReadersKilledPausedAndCutOff() {
+        grow();
+        DomainRouter killed = domainA.get(1);
+        DomainRouter paused = domainA.get(2);
+        DomainRouter cutOff = domainA.get(3);
+        InetSocketAddress platform = platform();
+        long base = bed.operators(bed.routerA()).revision();
+        bed.toPlatform(bed.routerB(), "cut");
+        bed.toPlatform(cutOff, "cut");
+        killed.process().kill();
+        paused.process().pause();
+        List<DomainRouter> left = new ArrayList<>(domainA);
+        left.removeAll(List.of(killed, paused));
+        left.add(bed.routerB());
+        try (RevisionWatch watch = RevisionWatch.over(bed, left)) {
+            long sinceMs = RevisionWatch.nowMs();
+            write(platform, base + 1);
+            for (DomainRouter router : left) {
+                watch.report("few readers", router, base + 1, sinceMs, IN_FORCE_BOUND_MS);
+            }
+        }
+        paused.process().resume();
+        Await.until(
+                "the woken router follows",
+                IN_FORCE_BOUND_MS,
+                () -> bed.operators(paused).revision() == base + 1);
+    }
+
+    private InetSocketAddress platform() {
+        String route = DomainRouter.platformRoute(bed.routerA().id());
+        return IpAddress.parse(bed.proxy().record(route).path("listen").asText());
+    }
+
+    /** Puts a revision into the table, as a router does that is lost before it tells anyone. */
+    private static void write(InetSocketAddress platform, long revision) {
+        XnioWorker worker = BenchWorker.start(1);
+        try (HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults())) {
+            HttpPlatform table = HttpPlatform.at(platform, calls);
+            RowKey current = RowKey.of(ConfigRows.TABLE, ConfigRows.CURRENT_KEY);
+            StoredRevision row =
+                    new StoredRevision(
+                            revision, "few-readers", "test", 0, Documents.withLookupTarget(640));
+            ReadOutcome<Row> before = table.read(current, TABLE_TIMEOUT_MS).join();
+            Transaction transaction =
+                    Transaction.builder()
+                            .check(current, ((ReadOutcome.Done<Row>) before).value().revision())
+                            .put(current, ConfigRows.text(row))
+                            .put(
+                                    RowKey.of(ConfigRows.TABLE, ConfigRows.historyKey(revision)),
+                                    ConfigRows.text(row.entry()))
+                            .build();
+            assertInstanceOf(
+                    TransactionOutcome.Committed.class,
+                    table.transact(transaction, TABLE_TIMEOUT_MS).join());
+        } finally {
+            worker.shutdownNow();
+        }
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/router/ConfigControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/ConfigControl.java
@@ -22,6 +22,7 @@
 import org.masticweir.config.ProposedChange;
 import org.masticweir.config.RevisionSource;
 import org.masticweir.config.StoredRevision;
+import org.masticweir.config.TableReads;
 import org.masticweir.config.TableView;
 import org.masticweir.config.WriteOutcome;
 import org.masticweir.error.MasticweirException;
@@ -47,6 +48,7 @@
     private final TableService table;
     private final Executor control;
     private final Clock clock;
+    private final TableReads reads;
     private final long timeoutMs;
     private final Consumer<Deployment> onDeployment;
     private final Map<String, CompletableFuture<ChangeAnswer>> waiting = new HashMap<>();
@@ -62,21 +64,43 @@
             TableService table,
             Executor control,
             Clock clock,
+            TableReads reads,
             long timeoutMs,
             Consumer<Deployment> onDeployment) {
         this.state = checkNotNull(state, "state");
         this.table = checkNotNull(table, "table");
         this.control = checkNotNull(control, "control");
         this.clock = checkNotNull(clock, "clock");
+        this.reads = checkNotNull(reads, "reads");
         this.timeoutMs = timeoutMs;
         this.onDeployment = checkNotNull(onDeployment, "onDeployment");
     }
 
-    /** Reads the table's current revision. */
-    void poll() {
+    /** Reads from the table what is due; {@code routers} of the domain share the reads. */
+    void poll(int routers) {
+        long known = state.view().revision();
+        switch (reads.due(known, routers, clock.nowMs())) {
+            case WHOLE -> readWhole();
+            case NEXT ->
+                    table.read(historyKey(known + 1), timeoutMs)
+                            .thenAcceptAsync(this::onNext, control);
+            default -> {
+                // Nothing is due.
+            }
+        }
+    }
+
+    private void readWhole() {
         table.read(CURRENT, timeoutMs).thenAcceptAsync(this::onPolled, control);
     }
 
+    private void onNext(ReadOutcome<Row> outcome) {
+        tableAnswers = outcome instanceof ReadOutcome.Done;
+        if (outcome instanceof ReadOutcome.Done<Row> done && done.value().isPresent()) {
+            readWhole();
+        }
+    }
+
     /** Takes a revision that a peer holds. */
     void offered(StoredRevision row) {
         run(state.learned(row, RevisionSource.PEER, clock.nowMs()));
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -22,6 +23,7 @@
 import org.masticweir.config.ConfigView;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.ProposedChange;
+import org.masticweir.config.TableReads;
 import org.masticweir.control.ControlInput;
 import org.masticweir.control.ManagedEngine;
 import org.masticweir.engine.BackEnd;
@@ -102,6 +104,8 @@
                         platform,
                         executor,
                         clock,
+                        TableReads.every(
+                                settings.platform().configPollMs(), ThreadLocalRandom::current),
                         settings.platform().deadlineMs(),
                         this::onDeployment);
         peers = new PeerControl(self, membershipSettings(), links, config, executor, clock);
@@ -121,7 +125,6 @@
     /** Starts polling the platform, the peers and the back ends; any thread. */
     void start() {
         traffic.wakeWith(() -> executor.execute(() -> guarded(this::publish)));
-        every(settings.platform().configPollMs(), config::poll);
         every(settings.platform().instancesPollMs(), this::readInstances);
         every(settings.engines().statePollMs(), this::pollEngines);
         every(TICK_MS, this::tick);
@@ -239,6 +242,7 @@
     }
 
     private void tick() {
+        config.poll(1 + peers.membership().servingHere().size());
         config.tick();
         peers.tick();
     }
