callers: tell a refusal on arrival by its status

Cause: a caller of a stream got the head of the answer, status 200, before the admission had decided.

Ruled out: waiting with the head for the admission however long it takes. A caller learns the request's id from the head and needs it to come back after the loss of a router, so work that queues keeps its early head.

Change: the head waits for the first word of the answer, 20 ms at most. A refusal decided by then is sent with its status and Retry-After. A first token is not delayed, as it sends the head itself.

--- a/masticweir-it/src/test/java/org/masticweir/it/RefusalTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RefusalTest.java
@@ -84,6 +84,7 @@
             CallRecord record = bed.submit(request).record();
             assertEquals(CallRecord.Outcome.ERROR, record.outcome());
             assertEquals("NOT_RUN", record.verdict());
+            assertTrue(record.retryAfterMs() > 0, "told when to return");
             assertTrue(record.endedAtMs() - record.startedAtMs() <= AT_ONCE_MS, "at once");
             assertTrue(bed.runsOf(request).isEmpty(), "nothing ran");
         }
--- a/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
@@ -26,6 +26,11 @@
  *
  * <p>It pulls from the log whenever the connection takes bytes, so that a slow caller holds no more
  * than one part of the answer here. Runs on the connection's I/O thread.
+ *
+ * <p>Failure guarded against: work is refused at once, but the status 200 is out already, and a
+ * caller or balancer that goes by status and {@code Retry-After} takes the refusal for an answer.
+ * The head therefore waits for the first word of the answer, or a few milliseconds. A refusal from
+ * the queue, later than that, ends the stream as any other error does.
  */
 final class EventStreamWriter {
     static final HttpString REQUEST = new HttpString("Masticweir-Request");
@@ -39,6 +44,9 @@
                     .retryAfterMs(0);
     private static final int TOKENS_A_PART = 256;
 
+    /** How long the head waits for a refusal, which then has a status of its own. */
+    private static final long HEAD_WAIT_MS = 20;
+
     private final HttpServerExchange exchange;
     private final XnioIoThread thread;
     private final AnswerLog log;
@@ -47,6 +55,8 @@
     private final Runnable wake = this::wake;
     private final AtomicBoolean scheduled = new AtomicBoolean();
 
+    private Optional<XnioExecutor.Key> headWait = Optional.empty();
+    private boolean headSent;
     private StreamSinkChannel sink;
     private ByteBuffer part = ByteBuffer.wrap(EventText.accepted());
     private Optional<XnioExecutor.Key> stall = Optional.empty();
@@ -75,17 +85,54 @@
         next = last.map(id -> id.index() + 1).orElse(0);
     }
 
-    /** Sends the answer headers and starts; call on the connection's I/O thread. */
+    /** Starts; call on the connection's I/O thread. */
     void start(String requestId) {
+        exchange.getResponseHeaders().put(REQUEST, requestId);
+        exchange.getConnection().addCloseListener(c -> close());
+        log.listen(wake);
+        headWait =
+                Optional.of(
+                        thread.executeAfter(
+                                this::pumpWithHead, HEAD_WAIT_MS, TimeUnit.MILLISECONDS));
+        pump();
+    }
+
+    private void pumpWithHead() {
+        if (!closed && !headSent) {
+            sendHead();
+            pump();
+        }
+    }
+
+    /** Sends the head if it is known what it should say. */
+    private void tryHead() {
+        AnswerLog.View view = log.read(next, 1);
+        Optional<MasticweirException> error =
+                view.released() == 0
+                        ? view.end().flatMap(EventStreamWriter::errorOf)
+                        : Optional.empty();
+        if (error.isPresent()) {
+            leave();
+            ErrorAnswer.send(exchange, error.get());
+        } else if (view.released() > 0 || view.end().isPresent()) {
+            sendHead();
+        }
+    }
+
+    private void sendHead() {
+        headSent = true;
+        headWait.ifPresent(XnioExecutor.Key::remove);
         exchange.setStatusCode(200);
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
         exchange.getResponseHeaders().put(Headers.CACHE_CONTROL, "no-store");
-        exchange.getResponseHeaders().put(REQUEST, requestId);
         sink = exchange.getResponseChannel();
         sink.getWriteSetter().set(ch -> pump());
-        exchange.getConnection().addCloseListener(c -> close());
-        log.listen(wake);
-        pump();
+    }
+
+    private static Optional<MasticweirException> errorOf(AnswerEnd end) {
+        return end instanceof AnswerEnd.Failed failed
+                ? Optional.of(failed.error())
+                : Optional.empty();
     }
 
     private void wake() {
@@ -99,7 +146,10 @@
     }
 
     private void pump() {
-        if (closed) {
+        if (!closed && !headSent) {
+            tryHead();
+        }
+        if (closed || !headSent) {
             return;
         }
         try {
@@ -211,6 +261,7 @@
     private void leave() {
         closed = true;
         stall.ifPresent(XnioExecutor.Key::remove);
+        headWait.ifPresent(XnioExecutor.Key::remove);
         log.unlisten(wake);
     }
 }
