tests: start the beds of orders and of shared reports by the shared pieces

Cause: both beds were written beside RouterIni, RouterPorts and Processes.platform and repeated the settings, ports, stand-in starts and log directories. Change: both use the shared pieces.

--- a/masticweir-it/src/test/java/org/masticweir/it/OrderBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/OrderBed.java
@@ -4,11 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.function.LongPredicate;
 import org.masticweir.bench.BenchWorker;
@@ -45,15 +41,14 @@
     private static final long READY_BOUND_MS = 20_000;
     private static final int HEAP_MB = 64;
     private static final int CHANGE_TRIES = 5;
-    private static final Path LOGS = Path.of("target", "order-bed");
+    private static final long LIST_LAG_MS = 300;
     private static final Clock CLOCK = Clock.system();
 
     private final XnioWorker worker = BenchWorker.start(2);
     private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
     private final CallerClient caller = CallerClient.on(worker, CLOCK);
     private final StandInControl control = StandInControl.over(calls);
-    private final Path directory = emptyDirectory();
-    private final Processes processes = Processes.in(directory);
+    private final Processes processes = Processes.inNew("order-bed");
     private final ImmutableList<BackEndProcess> checking;
     private final ImmutableList<BackEndProcess> ignoring;
     private final ImmutableList<OrderRouter> routers;
@@ -66,11 +61,7 @@
     private OrderBed() {
         try {
             platform = startPlatform().awaitAddress();
-            ChildProcess proxyProcess =
-                    processes.standIn(
-                            "proxy",
-                            HEAP_MB,
-                            ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+            ChildProcess proxyProcess = processes.proxy(HEAP_MB);
             checking = ImmutableList.of(engine("c1", true), engine("c2", true));
             ignoring = ImmutableList.of(engine("i1", false), engine("i2", false));
             proxy = new ProxyControl(control, proxyProcess.awaitAddress());
@@ -315,17 +306,7 @@
     }
 
     private ChildProcess startPlatform() {
-        return processes.standIn(
-                "platform",
-                HEAP_MB,
-                ImmutableList.of(
-                        "platform",
-                        "--listen",
-                        "127.0.0.1:0",
-                        "--list-lag-ms",
-                        "300",
-                        "--load-ms",
-                        Long.toString(LOAD_MS)));
+        return processes.platform(HEAP_MB, LIST_LAG_MS, "--load-ms", Long.toString(LOAD_MS));
     }
 
     private BackEndProcess engine(String id, boolean checksFencing) {
@@ -346,13 +327,4 @@
     private static String document(int version) {
         return VersionedDocument.ini(version);
     }
-
-    private static Path emptyDirectory() {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "run");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/OrderRouter.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/OrderRouter.java
@@ -2,10 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
-import java.util.List;
-import org.masticweir.http.IpAddress;
 
 /** A router of an {@link OrderBed}, whose link to the platform is its own route of the proxy. */
 final class OrderRouter {
@@ -16,17 +13,8 @@
     static final long LOAD_TIMEOUT_MS = 20_000;
 
     private static final int HEAP_MB = 96;
-    private static final int PORTS = 3;
     private static final String SETTINGS =
             """
-            [router]
-            id = %s
-            domain = %s
-            caller_address = %s
-            operator_address = %s
-            peer_address = %s
-            [platform]
-            address = %s
             [callers]
             orphan_ms = 1000
             [control]
@@ -36,7 +24,7 @@
 
     private final Processes processes;
     private final String id;
-    private final List<Integer> ports;
+    private final RouterPorts ports;
     private final InetSocketAddress platform;
     private ChildProcess process;
 
@@ -44,7 +32,7 @@
             Processes processes, ProxyControl proxy, InetSocketAddress platform, String id) {
         this.processes = checkNotNull(processes, "processes");
         this.id = checkNotNull(id, "id");
-        ports = ServerPorts.choose(PORTS);
+        ports = RouterPorts.of(ServerPorts.choose(RouterPorts.COUNT));
         this.platform = proxy.add("platform-" + id, platform);
     }
 
@@ -56,17 +44,8 @@
 
     /** Starts the process; it is not ready yet. */
     void start() {
-        String settings =
-                String.format(
-                        SETTINGS,
-                        id,
-                        OrderBed.DOMAIN,
-                        IpAddress.text(callers()),
-                        IpAddress.text(operators()),
-                        IpAddress.text(peers()),
-                        IpAddress.text(platform),
-                        UNLOAD_AFTER_MS,
-                        LOAD_TIMEOUT_MS);
+        String more = String.format(SETTINGS, UNLOAD_AFTER_MS, LOAD_TIMEOUT_MS);
+        String settings = RouterIni.of(id, OrderBed.DOMAIN, ports, ports.peers(), platform, more);
         process = processes.router(id, HEAP_MB, settings);
     }
 
@@ -84,28 +63,20 @@
     }
 
     InetSocketAddress callers() {
-        return loopback(ports.get(0));
+        return ports.callers();
     }
 
     InetSocketAddress operators() {
-        return loopback(ports.get(1));
+        return ports.operators();
     }
 
     /** Returns the row of the instance list that names this router. */
     InstanceListClient.Entry entry() {
-        return new InstanceListClient.Entry("router", id, OrderBed.DOMAIN, "", peers());
+        return new InstanceListClient.Entry("router", id, OrderBed.DOMAIN, "", ports.peers());
     }
 
     @Override
     public String toString() {
         return id;
     }
-
-    private InetSocketAddress peers() {
-        return loopback(ports.get(2));
-    }
-
-    private static InetSocketAddress loopback(int port) {
-        return new InetSocketAddress(InetAddresses.forString("127.0.0.1"), port);
-    }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/Processes.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/Processes.java
@@ -53,12 +53,14 @@
     }
 
     /** Starts the platform on a port of its own choice, with a lagging instance list. */
-    ChildProcess platform(int heapMb, long listLagMs) {
-        String lag = Long.toString(listLagMs);
-        return standIn(
-                "platform",
-                heapMb,
-                ImmutableList.of("platform", "--listen", "127.0.0.1:0", "--list-lag-ms", lag));
+    ChildProcess platform(int heapMb, long listLagMs, String... more) {
+        ImmutableList<String> arguments =
+                ImmutableList.<String>builder()
+                        .add("platform", "--listen", "127.0.0.1:0")
+                        .add("--list-lag-ms", Long.toString(listLagMs))
+                        .add(more)
+                        .build();
+        return standIn("platform", heapMb, arguments);
     }
 
     /** Starts the fault-injecting proxy, without routes, on a port of its own choice. */
--- a/masticweir-it/src/test/java/org/masticweir/it/SharingBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/SharingBed.java
@@ -2,11 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -16,7 +12,6 @@
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.http.HttpOutcome;
-import org.masticweir.http.IpAddress;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
 import org.masticweir.reports.ReadingDuty;
@@ -29,25 +24,15 @@
  */
 final class SharingBed implements AutoCloseable {
     private static final int HEAP_MB = 64;
-    private static final int PORTS = 3;
     private static final long CALL_TIMEOUT_MS = 2_000;
     private static final long READY_BOUND_MS = 30_000;
-    private static final Path LOGS = Path.of("target", "sharing-bed");
+    private static final long LIST_LAG_MS = 1_000;
     private static final ImmutableMap<String, String> ROUTERS =
             ImmutableMap.of("n1", "a", "n2", "a", "n3", "a", "n4", "b");
     private static final ImmutableMap<String, String> ENGINES =
             ImmutableMap.of("e1", "a", "e2", "a", "e3", "a", "e4", "a", "e5", "b");
     private static final String SETTINGS =
             """
-            [router]
-            id = %s
-            domain = %s
-            caller_address = %s
-            operator_address = %s
-            peer_address = %s
-            advertised_peer_address = %s
-            [platform]
-            address = %s
             [engines]
             share_above = 0
             """;
@@ -55,7 +40,7 @@
     private final XnioWorker worker = BenchWorker.start(2);
     private final HttpCaller calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
     private final StandInControl control = StandInControl.over(calls);
-    private final Processes processes = Processes.in(emptyDirectory());
+    private final Processes processes = Processes.inNew("sharing-bed");
     private final InetSocketAddress platform;
     private final ProxyControl proxy;
     private final InstanceListClient instances;
@@ -64,16 +49,8 @@
 
     private SharingBed() {
         try {
-            ChildProcess platformProcess =
-                    processes.standIn(
-                            "platform",
-                            HEAP_MB,
-                            ImmutableList.of("platform", "--listen", "127.0.0.1:0"));
-            ChildProcess proxyProcess =
-                    processes.standIn(
-                            "proxy",
-                            HEAP_MB,
-                            ImmutableList.of("proxy", "--control", "127.0.0.1:0"));
+            ChildProcess platformProcess = processes.platform(HEAP_MB, LIST_LAG_MS);
+            ChildProcess proxyProcess = processes.proxy(HEAP_MB);
             engines =
                     ENGINES.entrySet().stream()
                             .map(e -> startEngine(e.getKey(), e.getValue()))
@@ -211,34 +188,14 @@
     }
 
     private Node startRouter(String id, String domain) {
-        ImmutableList<Integer> ports = ServerPorts.choose(PORTS);
-        InetSocketAddress operators = FleetRouter.loopback(ports.get(1));
-        InetSocketAddress peers = FleetRouter.loopback(ports.get(2));
-        InetSocketAddress advertised = proxy.add(peerRoute(id), peers);
+        RouterPorts ports = RouterPorts.of(ServerPorts.choose(RouterPorts.COUNT));
+        InetSocketAddress advertised = proxy.add(peerRoute(id), ports.peers());
         instances.put(new InstanceListClient.Entry("router", id, domain, "", advertised), "live");
-        String settings =
-                String.format(
-                        SETTINGS,
-                        id,
-                        domain,
-                        IpAddress.text(FleetRouter.loopback(ports.get(0))),
-                        IpAddress.text(operators),
-                        IpAddress.text(peers),
-                        IpAddress.text(advertised),
-                        IpAddress.text(platform));
-        return new Node(id, domain, processes.router(id, HEAP_MB, settings), operators);
+        String settings = RouterIni.of(id, domain, ports, advertised, platform, SETTINGS);
+        return new Node(id, domain, processes.router(id, HEAP_MB, settings), ports.operators());
     }
 
     private static String peerRoute(String id) {
         return "peer-" + id;
     }
-
-    private static Path emptyDirectory() {
-        try {
-            Files.createDirectories(LOGS);
-            return Files.createTempDirectory(LOGS.toAbsolutePath(), "run");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
