recovery: give up offering an end that no holder takes, replayed over an hour

Cause: two faults that a replayed hour without the other domains showed, both at a router with no holder in its own domain. An answer that ended unprotected was offered to a holder every 100 ms without end, so memory and timers grew with the cut, and on healing each ended answer went out whole. And a request that ended there while another router had taken it over was fenced on healing: its end was undone after its callers had it, and the count of unfinished requests (RequestEnd) went down twice. Ruled out: copies freed early (none in the replay); two owners after healing (the owner cut off asks its first holder again, which knows the higher epoch). Change: CopySender gives an end up 60 s after its release, which is what a holder would keep it for, and takes no fence after it released the end. isolation.feature replays a steady load of requests on five routers in three domains, two of them cut off, with take-overs on the other side, beside an owner that heeds no fence. The plain owner leaves a request with two owners on the same trace. No test with real processes was run.

--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
@@ -40,6 +40,7 @@
     private boolean placementAcked;
     private boolean endAcked;
     private boolean endReleased;
+    private long endReleasedAtMs;
     private boolean unprotected;
     private boolean done;
     private Optional<Long> noHolderSinceMs = Optional.empty();
@@ -178,6 +179,12 @@
     }
 
     private void onStale(CopyEpoch current) {
+        if (endReleased) {
+            // A router that ended the request while cut off hears of the take-over afterwards. Its
+            // callers have the end already, which must not be followed by another.
+            done = true;
+            return;
+        }
         // A router that was paused past its peers' patience shows as one whose epoch was replaced.
         // What it has not released yet may differ from what the new owner releases.
         if (head.epoch().isBelow(current)) {
@@ -220,6 +227,12 @@
     }
 
     private void onTick(long nowMs) {
+        if (endReleased && nowMs - endReleasedAtMs >= plan.endOfferMs()) {
+            // A router cut off from all holders shows as one whose ends are never acknowledged.
+            // Without this they would pile up, and all be sent at once when the links are back.
+            done = true;
+            return;
+        }
         boolean selfPaused = wakeAtMs != Long.MAX_VALUE && nowMs - wakeAtMs > plan.ackBoundMs();
         if (selfPaused) {
             // A pause of this process shows as a tick long after its time. The holder's answer may
@@ -241,7 +254,7 @@
             sendNext(nowMs);
         }
         if (!done) {
-            release();
+            release(nowMs);
         }
         if (!done && plan.reliability().copiesPlacement()) {
             scheduleWakeUp(nowMs);
@@ -344,7 +357,7 @@
                 : ImmutableIntArray.of();
     }
 
-    private void release() {
+    private void release(long nowMs) {
         boolean waits = plan.reliability().copiesTokens() && !unprotected;
         int limit = waits ? acked : accepted;
         if (started && limit > released) {
@@ -353,6 +366,7 @@
         }
         if (end.isPresent() && released == accepted && (endAcked || !waits) && !endReleased) {
             endReleased = true;
+            endReleasedAtMs = nowMs;
             out.add(new CopyAction.ReleaseEnd(end.get()));
         }
     }
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLinksTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyLinksTest.java
@@ -268,7 +268,7 @@
                             FIRST, Samples.spec(request), Samples.generation(request, 1));
             owned = Optional.of(new OwnedAnswer(FIRST, fresh.spec(), fresh.generation(), log));
             HolderRanking ranking = (r, owner, n) -> ImmutableList.of(H1, H2);
-            CopyPlan plan = new CopyPlan(reliability, 2_000, 60_000, 50, 2);
+            CopyPlan plan = new CopyPlan(reliability, 2_000, 60_000, 50, 60_000, 2);
             CopySender sender =
                     CopySender.opening(plan, fresh, log::accepted, ranking, clock.nowMs());
             SenderDriver[] driver = new SenderDriver[1];
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopySenderTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopySenderTest.java
@@ -22,6 +22,7 @@
 final class CopySenderTest {
     private static final long ACK_MS = 100;
     private static final long ALONE_MS = 500;
+    private static final long END_OFFER_MS = 10_000;
 
     private final List<CopyAction> seen = new ArrayList<>();
     private CopySender sender;
@@ -34,7 +35,7 @@
                     rankings++;
                     return RANKING.holdersFor(request, owner, n);
                 };
-        CopyPlan plan = new CopyPlan(reliability, ACK_MS, ALONE_MS, 50, 3);
+        CopyPlan plan = new CopyPlan(reliability, ACK_MS, ALONE_MS, 50, END_OFFER_MS, 3);
         TokenSource source = (from, to) -> ImmutableIntArray.copyOf(Samples.tokens(from, to));
         sender = CopySender.opening(plan, Samples.fresh(FIRST), source, counting, 0);
         seen.addAll(sender.start(0));
@@ -204,6 +205,46 @@
             assertFalse(sender.unprotected());
         }
 
+        /** Lets every command find its holder gone, from one time to another. */
+        private void withoutHolder(long fromMs, long toMs) {
+            for (long t = fromMs; t <= toMs; t += 10) {
+                on(new CopyEvent.HolderLost(lastSent().holder()), t);
+                on(new CopyEvent.Tick(), t);
+            }
+        }
+
+        private void endWithoutHolder() {
+            openAtFirstHolder(Reliability.TOKENS);
+            on(new CopyEvent.Accepted(3), 1);
+            on(new CopyEvent.Ended(new AnswerEnd.Completed("")), 2);
+            withoutHolder(10, ALONE_MS + 10);
+            assertEquals(1, all(CopyAction.ReleaseEnd.class).size());
+        }
+
+        /**
+         * A domain comes back after an hour and its links carry nothing else for a while: each
+         * answer that ended meanwhile was offered to a holder all the time, and now goes out whole.
+         */
+        @Test
+        void endIsNotOfferedForEver() {
+            endWithoutHolder();
+            withoutHolder(ALONE_MS + 20, ALONE_MS + END_OFFER_MS + 20);
+            int before = sent().size();
+            withoutHolder(ALONE_MS + END_OFFER_MS + 30, ALONE_MS + 2 * END_OFFER_MS);
+            assertEquals(before, sent().size());
+        }
+
+        /**
+         * A caller has the whole answer; its router was cut off, another one took the request over
+         * and the router hears of it after the end. The caller must not get a second end.
+         */
+        @Test
+        void takeOverHeardOfAfterTheEndUndoesNothing() {
+            endWithoutHolder();
+            answer(new HolderAnswer.StaleEpoch(FIRST.nextFor(Samples.B)), ALONE_MS + 20);
+            assertTrue(all(CopyAction.Fenced.class).isEmpty());
+        }
+
         /** A restarted holder knows nothing; it gets the whole copy, and no token is lost. */
         @Test
         void holderThatForgotGetsTheWholeCopy() {
--- a/masticweir/src/test/java/org/masticweir/recovery/copy/CopyWorld.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/copy/CopyWorld.java
@@ -25,7 +25,7 @@
 final class CopyWorld {
     /** No owner goes on unprotected here: what the fence cannot cover is not under test. */
     private static final CopyPlan PLAN =
-            new CopyPlan(Reliability.TOKENS, 100, Long.MAX_VALUE / 4, 50, 3);
+            new CopyPlan(Reliability.TOKENS, 100, Long.MAX_VALUE / 4, 50, Long.MAX_VALUE / 4, 3);
 
     private static final LookupLimits LIMITS = new LookupLimits(200, 200, Long.MAX_VALUE / 4, 3);
 
--- a/masticweir/src/test/java/org/masticweir/replay/Policy.java
+++ b/masticweir/src/test/java/org/masticweir/replay/Policy.java
@@ -17,6 +17,10 @@
             "sending without the table",
             () -> new IsolatedClaims(false),
             () -> new IsolatedClaims(true)),
+    ISOLATED_COPIES(
+            "owning a request for ever",
+            () -> new IsolatedCopies(true),
+            () -> new IsolatedCopies(false)),
     ORDERS(
             "trusting whoever held the lease",
             () -> new OrdersReplay(false),
--- a/masticweir/src/test/resources/features/isolation.feature
+++ b/masticweir/src/test/resources/features/isolation.feature
@@ -9,3 +9,12 @@
     Given the recorded trace "claims_without_platform"
     Then replaying it as ISOLATED_CLAIMS gives the stated outcome
     And "sending without the table" goes wrong on the same trace
+
+  Scenario: Copies in an hour without the other domains
+    # A report that two routers go on with, or lost copies. Two domains are cut off for an hour, one
+    # of them with a single router, whose reports go on without copies; one of them is taken over on
+    # the other side. When the links are back one router owns each report, all have their copies
+    # again, answers that ended stay ended, and no more is sent than for the reports under way.
+    Given the recorded trace "copies_without_peers"
+    Then replaying it as ISOLATED_COPIES gives the stated outcome
+    And "owning a request for ever" goes wrong on the same trace
