bench: count an answer without all its tokens as failed

Cause: a refusal comes after the headers of success, and the path command took such an answer as ended and asked again at once. Ruled out: reading the end event, which engines don't send. Change: a stream counts as ended only with all tokens asked for; after a failure the next one is opened 200 ms later.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/path/PathCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/path/PathCommand.java
@@ -129,7 +129,7 @@
             PathShape shape,
             ImmutableList<PathLoad.CallSource> sources) {
         PathPoint point;
-        try (PathLoad load = PathLoad.start(worker, sources, shape.streams())) {
+        try (PathLoad load = PathLoad.start(worker, sources, shape)) {
             pause(settleS);
             PathLoad.Counts from = load.read();
             Processors before = processors();
--- a/masticweir-bench/src/main/java/org/masticweir/bench/path/PathLoad.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/path/PathLoad.java
@@ -6,6 +6,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.LongAdder;
 import org.HdrHistogram.ConcurrentHistogram;
@@ -27,11 +28,12 @@
     private static final long CONNECT_TIMEOUT_MS = 5_000;
     private static final long HIGHEST_US = 60_000_000;
     private static final int DIGITS = 3;
-    private static final int OK = 200;
+    private static final long OPEN_AGAIN_MS = 200;
 
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final XnioWorker worker;
     private final ImmutableList<CallSource> sources;
+    private final int tokensEach;
     private final ConcurrentHistogram latencyUs = new ConcurrentHistogram(HIGHEST_US, DIGITS);
     private final LongAdder tokens = new LongAdder();
     private final LongAdder ended = new LongAdder();
@@ -44,15 +46,16 @@
         HttpCall next(int number);
     }
 
-    private PathLoad(XnioWorker worker, ImmutableList<CallSource> sources) {
+    private PathLoad(XnioWorker worker, ImmutableList<CallSource> sources, int tokensEach) {
         this.worker = checkNotNull(worker, "worker");
         this.sources = checkNotNull(sources, "sources");
+        this.tokensEach = tokensEach;
     }
 
-    /** Opens {@code streams} streams, taking the sources in turn. */
-    static PathLoad start(XnioWorker worker, ImmutableList<CallSource> sources, int streams) {
-        PathLoad load = new PathLoad(worker, sources);
-        for (int i = 0; i < streams; i++) {
+    /** Opens the streams of {@code shape}, taking the sources in turn. */
+    static PathLoad start(XnioWorker worker, ImmutableList<CallSource> sources, PathShape shape) {
+        PathLoad load = new PathLoad(worker, sources, shape.tokens());
+        for (int i = 0; i < shape.streams(); i++) {
             load.open(worker.getIoThread());
         }
         return load;
@@ -92,34 +95,49 @@
 
     /** One stream; on one I/O thread. */
     private final class Stream implements HttpStreamListener {
-        private final StampReader reader = new StampReader(PathLoad.this::token);
+        private final StampReader reader = new StampReader(this::token);
         private final XnioIoThread thread;
-        private int status;
+        private int read;
 
         Stream(XnioIoThread thread) {
             this.thread = thread;
         }
 
         @Override
-        public void head(int code) {
-            status = code;
-        }
+        public void head(int code) {}
 
         @Override
         public void bytes(ByteBuffer part) {
             reader.bytes(part);
         }
 
+        private void token(int stamp) {
+            read++;
+            PathLoad.this.token(stamp);
+        }
+
+        /** A refusal ends an answer too, after the headers of success: only the tokens tell. */
         @Override
         public void end() {
-            (status == OK ? ended : failed).increment();
-            open(thread);
+            if (read == tokensEach) {
+                ended.increment();
+                open(thread);
+            } else {
+                fail();
+            }
         }
 
         @Override
         public void lost(boolean sent) {
+            fail();
+        }
+
+        private void fail() {
+            if (closed) {
+                return;
+            }
             failed.increment();
-            open(thread);
+            thread.executeAfter(() -> open(thread), OPEN_AGAIN_MS, TimeUnit.MILLISECONDS);
         }
     }
 }
