instances: read the list in turns with the domain's routers and tell them what changed

Cause: every router read the whole instance list each 0.5 s; at 2,990 rows that is worked out as 780 KB/s a router and 780 reads/s (docs/CAPACITY.md).

Ruled out: one reader that tells the whole list (the bytes go to 42 peers instead); one fixed reader that tells changes (its loss has to be found and taken over).

Change: with n over two serving routers in a domain each waits n / 2 polls in the mean, by chance half to one and a half times. Who finds a change tells it to the domain's routers with digests of the list before and after. News that does not fit makes the router read at once; a read that began before news was taken counts for nothing and is made again, or an older list would go round as news.

Failure tests: DomainReadsTest has five routers of which one is killed, one paused and one cut off from the platform; SharedInstancesTest has lost news and a slow read that ends after the news.

Conclusion: reads of the list grow with domains instead of routers.

--- a/masticweir-it/src/test/java/org/masticweir/it/DomainReadsTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainReadsTest.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -25,10 +24,13 @@
 /** The routers of a domain share the reads of the table, so that none of them has to be there. */
 @ExtendWith(SharedDomainBed.class)
 final class DomainReadsTest {
-    private static final ImmutableList<String> MORE = ImmutableList.of("r5", "r6", "r7", "r8");
+    private static final int MORE = 4;
     private static final long KNOWN_BOUND_MS = 20_000;
     private static final long TABLE_TIMEOUT_MS = 2_000;
 
+    /** A few seconds, and the list's own lag. */
+    private static final long LIST_BOUND_MS = 5_000;
+
     /** The letter's bound on a change being in force everywhere. */
     private static final long IN_FORCE_BOUND_MS = 10_000;
 
@@ -39,10 +41,11 @@
         this.bed = bed;
     }
 
-    private void grow() {
+    /** Adds routers to domain a, named from {@code first} on; the bed's routes outlive a test. */
+    private void grow(int first) {
         domainA.add(bed.routerA());
-        for (String id : MORE) {
-            DomainRouter router = bed.addRouter(id, "a");
+        for (int i = first; i < first + MORE; i++) {
+            DomainRouter router = bed.addRouter("r" + i, "a");
             router.start();
             domainA.add(router);
         }
@@ -69,7 +72,7 @@
      */
     @Test
     void theDomainFollowsWithReadersKilledPausedAndCutOff() {
-        grow();
+        grow(10);
         DomainRouter killed = domainA.get(1);
         DomainRouter paused = domainA.get(2);
         DomainRouter cutOff = domainA.get(3);
@@ -96,6 +99,36 @@
                 () -> bed.operators(paused).revision() == base + 1);
     }
 
+    /**
+     * An engine is listed as leaving while a domain has lost most of its readers.
+     *
+     * <p>Of five routers one is killed, one is paused and one is cut off from the platform, so that
+     * it can read no list. It must hear what changed from those that do, or it would go on giving
+     * the engine new work until the engine is gone. The cause is a replacement on a bad day.
+     */
+    @Test
+    void aChangeOfTheInstanceListReachesARouterThatCannotReadIt() {
+        grow(20);
+        DomainRouter cutOff = domainA.get(3);
+        bed.toPlatform(cutOff, "cut");
+        domainA.get(1).process().kill();
+        domainA.get(2).process().pause();
+        List<DomainRouter> left = List.of(domainA.get(0), cutOff, domainA.get(4));
+        long sinceMs = RevisionWatch.nowMs();
+        bed.instances().put(bed.entryOf(bed.engines().get(0)), "leaving");
+        for (DomainRouter router : left) {
+            Await.until(
+                    router + " sees e1 leaving",
+                    LIST_BOUND_MS,
+                    () -> bed.operators(router).engineState("e1").equals("leaving"));
+            System.out.printf(
+                    "instances: few readers, %s sees it after %d ms%n",
+                    router, RevisionWatch.nowMs() - sinceMs);
+        }
+        domainA.get(2).process().resume();
+        bed.engines().get(0).process().kill();
+    }
+
     private InetSocketAddress platform() {
         String route = DomainRouter.platformRoute(bed.routerA().id());
         return IpAddress.parse(bed.proxy().record(route).path("listen").asText());
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -31,6 +31,7 @@
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
+import org.masticweir.instances.SharedInstances;
 import org.masticweir.membership.ListedRouter;
 import org.masticweir.membership.LoadDigest;
 import org.masticweir.membership.MemberState;
@@ -41,7 +42,6 @@
 import org.masticweir.platform.HttpPlatform;
 import org.masticweir.platform.InstanceKind;
 import org.masticweir.platform.InstanceRecord;
-import org.masticweir.platform.ReadOutcome;
 import org.masticweir.recovery.copy.CopyLinks;
 import org.masticweir.recovery.copy.KeyLinks;
 import org.masticweir.routing.RoutingSnapshot;
@@ -74,6 +74,7 @@
     private final ConfigControl config;
     private final PeerControl peers;
     private final ReportSharing reports;
+    private final InstanceSharing instances;
 
     private volatile ServingView view = ServingView.empty();
     private Optional<Deployment> deployment = Optional.empty();
@@ -120,12 +121,27 @@
                         self,
                         settings.engines());
         reports.attach();
+        instances = instances(links, self.domain());
+        instances.attach();
+    }
+
+    private InstanceSharing instances(PeerLinks links, DomainId domain) {
+        return new InstanceSharing(
+                SharedInstances.every(
+                        settings.platform().instancesPollMs(), ThreadLocalRandom::current),
+                platform,
+                links,
+                peers::membership,
+                executor,
+                clock,
+                domain,
+                settings.platform().deadlineMs(),
+                list -> guarded(() -> onInstances(list)));
     }
 
     /** Starts polling the platform, the peers and the back ends; any thread. */
     void start() {
         traffic.wakeWith(() -> executor.execute(() -> guarded(this::publish)));
-        every(settings.platform().instancesPollMs(), this::readInstances);
         every(settings.engines().statePollMs(), this::pollEngines);
         every(TICK_MS, this::tick);
     }
@@ -243,6 +259,7 @@
 
     private void tick() {
         config.poll(1 + peers.membership().servingHere().size());
+        instances.poll();
         config.tick();
         peers.tick();
     }
@@ -264,18 +281,10 @@
         return deployment.isPresent() ? MemberState.SERVING : MemberState.STARTING;
     }
 
-    private void readInstances() {
-        platform.instances(settings.platform().deadlineMs())
-                .thenAcceptAsync(outcome -> guarded(() -> onInstances(outcome)), executor);
-    }
-
-    private void onInstances(ReadOutcome<List<InstanceRecord>> outcome) {
-        if (!(outcome instanceof ReadOutcome.Done<List<InstanceRecord>> done)) {
-            return;
-        }
-        engines.listed(done.value());
+    private void onInstances(List<InstanceRecord> list) {
+        engines.listed(list);
         List<ListedRouter> routers =
-                done.value().stream()
+                list.stream()
                         .filter(i -> i.kind() == InstanceKind.ROUTER)
                         .map(ControlLoop::listed)
                         .toList();
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -30,6 +30,7 @@
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.id.RouterId;
+import org.masticweir.instances.InstanceNews;
 import org.masticweir.limits.LimitTuning;
 import org.masticweir.membership.Heartbeat;
 import org.masticweir.membership.RouterAddress;
@@ -194,7 +195,7 @@
         List<MessageCodec<?>> codecs =
                 ImmutableList.<MessageCodec<?>>builder()
                         .add(Heartbeat.codec(), ConfigAsk.CODEC, ConfigOffer.CODEC)
-                        .add(EngineShare.CODEC, CandidatesAsk.CODEC)
+                        .add(EngineShare.CODEC, CandidatesAsk.CODEC, InstanceNews.CODEC)
                         .addAll(CopyMessageCodecs.all())
                         .build();
         try {
