recovery: judge probes where their silence is kept

Ruled out: splitting the machine by phase, as every phase shares engine, loss and doubt. Change: SilenceWatch judges a probe's end by ProbeVerdict, and ActionList collects the actions and bounds each wake-up by the deadline. Behaviour and tests are as before; a constant moved.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/recovery/ProbeVerdict.java
@@ -0,0 +1,13 @@
+package org.masticweir.recovery;
+
+/** What a probe of a silent engine says of it. */
+enum ProbeVerdict {
+    /** The engine lives, or has spoken meanwhile: wait for a silence as long as the bound. */
+    LISTEN,
+
+    /** Nothing is certain: probe again after a pause. */
+    PROBE_AGAIN,
+
+    /** The engine is gone, or lives without generating. */
+    LEAVE
+}
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -3,9 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
@@ -31,12 +29,6 @@
     /** Pause between two probes of a silent engine. */
     static final long PROBE_AGAIN_MS = 50;
 
-    /** Probes answered without progress after which a live but stuck engine is left. */
-    static final int STUCK_PROBES = 20;
-
-    /** How long a non-idempotent request follows an engine that answers no probe. */
-    static final long NON_IDEMPOTENT_PATIENCE_MS = 3_000;
-
     private enum Phase {
         CHOOSING,
         STARTING,
@@ -47,11 +39,11 @@
     private final RecoveryPlan plan;
     private final SilenceBounds bounds;
     private final Set<EngineId> excluded = new HashSet<>();
-    private final List<RecoveryAction> out = new ArrayList<>();
     private final Assembler assembler;
     private final RunDoubt doubt = new RunDoubt();
     private final SilenceWatch silence = new SilenceWatch();
     private final CopyGap gap;
+    private final ActionList out;
 
     private Phase phase = Phase.CHOOSING;
     private EngineId engine;
@@ -66,6 +58,7 @@
         this.bounds = checkNotNull(bounds, "bounds");
         this.assembler = assembler;
         this.gap = gap;
+        out = ActionList.until(plan.deadlineAtMs());
     }
 
     /** Returns the machine of a request of which nothing was sent yet. */
@@ -99,7 +92,7 @@
 
     /** Returns the first actions. */
     public ImmutableList<RecoveryAction> start(long nowMs) {
-        out.add(new RecoveryAction.WakeAt(plan.deadlineAtMs()));
+        out.wakeAt(plan.deadlineAtMs());
         if (engine == null) {
             out.add(new RecoveryAction.ChooseEngine(excluded, false));
         } else {
@@ -109,7 +102,7 @@
                 out.add(new RecoveryAction.Probe(assembler.current(), engine));
             }
         }
-        return drain();
+        return out.drain();
     }
 
     /** Takes one event and returns what to do about it. */
@@ -142,7 +135,7 @@
         } else {
             onTick(nowMs);
         }
-        return drain();
+        return out.drain();
     }
 
     /** Returns the count of tokens accepted so far. */
@@ -200,7 +193,7 @@
         if (underWay && nowMs - lostAtMs < plan.noEngineWaitMs()) {
             // An engine left out before may be back: a pause looks like a loss.
             excluded.clear();
-            wakeAt(nowMs + CHOOSE_AGAIN_MS);
+            out.wakeAt(nowMs + CHOOSE_AGAIN_MS);
             return;
         }
         fail(ErrorCode.NO_ENGINE, "no engine can take the request");
@@ -292,7 +285,7 @@
     private void onProgress(long nowMs) {
         gap.accepted(assembler.next());
         if (silence.tokens(nowMs)) {
-            wakeAt(nowMs + bound());
+            out.wakeAt(nowMs + bound());
         }
         lostAtMs = Long.MIN_VALUE;
         fruitlessAttempts = 0;
@@ -313,14 +306,14 @@
         }
         long dueMs = silence.dueAtMs(bound());
         if (nowMs < dueMs) {
-            wakeAt(dueMs);
+            out.wakeAt(dueMs);
             return;
         }
         if (silence.startProbe()) {
             out.add(new RecoveryAction.Probe(assembler.current(), engine));
         }
         // Also while a probe is out: were its answer lost, nothing else would end the request.
-        wakeAt(nowMs + bound());
+        out.wakeAt(nowMs + bound());
     }
 
     private void onProbeAnswered(RecoveryEvent.ProbeAnswered answered, long nowMs) {
@@ -338,35 +331,32 @@
             rereadSameEngine(nowMs);
             return;
         }
-        if (silence.answeredWithoutProgress() >= STUCK_PROBES) {
-            noteLoss(nowMs);
-            move(nowMs);
-            return;
-        }
-        silence.heard(nowMs);
-        wakeAt(nowMs + bound());
+        judge(silence.answeredWithoutProgress(nowMs), nowMs);
     }
 
     private void onProbeFailed(AttemptId attempt, long nowMs) {
         if (!isUnderWay(attempt)) {
             return;
         }
-        int failed = silence.probeFailed();
-        if (silence.silentForMs(nowMs) < bound()) {
-            silence.forgive();
-            wakeAt(silence.dueAtMs(bound()));
-            return;
-        }
-        boolean patient =
-                !plan.idempotent() && silence.silentForMs(nowMs) < NON_IDEMPOTENT_PATIENCE_MS;
-        if (patient || failed < plan.preset().probesBeforeMove()) {
-            // A refused connection fails a probe at once: without the pause the probes of a whole
-            // patience would be spent, or sent by the thousand, in one instant.
-            wakeAt(nowMs + PROBE_AGAIN_MS);
-            return;
+        judge(silence.probeFailed(plan, bound(), nowMs), nowMs);
+    }
+
+    private void judge(ProbeVerdict verdict, long nowMs) {
+        switch (verdict) {
+            case LISTEN:
+                out.wakeAt(silence.dueAtMs(bound()));
+                break;
+            case PROBE_AGAIN:
+                // A refused connection fails a probe at once: without the pause the probes of a
+                // whole patience would be spent, or sent by the thousand, in one instant.
+                out.wakeAt(nowMs + PROBE_AGAIN_MS);
+                break;
+            case LEAVE:
+            default:
+                noteLoss(nowMs);
+                move(nowMs);
+                break;
         }
-        noteLoss(nowMs);
-        move(nowMs);
     }
 
     private void rereadSameEngine(long nowMs) {
@@ -427,7 +417,7 @@
     private void beginAttempt(long nowMs) {
         phase = Phase.STARTING;
         silence.begin(nowMs);
-        wakeAt(nowMs + bound());
+        out.wakeAt(nowMs + bound());
     }
 
     private void noteLoss(long nowMs) {
@@ -453,14 +443,4 @@
     private long bound() {
         return bounds.boundMs(engine, !silence.firstTokenSeen() && !rereading);
     }
-
-    private void wakeAt(long atMs) {
-        out.add(new RecoveryAction.WakeAt(Math.min(atMs, plan.deadlineAtMs())));
-    }
-
-    private ImmutableList<RecoveryAction> drain() {
-        ImmutableList<RecoveryAction> actions = ImmutableList.copyOf(out);
-        out.clear();
-        return actions;
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
@@ -2,6 +2,12 @@
 
 /** Tracks one attempt's silence and its probes; not thread-safe. */
 final class SilenceWatch {
+    /** Probes answered without progress after which a live but stuck engine is left. */
+    static final int STUCK_PROBES = 20;
+
+    /** How long a non-idempotent request follows an engine that answers no probe. */
+    static final long NON_IDEMPOTENT_PATIENCE_MS = 3_000;
+
     private long quietSinceMs;
     private boolean probing;
     private boolean firstTokenSeen;
@@ -39,10 +45,6 @@
         return quietSinceMs + boundMs;
     }
 
-    long silentForMs(long nowMs) {
-        return nowMs - quietSinceMs;
-    }
-
     /** Notes that a probe goes out; returns false when one is out already. */
     boolean startProbe() {
         boolean free = !probing;
@@ -56,22 +58,29 @@
         failed = 0;
     }
 
-    /** Notes an answer without progress; returns how many there were in a row. */
-    int answeredWithoutProgress() {
+    /** Judges an answer that names no token beyond those accepted. */
+    ProbeVerdict answeredWithoutProgress(long nowMs) {
         stuck++;
-        return stuck;
+        if (stuck >= STUCK_PROBES) {
+            return ProbeVerdict.LEAVE;
+        }
+        quietSinceMs = nowMs;
+        return ProbeVerdict.LISTEN;
     }
 
-    /** Notes that the probe failed; returns how many did in a row. */
-    int probeFailed() {
+    /** Judges a probe that failed, when a silence of {@code boundMs} is too long. */
+    ProbeVerdict probeFailed(RecoveryPlan plan, long boundMs, long nowMs) {
         probing = false;
         failed++;
-        return failed;
-    }
-
-    /** Forgets failed probes, as tokens came while the last one was out. */
-    void forgive() {
-        failed = 0;
+        long silentMs = nowMs - quietSinceMs;
+        if (silentMs < boundMs) {
+            // Tokens came while the probe was out.
+            failed = 0;
+            return ProbeVerdict.LISTEN;
+        }
+        boolean patient = !plan.idempotent() && silentMs < NON_IDEMPOTENT_PATIENCE_MS;
+        boolean again = patient || failed < plan.preset().probesBeforeMove();
+        return again ? ProbeVerdict.PROBE_AGAIN : ProbeVerdict.LEAVE;
     }
 
     /** Ends the probes of an attempt that is left. */
--- a/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
@@ -194,11 +194,11 @@
         @Test
         void stuckEngineIsLeftAfterManyAnsweredProbes() {
             streamTwoTokens();
-            for (int i = 1; i < RecoveryMachine.STUCK_PROBES; i++) {
+            for (int i = 1; i < SilenceWatch.STUCK_PROBES; i++) {
                 tickAt(i * BOUND_MS);
                 on(new RecoveryEvent.ProbeAnswered(attempt(1), 2));
             }
-            tickAt(RecoveryMachine.STUCK_PROBES * BOUND_MS);
+            tickAt(SilenceWatch.STUCK_PROBES * BOUND_MS);
             assertHas(
                     new RecoveryAction.Abandon(attempt(1), E1),
                     on(new RecoveryEvent.ProbeAnswered(attempt(1), 2)));
