claims: name the generation of a claimed request alike at every router

A caller with half of the letter that comes back there with its last event id is told that its tokens are void. Ruled out: the number in the row (the router's log and copy have started under their own number by then); a number from the request id alone (a key may run anew when its row is gone, and two runs must not share a number). Change: the number of a request under a claim follows from its id and the wall time in steps of 15 minutes, the shortest time for which claims are kept. Idempotent requests draw theirs as before. Conclusion: an answer asked for across a step still comes under another number, which is safe: the caller's tokens are void and none is mixed.

--- a/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
+++ b/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
@@ -18,6 +18,9 @@
     private static final int LAST_FIRST_NUMBER = 1 << 30;
     private static final long NON_NEGATIVE = 0x7fff_ffffL;
 
+    /** The shortest time for which claims are kept, in milliseconds; see the daemon's settings. */
+    private static final long CLAIM_PERIOD_MS = 15 * 60_000;
+
     public GenerationSpec {
         checkNotNull(id, "id");
         checkNotNull(version, "version");
@@ -35,6 +38,25 @@
         return pin(GenerationId.of(request, number), model);
     }
 
+    /**
+     * Returns the only generation of {@code request}, which runs under a claim; alike at every
+     * router.
+     *
+     * <p>A router that gives out the answer which the claim's row kept has to name the generation
+     * that ran: under a number of its own, a caller who comes back with the number it knows is told
+     * that its tokens are void. The number changes with time, as the key may run anew when its row
+     * is gone, and those two runs must not share it. An answer that is asked for across such a
+     * change comes under another number than it ran.
+     *
+     * @param wallMs wall time
+     */
+    public static GenerationSpec claimed(RequestId request, Model model, long wallMs) {
+        String run = request + "/" + wallMs / CLAIM_PERIOD_MS;
+        long hash = Hashing.sha256().hashString(run, StandardCharsets.UTF_8).asLong();
+        int number = 1 + (int) Math.floorMod(hash, (long) LAST_FIRST_NUMBER - 1);
+        return pin(GenerationId.of(request, number), model);
+    }
+
     /** Returns another generation of the same version; for a model no longer declared. */
     public GenerationSpec numbered(GenerationId other) {
         return new GenerationSpec(other, version, adapter, seedOf(other));
--- a/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
@@ -7,6 +7,7 @@
 import org.masticweir.config.Model;
 import org.masticweir.config.WorkClass;
 import org.masticweir.generation.GenerationSpec;
+import org.masticweir.id.RequestId;
 import org.masticweir.id.RouterId;
 import org.masticweir.recovery.copy.GenerationCopy;
 import org.xnio.XnioIoThread;
@@ -46,9 +47,7 @@
         this.joining = checkNotNull(joining, "joining");
         asksHome =
                 keyed && request.spec().idempotent() && workClass.reliability().copiesPlacement();
-        generation =
-                taken.map(t -> t.copy().generation())
-                        .orElseGet(() -> GenerationSpec.firstOf(request.spec().id(), model));
+        generation = taken.map(t -> t.copy().generation()).orElseGet(this::firstGeneration);
         ownership = taken.map(this::ownershipOf).orElseGet(this::newOwnership);
     }
 
@@ -78,6 +77,13 @@
         return new RequestRun(context, request, service, thread, Optional.of(taken), false, never);
     }
 
+    private GenerationSpec firstGeneration() {
+        RequestId id = request.spec().id();
+        return request.spec().idempotent()
+                ? GenerationSpec.firstOf(id, model)
+                : GenerationSpec.claimed(id, model, context.clock().wallMs());
+    }
+
     /** Starts; call once. */
     void start() {
         new OrphanWatch(context, request, thread).start();
