security: log a file that stays away once, as its comment says

Cause: read once more, ReloadedFiles said that a problem is logged once, but a missing or unreadable file was logged at each look, up to once a second under load. It also caught an exception that nothing there throws. Ruled out: looking less often, as a replaced file must hold within seconds. Change: a problem that was the last one is not logged again until the files are readable; the dead catch is gone. Which value is in force is as before. Run: ReloadedFiles*, OperatorCredentials*, OperatorHandler*: 31 run, 0 failures. The log lines have no test of their own.

--- a/masticweir/src/main/java/org/masticweir/security/ReloadedFiles.java
+++ b/masticweir/src/main/java/org/masticweir/security/ReloadedFiles.java
@@ -5,7 +5,6 @@
 
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -49,6 +48,7 @@
     private ImmutableList<ByteBuffer> seen;
     private T value;
     private long checkedAtMs;
+    private String lastProblem = "";
 
     private ReloadedFiles(ImmutableList<Path> files, Parser<T> parser, Clock clock)
             throws IOException {
@@ -85,13 +85,24 @@
         try {
             ImmutableList<ByteBuffer> found = contents();
             if (found.equals(seen)) {
+                // A content that was not valid was told when it came.
+                lastProblem = "";
                 return;
             }
             seen = found;
             value = parse(found);
+            lastProblem = "";
             LOG.info("security: {} read again", files);
-        } catch (IOException | UncheckedIOException | IllegalArgumentException e) {
-            LOG.warn("security: {} kept as it was, {}", files, e.getMessage());
+        } catch (IOException | IllegalArgumentException e) {
+            tellOnce(String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** Logs a problem that was not the last one: a file that stays away is looked for each time. */
+    private void tellOnce(String problem) {
+        if (!problem.equals(lastProblem)) {
+            lastProblem = problem;
+            LOG.warn("security: {} kept as it was, {}", files, problem);
         }
     }
 
