tests: wait until a closed target's accept has ended

The test closes its server while a thread of its own is in accept. The kernel keeps the listening socket until that call has returned, so a connection that comes in between is accepted, and by the test's own thread is held open without a word.

Ruled out: the proxy.

Change: the test closes the target and waits for its thread to end before it connects. What it asserts is the same.

--- a/masticweir-standins/src/test/java/org/masticweir/standins/proxy/ProxyTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/proxy/ProxyTest.java
@@ -1,6 +1,7 @@
 package org.masticweir.standins.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -42,12 +43,13 @@
     private final List<AutoCloseable> opened = new ArrayList<>();
     private final BlockingQueue<Socket> arrived = new LinkedBlockingQueue<>();
     private ServerSocket target;
+    private Thread acceptor;
     private Proxy proxy;
 
     @BeforeEach
     void start() throws IOException {
         target = new ServerSocket(0, 1024, InetAddress.getLoopbackAddress());
-        Thread acceptor = new Thread(this::accept, "target");
+        acceptor = new Thread(this::accept, "target");
         acceptor.setDaemon(true);
         acceptor.start();
         proxy = Proxy.start(ImmutableList.of(spec("a"), spec("b")), Clock.system());
@@ -184,9 +186,13 @@
             assertEquals(4, server.getInputStream().read());
         }
 
+        /**
+         * A process that the route leads to has died. Its port refuses connections, and a client of
+         * the route sees a reset instead of waiting for an answer.
+         */
         @Test
         void deadTargetResetsTheClient() throws Exception {
-            target.close();
+            stopTarget();
             assertThrows(SocketException.class, () -> connect("a").getInputStream().read());
         }
     }
@@ -282,6 +288,16 @@
         }
     }
 
+    /**
+     * Closes the target and waits for its thread: a call of accept under way keeps the port open
+     * after the close, and a connection that comes meanwhile is accepted and never answered.
+     */
+    private void stopTarget() throws Exception {
+        target.close();
+        acceptor.join(ANSWER_MS);
+        assertFalse(acceptor.isAlive());
+    }
+
     private static void assertQuiet(Socket socket) throws IOException {
         socket.setSoTimeout(QUIET_MS);
         assertThrows(SocketTimeoutException.class, () -> socket.getInputStream().read());
