--- a/masticweir-it/src/test/java/org/masticweir/it/BackEndProcess.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/BackEndProcess.java
@@ -69,6 +69,18 @@
         return new BackEndProcess(processes, kind, id, domain, group, all);
     }
 
+    /** Starts an engine that checks fencing numbers and has version 1 of the report model. */
+    static BackEndProcess startReportEngine(
+            Processes processes, String id, String domain, String... flags) {
+        String[] all =
+                ImmutableList.<String>builder()
+                        .add("--models", "report:1")
+                        .add(flags)
+                        .build()
+                        .toArray(String[]::new);
+        return start(processes, Kind.ENGINE, id, domain, DeploymentText.ENGINES, all);
+    }
+
     /** Returns the address of the process itself, once it serves. */
     InetSocketAddress address() {
         if (address == null) {
--- a/masticweir-it/src/test/java/org/masticweir/it/CommandLineTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/CommandLineTest.java
@@ -259,7 +259,7 @@
     final class RouterSilent {
         @Test
         void nothingListens() {
-            int port = Processes.freePorts(1).get(0);
+            int port = ServerPorts.choose(1).get(0);
             InetSocketAddress nobody =
                     new InetSocketAddress(InetAddresses.forString("127.0.0.1"), port);
             CommandLineRun run =
--- a/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
@@ -254,14 +254,10 @@
     }
 
     private BackEndProcess startEngine(String id, String domain) {
-        return BackEndProcess.start(
+        return BackEndProcess.startReportEngine(
                 processes,
-                BackEndProcess.Kind.ENGINE,
                 id,
                 domain,
-                DeploymentText.ENGINES,
-                "--models",
-                "report:1",
                 "--step-ms",
                 Long.toString(STEP_MS),
                 "--max-batch",
--- a/masticweir-it/src/test/java/org/masticweir/it/Processes.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/Processes.java
@@ -5,8 +5,6 @@
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -85,25 +83,6 @@
                 name, heapMb, Masticweird.class, ImmutableList.of("--settings", file.toString()));
     }
 
-    /** Returns {@code count} ports that nothing listened on just now, all different. */
-    static ImmutableList<Integer> freePorts(int count) {
-        ImmutableList.Builder<Integer> ports = ImmutableList.builder();
-        ImmutableList.Builder<ServerSocket> held = ImmutableList.builder();
-        try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                held.add(socket);
-                ports.add(socket.getLocalPort());
-            }
-            for (ServerSocket socket : held.build()) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        return ports.build();
-    }
-
     @Override
     public void close() {
         endAll();
--- a/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterLauncher.java
@@ -48,7 +48,7 @@
     /** Starts routers that know each other; their ports are taken anew when one was in use. */
     ImmutableList<RouterProcess> start(List<Spec> specs) {
         for (int i = 0; i < TRIES; i++) {
-            ImmutableList<Integer> ports = Processes.freePorts(RouterPorts.COUNT * specs.size());
+            ImmutableList<Integer> ports = ServerPorts.choose(RouterPorts.COUNT * specs.size());
             ImmutableList<RouterProcess> routers = launchAll(specs, ports);
             if (allReady(routers)) {
                 routers.forEach(instances::announceRouter);
--- a/masticweir-it/src/test/java/org/masticweir/it/SharingBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/SharingBed.java
@@ -175,16 +175,7 @@
     }
 
     private BackEndProcess startEngine(String id, String domain) {
-        return BackEndProcess.start(
-                processes,
-                BackEndProcess.Kind.ENGINE,
-                id,
-                domain,
-                DeploymentText.ENGINES,
-                "--models",
-                "report:1",
-                "--max-batch",
-                "8");
+        return BackEndProcess.startReportEngine(processes, id, domain, "--max-batch", "8");
     }
 
     private Node startRouter(String id, String domain) {
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -272,16 +272,8 @@
     }
 
     private BackEndProcess startEngine(String id, String domain) {
-        return BackEndProcess.start(
-                processes,
-                BackEndProcess.Kind.ENGINE,
-                id,
-                domain,
-                DeploymentText.ENGINES,
-                "--models",
-                "report:1",
-                "--step-ms",
-                Long.toString(STEP_MS));
+        return BackEndProcess.startReportEngine(
+                processes, id, domain, "--step-ms", Long.toString(STEP_MS));
     }
 
     private ImmutableList<BackEndProcess> startServices() {
