--- a/masticweir/src/main/java/org/masticweir/config/Model.java
+++ b/masticweir/src/main/java/org/masticweir/config/Model.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.masticweir.generation.PinnedVersion;
 import org.masticweir.id.ModelId;
 
 /**
@@ -19,4 +20,9 @@
         checkNotNull(adapter, "adapter");
         checkArgument(!version.isEmpty(), "model %s has no version", id);
     }
+
+    /** Returns what new generations are pinned to. */
+    public PinnedVersion pinned() {
+        return PinnedVersion.of(version, adapter);
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
+++ b/masticweir/src/main/java/org/masticweir/generation/GenerationSpec.java
@@ -5,7 +5,6 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ThreadLocalRandom;
-import org.masticweir.config.Model;
 import org.masticweir.id.GenerationId;
 import org.masticweir.id.RequestId;
 
@@ -33,9 +32,9 @@
      * <p>A key may be used again after a run that failed: runs must not share a generation, or a
      * caller who comes back could be given the rest of another run's answer.
      */
-    public static GenerationSpec firstOf(RequestId request, Model model) {
+    public static GenerationSpec firstOf(RequestId request, PinnedVersion version) {
         int number = ThreadLocalRandom.current().nextInt(1, LAST_FIRST_NUMBER);
-        return pin(GenerationId.of(request, number), model);
+        return pin(GenerationId.of(request, number), version);
     }
 
     /**
@@ -50,11 +49,11 @@
      *
      * @param wallMs wall time
      */
-    public static GenerationSpec claimed(RequestId request, Model model, long wallMs) {
+    public static GenerationSpec claimed(RequestId request, PinnedVersion version, long wallMs) {
         String run = request + "/" + wallMs / CLAIM_PERIOD_MS;
         long hash = Hashing.sha256().hashString(run, StandardCharsets.UTF_8).asLong();
         int number = 1 + (int) Math.floorMod(hash, (long) LAST_FIRST_NUMBER - 1);
-        return pin(GenerationId.of(request, number), model);
+        return pin(GenerationId.of(request, number), version);
     }
 
     /** Returns another generation of the same version; for a model no longer declared. */
@@ -62,10 +61,10 @@
         return new GenerationSpec(other, version, adapter, seedOf(other));
     }
 
-    /** Returns the generation {@code id}, pinned to what {@code model} declares now. */
-    public static GenerationSpec pin(GenerationId id, Model model) {
-        checkNotNull(model, "model");
-        return new GenerationSpec(id, model.version(), model.adapter(), seedOf(id));
+    /** Returns the generation {@code id}, pinned to {@code version}. */
+    public static GenerationSpec pin(GenerationId id, PinnedVersion version) {
+        checkNotNull(version, "version");
+        return new GenerationSpec(id, version.version(), version.adapter(), seedOf(id));
     }
 
     private static long seedOf(GenerationId id) {
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -294,7 +294,7 @@
         GenerationSpec old = generation;
         generation =
                 search.declaredModel()
-                        .map(model -> GenerationSpec.pin(id, model))
+                        .map(model -> GenerationSpec.pin(id, model.pinned()))
                         .orElseGet(() -> old.numbered(id));
         request.log().startGeneration(next.number());
         ownership.newGeneration(generation);
--- a/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestRun.java
@@ -80,8 +80,8 @@
     private GenerationSpec firstGeneration() {
         RequestId id = request.spec().id();
         return request.spec().idempotent()
-                ? GenerationSpec.firstOf(id, model)
-                : GenerationSpec.claimed(id, model, context.clock().wallMs());
+                ? GenerationSpec.firstOf(id, model.pinned())
+                : GenerationSpec.claimed(id, model.pinned(), context.clock().wallMs());
     }
 
     /** Starts; call once. */
--- a/masticweir/src/main/java/org/masticweir/serving/RequestTakeOver.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestTakeOver.java
@@ -87,7 +87,7 @@
         return new GenerationCopy(
                 copy.epoch(),
                 copy.spec(),
-                GenerationSpec.pin(id, service.model()),
+                GenerationSpec.pin(id, service.model().pinned()),
                 Optional.empty(),
                 ImmutableIntArray.of(),
                 Optional.empty(),
--- a/masticweir/src/test/java/org/masticweir/generation/GenerationSpecTest.java
+++ b/masticweir/src/test/java/org/masticweir/generation/GenerationSpecTest.java
@@ -8,14 +8,11 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.junit.jupiter.api.Test;
-import org.masticweir.config.BackEndKind;
-import org.masticweir.config.Model;
-import org.masticweir.id.ModelId;
 import org.masticweir.id.RequestId;
 
 /** Numbers of generations. */
 class GenerationSpecTest {
-    private static final Model MODEL = new Model(ModelId.of("report"), BackEndKind.ENGINE, "1", "");
+    private static final PinnedVersion MODEL = PinnedVersion.of("1", "");
     private static final RequestId LETTER = RequestId.of("letter");
     private static final long RETENTION_MS = 15 * 60_000;
     private static final long YEAR_MS = 365L * 24 * 3_600_000;
