copies: bound the frames of appends, and measure what copies cost by holders

Change: [copies] frames_per_s, 8,000 by default. The least time between two frames to one holder follows from it and from the number of holders in use: 0 up to 7 of them, 5 ms at 42, 10 ms at most.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/Bench.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
+import org.masticweir.bench.copies.CopiesCommand;
 import org.masticweir.bench.demo.DemoCommand;
 import org.masticweir.bench.demo.PublishCommand;
 import org.masticweir.bench.experiment.ExperimentCommand;
@@ -27,6 +28,7 @@
                         new LoadCommand(),
                         new ExperimentCommand(),
                         new PathCommand(),
+                        new CopiesCommand(),
                         new SlopePointCommand(),
                         new SlopesCommand());
         JCommander parser = new JCommander();
--- a/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
@@ -121,6 +121,12 @@
         return o.ask(message, timeoutMs);
     }
 
+    /** Runs {@code task} on the links' thread once {@code delayMs} have passed. */
+    public void executeAfter(Runnable task, long delayMs) {
+        long atMs = loop.nowMs() + delayMs;
+        loop.execute(() -> loop.at(atMs, task));
+    }
+
     public LinkCounters counters() {
         return counting.snapshot();
     }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/AppendQueue.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/AppendQueue.java
@@ -6,42 +6,73 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.masticweir.id.RouterId;
 import org.masticweir.recovery.copy.CopyMessage.AppendBatch;
 
 /**
  * The appends of many requests to one holder, of which one batch at a time is on its way.
  *
- * <p>Under load the appends of one round trip share a frame; without load each goes at once.
- * Thread-safe.
+ * <p>Under load the appends of one round trip share a frame; without load each goes at once. With
+ * many holders each of them has so few appends in a round trip that they would go one by one, so
+ * batches also keep a distance in time. Thread-safe.
  */
 final class AppendQueue {
+    private static final Turn NOTHING = new Turn(Optional.empty(), OptionalLong.empty());
+
     private final Deque<Entry> waiting = new ArrayDeque<>();
     private final int batchTokens;
+    private final LongSupplier paceMs;
     private boolean busy;
+    private boolean wakeUpSet;
+    private long nextAtMs = Long.MIN_VALUE;
 
-    AppendQueue(int batchTokens) {
+    /** Returns an empty queue; {@code paceMs} is the least time between two batches. */
+    AppendQueue(int batchTokens, LongSupplier paceMs) {
         this.batchTokens = batchTokens;
+        this.paceMs = paceMs;
     }
 
-    /** Adds an append; returns the batch to send now, if none is on its way. */
-    synchronized Optional<Batch> add(Entry entry) {
+    /** Adds an append; returns what to do now. */
+    synchronized Turn add(Entry entry, long nowMs) {
         waiting.add(entry);
-        return busy ? Optional.empty() : take();
+        return turn(nowMs);
     }
 
-    /** Notes that the batch on its way is done with; returns the next. */
-    synchronized Optional<Batch> next() {
+    /** Notes that the batch on its way is done with; returns what to do now. */
+    synchronized Turn next(long nowMs) {
         busy = false;
-        return take();
+        return turn(nowMs);
+    }
+
+    /** Notes that the time came at which an earlier turn wished to be woken. */
+    synchronized Turn wokenUp(long nowMs) {
+        wakeUpSet = false;
+        return turn(nowMs);
     }
 
     synchronized boolean idle() {
         return !busy && waiting.isEmpty();
     }
 
-    private Optional<Batch> take() {
+    private Turn turn(long nowMs) {
+        if (busy || waiting.isEmpty()) {
+            return NOTHING;
+        }
+        if (nowMs >= nextAtMs) {
+            nextAtMs = nowMs + paceMs.getAsLong();
+            return new Turn(Optional.of(take()), OptionalLong.empty());
+        }
+        if (wakeUpSet) {
+            return NOTHING;
+        }
+        wakeUpSet = true;
+        return new Turn(Optional.empty(), OptionalLong.of(nextAtMs - nowMs));
+    }
+
+    private Batch take() {
         List<Entry> taken = new ArrayList<>();
         int tokens = 0;
         while (!waiting.isEmpty() && (taken.isEmpty() || tokens < batchTokens)) {
@@ -49,10 +80,18 @@
             tokens += e.append.tokens().length();
             taken.add(e);
         }
-        busy = !taken.isEmpty();
-        return busy ? Optional.of(new Batch(ImmutableList.copyOf(taken))) : Optional.empty();
+        busy = true;
+        return new Batch(ImmutableList.copyOf(taken));
     }
 
+    /**
+     * What to do now.
+     *
+     * @param batch to be sent
+     * @param wakeUpMs time after which to call {@link #wokenUp}
+     */
+    record Turn(Optional<Batch> batch, OptionalLong wakeUpMs) {}
+
     /** One append and who waits for its answer. */
     record Entry(CopyCommand.Append append, long number, Consumer<CopyEvent> events) {}
 
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
@@ -84,10 +83,9 @@
     public void send(CopyAction.SendToHolder action, Consumer<CopyEvent> events) {
         RouterId holder = action.holder();
         if (action.command() instanceof CopyCommand.Append append) {
-            AppendQueue queue =
-                    queues.computeIfAbsent(holder, h -> new AppendQueue(limits.batchTokens()));
-            queue.add(new AppendQueue.Entry(append, action.number(), events))
-                    .ifPresent(b -> sendBatch(holder, queue, b));
+            AppendQueue queue = queues.computeIfAbsent(holder, h -> newQueue());
+            AppendQueue.Entry entry = new AppendQueue.Entry(append, action.number(), events);
+            carryOut(holder, queue, queue.add(entry, clock.nowMs()));
             return;
         }
         ask(holder, whole(action.command()))
@@ -176,6 +174,20 @@
         return new CopyTraffic(tokens.sum(), appends.sum(), batches.sum(), bytes);
     }
 
+    private AppendQueue newQueue() {
+        return new AppendQueue(limits.batchTokens(), () -> limits.paceMs(queues.size()));
+    }
+
+    private void carryOut(RouterId holder, AppendQueue queue, AppendQueue.Turn turn) {
+        turn.batch().ifPresent(b -> sendBatch(holder, queue, b));
+        turn.wakeUpMs()
+                .ifPresent(
+                        ms ->
+                                links.executeAfter(
+                                        () -> carryOut(holder, queue, queue.wokenUp(clock.nowMs())),
+                                        ms));
+    }
+
     private void sendBatch(RouterId holder, AppendQueue queue, AppendQueue.Batch batch) {
         CopyMessage.AppendBatch message = batch.message(self);
         tokens.add(message.tokens());
@@ -184,13 +196,13 @@
         ask(holder, message)
                 .whenComplete(
                         (reply, error) -> {
-                            Optional<AppendQueue.Batch> next = queue.next();
+                            AppendQueue.Turn next = queue.next(clock.nowMs());
                             if (reply instanceof AppendReplies r) {
                                 batch.answered(holder, r.answers());
                             } else if (!isSilence(error)) {
                                 batch.lost(holder);
                             }
-                            next.ifPresent(b -> sendBatch(holder, queue, b));
+                            carryOut(holder, queue, next);
                         });
     }
 
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -284,7 +284,7 @@
                         CopyStore.within(StoreLimits.defaults()),
                         id -> registry.find(id).flatMap(RunningRequest::owned),
                         clock,
-                        CopyLinkLimits.defaults());
+                        CopyLinkLimits.defaults().withFramesPerS(settings.copies().framesPerS()));
         KeyLinks keys = keyLinks();
         control.copyOver(copyLinks, keys);
         return new CopyContext(
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -372,6 +372,15 @@
     static final Setting<Integer> MAX_SENDS =
             integer("retries", "max_sends", 3, 1, 100, "Sends of one request before its start.");
 
+    static final Setting<Integer> COPY_FRAMES_PER_S =
+            integer(
+                    "copies",
+                    "frames_per_s",
+                    8_000,
+                    1,
+                    1_000_000,
+                    "Frames of copied tokens beyond which they wait up to 10 ms to share one.");
+
     static final Setting<ChooserKind> CHOOSER =
             choice(
                     "routing",
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -34,6 +34,7 @@
         Shutdown shutdown,
         Limits limits,
         Retries retries,
+        Copies copies,
         Routing routing) {
     /** Exit code of a program whose settings are invalid. */
     public static final int INVALID_EXIT_CODE = 2;
@@ -84,6 +85,7 @@
                 new Shutdown(in.get(DaemonSetting.BALANCER_LAG_MS), in.get(DaemonSetting.DRAIN_MS)),
                 Limits.from(in),
                 Retries.from(in),
+                new Copies(in.get(DaemonSetting.COPY_FRAMES_PER_S)),
                 new Routing(in.get(DaemonSetting.CHOOSER)));
     }
 
@@ -251,6 +253,9 @@
         }
     }
 
+    /** Section {@code [copies]}: what keeping copies of running generations may cost. */
+    public record Copies(int framesPerS) {}
+
     /** Section {@code [routing]}. */
     public record Routing(ChooserKind chooser) {}
 }
