membership: time between heartbeats follows the number of peers

Ruled out: judging a member by the time it announces alone. Trial in HeartbeatPaceTest: a domain of 40 routers suspects the routers of a domain of 2, which do not choose each of the 40 as a peer and are heard only when asked. The longer of both times counts now.

Change: heartbeat_max_ms and heartbeat_bytes_per_s; HeartbeatPace finds the time within them, by steps of half as much again. A heartbeat carries it (last field, absent from older routers); suspect and dead bounds follow.

No false suspicion for views of different size, a restart of all and a healed partition (HeartbeatPaceTest, virtual time).

Tests changed: Heartbeat has one more field, so MembershipStateTest and HeartbeatCodecTest give it; Fleet takes settings and the length of a tick.

--- a/masticweir/src/main/java/org/masticweir/membership/HeartbeatCodec.java
+++ b/masticweir/src/main/java/org/masticweir/membership/HeartbeatCodec.java
@@ -19,7 +19,11 @@
     INSTANCE;
 
     private static final int TYPE = FIRST_FREE_TYPE;
-    private static final int FIELDS = 6;
+    private static final int FIELDS = 7;
+
+    /** Fields that every version sends; the interval came later. */
+    private static final int REQUIRED_FIELDS = 6;
+
     private static final int ADDRESS_FIELDS = 4;
     private static final int LOAD_FIELDS = 3;
     private static final int DOMAIN_FIELDS = 2;
@@ -58,21 +62,24 @@
         for (RouterAddress r : m.rumours()) {
             packAddress(r, out);
         }
+        out.packLong(m.intervalMs());
     }
 
     @Override
     public Heartbeat decode(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, FIELDS)) {
+        try (Fields f = Fields.open(in, REQUIRED_FIELDS)) {
             RouterAddress sender = f.nested(HeartbeatCodec::unpackAddress);
             int state = f.int32();
             checkArgument(state >= 0 && state < STATES.size(), "state %s", state);
+            long revision = f.int64();
+            LoadDigest load = f.nested(HeartbeatCodec::unpackLoad);
+            List<DomainRevision> domains =
+                    f.list(Heartbeat.MAX_DOMAINS, HeartbeatCodec::unpackDomain);
+            List<RouterAddress> rumours =
+                    f.list(Heartbeat.MAX_RUMOURS, HeartbeatCodec::unpackAddress);
+            long intervalMs = f.hasMore() ? f.int64() : 0;
             return new Heartbeat(
-                    sender,
-                    STATES.get(state),
-                    f.int64(),
-                    f.nested(HeartbeatCodec::unpackLoad),
-                    f.list(Heartbeat.MAX_DOMAINS, HeartbeatCodec::unpackDomain),
-                    f.list(Heartbeat.MAX_RUMOURS, HeartbeatCodec::unpackAddress));
+                    sender, STATES.get(state), revision, load, intervalMs, domains, rumours);
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/membership/HeartbeatWriter.java
+++ b/masticweir/src/main/java/org/masticweir/membership/HeartbeatWriter.java
@@ -30,13 +30,15 @@
         this.domains = domains;
     }
 
-    Heartbeat compose(MembershipEvent.OwnState own, RouterId to, long turn, long nowMs) {
+    Heartbeat compose(
+            MembershipEvent.OwnState own, long intervalMs, RouterId to, long turn, long nowMs) {
         long sinceMs = nowMs - NEWS_MS;
         return new Heartbeat(
                 self,
                 own.state(),
                 own.configRevision(),
                 own.load(),
+                intervalMs,
                 domains.toTell(MAX_NEWS, turn, sinceMs),
                 rumours(to, turn, sinceMs));
     }
--- a/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
@@ -6,8 +6,9 @@
 /** What {@link MembershipState} keeps of one other router; owned by the control thread. */
 final class MemberEntry {
     private final long weight;
-    private final long suspectMs;
-    private final long deadMs;
+    private final int factor;
+    private final MembershipSettings settings;
+    private final HeartbeatPace pace;
 
     private RouterAddress where;
     private MemberState announced = MemberState.STARTING;
@@ -17,6 +18,7 @@
     private boolean linkLost;
     private boolean listed;
     private boolean listedLeaving;
+    private long announcedMs;
     private long configRevision;
     private LoadDigest load = LoadDigest.NONE;
 
@@ -26,11 +28,24 @@
     private long triedMs = DomainView.NEVER;
     private long retryMs;
 
-    MemberEntry(RouterAddress where, long weight, long suspectMs, long deadMs, long nowMs) {
+    /**
+     * Creates a member that was not heard yet.
+     *
+     * @param factor how many times longer its times are than in the own domain
+     * @param pace time between this router's own heartbeats
+     */
+    MemberEntry(
+            RouterAddress where,
+            long weight,
+            int factor,
+            MembershipSettings settings,
+            HeartbeatPace pace,
+            long nowMs) {
         this.where = where;
         this.weight = weight;
-        this.suspectMs = suspectMs;
-        this.deadMs = deadMs;
+        this.factor = factor;
+        this.settings = settings;
+        this.pace = pace;
         heardMs = nowMs;
         nextBeatMs = nowMs;
     }
@@ -106,6 +121,7 @@
         announced = beat.state();
         configRevision = beat.configRevision();
         load = beat.load();
+        announcedMs = beat.intervalMs();
         heardMs = nowMs;
         linkLost = false;
         triedMs = DomainView.NEVER;
@@ -124,7 +140,7 @@
     }
 
     boolean silent(long nowMs) {
-        return linkLost || nowMs - heardMs >= suspectMs;
+        return linkLost || nowMs - heardMs >= suspectMs();
     }
 
     /** Forgives {@code ms} of silence, during which this router itself was paused. */
@@ -161,7 +177,7 @@
 
     /** Starts the waits between tries of a member that was just found dead. */
     void startRetries(long nowMs) {
-        retryMs = deadMs;
+        retryMs = deadMs();
         nextBeatMs = nowMs + retryMs;
     }
 
@@ -174,13 +190,31 @@
 
     /** Tells whether the last try of a dead member went unanswered for long enough. */
     boolean tryFailed(long nowMs) {
-        return triedMs == DomainView.NEVER || nowMs - triedMs >= suspectMs;
+        return triedMs == DomainView.NEVER || nowMs - triedMs >= suspectMs();
+    }
+
+    /**
+     * Returns the time between heartbeats that the member is judged by.
+     *
+     * <p>A member whose view is larger sends them more rarely and says so. One whose view is
+     * smaller may not have chosen this router as a peer: then it is heard only when asked.
+     */
+    private long intervalMs() {
+        return Math.max(announcedMs, pace.intervalMs());
+    }
+
+    private long suspectMs() {
+        return factor * settings.suspectMs(intervalMs());
+    }
+
+    private long deadMs() {
+        return factor * settings.deadMs(intervalMs());
     }
 
     /** Judges the member by its silence; returns whether its state changed. */
     boolean judge(long nowMs) {
         MemberState before = judged;
-        if (nowMs - heardMs >= deadMs) {
+        if (nowMs - heardMs >= deadMs()) {
             judged = MemberState.DEAD;
         } else if (silent(nowMs)) {
             judged = MemberState.SUSPECT;
--- a/masticweir/src/main/java/org/masticweir/membership/MemberTable.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MemberTable.java
@@ -31,10 +31,12 @@
 
     private final RouterAddress self;
     private final MembershipSettings settings;
+    private final HeartbeatPace pace;
     private final Map<RouterId, MemberEntry> entries = new LinkedHashMap<>();
 
-    MemberTable(RouterAddress self, MembershipSettings settings) {
+    MemberTable(RouterAddress self, MembershipSettings settings, HeartbeatPace pace) {
         this.self = self;
+        this.pace = pace;
         this.settings = settings;
     }
 
@@ -67,11 +69,9 @@
         if (known != null || where.router().equals(self.router())) {
             return Optional.ofNullable(known);
         }
-        long f = factor(where.domain());
+        int f = factor(where.domain());
         long weight = Rendezvous.weight(self.router().value(), where.router());
-        MemberEntry e =
-                new MemberEntry(
-                        where, weight, f * settings.suspectMs(), f * settings.deadMs(), nowMs);
+        MemberEntry e = new MemberEntry(where, weight, f, settings, pace, nowMs);
         entries.put(where.router(), e);
         return Optional.of(e);
     }
--- a/masticweir/src/main/java/org/masticweir/membership/MembershipState.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MembershipState.java
@@ -26,6 +26,7 @@
     private final MemberTable members;
     private final DomainTable domains = new DomainTable();
     private final HeartbeatWriter writer;
+    private final HeartbeatPace pace;
     private MembershipEvent.OwnState own =
             new MembershipEvent.OwnState(MemberState.STARTING, 0, LoadDigest.NONE);
     private List<MembershipAction> actions = new ArrayList<>();
@@ -37,7 +38,8 @@
     private MembershipState(RouterAddress self, MembershipSettings settings) {
         this.self = checkNotNull(self, "self");
         this.settings = checkNotNull(settings, "settings");
-        members = new MemberTable(self, settings);
+        pace = new HeartbeatPace(self, settings);
+        members = new MemberTable(self, settings, pace);
         writer = new HeartbeatWriter(self, members, domains);
     }
 
@@ -162,7 +164,9 @@
         Optional<MemberEntry> e = members.get(to);
         long turn = e.isPresent() ? e.get().nextTurn() : strangerTurns++;
         e.ifPresent(m -> m.beatNextAt(nowMs + intervalMs(m) * 5 / 4));
-        actions.add(new MembershipAction.AnswerHeartbeat(to, writer.compose(own, to, turn, nowMs)));
+        actions.add(
+                new MembershipAction.AnswerHeartbeat(
+                        to, writer.compose(own, pace.intervalMs(), to, turn, nowMs)));
     }
 
     /** Takes the own state; peers hear of a new state or revision at once, of load in time. */
@@ -239,7 +243,10 @@
     }
 
     private void sendDue(long nowMs) {
-        for (MemberEntry e : members.peers()) {
+        List<MemberEntry> peers = members.peers();
+        int far = (int) peers.stream().filter(e -> members.isFar(e.domain())).count();
+        pace.adjust(peers.size() - far, far, nowMs);
+        for (MemberEntry e : peers) {
             if (e.beatDue(nowMs)) {
                 send(e, nowMs);
                 e.beatNextAt(nowMs + intervalMs(e));
@@ -249,12 +256,13 @@
 
     private void send(MemberEntry e, long nowMs) {
         learn(e);
-        Heartbeat beat = writer.compose(own, e.router(), e.nextTurn(), nowMs);
+        long turn = e.nextTurn();
+        Heartbeat beat = writer.compose(own, pace.intervalMs(), e.router(), turn, nowMs);
         actions.add(new MembershipAction.SendHeartbeat(e.router(), beat));
     }
 
     private long intervalMs(MemberEntry e) {
-        return (long) settings.heartbeatMs() * members.factor(e.domain());
+        return pace.intervalMs() * members.factor(e.domain());
     }
 
     private void trim() {
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -232,16 +232,13 @@
     }
 
     private MembershipSettings membershipSettings() {
-        MembershipSettings base = MembershipSettings.DEFAULT;
-        return new MembershipSettings(
-                settings.peers().heartbeatMs(),
-                settings.peers().suspectMs(),
-                settings.peers().deadMs(),
-                base.farFactor(),
-                base.maxOwnPeers(),
-                base.peersPerDomain(),
-                base.keptPerDomain(),
-                Math.max(base.maxRetryMs(), settings.peers().deadMs()));
+        DaemonSettings.Peers own = settings.peers();
+        return MembershipSettings.DEFAULT.withHeartbeats(
+                own.heartbeatMs(),
+                own.heartbeatMaxMs(),
+                own.heartbeatBytesPerS(),
+                own.suspectMs(),
+                own.deadMs());
     }
 
     private void every(long periodMs, Runnable step) {
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -203,7 +203,30 @@
                     "Time between two reads of a load report that routers share.");
 
     static final Setting<Integer> HEARTBEAT_MS =
-            integer("peers", "heartbeat_ms", 500, 50, MINUTE_MS, "Time between two heartbeats.");
+            integer(
+                    "peers",
+                    "heartbeat_ms",
+                    500,
+                    50,
+                    MINUTE_MS,
+                    "Shortest time between two heartbeats.");
+    static final Setting<Integer> HEARTBEAT_MAX_MS =
+            integer(
+                    "peers",
+                    "heartbeat_max_ms",
+                    5000,
+                    50,
+                    MINUTE_MS,
+                    "Longest time between two heartbeats.");
+    static final Setting<Integer> HEARTBEAT_BYTES_PER_S =
+            integer(
+                    "peers",
+                    "heartbeat_bytes_per_s",
+                    6000,
+                    100,
+                    100 * MIB,
+                    "The time between heartbeats grows with the number of peers so that they take"
+                            + " no more.");
     static final Setting<Integer> SUSPECT_MS =
             integer(
                     "peers",
@@ -211,7 +234,7 @@
                     1500,
                     100,
                     10 * MINUTE_MS,
-                    "A router silent for so long is suspect.");
+                    "A router silent for so long is suspect, at the shortest time between heartbeats.");
     static final Setting<Integer> DEAD_MS =
             integer(
                     "peers",
@@ -219,7 +242,8 @@
                     4000,
                     100,
                     10 * MINUTE_MS,
-                    "A router silent for so long counts as lost.");
+                    "A router silent for so long counts as lost, at the shortest time between"
+                            + " heartbeats.");
     static final Setting<Integer> BALANCER_LAG_MS =
             integer(
                     "shutdown",
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -64,6 +64,7 @@
     }
 
     private static DaemonSettings from(SettingsReader in) {
+        in.checkOrder(DaemonSetting.HEARTBEAT_MS, DaemonSetting.HEARTBEAT_MAX_MS);
         in.checkAbove(DaemonSetting.HEARTBEAT_MS, 2, DaemonSetting.SUSPECT_MS);
         in.checkAbove(DaemonSetting.SUSPECT_MS, 1, DaemonSetting.DEAD_MS);
         in.checkOrder(DaemonSetting.SILENCE_FLOOR_MS, DaemonSetting.SILENCE_START_MS);
@@ -173,10 +174,17 @@
     }
 
     /** Section {@code [peers]}: the links to other routers. */
-    public record Peers(int heartbeatMs, int suspectMs, int deadMs) {
+    public record Peers(
+            int heartbeatMs,
+            int heartbeatMaxMs,
+            int heartbeatBytesPerS,
+            int suspectMs,
+            int deadMs) {
         private static Peers from(SettingsReader in) {
             return new Peers(
                     in.get(DaemonSetting.HEARTBEAT_MS),
+                    in.get(DaemonSetting.HEARTBEAT_MAX_MS),
+                    in.get(DaemonSetting.HEARTBEAT_BYTES_PER_S),
                     in.get(DaemonSetting.SUSPECT_MS),
                     in.get(DaemonSetting.DEAD_MS));
         }
--- a/masticweir/src/main/java/org/masticweir/settings/Unit.java
+++ b/masticweir/src/main/java/org/masticweir/settings/Unit.java
@@ -4,6 +4,7 @@
 enum Unit {
     MILLISECONDS("_ms", " of milliseconds"),
     BYTES("_bytes", " of bytes"),
+    BYTES_PER_SECOND("_bytes_per_s", " of bytes a second"),
     PERCENT("_percent", " of percent"),
     NONE("", "");
 
--- a/masticweir/src/test/java/org/masticweir/membership/Fleet.java
+++ b/masticweir/src/test/java/org/masticweir/membership/Fleet.java
@@ -33,9 +33,21 @@
     BiPredicate<RouterId, RouterId> cut = (a, b) -> false;
     long messages;
     long bytes;
+    private final MembershipSettings settings;
+    private final long stepMs;
     private final ArrayDeque<Runnable> inFlight = new ArrayDeque<>();
     private final Map<RouterId, RouterAddress> addresses = new LinkedHashMap<>();
 
+    Fleet() {
+        this(MembershipSettings.DEFAULT, 500);
+    }
+
+    /** Routers with {@code settings} that get a tick every {@code stepMs}. */
+    Fleet(MembershipSettings settings, long stepMs) {
+        this.settings = settings;
+        this.stepMs = stepMs;
+    }
+
     static RouterAddress router(int domain, int number, long incarnation) {
         try {
             byte[] ip = {10, (byte) domain, 0, (byte) number};
@@ -55,7 +67,7 @@
     }
 
     RouterId add(RouterAddress where) {
-        states.put(where.router(), MembershipState.of(where, MembershipSettings.DEFAULT));
+        states.put(where.router(), MembershipState.of(where, settings));
         addresses.put(where.router(), where);
         return where.router();
     }
@@ -86,7 +98,6 @@
     }
 
     void runMs(long ms) {
-        long stepMs = 500;
         for (long t = 0; t < ms; t += stepMs) {
             clock.advanceMs(stepMs);
             states.keySet().forEach(id -> feed(id, new MembershipEvent.Tick()));
--- a/masticweir/src/test/java/org/masticweir/membership/HeartbeatCodecTest.java
+++ b/masticweir/src/test/java/org/masticweir/membership/HeartbeatCodecTest.java
@@ -22,6 +22,7 @@
                 MemberState.values()[state],
                 revision,
                 new LoadDigest(rumours, 0, Integer.MAX_VALUE),
+                500 * rumours,
                 List.of(new DomainRevision(DomainId.of("d"), revision)),
                 Collections.nCopies(rumours, sender));
     }
--- a/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
@@ -189,7 +189,7 @@
         }
 
         private Heartbeat beat(RouterAddress sender, MemberState state) {
-            return new Heartbeat(sender, state, 5, LoadDigest.NONE, List.of(), List.of());
+            return new Heartbeat(sender, state, 5, LoadDigest.NONE, 3000, List.of(), List.of());
         }
     }
 
