instances: time between reads follows the length of the list

Cause: the list is read whole, so at the default of 500 ms a router of a domain of 43 reads 36 KB/s of a list of 2,990 rows; the setting had to be raised by hand. Shown by SharedInstancesTest with the longest time set to 500 ms: 7,540, 15,362 and 35,955 B/s at 29, 300 and 2,990 rows.

Change: ReadPace keeps a router within instances_bytes_per_s, between instances_poll_ms and instances_poll_max_ms.

Figures after: 3,969, 3,954 and 4,535 B/s; a read of the domain each 475, 986 and 1,993 ms in place of 250 ms (virtual time). At the size the longest time rules, so the domain still finds a change within some 2 s.

Tests changed: SharedInstancesTest makes its lists with a pace.

Conclusion: fits the size with default settings. Today's lists are read half as often as before.

--- a/masticweir/src/main/java/org/masticweir/instances/SharedInstances.java
+++ b/masticweir/src/main/java/org/masticweir/instances/SharedInstances.java
@@ -1,6 +1,5 @@
 package org.masticweir.instances;
 
-import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
@@ -26,10 +25,7 @@
  * <p>Not thread-safe: owned by the control thread.
  */
 public final class SharedInstances {
-    /** Routers that, reading at the full rate, would read as often as the domain does. */
-    static final int FULL_RATE_ROUTERS = 2;
-
-    private final long pollMs;
+    private final ReadPace pace;
     private final Supplier<? extends RandomGenerator> random;
     private Map<String, InstanceRecord> known = new LinkedHashMap<>();
     private long digest;
@@ -40,15 +36,14 @@
     private long newsAtStart;
     private long nextMs = Long.MIN_VALUE;
 
-    private SharedInstances(long pollMs, Supplier<? extends RandomGenerator> random) {
-        checkArgument(pollMs > 0, "poll of %s ms", pollMs);
-        this.pollMs = pollMs;
+    private SharedInstances(ReadPace pace, Supplier<? extends RandomGenerator> random) {
+        this.pace = checkNotNull(pace, "pace");
         this.random = checkNotNull(random, "random");
     }
 
-    /** Returns an empty list, which a router alone reads each {@code pollMs}. */
-    public static SharedInstances every(long pollMs, Supplier<? extends RandomGenerator> random) {
-        return new SharedInstances(pollMs, random);
+    /** Returns an empty list, which is read at {@code pace}. */
+    public static SharedInstances every(ReadPace pace, Supplier<? extends RandomGenerator> random) {
+        return new SharedInstances(pace, random);
     }
 
     /**
@@ -113,11 +108,14 @@
     }
 
     private long waitMs(int routers) {
-        if (!read || routers <= FULL_RATE_ROUTERS) {
-            return pollMs;
+        if (!read) {
+            return pace.pollMs();
+        }
+        long meanMs = pace.meanMs(routers, known.size());
+        if (routers <= ReadPace.FULL_RATE_ROUTERS) {
+            return meanMs;
         }
-        double mean = (double) pollMs * routers / FULL_RATE_ROUTERS;
-        return Math.round(mean * (0.5 + random.get().nextDouble()));
+        return Math.round(meanMs * (0.5 + random.get().nextDouble()));
     }
 
     private static Optional<InstanceNews> between(
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -31,6 +31,7 @@
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
+import org.masticweir.instances.ReadPace;
 import org.masticweir.instances.SharedInstances;
 import org.masticweir.membership.ListedRouter;
 import org.masticweir.membership.LoadDigest;
@@ -128,7 +129,11 @@
     private InstanceSharing instances(PeerLinks links, DomainId domain) {
         return new InstanceSharing(
                 SharedInstances.every(
-                        settings.platform().instancesPollMs(), ThreadLocalRandom::current),
+                        new ReadPace(
+                                settings.platform().instancesPollMs(),
+                                settings.platform().instancesPollMaxMs(),
+                                settings.platform().instancesBytesPerS()),
+                        ThreadLocalRandom::current),
                 platform,
                 links,
                 peers::membership,
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -81,7 +81,23 @@
                     500,
                     50,
                     MINUTE_MS,
-                    "Time between two reads of the instance list.");
+                    "Shortest time between two reads of the instance list.");
+    static final Setting<Integer> INSTANCES_POLL_MAX_MS =
+            integer(
+                    "platform",
+                    "instances_poll_max_ms",
+                    4000,
+                    50,
+                    MINUTE_MS,
+                    "Longest time between two reads of the instance list.");
+    static final Setting<Integer> INSTANCES_BYTES_PER_S =
+            integer(
+                    "platform",
+                    "instances_bytes_per_s",
+                    4000,
+                    100,
+                    100 * MIB,
+                    "The time between reads grows with the list so that a router reads no more.");
 
     static final Setting<LogLayout> LOG_LAYOUT =
             choice("log", "layout", LogLayout.class, LogLayout.TEXT, "Form of each log line.");
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -64,6 +64,7 @@
     }
 
     private static DaemonSettings from(SettingsReader in) {
+        in.checkOrder(DaemonSetting.INSTANCES_POLL_MS, DaemonSetting.INSTANCES_POLL_MAX_MS);
         in.checkOrder(DaemonSetting.HEARTBEAT_MS, DaemonSetting.HEARTBEAT_MAX_MS);
         in.checkAbove(DaemonSetting.HEARTBEAT_MS, 2, DaemonSetting.SUSPECT_MS);
         in.checkAbove(DaemonSetting.SUSPECT_MS, 1, DaemonSetting.DEAD_MS);
@@ -114,13 +115,20 @@
 
     /** Section {@code [platform]}: the platform's service. */
     public record Platform(
-            InetSocketAddress address, int deadlineMs, int configPollMs, int instancesPollMs) {
+            InetSocketAddress address,
+            int deadlineMs,
+            int configPollMs,
+            int instancesPollMs,
+            int instancesPollMaxMs,
+            int instancesBytesPerS) {
         private static Platform from(SettingsReader in) {
             return new Platform(
                     in.get(DaemonSetting.PLATFORM_ADDRESS),
                     in.get(DaemonSetting.PLATFORM_DEADLINE_MS),
                     in.get(DaemonSetting.CONFIG_POLL_MS),
-                    in.get(DaemonSetting.INSTANCES_POLL_MS));
+                    in.get(DaemonSetting.INSTANCES_POLL_MS),
+                    in.get(DaemonSetting.INSTANCES_POLL_MAX_MS),
+                    in.get(DaemonSetting.INSTANCES_BYTES_PER_S));
         }
     }
 
--- a/masticweir/src/test/java/org/masticweir/instances/SharedInstancesTest.java
+++ b/masticweir/src/test/java/org/masticweir/instances/SharedInstancesTest.java
@@ -8,11 +8,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.masticweir.id.DomainId;
 import org.masticweir.platform.InstanceKind;
 import org.masticweir.platform.InstanceRecord;
@@ -29,7 +32,7 @@
     private final SharedInstances b = instances();
 
     private SharedInstances instances() {
-        return SharedInstances.every(POLL_MS, () -> random);
+        return SharedInstances.every(new ReadPace(POLL_MS, 4000, 4000), () -> random);
     }
 
     private static InstanceRecord engine(String id, boolean leaving) {
@@ -126,6 +129,31 @@
             assertEquals(4, reads / 60.0, 0.5);
         }
 
+        /**
+         * Bytes a second that a router reads, and how often its domain does: the users' sizes of
+         * today, a region of ten times that, and the size that decides the design.
+         */
+        @ParameterizedTest
+        @CsvSource({"2, 29, 4000, 500", "10, 300, 4200, 1000", "43, 2990, 4600, 2050"})
+        void readsFitTheBytesAtEverySize(int routers, int rows, int maxBytes, int domainMs) {
+            InstanceRecord[] list = new InstanceRecord[rows];
+            Arrays.setAll(list, i -> engine("e" + i, false));
+            int reads = 0;
+            for (long nowMs = 0; nowMs < 3_600_000; nowMs += 50) {
+                if (a.due(routers, nowMs)) {
+                    a.read(List.of(list));
+                    reads++;
+                }
+            }
+            double bytesPerS = (double) reads * rows * ReadPace.ROW_BYTES / 3600;
+            double everyMs = 3_600_000.0 / reads / routers;
+            System.out.printf(
+                    "%d routers, %d rows: %.0f B/s a router, a read of the domain each %.0f ms%n",
+                    routers, rows, bytesPerS, everyMs);
+            assertTrue(bytesPerS <= maxBytes, "" + bytesPerS);
+            assertTrue(everyMs <= domainMs, "" + everyMs);
+        }
+
         @Test
         void aRouterAloneReadsAtTheFullRate() {
             read(a, 0, engine("e1", false));
