peer: a link that goes silent without a reset is closed in seconds

Cause: shown by SilentLinkTest with real sockets and a relay that keeps connections and passes nothing: an ask through the partition was still waiting after 20 s (its time-out is ten minutes there). In a router the links of a dead peer are forgotten, so an ask waited for its own time-out or for dead_ms.

Ruled out: closing on silence alone, since a slow handler on a living link is silent too; measuring time alone, since a router that was paused itself would close all links on its return.

Change: SilenceWatch looks four times in link_silence_ms (2 s) at each dialled link. While a reply is due or bytes are not taken, the first quiet look sends a Probe (type 3, answered by the links themselves; an older router answers with a Failure, which is a sign of life too) and the fourth closes the link, which fails its asks with MAY_HAVE_RUN.

A reply that takes long and an own pause of a minute close no link.

Tests changed: PeerLinksTest gives the new field of LinkSettings.

Open: one-way messages are not watched; an accepted link stays until its peer dials again or TCP gives it up.

--- a/masticweir/src/main/java/org/masticweir/peer/Asks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Asks.java
@@ -24,6 +24,10 @@
         }
     }
 
+    synchronized boolean isEmpty() {
+        return waiting.isEmpty();
+    }
+
     void fail(long correlation, MasticweirException e) {
         remove(correlation).completeExceptionally(e);
     }
--- a/masticweir/src/main/java/org/masticweir/peer/Incoming.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Incoming.java
@@ -64,6 +64,10 @@
             return;
         }
         context.counting().in(peer, f.type(), body.length);
+        if (f.message().get() instanceof Probe probe) {
+            reply.send(probe);
+            return;
+        }
         listening.handlers().handle(peer, f.message().get(), reply);
     }
 
@@ -90,6 +94,11 @@
         context.counting().malformed();
     }
 
+    @Override
+    public void alive(Link from) {
+        // Whoever dialled a link watches it; a dead one is replaced when its peer dials again.
+    }
+
     @Override
     public void closed(Link gone, String reason) {
         closed = true;
--- a/masticweir/src/main/java/org/masticweir/peer/Link.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Link.java
@@ -67,6 +67,10 @@
                 if (ready.isReadable()) {
                     read();
                 }
+                if (!closed && ready.isWritable()) {
+                    // The socket was full: room in it shows that the peer took bytes.
+                    owner.alive(this);
+                }
                 flush();
             }
         } catch (IOException e) {
@@ -87,6 +91,7 @@
             close("closed by peer");
             return;
         }
+        owner.alive(this);
         // A frame's handler may write and so reuse the scratch buffer: work on a copy.
         byte[] bytes = new byte[in.flip().remaining()];
         in.get(bytes);
@@ -168,6 +173,9 @@
 
         void malformed(Link link);
 
+        /** Hears that the peer gave a sign of life: it sent bytes, or took some after a stop. */
+        void alive(Link link);
+
         void closed(Link link, String reason);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/peer/MessageRegistry.java
+++ b/masticweir/src/main/java/org/masticweir/peer/MessageRegistry.java
@@ -32,7 +32,7 @@
         }
         return new MessageRegistry(
                 ImmutableList.<MessageCodec<?>>builder()
-                        .add(Hello.CODEC, Failure.CODEC)
+                        .add(Hello.CODEC, Failure.CODEC, Probe.CODEC)
                         .addAll(codecs)
                         .build());
     }
--- a/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
@@ -33,6 +33,8 @@
     private final AtomicLong correlations = new AtomicLong();
     private final AtomicBoolean wakeQueued = new AtomicBoolean();
     private volatile InetSocketAddress address;
+    private final SilenceWatch silence = new SilenceWatch();
+    private volatile boolean replyDue;
     private Phase phase = Phase.IDLE;
     private Link link;
 
@@ -63,6 +65,7 @@
         synchronized (this) {
             asks.add(c, answer);
             queued = offer(frame);
+            replyDue = replyDue || queued;
         }
         if (counted(message, frame, queued)) {
             long atMs = context.loop().nowMs() + timeoutMs;
@@ -166,9 +169,40 @@
         context.events().linkUp(hello, LinkDirection.OUTGOING);
         if (phase == Phase.UP) {
             link.use(outbox);
+            checkSilenceLater(link);
         }
     }
 
+    private void checkSilenceLater(Link up) {
+        long atMs = context.loop().nowMs() + context.settings().silenceCheckMs();
+        context.loop().at(atMs, () -> checkSilence(up));
+    }
+
+    private void checkSilence(Link up) {
+        if (link != up || phase != Phase.UP) {
+            return;
+        }
+        switch (silence.check(replyDue || !asks.isEmpty() || !outbox.isEmpty())) {
+            case CLOSE -> up.close("silent for " + context.settings().silenceMs() + " ms");
+            case PROBE -> probe();
+            default -> {}
+        }
+        checkSilenceLater(up);
+    }
+
+    /** Sends a probe; its reply belongs to no ask and counts as any byte does. */
+    private void probe() {
+        Probe probe = new Probe();
+        byte[] frame = context.frames().encode(correlations.incrementAndGet(), probe);
+        counted(probe, frame, offer(frame));
+    }
+
+    @Override
+    public void alive(Link from) {
+        replyDue = false;
+        silence.heard();
+    }
+
     @Override
     public void malformed(Link from) {
         context.counting().malformed();
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -115,7 +115,7 @@
         RouterAddress self =
                 RouterAddress.of(
                         own.id(), own.domain(), own.advertisedPeerAddress(), clock.wallMs());
-        links = openLinks(own.peerAddress(), self, clock);
+        links = openLinks(settings, self, clock);
         LinkGauges.register(metrics, links::counters);
         worker = newWorker(own.ioThreads());
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
@@ -191,7 +191,8 @@
                 cause);
     }
 
-    private static PeerLinks openLinks(InetSocketAddress listen, RouterAddress self, Clock clock) {
+    private static PeerLinks openLinks(DaemonSettings settings, RouterAddress self, Clock clock) {
+        InetSocketAddress listen = settings.router().peerAddress();
         List<MessageCodec<?>> codecs =
                 ImmutableList.<MessageCodec<?>>builder()
                         .add(Heartbeat.codec(), ConfigAsk.CODEC, ConfigOffer.CODEC)
@@ -200,7 +201,8 @@
                         .build();
         try {
             return PeerLinks.open(
-                    LinkSettings.of(listen, self.incarnation()),
+                    LinkSettings.of(listen, self.incarnation())
+                            .withSilenceMs(settings.peers().linkSilenceMs()),
                     Hello.of(self.router(), self.incarnation(), self.domain()),
                     MessageRegistry.of(codecs),
                     clock);
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -260,6 +260,14 @@
                     10 * MINUTE_MS,
                     "A router silent for so long counts as lost, at the shortest time between"
                             + " heartbeats.");
+    static final Setting<Integer> LINK_SILENCE_MS =
+            integer(
+                    "peers",
+                    "link_silence_ms",
+                    2000,
+                    200,
+                    MINUTE_MS,
+                    "A link that brings nothing for so long while a reply is due is closed.");
     static final Setting<Integer> BALANCER_LAG_MS =
             integer(
                     "shutdown",
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -187,14 +187,16 @@
             int heartbeatMaxMs,
             int heartbeatBytesPerS,
             int suspectMs,
-            int deadMs) {
+            int deadMs,
+            int linkSilenceMs) {
         private static Peers from(SettingsReader in) {
             return new Peers(
                     in.get(DaemonSetting.HEARTBEAT_MS),
                     in.get(DaemonSetting.HEARTBEAT_MAX_MS),
                     in.get(DaemonSetting.HEARTBEAT_BYTES_PER_S),
                     in.get(DaemonSetting.SUSPECT_MS),
-                    in.get(DaemonSetting.DEAD_MS));
+                    in.get(DaemonSetting.DEAD_MS),
+                    in.get(DaemonSetting.LINK_SILENCE_MS));
         }
     }
 
--- a/masticweir/src/test/java/org/masticweir/peer/PeerLinksTest.java
+++ b/masticweir/src/test/java/org/masticweir/peer/PeerLinksTest.java
@@ -48,7 +48,7 @@
     }
 
     private PeerLinks links(RouterId id, long incarnation, int port, MessageCodec<?> codec) {
-        LinkSettings settings = new LinkSettings(loopback(port), 2000, 1 << 20, 1, 20, 42);
+        LinkSettings settings = new LinkSettings(loopback(port), 2000, 1 << 20, 1, 20, 2000, 42);
         PeerLinks l =
                 PeerLinks.open(
                         settings,
