peer: mutual TLS for the links between routers

Ruled out: blocking TLS sockets (two threads for each of some 180 links).

Change: SecureChannel puts an SSLEngine between socket and frames, TLS 1.3, a certificate of each side. Keys and trust come from peer_keystore_file, peer_keystore_password_file and peer_trust_file and are read again when they change; off when none is named. Certificates are checked on a thread of their own. The wait for the greeting, longer by handshake_ms, bounds a handshake in time; 64 KB bound it in size. A refused link is logged with the cause, also when one side has no key.

--- a/masticweir/src/main/java/org/masticweir/peer/FrameDecoder.java
+++ b/masticweir/src/main/java/org/masticweir/peer/FrameDecoder.java
@@ -11,6 +11,9 @@
 final class FrameDecoder {
     private static final byte[] NONE = new byte[0];
 
+    /** First bytes of a TLS connection: a handshake record and the protocol's major version. */
+    private static final int TLS_HANDSHAKE = 0x1603;
+
     private final ByteBuffer length = ByteBuffer.allocate(FrameCodec.LENGTH_BYTES);
     private byte[] body = NONE;
     private int filled;
@@ -57,7 +60,8 @@
         }
         int n = length.getInt(0);
         if (n <= 0 || n > FrameCodec.MAX_FRAME_BYTES) {
-            throw FrameCodec.malformed("length " + n);
+            boolean tls = n >>> Short.SIZE == TLS_HANDSHAKE;
+            throw FrameCodec.malformed(tls ? "TLS, which is off here" : "length " + n);
         }
         body = new byte[n];
         filled = 0;
--- a/masticweir/src/main/java/org/masticweir/peer/Incoming.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Incoming.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
@@ -13,12 +15,15 @@
  * <p>Owned by the links' thread, but for the replies, which may come from any thread.
  */
 final class Incoming implements Link.Owner {
+    private static final Logger LOG = LogManager.getLogger(Incoming.class);
+
     private final LinkContext context;
     private final Listening listening;
     private final Outbox outbox;
     private final AtomicBoolean wakeQueued = new AtomicBoolean();
     private Optional<Hello> hello = Optional.empty();
     private Link link;
+    private String remote = "";
     private volatile boolean closed;
 
     Incoming(LinkContext context, Listening listening) {
@@ -39,6 +44,7 @@
      */
     void start(Link accepted) {
         link = accepted;
+        remote = accepted.remote();
         long atMs = context.loop().nowMs() + context.settings().connectTimeoutMs();
         context.loop().at(atMs, this::giveUpUngreeted);
     }
@@ -103,6 +109,9 @@
     public void closed(Link gone, String reason) {
         closed = true;
         outbox.clear();
+        if (hello.isEmpty() && !reason.equals(Link.CLOSED_BY_PEER)) {
+            LOG.warn("peer: link from {} refused, {}", remote, reason);
+        }
         if (hello.isPresent() && listening.left(hello.get().router(), this)) {
             context.events().linkDown(hello.get().router(), LinkDirection.INCOMING);
         }
--- a/masticweir/src/main/java/org/masticweir/peer/Link.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Link.java
@@ -7,12 +7,17 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.Optional;
+import javax.net.ssl.SSLException;
 import org.masticweir.error.MasticweirException;
 
 /** One TCP connection and its frames; owned by the links' thread. */
 final class Link implements LinkLoop.Ready {
+    /** Reason of a link that the other side closed in order. */
+    static final String CLOSED_BY_PEER = "closed by peer";
+
     private final LinkLoop loop;
-    private final SocketChannel channel;
+    private final SocketChannel socket;
+    private final LinkChannel channel;
     private final Owner owner;
     private final FrameDecoder decoder = new FrameDecoder();
     private Outbox outbox;
@@ -20,22 +25,28 @@
     private boolean connected;
     private boolean closed;
 
-    private Link(LinkLoop loop, SocketChannel channel, Outbox outbox, Owner owner) {
-        this.loop = loop;
-        this.channel = channel;
+    private Link(
+            LinkContext context, SocketChannel socket, boolean dialling, Outbox outbox, Owner owner)
+            throws IOException {
+        loop = context.loop();
+        this.socket = socket;
+        channel =
+                context.tls().isPresent()
+                        ? new SecureChannel(socket, context.tls().get(), dialling, this::resume)
+                        : new PlainChannel(socket);
         this.outbox = outbox;
         this.owner = owner;
     }
 
     /** Starts to connect; call {@link #flush} next, as the connection may stand already. */
-    static Link dial(LinkLoop loop, InetSocketAddress to, Outbox outbox, Owner owner)
+    static Link dial(LinkContext context, InetSocketAddress to, Outbox outbox, Owner owner)
             throws IOException {
         SocketChannel ch = SocketChannel.open();
         try {
-            Link link = new Link(loop, prepared(ch), outbox, owner);
+            Link link = new Link(context, prepared(ch), true, outbox, owner);
             link.connected = ch.connect(to);
             int ops = link.connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT;
-            link.key = loop.register(ch, ops, link);
+            link.key = context.loop().register(ch, ops, link);
             return link;
         } catch (IOException | RuntimeException e) {
             ch.close();
@@ -43,12 +54,17 @@
         }
     }
 
-    static Link accepted(LinkLoop loop, SocketChannel ch, Outbox outbox, Owner owner)
+    static Link accepted(LinkContext context, SocketChannel ch, Outbox outbox, Owner owner)
             throws IOException {
-        Link link = new Link(loop, prepared(ch), outbox, owner);
-        link.connected = true;
-        link.key = loop.register(ch, SelectionKey.OP_READ, link);
-        return link;
+        try {
+            Link link = new Link(context, prepared(ch), false, outbox, owner);
+            link.connected = true;
+            link.key = context.loop().register(ch, SelectionKey.OP_READ, link);
+            return link;
+        } catch (IOException | RuntimeException e) {
+            ch.close();
+            throw e;
+        }
     }
 
     private static SocketChannel prepared(SocketChannel ch) throws IOException {
@@ -64,7 +80,10 @@
             if (ready.isConnectable()) {
                 finishConnect();
             } else {
-                if (ready.isReadable()) {
+                if (ready.isWritable()) {
+                    flush();
+                }
+                if (!closed && (ready.isReadable() || channel.holdsInput())) {
                     read();
                 }
                 if (!closed && ready.isWritable()) {
@@ -74,12 +93,33 @@
                 flush();
             }
         } catch (IOException e) {
-            close(String.valueOf(e.getMessage()));
+            fail(e);
+        }
+    }
+
+    /** Goes on after the channel's own work on another thread. */
+    private void resume() {
+        if (closed) {
+            return;
+        }
+        try {
+            read();
+            flush();
+        } catch (IOException e) {
+            fail(e);
         }
     }
 
+    private void fail(IOException e) {
+        boolean tls = e instanceof SSLException;
+        if (tls) {
+            owner.malformed(this);
+        }
+        close((tls ? "TLS: " : "") + e.getMessage());
+    }
+
     private void finishConnect() throws IOException {
-        channel.finishConnect();
+        socket.finishConnect();
         connected = true;
         key.interestOps(SelectionKey.OP_READ);
         flush();
@@ -87,8 +127,11 @@
 
     private void read() throws IOException {
         ByteBuffer in = loop.scratch();
-        if (channel.read(in) < 0) {
-            close("closed by peer");
+        if (channel.read(in) == LinkChannel.END) {
+            close(CLOSED_BY_PEER);
+            return;
+        }
+        if (in.position() == 0) {
             return;
         }
         owner.alive(this);
@@ -124,16 +167,19 @@
         }
         try {
             boolean drained = write();
-            int ops = SelectionKey.OP_READ | (drained ? 0 : SelectionKey.OP_WRITE);
+            int ops = channel.interest(drained);
             if (key.interestOps() != ops) {
                 key.interestOps(ops);
             }
         } catch (IOException e) {
-            close(String.valueOf(e.getMessage()));
+            fail(e);
         }
     }
 
     private boolean write() throws IOException {
+        if (!channel.flush()) {
+            return false;
+        }
         while (!outbox.isEmpty()) {
             ByteBuffer out = loop.scratch();
             outbox.copyTo(out);
@@ -147,6 +193,11 @@
         return true;
     }
 
+    /** Returns the other side's address, or a note that it has none any more. */
+    String remote() {
+        return String.valueOf(socket.socket().getRemoteSocketAddress());
+    }
+
     boolean isClosed() {
         return closed;
     }
--- a/masticweir/src/main/java/org/masticweir/peer/LinkContext.java
+++ b/masticweir/src/main/java/org/masticweir/peer/LinkContext.java
@@ -1,5 +1,7 @@
 package org.masticweir.peer;
 
+import java.util.Optional;
+
 /** What all links of a router share. */
 record LinkContext(
         LinkLoop loop,
@@ -7,4 +9,5 @@
         Hello self,
         FrameCodec frames,
         Counting counting,
+        Optional<LinkTls> tls,
         LinkListener events) {}
--- a/masticweir/src/main/java/org/masticweir/peer/LinkSettings.java
+++ b/masticweir/src/main/java/org/masticweir/peer/LinkSettings.java
@@ -9,7 +9,7 @@
  * The settings of a router's links; immutable.
  *
  * @param listen address that peers connect to; port 0 takes any free one
- * @param connectTimeoutMs time for connecting and for the greeting, together
+ * @param connectTimeoutMs time for connecting, a TLS handshake and the greeting, together
  * @param maxQueuedBytes bound of the outgoing queue of one link
  * @param backoffMinMs shortest wait before a lost link is dialled again
  * @param backoffMaxMs longest such wait
@@ -56,6 +56,19 @@
                 listen, connectTimeoutMs, bytes, backoffMinMs, backoffMaxMs, silenceMs, seed);
     }
 
+    /** Returns these settings with {@code ms} more for the handshakes of TLS. */
+    public LinkSettings withHandshakeMs(int ms) {
+        checkArgument(ms >= 0, "handshake_ms %s", ms);
+        return new LinkSettings(
+                listen,
+                connectTimeoutMs + ms,
+                maxQueuedBytes,
+                backoffMinMs,
+                backoffMaxMs,
+                silenceMs,
+                seed);
+    }
+
     public LinkSettings withSilenceMs(int ms) {
         return new LinkSettings(
                 listen, connectTimeoutMs, maxQueuedBytes, backoffMinMs, backoffMaxMs, ms, seed);
--- a/masticweir/src/main/java/org/masticweir/peer/Listening.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Listening.java
@@ -58,7 +58,7 @@
             SocketChannel ch = server.accept();
             while (ch != null) {
                 Incoming in = new Incoming(context, this);
-                in.start(Link.accepted(context.loop(), ch, in.outbox(), in));
+                in.start(Link.accepted(context, ch, in.outbox(), in));
                 ch = server.accept();
             }
         } catch (IOException e) {
--- a/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
@@ -115,7 +115,7 @@
         Outbox greeting = new Outbox(FrameCodec.MAX_FRAME_BYTES);
         greeting.offer(context.frames().encode(Frame.ONE_WAY, context.self()));
         try {
-            Link dialled = Link.dial(context.loop(), address, greeting, this);
+            Link dialled = Link.dial(context, address, greeting, this);
             link = dialled;
             long atMs = context.loop().nowMs() + context.settings().connectTimeoutMs();
             context.loop().at(atMs, () -> giveUpDialling(dialled));
--- a/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import javax.net.ssl.SSLContext;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.id.RouterId;
@@ -29,15 +30,22 @@
     private final Handlers handlers = new Handlers();
     private final Counting counting = new Counting();
     private final LinkLoop loop;
+    private final Optional<LinkTls> tls;
     private final LinkContext context;
     private final Listening listening;
     private final Thread thread;
     private volatile boolean closed;
 
-    private PeerLinks(LinkSettings settings, Hello self, MessageRegistry registry, Clock clock) {
+    private PeerLinks(
+            LinkSettings settings,
+            Hello self,
+            MessageRegistry registry,
+            Clock clock,
+            Optional<SSLContext> keys) {
         loop = new LinkLoop(clock);
+        tls = keys.map(k -> new LinkTls(k, loop, "peer-handshakes-" + self.router()));
         FrameCodec frames = new FrameCodec(registry);
-        context = new LinkContext(loop, settings, self, frames, counting, new Listeners());
+        context = new LinkContext(loop, settings, self, frames, counting, tls, new Listeners());
         listening = Listening.open(context, handlers);
         thread = new Thread(loop, "peer-links-" + self.router());
         thread.setDaemon(true);
@@ -46,10 +54,25 @@
     /** Binds the listening address; nothing is read or written before {@link #start}. */
     public static PeerLinks open(
             LinkSettings settings, Hello self, MessageRegistry registry, Clock clock) {
+        return open(settings, self, registry, clock, Optional.empty());
+    }
+
+    /**
+     * Binds the listening address for links under TLS if {@code keys} are there.
+     *
+     * @param keys a context whose key is shown to peers and whose trust theirs must pass
+     */
+    public static PeerLinks open(
+            LinkSettings settings,
+            Hello self,
+            MessageRegistry registry,
+            Clock clock,
+            Optional<SSLContext> keys) {
         checkNotNull(settings, "settings");
         checkNotNull(self, "self");
         checkNotNull(registry, "registry");
-        return new PeerLinks(settings, self, registry, checkNotNull(clock, "clock"));
+        checkNotNull(clock, "clock");
+        return new PeerLinks(settings, self, registry, clock, checkNotNull(keys, "keys"));
     }
 
     public void start() {
@@ -141,6 +164,7 @@
         boolean neverStarted = thread.getState() == Thread.State.NEW;
         loop.execute(() -> outgoing.values().forEach(Outgoing::close));
         loop.stop();
+        tls.ifPresent(LinkTls::close);
         if (neverStarted) {
             loop.run();
             return;
--- a/masticweir/src/main/java/org/masticweir/router/PortSecurity.java
+++ b/masticweir/src/main/java/org/masticweir/router/PortSecurity.java
@@ -20,13 +20,16 @@
 import org.masticweir.settings.DaemonSettings;
 import org.masticweir.time.Clock;
 
-/** How the ports of callers and operators are guarded, as the settings say; immutable. */
+/** How the ports of callers, operators and routers are guarded, as the settings say; immutable. */
 final class PortSecurity {
     private final Optional<SSLContext> tls;
+    private final Optional<SSLContext> peers;
     private final OperatorAccess operators;
 
-    private PortSecurity(Optional<SSLContext> tls, OperatorAccess operators) {
+    private PortSecurity(
+            Optional<SSLContext> tls, Optional<SSLContext> peers, OperatorAccess operators) {
         this.tls = checkNotNull(tls, "tls");
+        this.peers = checkNotNull(peers, "peers");
         this.operators = checkNotNull(operators, "operators");
     }
 
@@ -43,7 +46,14 @@
                 settings.operatorCredentialsFile()
                         .map(file -> access(file, clock))
                         .orElseGet(OperatorAccess::open);
-        return new PortSecurity(tls, operators);
+        Optional<SSLContext> peers =
+                settings.peerKeystoreFile().map(store -> peers(store, settings, clock));
+        return new PortSecurity(tls, peers, operators);
+    }
+
+    /** Returns the keys of the links to other routers; empty when those use no TLS. */
+    Optional<SSLContext> peers() {
+        return peers;
     }
 
     /** Returns who may use the operators' port. */
@@ -70,6 +80,16 @@
         }
     }
 
+    private static SSLContext peers(Path store, DaemonSettings.Security settings, Clock clock) {
+        Path password = settings.peerKeystorePasswordFile().orElseThrow();
+        Path trust = settings.peerTrustFile().orElseThrow();
+        try {
+            return ServerKeys.mutual(store, password, trust, clock);
+        } catch (IOException | IllegalArgumentException e) {
+            throw invalid("peer_keystore_file with peer_trust_file", store, e);
+        }
+    }
+
     private static OperatorAccess access(Path file, Clock clock) {
         try {
             ReloadedFiles<OperatorCredentials> credentials =
--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -10,8 +10,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import javax.net.ssl.SSLContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.callers.CallerHandler;
@@ -115,7 +117,7 @@
         RouterAddress self =
                 RouterAddress.of(
                         own.id(), own.domain(), own.advertisedPeerAddress(), clock.wallMs());
-        links = openLinks(settings, self, clock);
+        links = openLinks(settings, self, clock, security.peers());
         LinkGauges.register(metrics, links::counters);
         worker = newWorker(own.ioThreads());
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
@@ -191,7 +193,8 @@
                 cause);
     }
 
-    private static PeerLinks openLinks(DaemonSettings settings, RouterAddress self, Clock clock) {
+    private static PeerLinks openLinks(
+            DaemonSettings settings, RouterAddress self, Clock clock, Optional<SSLContext> keys) {
         InetSocketAddress listen = settings.router().peerAddress();
         List<MessageCodec<?>> codecs =
                 ImmutableList.<MessageCodec<?>>builder()
@@ -202,10 +205,12 @@
         try {
             return PeerLinks.open(
                     LinkSettings.of(listen, self.incarnation())
+                            .withHandshakeMs(keys.isPresent() ? settings.peers().handshakeMs() : 0)
                             .withSilenceMs(settings.peers().linkSilenceMs()),
                     Hello.of(self.router(), self.incarnation(), self.domain()),
                     MessageRegistry.of(codecs),
-                    clock);
+                    clock,
+                    keys);
         } catch (RuntimeException e) {
             throw portTaken("peer_address", listen, e);
         }
--- a/masticweir/src/main/java/org/masticweir/security/ReloadedKeyManager.java
+++ b/masticweir/src/main/java/org/masticweir/security/ReloadedKeyManager.java
@@ -24,6 +24,12 @@
         return keys.get().chooseEngineServerAlias(keyType, issuers, engine);
     }
 
+    @Override
+    public @Nullable String chooseEngineClientAlias(
+            String[] keyTypes, Principal @Nullable [] issuers, SSLEngine engine) {
+        return keys.get().chooseEngineClientAlias(keyTypes, issuers, engine);
+    }
+
     @Override
     public @Nullable String chooseServerAlias(
             String keyType, Principal @Nullable [] issuers, Socket socket) {
--- a/masticweir/src/main/java/org/masticweir/security/ServerKeys.java
+++ b/masticweir/src/main/java/org/masticweir/security/ServerKeys.java
@@ -13,8 +13,11 @@
 import javax.net.ssl.KeyManager;
 import javax.net.ssl.KeyManagerFactory;
 import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManager;
 import javax.net.ssl.TrustManagerFactory;
 import javax.net.ssl.X509ExtendedKeyManager;
+import javax.net.ssl.X509ExtendedTrustManager;
+import org.jspecify.annotations.Nullable;
 import org.masticweir.time.Clock;
 
 /** Makes TLS contexts of files; a server's key is read again when its file changes. */
@@ -35,12 +38,44 @@
      * @throws IllegalArgumentException if the store doesn't open with the password
      */
     public static SSLContext serving(Path store, Path password, Clock clock) throws IOException {
+        return context(keys(store, password, clock), null);
+    }
+
+    /**
+     * Returns a context of either side that shows the key and certificate of {@code store} and
+     * accepts certificates that those in {@code trust} signed, or that are among them.
+     *
+     * <p>Connections that begin after the files changed go by the new ones.
+     *
+     * @param store a PKCS #12 file
+     * @param password a file whose first line is the password of the store
+     * @param trust a file of certificates in PEM
+     * @throws IOException if a file can't be read
+     * @throws IllegalArgumentException if the store doesn't open with the password, or a file holds
+     *     no certificate
+     */
+    public static SSLContext mutual(Path store, Path password, Path trust, Clock clock)
+            throws IOException {
+        ReloadedFiles<X509ExtendedTrustManager> trusted =
+                ReloadedFiles.open(
+                        ImmutableList.of(trust), contents -> trustManager(contents.get(0)), clock);
+        return context(
+                keys(store, password, clock),
+                new TrustManager[] {new ReloadedTrustManager(trusted)});
+    }
+
+    private static KeyManager[] keys(Path store, Path password, Clock clock) throws IOException {
         ReloadedFiles<X509ExtendedKeyManager> keys =
                 ReloadedFiles.open(
                         ImmutableList.of(store, password), ServerKeys::keyManager, clock);
+        return new KeyManager[] {new ReloadedKeyManager(keys)};
+    }
+
+    private static SSLContext context(
+            KeyManager @Nullable [] keys, TrustManager @Nullable [] trust) {
         try {
             SSLContext context = SSLContext.getInstance(PROTOCOL);
-            context.init(new KeyManager[] {new ReloadedKeyManager(keys)}, null, null);
+            context.init(keys, trust, null);
             return context;
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException(e);
@@ -54,6 +89,10 @@
      * @throws IllegalArgumentException if it holds no certificate
      */
     public static SSLContext trusting(byte[] pem) throws IOException {
+        return context(null, new TrustManager[] {trustManager(pem)});
+    }
+
+    private static X509ExtendedTrustManager trustManager(byte[] pem) {
         try {
             KeyStore trusted = KeyStore.getInstance(KeyStore.getDefaultType());
             trusted.load(null, null);
@@ -68,12 +107,15 @@
             TrustManagerFactory trust =
                     TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
             trust.init(trusted);
-            SSLContext context = SSLContext.getInstance(PROTOCOL);
-            context.init(null, trust.getTrustManagers(), null);
-            return context;
+            for (TrustManager manager : trust.getTrustManagers()) {
+                if (manager instanceof X509ExtendedTrustManager found) {
+                    return found;
+                }
+            }
+            throw new IllegalStateException("no X.509 trust manager");
         } catch (CertificateException e) {
             throw new IllegalArgumentException("no certificate in it", e);
-        } catch (GeneralSecurityException e) {
+        } catch (IOException | GeneralSecurityException e) {
             throw new IllegalStateException(e);
         }
     }
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -268,6 +268,14 @@
                     200,
                     MINUTE_MS,
                     "A link that brings nothing for so long while a reply is due is closed.");
+    static final Setting<Integer> HANDSHAKE_MS =
+            integer(
+                    "peers",
+                    "handshake_ms",
+                    2000,
+                    100,
+                    MINUTE_MS,
+                    "A link under TLS may take so much longer to be up than a plain one, 1000 ms.");
     static final Setting<Integer> BALANCER_LAG_MS =
             integer(
                     "shutdown",
@@ -339,6 +347,24 @@
                     "File of lines name = SHA-256 of a credential; operators need one of them when"
                             + " it is named.");
 
+    static final Setting<String> PEER_KEYSTORE_FILE =
+            file(
+                    "security",
+                    "peer_keystore_file",
+                    "PKCS #12 file with key and certificate; links between routers use TLS when it"
+                            + " is named.");
+    static final Setting<String> PEER_KEYSTORE_PASSWORD_FILE =
+            file(
+                    "security",
+                    "peer_keystore_password_file",
+                    "File whose first line is the password of peer_keystore_file.");
+    static final Setting<String> PEER_TRUST_FILE =
+            file(
+                    "security",
+                    "peer_trust_file",
+                    "PEM file of certificates; other routers must show one of them or one that"
+                            + " they signed.");
+
     static final Setting<Integer> CONFIG_RETRY_MS =
             integer(
                     "config",
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -70,6 +70,9 @@
         in.checkAbove(DaemonSetting.SUSPECT_MS, 1, DaemonSetting.DEAD_MS);
         in.checkOrder(DaemonSetting.SILENCE_FLOOR_MS, DaemonSetting.SILENCE_START_MS);
         in.checkTogether(DaemonSetting.KEYSTORE_FILE, DaemonSetting.KEYSTORE_PASSWORD_FILE);
+        in.checkTogether(
+                DaemonSetting.PEER_KEYSTORE_FILE, DaemonSetting.PEER_KEYSTORE_PASSWORD_FILE);
+        in.checkTogether(DaemonSetting.PEER_KEYSTORE_FILE, DaemonSetting.PEER_TRUST_FILE);
         return new DaemonSettings(
                 Router.from(in),
                 Platform.from(in),
@@ -188,7 +191,8 @@
             int heartbeatBytesPerS,
             int suspectMs,
             int deadMs,
-            int linkSilenceMs) {
+            int linkSilenceMs,
+            int handshakeMs) {
         private static Peers from(SettingsReader in) {
             return new Peers(
                     in.get(DaemonSetting.HEARTBEAT_MS),
@@ -196,7 +200,8 @@
                     in.get(DaemonSetting.HEARTBEAT_BYTES_PER_S),
                     in.get(DaemonSetting.SUSPECT_MS),
                     in.get(DaemonSetting.DEAD_MS),
-                    in.get(DaemonSetting.LINK_SILENCE_MS));
+                    in.get(DaemonSetting.LINK_SILENCE_MS),
+                    in.get(DaemonSetting.HANDSHAKE_MS));
         }
     }
 
@@ -213,12 +218,18 @@
     public record Security(
             Optional<Path> keystoreFile,
             Optional<Path> keystorePasswordFile,
-            Optional<Path> operatorCredentialsFile) {
+            Optional<Path> operatorCredentialsFile,
+            Optional<Path> peerKeystoreFile,
+            Optional<Path> peerKeystorePasswordFile,
+            Optional<Path> peerTrustFile) {
         private static Security from(SettingsReader in) {
             return new Security(
                     path(in, DaemonSetting.KEYSTORE_FILE),
                     path(in, DaemonSetting.KEYSTORE_PASSWORD_FILE),
-                    path(in, DaemonSetting.OPERATOR_CREDENTIALS_FILE));
+                    path(in, DaemonSetting.OPERATOR_CREDENTIALS_FILE),
+                    path(in, DaemonSetting.PEER_KEYSTORE_FILE),
+                    path(in, DaemonSetting.PEER_KEYSTORE_PASSWORD_FILE),
+                    path(in, DaemonSetting.PEER_TRUST_FILE));
         }
 
         private static Optional<Path> path(SettingsReader in, Setting<String> row) {
--- a/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/settings/DaemonSettingsTest.java
@@ -111,6 +111,14 @@
             assertTold("above suspect_ms, 1500", LEAST + "[peers]\ndead_ms = 1400");
         }
 
+        @Test
+        void keysOfLinksThatLackAFile() {
+            String store = LEAST + "[security]\npeer_keystore_file = r.p12\n";
+            List<String> found = problems(store);
+            assertEquals(2, found.size(), found.toString());
+            assertTold("peer_trust_file, which is", store + "peer_keystore_password_file = p");
+        }
+
         @Test
         void fileThatIsNotThere() {
             MasticweirException e =
