--- a/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
@@ -164,14 +164,15 @@
         boolean neverStarted = thread.getState() == Thread.State.NEW;
         loop.execute(() -> outgoing.values().forEach(Outgoing::close));
         loop.stop();
-        tls.ifPresent(LinkTls::close);
         if (neverStarted) {
             loop.run();
-            return;
-        }
-        if (Thread.currentThread() == thread) {
-            return;
+        } else if (Thread.currentThread() != thread) {
+            awaitThread();
         }
+        tls.ifPresent(LinkTls::close);
+    }
+
+    private void awaitThread() {
         try {
             thread.join(JOIN_MS);
         } catch (InterruptedException e) {
