http: count a timeout only in the turns of the thread that waits

I/O threads run overdue timers before they read their sockets, so each stall of the router ended all its waits while the answers lay unread.

Ruled out: the control thread. Outcomes are made on the I/O threads; a late control thread delays them but makes none of them a failure.

A wake-up of RecoveryMachine that comes 50 ms late listens for 50 ms more, once for each silence, before it probes. A probe's answer that follows tokens is no cut link any more.

--- a/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
@@ -17,8 +17,9 @@
  * sent.
  *
  * <p>Nothing blocks: a future completes on the I/O thread of its connection, never exceptionally,
- * and at the latest a little after its deadline. A listener with more than a step to do hands over
- * to its own executor. No exchange is ever repeated here. Thread-safe.
+ * and at the latest a little after its deadline, or after a stall of that thread and what was left
+ * of the timeout then. A listener with more than a step to do hands over to its own executor. No
+ * exchange is ever repeated here. Thread-safe.
  */
 public final class HttpCaller implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 * 1024;
--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -15,13 +15,11 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -38,7 +36,7 @@
     private final HttpCall call;
     private final HttpStreamListener listener;
 
-    private Optional<XnioExecutor.Key> connectTimer = Optional.empty();
+    private Optional<TurnTimer> connectTimer = Optional.empty();
     private Optional<ClientConnection> connection = Optional.empty();
     private boolean sent;
     private boolean over;
@@ -69,14 +67,13 @@
     @Override
     public void close() {
         over = true;
-        connectTimer.ifPresent(XnioExecutor.Key::remove);
+        connectTimer.ifPresent(TurnTimer::cancel);
         connection.ifPresent(IoUtils::safeClose);
     }
 
     private void connect(long timeoutMs) {
         URI uri = URI.create("http://" + host());
-        connectTimer =
-                Optional.of(thread.executeAfter(this::lost, timeoutMs, TimeUnit.MILLISECONDS));
+        connectTimer = Optional.of(TurnTimer.start(thread, timeoutMs, this::lost));
         OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
         UndertowClient.getInstance()
                 .connect(callback(this::onConnected), uri, thread, buffers, options);
@@ -87,7 +84,7 @@
     }
 
     private void onConnected(ClientConnection connected) {
-        connectTimer.ifPresent(XnioExecutor.Key::remove);
+        connectTimer.ifPresent(TurnTimer::cancel);
         if (over) {
             IoUtils.safeClose(connected);
             return;
--- a/masticweir/src/main/java/org/masticweir/recovery/ActionList.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/ActionList.java
@@ -8,6 +8,7 @@
 final class ActionList {
     private final long deadlineAtMs;
     private final List<RecoveryAction> actions = new ArrayList<>();
+    private long wakeAtMs;
 
     private ActionList(long deadlineAtMs) {
         this.deadlineAtMs = deadlineAtMs;
@@ -24,7 +25,13 @@
 
     /** Has the machine called at {@code atMs}, or at the request's deadline if that is sooner. */
     void wakeAt(long atMs) {
-        actions.add(new RecoveryAction.WakeAt(Math.min(atMs, deadlineAtMs)));
+        wakeAtMs = Math.min(atMs, deadlineAtMs);
+        actions.add(new RecoveryAction.WakeAt(wakeAtMs));
+    }
+
+    /** Returns how long after the time last asked for a call at {@code nowMs} comes. */
+    long lateMs(long nowMs) {
+        return nowMs - wakeAtMs;
     }
 
     /** Returns what was collected since the last call. */
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -309,6 +309,10 @@
             out.wakeAt(dueMs);
             return;
         }
+        if (silence.listenAgain(out.lateMs(nowMs))) {
+            out.wakeAt(nowMs + SilenceWatch.LISTEN_AGAIN_MS);
+            return;
+        }
         if (silence.startProbe()) {
             out.add(new RecoveryAction.Probe(assembler.current(), engine));
         }
@@ -325,6 +329,11 @@
             gap.headIs(answered.next(), assembler.next());
             return;
         }
+        if (nowMs < silence.dueAtMs(bound())) {
+            // Tokens came while the probe was out: an engine ahead of them is no cut link.
+            judge(ProbeVerdict.LISTEN, nowMs);
+            return;
+        }
         if (answered.next() > assembler.next()) {
             // The engine went on but its frames do not arrive: the link is cut one way.
             noteLoss(nowMs);
--- a/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
@@ -8,8 +8,15 @@
     /** How long a non-idempotent request follows an engine that answers no probe. */
     static final long NON_IDEMPOTENT_PATIENCE_MS = 3_000;
 
+    /** How late a wake-up must be for this router, not the engine, to be what paused. */
+    static final long LATE_MS = 50;
+
+    /** How long a router that paused listens before it probes; time to read what lies there. */
+    static final long LISTEN_AGAIN_MS = 50;
+
     private long quietSinceMs;
     private boolean probing;
+    private boolean listenedAgain;
     private boolean firstTokenSeen;
     private int failed;
     private int stuck;
@@ -18,17 +25,19 @@
     void begin(long nowMs) {
         firstTokenSeen = false;
         endProbes();
+        listenedAgain = false;
         quietSinceMs = nowMs;
     }
 
     /** Notes that the engine said something that is no token. */
     void heard(long nowMs) {
+        listenedAgain = false;
         quietSinceMs = nowMs;
     }
 
     /** Notes tokens; returns whether they are the attempt's first. */
     boolean tokens(long nowMs) {
-        quietSinceMs = nowMs;
+        heard(nowMs);
         failed = 0;
         stuck = 0;
         boolean first = !firstTokenSeen;
@@ -45,6 +54,20 @@
         return quietSinceMs + boundMs;
     }
 
+    /**
+     * Tells whether a wake-up at the end of a silence, {@code lateMs} after its time, proves
+     * nothing.
+     *
+     * <p>Failure guarded against: the thread of this router pauses and wakes with the timer first,
+     * the engine's frames still unread; every engine passes for silent. Once for each silence the
+     * engine is listened to again: a thread that is always late must find a dead engine too.
+     */
+    boolean listenAgain(long lateMs) {
+        boolean again = lateMs >= LATE_MS && !listenedAgain;
+        listenedAgain |= again;
+        return again;
+    }
+
     /** Notes that a probe goes out; returns false when one is out already. */
     boolean startProbe() {
         boolean free = !probing;
