recovery: count no probe as failed that this router held back

Cause: a router makes at most 64 short calls to an engine at once.

Change: NeverSent says whether this process held the exchange back.

Measured here: the new tests only (RecoveryMachineTest, HttpCallerTest, green).

Conclusion: one more way is closed by which a router took its own state for an engine's; its share in the suspects left was not told apart.

--- a/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
@@ -47,7 +47,7 @@
         Optional<ClientConnection> idle = pool.take(call.address());
         if (idle.isEmpty() && !pool.reserve(call.address())) {
             return CompletableFuture.completedFuture(
-                    new HttpOutcome.NeverSent("too many connections to " + call.address()));
+                    new HttpOutcome.NeverSent("too many connections to " + call.address(), true));
         }
         XnioIoThread thread = idle.map(ClientConnection::getIoThread).orElse(worker.getIoThread());
         PendingCall pending = new PendingCall(call, pool, limits.maxAnswerBytes());
@@ -55,7 +55,8 @@
             thread.execute(() -> pending.start(thread, buffers, idle, timeoutMs));
         } catch (RejectedExecutionException e) {
             idle.ifPresentOrElse(pool::discard, () -> pool.free(call.address()));
-            return CompletableFuture.completedFuture(new HttpOutcome.NeverSent("worker stopped"));
+            return CompletableFuture.completedFuture(
+                    new HttpOutcome.NeverSent("worker stopped", true));
         }
         return pending.outcome();
     }
--- a/masticweir/src/main/java/org/masticweir/http/HttpOutcome.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpOutcome.java
@@ -11,13 +11,23 @@
         }
     }
 
-    /** No byte of the request left this process, and none will. */
-    record NeverSent(String reason) implements HttpOutcome {
+    /**
+     * No byte of the request left this process, and none will.
+     *
+     * @param withheld whether this process held it back by a bound of its own, which says nothing
+     *     of the peer
+     */
+    record NeverSent(String reason, boolean withheld) implements HttpOutcome {
         public NeverSent {
             checkNotNull(reason, "reason");
         }
     }
 
+    /** Returns whether the exchange was held back by this process, and says nothing of the peer. */
+    default boolean isWithheld() {
+        return this instanceof NeverSent never && never.withheld();
+    }
+
     /** Bytes of the request may have left, and no whole answer came; it may have had its effect. */
     record MayHaveBeenSent(String reason) implements HttpOutcome {
         public MayHaveBeenSent {
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -218,7 +218,7 @@
         outcome.complete(
                 handedOver
                         ? new HttpOutcome.MayHaveBeenSent(reason)
-                        : new HttpOutcome.NeverSent(reason));
+                        : new HttpOutcome.NeverSent(reason, false));
     }
 
     private String hostAndPort() {
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
@@ -69,6 +69,13 @@
         }
     }
 
+    /** This router sent no probe, as too many were out; that says nothing of the engine. */
+    record ProbeWithheld(AttemptId attempt) implements RecoveryEvent {
+        public ProbeWithheld {
+            checkNotNull(attempt, "attempt");
+        }
+    }
+
     /** Nobody wants the answer any more. */
     record Cancelled() implements RecoveryEvent {}
 
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -127,6 +127,8 @@
             onProbeAnswered(answered, nowMs);
         } else if (event instanceof RecoveryEvent.ProbeFailed failed) {
             onProbeFailed(failed.attempt(), nowMs);
+        } else if (event instanceof RecoveryEvent.ProbeWithheld withheld) {
+            onProbeWithheld(withheld.attempt(), nowMs);
         } else if (event instanceof RecoveryEvent.Detached) {
             phase = Phase.DONE;
         } else if (event instanceof RecoveryEvent.Cancelled) {
@@ -350,6 +352,13 @@
         judge(silence.probeFailed(plan, bound(), nowMs), nowMs);
     }
 
+    private void onProbeWithheld(AttemptId attempt, long nowMs) {
+        if (isUnderWay(attempt)) {
+            silence.withheld();
+            judge(ProbeVerdict.PROBE_AGAIN, nowMs);
+        }
+    }
+
     private void judge(ProbeVerdict verdict, long nowMs) {
         switch (verdict) {
             case LISTEN:
--- a/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
@@ -81,6 +81,17 @@
         failed = 0;
     }
 
+    /**
+     * Notes that the probe never left this router.
+     *
+     * <p>Failure guarded against: a router with more streams on an engine than connections for
+     * short calls stalls, probes for all of them at once, and the probes without a connection end
+     * in an instant. Counted as failed they would make it leave a live engine.
+     */
+    void withheld() {
+        probing = false;
+    }
+
     /** Judges an answer that names no token beyond those accepted. */
     ProbeVerdict answeredWithoutProgress(long nowMs) {
         stuck++;
--- a/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
+++ b/masticweir/src/main/java/org/masticweir/router/EnginePoller.java
@@ -190,7 +190,9 @@
                     record.reported(vendor.loadOf(j), nowMs);
                     delays.answered(record.backEnd().domain(), nowMs - askedAtMs, nowMs);
                 });
-        watch.polled(record.backEnd().id(), json.isPresent(), nowMs);
+        if (!outcome.isWithheld()) {
+            watch.polled(record.backEnd().id(), json.isPresent(), nowMs);
+        }
         onRead.accept(record, json.isPresent());
     }
 
--- a/masticweir/src/main/java/org/masticweir/serving/AttemptWatch.java
+++ b/masticweir/src/main/java/org/masticweir/serving/AttemptWatch.java
@@ -92,6 +92,9 @@
 
     /** Reports what a probe of {@code of} told, once the request has taken it. */
     void probed(EngineId of, RecoveryEvent told) {
+        if (told instanceof RecoveryEvent.ProbeWithheld) {
+            return;
+        }
         boolean alive = !(told instanceof RecoveryEvent.ProbeFailed);
         context.policy().traffic().probed(of, alive);
         boolean left = !engine.equals(Optional.of(of));
--- a/masticweir/src/main/java/org/masticweir/serving/EngineProbe.java
+++ b/masticweir/src/main/java/org/masticweir/serving/EngineProbe.java
@@ -36,6 +36,9 @@
     }
 
     private static RecoveryEvent eventOf(HttpOutcome outcome, AttemptId attempt) {
+        if (outcome.isWithheld()) {
+            return new RecoveryEvent.ProbeWithheld(attempt);
+        }
         if (!(outcome instanceof HttpOutcome.Answered answered)) {
             return new RecoveryEvent.ProbeFailed(attempt);
         }
--- a/masticweir/src/test/java/org/masticweir/http/HttpCallerTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpCallerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.util.concurrent.Uninterruptibles;
 import io.undertow.Undertow;
@@ -106,6 +107,7 @@
             calls.add(caller.call(HttpCall.get(address, "/hold"), 300));
         }
         assertInstanceOf(HttpOutcome.NeverSent.class, echoed(1));
+        assertTrue(echoed(1).isWithheld());
         calls.forEach(c -> assertInstanceOf(HttpOutcome.MayHaveBeenSent.class, c.join()));
         assertInstanceOf(HttpOutcome.Answered.class, echoed(1));
     }
--- a/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/RecoveryMachineTest.java
@@ -227,6 +227,26 @@
                     tickAt(nowMs + SilenceWatch.LISTEN_AGAIN_MS + SilenceWatch.LATE_MS));
         }
 
+        /**
+         * Callers see their streams move though no engine failed. A router stalls with a hundred
+         * streams on one engine, probes for each, and has connections for sixty-four probes only.
+         */
+        @Test
+        void probeThatNeverLeftIsNoFailedOne() {
+            streamTwoTokens();
+            tickAt(2 * BOUND_MS);
+            for (int i = 0; i < MAX_ATTEMPTS; i++) {
+                nowMs += SilenceWatch.LISTEN_AGAIN_MS;
+                on(new RecoveryEvent.Tick());
+                assertHas(
+                        new RecoveryAction.WakeAt(nowMs + RecoveryMachine.PROBE_AGAIN_MS),
+                        on(new RecoveryEvent.ProbeWithheld(attempt(1))));
+            }
+            assertHas(
+                    new RecoveryAction.Probe(attempt(1), E1),
+                    tickAt(nowMs + RecoveryMachine.PROBE_AGAIN_MS));
+        }
+
         @Test
         void stuckEngineIsLeftAfterManyAnsweredProbes() {
             streamTwoTokens();
