retry: count a send lost before its first token in the retry budget

A request whose engine dies before it gave a token is sent again as a recovery, which the budget neither counted nor bounded, so refusals found the whole budget beside it.

Change: such a send is counted in the budget of its class and team and of the router, and is never refused; what it uses up is missing to refusals. A send that never left the router, such as one to an engine that is gone by then, is not one more.

Shown: RetryTurnTest, where three lost sends leave nothing for a refusal; it fails with the counting taken out (trial).

Conclusion: retries and lost sends together stay within the share unless lost sends alone exceed it.

--- a/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
@@ -14,7 +14,10 @@
  * <p>Failure guarded against: engines refuse in overload, every refusal is sent again, and the
  * sends that make up the overload multiply. Over a sliding window, retries of a class and team stay
  * within a share of its first sends or a small floor, and so do those of the whole router, so many
- * small teams can't add up their floors. Recoveries are not retries and aren't counted here.
+ * small teams can't add up their floors. A recovery that goes on with tokens is not a retry and
+ * isn't counted here. One of a request that had no token yet costs engines what a retry costs: it
+ * is counted, and leaves less for retries, but never refused, as the request was accepted and its
+ * engine's death is no reason to give it up.
  *
  * <p>The router's own floor matters when hardly anything is sent: above {@code floor / share} first
  * sends in a window, all sends are at most {@code 1 + share} times the first ones.
@@ -80,6 +83,12 @@
         return true;
     }
 
+    /** Counts a send in the place of one that its engine lost before the first token. */
+    public synchronized void lostSent(WorkClassId workClass, TeamId team, long nowMs) {
+        all.addRetry(nowMs);
+        window(workClass, team).addRetry(nowMs);
+    }
+
     private boolean allows(SendWindow window, long nowMs) {
         return window.retries(nowMs) + 1 <= Math.max(floor, share * window.firsts(nowMs));
     }
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -218,7 +218,11 @@
         ImmutableIntArray prefix = request.log().accepted(0, send.prefix());
         AttemptRequest attempt =
                 new AttemptRequest(send.attempt(), request.spec(), generation, prefix, priority());
-        retry.sent(now());
+        if (recovering && prefix.isEmpty()) {
+            retry.resent(now());
+        } else {
+            retry.sent(now());
+        }
         attempts.sending(now(), prefix.length(), recovering);
         note(send.engine(), send.attempt());
         closeStream();
@@ -229,7 +233,7 @@
                                         thread,
                                         backEnd.address(),
                                         attempt,
-                                        new Listener(send.attempt())));
+                                        new Listener(send.attempt(), false)));
     }
 
     private int priority() {
@@ -255,7 +259,7 @@
                                         backEnd.address(),
                                         reread.attempt(),
                                         reread.from(),
-                                        new Listener(reread.attempt())));
+                                        new Listener(reread.attempt(), true)));
     }
 
     private void note(EngineId engine, AttemptId attempt) {
@@ -358,9 +362,11 @@
     /** Turns what one stream says into events of its attempt. */
     private final class Listener implements StreamListener {
         private final AttemptId attempt;
+        private final boolean read;
 
-        Listener(AttemptId attempt) {
+        Listener(AttemptId attempt, boolean read) {
             this.attempt = attempt;
+            this.read = read;
         }
 
         @Override
@@ -383,6 +389,9 @@
         @Override
         public void lost(boolean sent) {
             attempts.lost(sent);
+            if (!sent && !read) {
+                retry.neverLeft();
+            }
             feed(new RecoveryEvent.LinkLost(attempt, sent));
         }
     }
--- a/masticweir/src/main/java/org/masticweir/serving/RetryTurn.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RetryTurn.java
@@ -18,7 +18,7 @@
  * Counts one request's sends and asks for each after the first; owned by the request's thread.
  *
  * <p>A send that never left this router costs no engine anything and is not counted. Recoveries are
- * not retries: they have an admission of their own.
+ * not retries: they have an admission of their own, but those without a token yet are counted.
  */
 final class RetryTurn {
     private final RetryBudget budget;
@@ -27,6 +27,7 @@
     private final WorkClass workClass;
     private final long dueMs;
     private int sends;
+    private boolean neverLeft;
     private Optional<Failure> failure = Optional.empty();
 
     RetryTurn(ServingPolicy shared, RunningRequest request, WorkClass workClass) {
@@ -51,9 +52,24 @@
         if (sends == 0) {
             budget.firstSent(workClass.id(), spec.team(), nowMs);
         }
+        neverLeft = false;
         sends++;
     }
 
+    /** Counts a send in the place of one that was lost before its first token. */
+    void resent(long nowMs) {
+        if (!neverLeft) {
+            budget.lostSent(workClass.id(), spec.team(), nowMs);
+        }
+        neverLeft = false;
+        sends++;
+    }
+
+    /** Takes note that the last send never left, so the one in its place is not one more. */
+    void neverLeft() {
+        neverLeft = true;
+    }
+
     /** Takes note that the last send failed; another needs a decision. */
     void failed(ErrorCode code, long engineRetryAfterMs) {
         OptionalLong advised =
--- a/masticweir/src/test/java/org/masticweir/serving/RetryTurnTest.java
+++ b/masticweir/src/test/java/org/masticweir/serving/RetryTurnTest.java
@@ -87,6 +87,35 @@
         return decision;
     }
 
+    /** Engines lost before they gave a token. */
+    @Nested
+    class Losses {
+        /*
+         * In an outage more is sent than the budget says. An engine dies with requests that have no
+         * token, each is sent again as a recovery, and refusals still find the whole budget.
+         */
+        @Test
+        void lostSendsLeaveLessForRefusals() {
+            for (int n = 0; n < FLOOR; n++) {
+                RetryTurn lost = turnOf("lost" + n, true);
+                lost.sent(ACCEPTED_AT_MS);
+                lost.resent(ACCEPTED_AT_MS);
+            }
+            assertInstanceOf(GiveUp.class, refusedOnce(turnOf("refused", true), ACCEPTED_AT_MS));
+        }
+
+        @Test
+        void sendThatNeverLeftIsCountedOnce() {
+            RetryTurn lost = turnOf("lost", true);
+            lost.sent(ACCEPTED_AT_MS);
+            for (int n = 0; n < FLOOR; n++) {
+                lost.resent(ACCEPTED_AT_MS);
+                lost.neverLeft();
+            }
+            assertInstanceOf(SendAgain.class, refusedOnce(turnOf("refused", true), ACCEPTED_AT_MS));
+        }
+    }
+
     /** Refusals. */
     @Nested
     final class Refused {
