recovery: let recovered tokens enter an engine's batch first

Cause: a scratch build that logged each stage of a move (a third of the engines killed at 66 requests a second, the command in docs/MEASUREMENTS.md, load average 45) showed, for the moves of over 2 s, up to 1.4 s at the gate of recoveries and 2.0 to 4.4 s in the queue of the new engine, behind up to 12 requests let in before the loss: attempts went out with the priority of their class whether new or recovered.

Change: an attempt that goes on with accepted tokens has priority 0, below that of every class. One without a token keeps its class's.

--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -217,7 +217,12 @@
         BackEnd backEnd = seen.get(send.engine());
         ImmutableIntArray prefix = request.log().accepted(0, send.prefix());
         AttemptRequest attempt =
-                new AttemptRequest(send.attempt(), request.spec(), generation, prefix, priority());
+                new AttemptRequest(
+                        send.attempt(),
+                        request.spec(),
+                        generation,
+                        prefix,
+                        AttemptPriority.of(workClass, prefix.length(), recovering));
         if (recovering && prefix.isEmpty()) {
             retry.resent(now());
         } else {
@@ -236,10 +241,6 @@
                                         new Listener(send.attempt(), false)));
     }
 
-    private int priority() {
-        return workClass.firstTokenMs();
-    }
-
     private void reread(RecoveryAction.Reread reread) {
         Optional<BackEnd> known = Optional.ofNullable(seen.get(reread.engine()));
         if (known.isEmpty()) {
