recovery: an engine that has not read an attempt yet has not lost it

Such a move follows a probe that was held back, mended before, or one that the engine answered with 404, as it had not read the attempt yet; the two were not told apart there. A letter, which must not run twice, would end MAY_HAVE_RUN by it, and what is left is computed twice, as the word to stop comes before the attempt too.

Change: a probe's answer that does not know the generation is an event of its own. While no frame of a new attempt came, the engine is listened to again for two more silences; after a frame, or on a re-read, it is left at once as before.

Measured here: the tests only.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
@@ -69,6 +69,13 @@
         }
     }
 
+    /** The engine answered a probe and does not know the generation, or not yet. */
+    record ProbeUnknown(AttemptId attempt) implements RecoveryEvent {
+        public ProbeUnknown {
+            checkNotNull(attempt, "attempt");
+        }
+    }
+
     /** This router sent no probe, as too many were out; that says nothing of the engine. */
     record ProbeWithheld(AttemptId attempt) implements RecoveryEvent {
         public ProbeWithheld {
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -127,6 +127,8 @@
             onProbeAnswered(answered, nowMs);
         } else if (event instanceof RecoveryEvent.ProbeFailed failed) {
             onProbeFailed(failed.attempt(), nowMs);
+        } else if (event instanceof RecoveryEvent.ProbeUnknown unknown) {
+            onProbeUnknown(unknown.attempt(), nowMs);
         } else if (event instanceof RecoveryEvent.ProbeWithheld withheld) {
             onProbeWithheld(withheld.attempt(), nowMs);
         } else if (event instanceof RecoveryEvent.Detached) {
@@ -352,6 +354,15 @@
         judge(silence.probeFailed(plan, bound(), nowMs), nowMs);
     }
 
+    private void onProbeUnknown(AttemptId attempt, long nowMs) {
+        boolean onItsWay = phase == Phase.STARTING && !rereading;
+        if (onItsWay && isUnderWay(attempt)) {
+            judge(silence.notArrived(nowMs), nowMs);
+        } else {
+            onUnknown(attempt, nowMs);
+        }
+    }
+
     private void onProbeWithheld(AttemptId attempt, long nowMs) {
         if (isUnderWay(attempt)) {
             silence.withheld();
--- a/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
@@ -14,12 +14,16 @@
     /** How long a router that paused listens before it probes; time to read what lies there. */
     static final long LISTEN_AGAIN_MS = 50;
 
+    /** Probes answered ahead of an attempt after which it is taken for lost on its way. */
+    static final int PROBES_AHEAD = 2;
+
     private long quietSinceMs;
     private boolean probing;
     private boolean listenedAgain;
     private boolean firstTokenSeen;
     private int failed;
     private int stuck;
+    private int ahead;
 
     /** Starts anew for an attempt begun at {@code nowMs}. */
     void begin(long nowMs) {
@@ -102,6 +106,23 @@
         return ProbeVerdict.LISTEN;
     }
 
+    /**
+     * Judges an answer that does not know the generation of an attempt just sent.
+     *
+     * <p>Failure guarded against: many requests come at once, and an engine answers the probe of
+     * one, on a connection of its own, before it has read the attempt. Left at once, the attempt is
+     * computed there all the same, as the word to stop comes before it too, and again elsewhere.
+     */
+    ProbeVerdict notArrived(long nowMs) {
+        answered();
+        ahead++;
+        if (ahead > PROBES_AHEAD) {
+            return ProbeVerdict.LEAVE;
+        }
+        quietSinceMs = nowMs;
+        return ProbeVerdict.LISTEN;
+    }
+
     /** Judges a probe that failed, when a silence of {@code boundMs} is too long. */
     ProbeVerdict probeFailed(RecoveryPlan plan, long boundMs, long nowMs) {
         probing = false;
@@ -122,5 +143,6 @@
         probing = false;
         failed = 0;
         stuck = 0;
+        ahead = 0;
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/EngineProbe.java
+++ b/masticweir/src/main/java/org/masticweir/serving/EngineProbe.java
@@ -44,7 +44,7 @@
         }
         HttpAnswer answer = answered.answer();
         if (answer.status() == StatusCodes.NOT_FOUND) {
-            return new RecoveryEvent.Unknown(attempt);
+            return new RecoveryEvent.ProbeUnknown(attempt);
         }
         if (!answer.isSuccess()) {
             return new RecoveryEvent.ProbeFailed(attempt);
