limits: share places between classes, keep room for prompt ones

A small team's only request was taken to wait for as many requests of others as their weights tell, though it was next.

class_priority is replaced by class_shares: it gave no class more than shares do, and starved letters. LimitTuningTest follows the new name, no more.

--- a/masticweir/src/main/java/org/masticweir/limits/Admission.java
+++ b/masticweir/src/main/java/org/masticweir/limits/Admission.java
@@ -100,16 +100,19 @@
         checkArgument(!knows(r.id()), "request %s offered twice", r.id());
         Capacity c = capacity.of(r.model(), r.version(), nowMs);
         ModelQueue queue = queue(r);
-        queue.see(r);
-        Prediction p = queue.predict(r, c, reserved(r));
-        Optional<ErrorCode> refusal = refusal(r, p, c, queue, nowMs);
+        queue.see(r, c, nowMs);
+        boolean now = queue.goesAhead(r, c, reserved(r));
+        Prediction p = queue.predict(r, c, nowMs);
+        boolean late = now ? queue.tooLate(r, c, nowMs) : !queue.meetsTargets(r, p, nowMs);
+        Optional<ErrorCode> refusal = refusal(r, late, c, queue);
         if (refusal.isPresent()) {
             return refuse(r, refusal.get(), p, c, queue, nowMs);
         }
-        if (p.waitMs() == 0) {
-            return admit(r, queue, nowMs);
+        if (now) {
+            queue.passed(r, c);
+            return admit(r, c, queue, nowMs);
         }
-        queue.add(r);
+        queue.add(r, nowMs);
         queued.put(r.id(), r);
         return new Queued(r.id(), Math.round(p.waitMs()));
     }
@@ -123,6 +126,14 @@
         }
     }
 
+    /** Takes note that the first token of an admitted request has come; others count nothing. */
+    public synchronized void firstToken(RequestId id, long nowMs) {
+        Running run = running.get(checkNotNull(id, "id"));
+        if (run != null) {
+            queue(run.request).delay(run.request).saw(nowMs - run.firstTokenExpectedAtMs, nowMs);
+        }
+    }
+
     /** Takes note that {@code id} has ended or was cancelled, whether it was let in or waits. */
     public synchronized void finished(RequestId id, long nowMs) {
         WorkRequest waiting = queued.remove(checkNotNull(id, "id"));
@@ -131,7 +142,7 @@
         }
         Running run = running.remove(id);
         if (run != null) {
-            queue(run.request).load().finished(run.sent, nowMs - run.admittedAtMs);
+            queue(run.request).finished(run.request, run.sent, nowMs - run.admittedAtMs);
         }
     }
 
@@ -159,24 +170,29 @@
         Capacity c = capacity.of(key.model(), key.version(), nowMs);
         int reserved = recoveriesWaiting.applyAsInt(key.model());
         List<WorkRequest> late = new ArrayList<>();
-        queue.dropLate(c, reserved, nowMs, late);
+        Optional<WorkRequest> next = queue.poll(c, reserved);
+        while (next.isPresent()) {
+            WorkRequest r = next.get();
+            if (queue.tooLate(r, c, nowMs)) {
+                queue.remove(r);
+                late.add(r);
+            } else {
+                queue.serve(r, c, nowMs);
+                queued.remove(r.id());
+                decisions.add(admit(r, c, queue, nowMs));
+            }
+            next = queue.poll(c, reserved);
+        }
+        queue.dropLate(c, nowMs, late);
         for (WorkRequest r : late) {
             queued.remove(r.id());
-            Prediction p = queue.predict(r, c, reserved);
+            Prediction p = queue.predict(r, c, nowMs);
             decisions.add(refuse(r, lateCode(c), p, c, queue, nowMs));
         }
-        Optional<WorkRequest> next = queue.poll(r -> queue.freeFor(r, c, reserved) >= 1);
-        while (next.isPresent()) {
-            queued.remove(next.get().id());
-            decisions.add(admit(next.get(), queue, nowMs));
-            next = queue.poll(r -> queue.freeFor(r, c, reserved) >= 1);
-        }
     }
 
-    private Optional<ErrorCode> refusal(
-            WorkRequest r, Prediction p, Capacity c, ModelQueue queue, long nowMs) {
-        boolean late = tuning.predictedRefusal() && !p.meetsTargets(r, nowMs);
-        if (c.engines() == 0 || late) {
+    private Optional<ErrorCode> refusal(WorkRequest r, boolean late, Capacity c, ModelQueue queue) {
+        if (c.engines() == 0 || (tuning.predictedRefusal() && late)) {
             return Optional.of(lateCode(c));
         }
         int max = tuning.maxQueued();
@@ -193,15 +209,15 @@
         return c.engines() == 0 ? ErrorCode.NO_ENGINE : ErrorCode.OVERLOADED;
     }
 
-    private Admit admit(WorkRequest r, ModelQueue queue, long nowMs) {
-        running.put(r.id(), new Running(r, nowMs));
+    private Admit admit(WorkRequest r, Capacity c, ModelQueue queue, long nowMs) {
+        running.put(r.id(), new Running(r, nowMs, Prediction.of(r, 0, c, 0)));
         queue.load().admitted();
         return new Admit(r.id());
     }
 
     private Refused refuse(
             WorkRequest r, ErrorCode code, Prediction p, Capacity c, ModelQueue queue, long nowMs) {
-        double interval = queue.load().holdMs(c.holdMs()) / c.fairPlaces();
+        double interval = queue.load().hold().meanMs(c.holdMs()) / c.fairPlaces();
         return new Refused(r.id(), code, queue.returns().book(p.waitMs(), interval, nowMs));
     }
 
@@ -227,11 +243,13 @@
     private static final class Running {
         private final WorkRequest request;
         private final long admittedAtMs;
+        private final double firstTokenExpectedAtMs;
         private boolean sent;
 
-        Running(WorkRequest request, long admittedAtMs) {
+        Running(WorkRequest request, long admittedAtMs, Prediction prediction) {
             this.request = request;
             this.admittedAtMs = admittedAtMs;
+            firstTokenExpectedAtMs = admittedAtMs + prediction.firstTokenMs();
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
@@ -27,7 +27,11 @@
     /** Where teams without requests stand, as long as that is ahead of the clock. */
     private final Map<TeamId, Double> idle = new LinkedHashMap<>();
 
+    private final TurnTime turn = new TurnTime();
+    private final EngineDelay delay = new EngineDelay();
+    private final HoldTime hold = new HoldTime();
     private double clock;
+    private double served;
     private int size;
 
     ClassQueue(ToDoubleFunction<TeamId> weight, LimitTuning tuning) {
@@ -35,7 +39,10 @@
         this.tuning = tuning;
     }
 
-    void add(WorkRequest r) {
+    void add(WorkRequest r, long nowMs) {
+        if (size == 0) {
+            turn.began(nowMs);
+        }
         teams.computeIfAbsent(key(r.team()), this::newTeam).add(r);
         size++;
     }
@@ -62,26 +69,71 @@
     }
 
     /** Takes {@code r} out and charges its team. */
-    void serve(WorkRequest r) {
+    void serve(WorkRequest r, long nowMs) {
         TeamQueue team = teams.get(key(r.team()));
         clock = Math.max(clock, team.servedPerWeight());
         team.charge(r.tokens() / weight.applyAsDouble(r.team()));
         remove(r);
+        turn.served(nowMs);
+    }
+
+    /** Returns the place time served to this class, on the clock of all classes. */
+    double served() {
+        return served;
+    }
+
+    void charge(double placeMs) {
+        served += placeMs;
+    }
+
+    /** Takes the class no further back than {@code level}, as it has been idle. */
+    void raise(double level) {
+        served = Math.max(served, level);
+    }
+
+    HoldTime hold() {
+        return hold;
     }
 
-    /** Returns how many requests go before one of {@code team} that has {@code own} before it. */
-    double ahead(TeamId team, int own) {
-        double perWeight = (own + 1) / weight.applyAsDouble(team);
+    EngineDelay delay() {
+        return delay;
+    }
+
+    /** Returns how long the first request waits for its turn. */
+    double turnMs(double estimateMs, long nowMs) {
+        return turn.ms(estimateMs, size > 0, nowMs);
+    }
+
+    /**
+     * Returns how many requests go before {@code r} if its team has {@code own} before it.
+     *
+     * <p>Failure guarded against: a small team's only request is taken to wait for as many of a
+     * large team's as their weights tell, and is refused, though it would be next. What counts is
+     * where each team stands.
+     */
+    double ahead(WorkRequest r, int own) {
+        double perRequest = r.tokens() / weight.applyAsDouble(r.team());
+        double turn = level(key(r.team())) + own * perRequest;
         double ahead = own;
         for (Map.Entry<TeamId, TeamQueue> e : teams.entrySet()) {
-            if (!e.getKey().equals(key(team))) {
-                double turns = perWeight * weight.applyAsDouble(e.getKey());
+            double lead = turn - e.getValue().servedPerWeight();
+            if (!e.getKey().equals(key(r.team())) && lead >= 0) {
+                int tokens = e.getValue().first().tokens();
+                double turns = lead * weight.applyAsDouble(e.getKey()) / tokens + 1;
                 ahead += Math.min(e.getValue().size(), turns);
             }
         }
         return ahead;
     }
 
+    /** Returns where {@code team} stands, or would if it queued now. */
+    private double level(TeamId team) {
+        TeamQueue queue = teams.get(team);
+        return queue != null
+                ? queue.servedPerWeight()
+                : Math.max(clock, idle.getOrDefault(team, clock));
+    }
+
     int size() {
         return size;
     }
@@ -104,9 +156,9 @@
     }
 
     private TeamQueue newTeam(TeamId team) {
-        Double stood = idle.remove(team);
-        double level = stood == null ? clock : Math.max(clock, stood);
-        return new TeamQueue(level, tuning.classPriority());
+        double level = level(team);
+        idle.remove(team);
+        return new TeamQueue(level, tuning.classShares());
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/limits/ModelLoad.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ModelLoad.java
@@ -2,12 +2,9 @@
 
 /** This router's own work on one model version; not thread-safe. */
 final class ModelLoad {
-    /** Weight of one finished request in the mean time that places are held. */
-    private static final double HOLD_GAIN = 0.05;
-
     private int running;
     private int notYetSent;
-    private double holdMs;
+    private final HoldTime hold = new HoldTime();
 
     void admitted() {
         running++;
@@ -21,7 +18,7 @@
     void finished(boolean wasSent, long heldMs) {
         running--;
         if (wasSent) {
-            holdMs = holdMs == 0 ? heldMs : holdMs + HOLD_GAIN * (heldMs - holdMs);
+            hold.saw(heldMs);
         } else {
             notYetSent--;
         }
@@ -36,8 +33,8 @@
         return notYetSent;
     }
 
-    /** Returns the mean time that requests kept their place, as seen here, else as estimated. */
-    double holdMs(double estimateMs) {
-        return holdMs > 0 ? holdMs : estimateMs;
+    /** Returns how long requests kept their places. */
+    HoldTime hold() {
+        return hold;
     }
 }
--- a/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
@@ -1,52 +1,86 @@
 package org.masticweir.limits;
 
+import static java.util.Comparator.comparingDouble;
+
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.NavigableMap;
+import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.masticweir.id.TeamId;
-
-/** The waiting requests of one model version, more prompt classes first; not thread-safe. */
+import org.masticweir.id.WorkClassId;
+
+/**
+ * The waiting requests of one model version, served by equal shares between classes; not
+ * thread-safe.
+ *
+ * <p>Start-time fair queueing on the time that places are held: the class that got the least is
+ * next, and one that was idle starts level with those served now. A class that asks for less than
+ * its share waits for one place at most, whatever the others queue.
+ *
+ * <p>Failure guarded against: in overload a class with a short target takes all places and those
+ * with longer ones get none, though they ask for little. No order by target or deadline shows that,
+ * since a queue that is full of the one is always more urgent than the other.
+ */
 final class ModelQueue {
-    /** One pick in so many starts from the least prompt class, so that none waits for ever. */
-    private static final int REVERSED_ONE_IN = 8;
+    /** Stands for every class where they share one queue. */
+    private static final WorkClassId ALL = WorkClassId.of("all");
+
+    /** Part of the turn under way that is still to come, on average. */
+    private static final double TURN_LEFT = 0.5;
 
     private final ToDoubleFunction<TeamId> weight;
-    private final NavigableMap<Integer, ClassQueue> classes = new TreeMap<>();
+    private final Map<WorkClassId, ClassQueue> classes = new LinkedHashMap<>();
     private final ModelLoad load = new ModelLoad();
     private final ReturnSchedule returns;
     private final LimitTuning tuning;
-    private int mostPromptMs = Integer.MAX_VALUE;
-    private int picks;
+    private final PromptClasses prompt;
+
+    /** Where the class served last stood before. */
+    private double clock;
 
     ModelQueue(ToDoubleFunction<TeamId> weight, ReturnSchedule returns, LimitTuning tuning) {
         this.weight = weight;
         this.returns = returns;
         this.tuning = tuning;
+        prompt = new PromptClasses(load, tuning);
     }
 
     ModelLoad load() {
         return load;
     }
 
+    EngineDelay delay(WorkRequest r) {
+        return queue(r).delay();
+    }
+
+    /** Takes note that {@code r} has ended, which was let in {@code heldMs} ago. */
+    void finished(WorkRequest r, boolean wasSent, long heldMs) {
+        load.finished(wasSent, heldMs);
+        if (wasSent) {
+            queue(r).hold().saw(heldMs);
+        }
+    }
+
     ReturnSchedule returns() {
         return returns;
     }
 
-    /** Takes note of a class, so that others leave it headroom. */
-    void see(WorkRequest r) {
-        mostPromptMs = Math.min(mostPromptMs, r.workClass().firstTokenMs());
+    /** Takes note of an arrival, so that others leave its class room if it needs that. */
+    void see(WorkRequest r, Capacity capacity, long nowMs) {
+        prompt.see(r, queue(r), capacity, nowMs);
     }
 
-    void add(WorkRequest r) {
-        classes.computeIfAbsent(promptness(r), ms -> new ClassQueue(weight, tuning)).add(r);
+    void add(WorkRequest r, long nowMs) {
+        ClassQueue q = queue(r);
+        if (q.size() == 0) {
+            q.raise(clock);
+        }
+        q.add(r, nowMs);
     }
 
     boolean remove(WorkRequest r) {
-        ClassQueue q = classes.get(promptness(r));
-        return q != null && q.remove(r);
+        return queue(r).remove(r);
     }
 
     int size() {
@@ -57,53 +91,90 @@
         return classes.values().stream().mapToInt(q -> q.size(team)).sum();
     }
 
-    /** Returns the places that {@code r} may use of those that {@code capacity} has free. */
-    double freeFor(WorkRequest r, Capacity capacity, int reserved) {
-        boolean mostPrompt = r.workClass().firstTokenMs() <= mostPromptMs;
-        double headroom =
-                mostPrompt ? 0 : Math.floor(tuning.headroom() * capacity.reachablePlaces());
-        return capacity.freePlaces() - load.notYetSent() - reserved - headroom;
-    }
-
-    /** Predicts for {@code r} behind all that is queued before it. */
-    Prediction predict(WorkRequest r, Capacity capacity, int reserved) {
-        ClassQueue own = classes.get(promptness(r));
-        int before = own == null ? 0 : own.size(r.team());
-        return predict(r, before, capacity, reserved);
-    }
-
-    private Prediction predict(WorkRequest r, int before, Capacity capacity, int reserved) {
-        int promptness = promptness(r);
-        ClassQueue own = classes.get(promptness);
-        double ahead = own == null ? 0 : own.ahead(r.team(), before);
-        for (ClassQueue q : classes.headMap(promptness).values()) {
-            ahead += q.size();
-        }
-        return Prediction.of(r, ahead, freeFor(r, capacity, reserved), capacity, load);
-    }
-
-    /** Takes out and returns the next request that {@code admissible} lets in, if any. */
-    Optional<WorkRequest> poll(Predicate<WorkRequest> admissible) {
-        boolean reversed = picks % REVERSED_ONE_IN == REVERSED_ONE_IN - 1;
-        for (ClassQueue q : (reversed ? classes.descendingMap() : classes).values()) {
-            if (q.size() > 0 && admissible.test(q.next())) {
-                WorkRequest r = q.next();
-                q.serve(r);
-                picks++;
-                return Optional.of(r);
+    /** Tells whether {@code r} may be let in past all that waits. */
+    boolean goesAhead(WorkRequest r, Capacity capacity, int reserved) {
+        ClassQueue own = queue(r);
+        double level = Math.max(clock, own.served());
+        int ahead = own.size();
+        for (ClassQueue q : classes.values()) {
+            if (q != own && q.size() > 0 && q.served() <= level) {
+                ahead += freeFor(q.next(), capacity, reserved) >= 1 ? q.size() : 0;
             }
         }
-        return Optional.empty();
+        return freeFor(r, capacity, reserved) - ahead >= 1;
+    }
+
+    /** Charges the class of {@code r}, which did not wait. */
+    void passed(WorkRequest r, Capacity capacity) {
+        ClassQueue q = queue(r);
+        q.raise(clock);
+        charge(q, r, capacity);
+    }
+
+    /** Takes out and returns the next request that there is a place for, if any. */
+    Optional<WorkRequest> poll(Capacity capacity, int reserved) {
+        return classes.values().stream()
+                .filter(q -> q.size() > 0)
+                .filter(q -> freeFor(q.next(), capacity, reserved) >= 1)
+                .min(
+                        comparingDouble(ClassQueue::served)
+                                .thenComparingLong(q -> q.next().firstTokenDueMs()))
+                .map(ClassQueue::next);
+    }
+
+    /** Takes out {@code r}, which is let in, and charges its class and team. */
+    void serve(WorkRequest r, Capacity capacity, long nowMs) {
+        ClassQueue q = queue(r);
+        q.serve(r, nowMs);
+        charge(q, r, capacity);
+    }
+
+    /**
+     * Charges a class by the time that its requests hold a place, as seen lately.
+     *
+     * <p>The most tokens that a request may have would charge a class for what its callers ask for
+     * and don't get: two classes of one cap may differ ten times in what they use.
+     */
+    private void charge(ClassQueue q, WorkRequest r, Capacity capacity) {
+        clock = Math.max(clock, q.served());
+        q.charge(q.hold().meanMs(r.maxTokens() * capacity.stepMs()));
+    }
+
+    /** Predicts for {@code r}, which has just come, behind all that is queued before it. */
+    Prediction predict(WorkRequest r, Capacity capacity, long nowMs) {
+        double turns = queue(r).ahead(r, queue(r).size(r.team())) + 1;
+        return predict(r, turns, capacity, nowMs);
+    }
+
+    private Prediction predict(WorkRequest r, double turns, Capacity capacity, long nowMs) {
+        double places = Math.max(capacity.fairPlaces(), load.running());
+        double turnMs = queue(r).turnMs(holdMs(capacity) / places, nowMs);
+        return Prediction.of(r, turns * turnMs, capacity, holdMs(capacity));
+    }
+
+    /** Tells whether {@code r} would be late even if it were sent now. */
+    boolean tooLate(WorkRequest r, Capacity capacity, long nowMs) {
+        if (!tuning.queueDeadlines()) {
+            return false;
+        }
+        return tuning.predictedRefusal()
+                ? !meetsTargets(r, Prediction.of(r, 0, capacity, holdMs(capacity)), nowMs)
+                : nowMs >= r.firstTokenDueMs();
+    }
+
+    boolean meetsTargets(WorkRequest r, Prediction p, long nowMs) {
+        double marginMs = tuning.learnedMargin() ? queue(r).delay().marginMs(nowMs) : 0;
+        return p.meetsTargets(r, Math.min(marginMs, r.workClass().firstTokenMs() / 2.0), nowMs);
     }
 
     /** Takes out those that can no longer meet their targets and adds them to {@code late}. */
-    void dropLate(Capacity capacity, int reserved, long nowMs, List<WorkRequest> late) {
+    void dropLate(Capacity capacity, long nowMs, List<WorkRequest> late) {
         if (!tuning.queueDeadlines()) {
             return;
         }
         for (ClassQueue q : classes.values()) {
             for (TeamId team : q.waitingTeams()) {
-                dropLate(q, team, capacity, reserved, nowMs, late);
+                dropLate(q, team, capacity, nowMs, late);
             }
         }
     }
@@ -113,23 +184,18 @@
      *
      * <p>Only a team's first and last are tried, until both hold: the first has least time left,
      * the last waits longest, and one between them comes to the front before it is due. Without
-     * class priority that last does not hold; what is late then waits for the front.
+     * class shares that last does not hold; what is late then waits for the front.
      */
     private void dropLate(
-            ClassQueue q,
-            TeamId id,
-            Capacity capacity,
-            int reserved,
-            long nowMs,
-            List<WorkRequest> late) {
+            ClassQueue q, TeamId id, Capacity capacity, long nowMs, List<WorkRequest> late) {
         for (TeamQueue team = q.team(id); team != null; team = q.team(id)) {
             WorkRequest first = team.first();
             WorkRequest last = team.last();
             int before = team.size() - 1;
-            if (isLate(first, 0, capacity, reserved, nowMs)) {
+            if (isLate(first, 0, capacity, nowMs)) {
                 q.remove(first);
                 late.add(first);
-            } else if (isLate(last, before, capacity, reserved, nowMs)) {
+            } else if (isLate(last, before, capacity, nowMs)) {
                 q.remove(last);
                 late.add(last);
             } else {
@@ -138,14 +204,26 @@
         }
     }
 
-    private boolean isLate(WorkRequest r, int before, Capacity capacity, int reserved, long nowMs) {
-        return tuning.predictedRefusal()
-                ? !predict(r, before, capacity, reserved).meetsTargets(r, nowMs)
-                : nowMs >= r.firstTokenDueMs();
+    private boolean isLate(WorkRequest r, int before, Capacity capacity, long nowMs) {
+        if (!tuning.predictedRefusal()) {
+            return nowMs >= r.firstTokenDueMs();
+        }
+        double turns = queue(r).ahead(r, before) + TURN_LEFT;
+        return !meetsTargets(r, predict(r, turns, capacity, nowMs), nowMs);
+    }
+
+    /** Returns the places that {@code r} may use of those that {@code capacity} has free. */
+    private double freeFor(WorkRequest r, Capacity capacity, int reserved) {
+        double extra = prompt.extraPlaces(r, queue(r), capacity);
+        return capacity.freePlaces() + extra - load.notYetSent() - reserved;
+    }
+
+    private double holdMs(Capacity capacity) {
+        return load.hold().meanMs(capacity.holdMs());
     }
 
-    /** Returns the key of the queue of {@code r}; lower ones go first. */
-    private int promptness(WorkRequest r) {
-        return tuning.classPriority() ? r.workClass().firstTokenMs() : 0;
+    private ClassQueue queue(WorkRequest r) {
+        WorkClassId id = tuning.classShares() ? r.workClass().id() : ALL;
+        return classes.computeIfAbsent(id, k -> new ClassQueue(weight, tuning));
     }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/limits/PromptClasses.java
@@ -0,0 +1,62 @@
+package org.masticweir.limits;
+
+/**
+ * Tells which classes need a place at once, and what room they have that others don't; not
+ * thread-safe.
+ *
+ * <p>A class is prompt if both its target for the first token and the time that its requests hold a
+ * place are far below the time that a place stays taken. Waiting its turn among longer work would
+ * make it late, whatever its share, and to go ahead costs the others little. A class with long work
+ * is not prompt, however short its target.
+ *
+ * <p>Failure guarded against: lookups come while all places are held by reports for seconds. Each
+ * place that comes free is theirs, yet too few do, and a third of them is late or refused. So other
+ * classes leave places free for them, and a few of them may wait within the engines, which put the
+ * lower priority number first as soon as any of their places is free; a router learns that only
+ * with the next report.
+ */
+final class PromptClasses {
+    /** Part of the time that a place stays taken below which requests are short. */
+    private static final double SHORT_HOLD = 0.25;
+
+    /** Part of that time below which a target is short. */
+    private static final double SHORT_TARGET = 0.5;
+
+    /** Headroom is kept for so long after a prompt class was seen last. */
+    private static final long MEMORY_MS = 10_000;
+
+    private final ModelLoad load;
+    private final LimitTuning tuning;
+    private long seenAtMs;
+    private boolean active;
+
+    PromptClasses(ModelLoad load, LimitTuning tuning) {
+        this.load = load;
+        this.tuning = tuning;
+    }
+
+    /** Takes note of an arrival of the class of {@code q}. */
+    void see(WorkRequest r, ClassQueue q, Capacity capacity, long nowMs) {
+        if (isPrompt(r, q, capacity)) {
+            seenAtMs = nowMs;
+            active = true;
+        } else if (nowMs - seenAtMs >= MEMORY_MS) {
+            active = false;
+        }
+    }
+
+    /** Returns the places that {@code r} may fill beyond those free; below 0 if it leaves some. */
+    double extraPlaces(WorkRequest r, ClassQueue q, Capacity capacity) {
+        if (isPrompt(r, q, capacity)) {
+            return Math.floor(tuning.overcommit() * capacity.reachablePlaces());
+        }
+        return active ? -Math.floor(tuning.headroom() * capacity.reachablePlaces()) : 0;
+    }
+
+    private boolean isPrompt(WorkRequest r, ClassQueue q, Capacity capacity) {
+        double placeMs = load.hold().ofPlaceMs(capacity.holdMs());
+        double ownMs = q.hold().meanMs(r.maxTokens() * capacity.stepMs());
+        return r.workClass().firstTokenMs() < SHORT_TARGET * placeMs
+                && ownMs < SHORT_HOLD * placeMs;
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/limits/SnapshotCapacity.java
+++ b/masticweir/src/main/java/org/masticweir/limits/SnapshotCapacity.java
@@ -18,6 +18,10 @@
  * them. Each takes a part of them only; more than an even part, since arrivals come in bursts and
  * seldom to all routers at once. Sends made since the report count in full.
  *
+ * <p>Failure guarded against: what routers together send too much waits within the engines, each
+ * sequence that ends is replaced by its router, and the wait never goes down again. Each router
+ * therefore holds back its even part of what waits there.
+ *
  * <p>Thread-safe.
  */
 public final class SnapshotCapacity implements CapacitySource {
@@ -67,7 +71,9 @@
         double even = 1.0 / Math.max(1, routers.getAsInt());
         double part = Math.min(1, burst * even);
         double places = sum(engines, EngineView::usableCapacity);
-        double free = Math.ceil(part * sum(engines, SnapshotCapacity::reportedFree));
+        double free =
+                Math.ceil(part * sum(engines, SnapshotCapacity::reportedFree))
+                        - Math.floor(even * sum(engines, SnapshotCapacity::overfull));
         return new Capacity(
                 engines.size(),
                 free - sum(engines, e -> sentSince(e, nowMs)),
@@ -86,6 +92,11 @@
         return Math.max(0, e.usableCapacity() - reported(e));
     }
 
+    /** Returns the sequences that wait for a place within the engine. */
+    private static double overfull(EngineView e) {
+        return Math.max(0, reported(e) - e.usableCapacity());
+    }
+
     private static int reported(EngineView e) {
         return e.load().running() + e.load().waiting();
     }
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -390,14 +390,16 @@
                     MINUTE_MS,
                     "A written change some domain lacks by then is answered as pending.");
 
-    static final Setting<Boolean> CLASS_PRIORITY =
-            onOff("limits", "class_priority", "Classes with shorter targets are served first.");
+    static final Setting<Boolean> CLASS_SHARES =
+            onOff("limits", "class_shares", "Classes are served by equal shares of place time.");
     static final Setting<Boolean> QUEUE_DEADLINES =
             onOff("limits", "queue_deadlines", "What waits and would be late is refused.");
     static final Setting<Boolean> FAIR_SHARES =
             onOff("limits", "fair_shares", "Teams of a class are served by their shares.");
     static final Setting<Boolean> PREDICTED_REFUSAL =
             onOff("limits", "predicted_refusal", "What is predicted to be late is refused.");
+    static final Setting<Boolean> LEARNED_MARGIN =
+            onOff("limits", "learned_margin", "Predictions count the delay seen in engines.");
     static final Setting<Boolean> RECOVERY_ADMISSION =
             onOff("limits", "recovery_admission", "Recoveries start a few at a time.");
     static final Setting<Integer> HEADROOM_PERCENT =
@@ -407,7 +409,15 @@
                     10,
                     0,
                     90,
-                    "Part of the places kept for a model's most prompt class.");
+                    "Part of the places kept for prompt classes, where any ask.");
+    static final Setting<Integer> OVERCOMMIT_PERCENT =
+            integer(
+                    "limits",
+                    "overcommit_percent",
+                    10,
+                    0,
+                    100,
+                    "What prompt classes may send beyond all places, to wait in the engines.");
     static final Setting<Integer> BURST_PERCENT =
             integer(
                     "limits",
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -249,23 +249,27 @@
 
     /** Section {@code [limits]}: what new work and recoveries are let in. */
     public record Limits(
-            boolean classPriority,
+            boolean classShares,
             boolean queueDeadlines,
             boolean fairShares,
             boolean predictedRefusal,
+            boolean learnedMargin,
             boolean recoveryAdmission,
             int headroomPercent,
+            int overcommitPercent,
             int burstPercent,
             int recoverySharePercent,
             int maxQueued) {
         private static Limits from(SettingsReader in) {
             return new Limits(
-                    in.get(DaemonSetting.CLASS_PRIORITY),
+                    in.get(DaemonSetting.CLASS_SHARES),
                     in.get(DaemonSetting.QUEUE_DEADLINES),
                     in.get(DaemonSetting.FAIR_SHARES),
                     in.get(DaemonSetting.PREDICTED_REFUSAL),
+                    in.get(DaemonSetting.LEARNED_MARGIN),
                     in.get(DaemonSetting.RECOVERY_ADMISSION),
                     in.get(DaemonSetting.HEADROOM_PERCENT),
+                    in.get(DaemonSetting.OVERCOMMIT_PERCENT),
                     in.get(DaemonSetting.BURST_PERCENT),
                     in.get(DaemonSetting.RECOVERY_SHARE_PERCENT),
                     in.get(DaemonSetting.MAX_QUEUED));
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/limits/BatchEngine.java
@@ -0,0 +1,105 @@
+package org.masticweir.limits;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
+import org.masticweir.engine.LoadReport;
+
+/** A continuously batching engine on a clock that the caller moves: 16 places, late reports. */
+final class BatchEngine {
+    static final int PLACES = 16;
+    static final int STEP_MS = 30;
+    static final int PREFILL_TOKENS_PER_MS = 10;
+    private static final int CHUNK_TOKENS = 256;
+    private static final int REPORT_LAG_MS = 200;
+
+    /** One sequence; {@code priority} is lower for those that the engine takes first. */
+    static final class Sequence {
+        final int call;
+        private final int priority;
+        private int promptLeft;
+        private int tokensLeft;
+
+        Sequence(int call, int priority, int prompt, int tokens) {
+            this.call = call;
+            this.priority = priority;
+            this.promptLeft = prompt;
+            this.tokensLeft = tokens;
+        }
+    }
+
+    private record Sample(long atMs, int load) {}
+
+    private final PriorityQueue<Sequence> waiting =
+            new PriorityQueue<>(
+                    Comparator.<Sequence>comparingInt(s -> s.priority)
+                            .thenComparingInt(s -> s.call));
+    private final List<Sequence> running = new ArrayList<>();
+    private final List<Sequence> decoding = new ArrayList<>();
+    private final Deque<Sample> samples = new ArrayDeque<>(List.of(new Sample(0, 0)));
+    private long stepEndsMs = -1;
+
+    void submit(Sequence s) {
+        waiting.add(s);
+    }
+
+    /** Runs to {@code now}; {@code token} gets each sequence that has one, and if it was last. */
+    void runTo(long now, BiConsumer<Sequence, Boolean> token) {
+        if (stepEndsMs >= 0 && now >= stepEndsMs) {
+            stepEndsMs = -1;
+            for (Sequence s : decoding) {
+                s.tokensLeft--;
+                token.accept(s, s.tokensLeft == 0);
+            }
+            running.removeIf(s -> s.tokensLeft == 0);
+        }
+        while (running.size() < PLACES && !waiting.isEmpty()) {
+            running.add(waiting.remove());
+        }
+        if (stepEndsMs < 0 && !running.isEmpty()) {
+            stepEndsMs = now + beginStep();
+        }
+        int load = running.size() + waiting.size();
+        if (samples.getLast().load != load) {
+            samples.add(new Sample(now, load));
+        }
+    }
+
+    private long beginStep() {
+        decoding.clear();
+        int budget = CHUNK_TOKENS;
+        for (Sequence s : running) {
+            if (s.promptLeft == 0) {
+                decoding.add(s);
+            }
+            int tokens = Math.min(budget, s.promptLeft);
+            s.promptLeft -= tokens;
+            budget -= tokens;
+        }
+        int prefillMs = (CHUNK_TOKENS - budget) / PREFILL_TOKENS_PER_MS;
+        return Math.max(1, prefillMs + (decoding.isEmpty() ? 0 : STEP_MS));
+    }
+
+    LoadReport report(long now) {
+        int load = 0;
+        while (samples.size() > 1 && second().atMs <= now - REPORT_LAG_MS) {
+            samples.removeFirst();
+        }
+        if (samples.getFirst().atMs <= now - REPORT_LAG_MS) {
+            load = samples.getFirst().load;
+        }
+        return LoadReport.of(Math.min(load, PLACES), Math.max(0, load - PLACES), PLACES);
+    }
+
+    int waiting() {
+        return waiting.size();
+    }
+
+    private Sample second() {
+        return samples.stream().skip(1).findFirst().orElseThrow();
+    }
+}
--- a/masticweir/src/test/java/org/masticweir/limits/LimitTuningTest.java
+++ b/masticweir/src/test/java/org/masticweir/limits/LimitTuningTest.java
@@ -22,7 +22,7 @@
 
 /** Tests what each switch of the limits turns off: the baselines of the trials. */
 class LimitTuningTest {
-    private static final String LEAST =
+    static final String LEAST =
             String.join(
                     "\n",
                     "[router]",
@@ -97,7 +97,7 @@
         void isByClassUnlessTurnedOff() {
             assertEquals("lookup", firstOf(admission("headroom_percent = 0")));
             busy = PLACES;
-            assertEquals("report", firstOf(admission("class_priority = false")));
+            assertEquals("report", firstOf(admission("class_shares = false")));
         }
 
         @Test
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/limits/OverloadReplay.java
@@ -0,0 +1,351 @@
+package org.masticweir.limits;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.masticweir.config.RecoveryPreset;
+import org.masticweir.config.Reliability;
+import org.masticweir.config.WorkClass;
+import org.masticweir.engine.BackEnd;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.ModelId;
+import org.masticweir.id.RequestId;
+import org.masticweir.id.RouterId;
+import org.masticweir.id.TeamId;
+import org.masticweir.id.WorkClassId;
+import org.masticweir.limits.AdmissionDecision.Admit;
+import org.masticweir.limits.AdmissionDecision.Queued;
+import org.masticweir.limits.AdmissionDecision.Refused;
+import org.masticweir.routing.EngineView;
+import org.masticweir.routing.ExpectedDelayChooser;
+import org.masticweir.routing.InFlight;
+import org.masticweir.routing.RouteChoice.Chosen;
+import org.masticweir.routing.RouteQuery;
+import org.masticweir.routing.RoutingSnapshot;
+import org.masticweir.routing.SpeedEstimate;
+import org.masticweir.time.ManualClock;
+
+/** Replays the mix of the Spaarstraal example through two routers onto shared engines. */
+final class OverloadReplay {
+    /** A class of the mix: weight of its arrivals, medians and spread of its lengths. */
+    record Profile(
+            WorkClass workClass, int weight, double output, double sigma, int template, int own) {}
+
+    /** What became of the calls of one class, or of one class of one team. */
+    static final class Tally {
+        int offered;
+        int inTarget;
+        int late;
+        int refused;
+        long refusedAfterMs;
+
+        double share() {
+            return offered == 0 ? 1 : (double) inTarget / offered;
+        }
+
+        @Override
+        public String toString() {
+            long mean = refused == 0 ? 0 : refusedAfterMs / refused;
+            return String.format(
+                    "%d of %d in target (%.3f), %d late, %d refused after %d ms",
+                    inTarget, offered, share(), late, refused, mean);
+        }
+    }
+
+    static final ModelId MODEL = ModelId.of("report");
+    private static final String VERSION = "3";
+    private static final DomainId HOME = DomainId.of("d1");
+    private static final int ROUTERS = 2;
+    private static final int TICK_MS = 5;
+    private static final int POLL_MS = 200;
+    private static final int SETTLE_MS = 1_000;
+    private static final int WARM_UP_MS = 10_000;
+    private static final int END_MS = 70_000;
+    private static final String[] TEAMS = {"large", "b", "c", "d", "e", "f"};
+    private static final int[] TEAM_SHARES = {40, 20, 12, 6, 5, 4};
+
+    static final Profile REPORTS = profile("reports", 2_000, 600_000, 20, 120, 0.6, 51, 40);
+    static final Profile LETTERS = profile("letters", 5_000, 30_000, 10, 30, 0.4, 26, 12);
+    static final Profile LOOKUPS = profile("lookups", 300, 2_000, 50, 3.2, 0.5, 13, 2);
+    static final Profile CONFIRMATIONS = profile("confirmations", 500, 5_000, 20, 8, 0.3, 13, 4);
+
+    private final Random random = new Random(17);
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final List<BatchEngine> engines;
+    private final List<Profile> mix;
+    private final List<Entry> routers = new ArrayList<>();
+    private final List<Call> calls = new ArrayList<>();
+    private int longestInEngine;
+
+    private OverloadReplay(List<Profile> mix, int engines, LimitTuning tuning) {
+        this.mix = mix;
+        this.engines = IntStream.range(0, engines).mapToObj(i -> new BatchEngine()).toList();
+        for (int i = 0; i < ROUTERS; i++) {
+            routers.add(new Entry(tuning, i));
+        }
+    }
+
+    private static Profile profile(
+            String id,
+            int firstMs,
+            int totalMs,
+            int weight,
+            double output,
+            double sigma,
+            int t,
+            int own) {
+        WorkClass c =
+                new WorkClass(
+                        WorkClassId.of(id),
+                        firstMs,
+                        totalMs,
+                        Reliability.TOKENS,
+                        RecoveryPreset.PROMPT);
+        return new Profile(c, weight, output, sigma, t, own);
+    }
+
+    /** Replays {@code ratePerS} requests a second, with {@code burstPerS} reports of one team. */
+    static OverloadReplay run(
+            List<Profile> mix, int engines, LimitTuning tuning, double ratePerS, double burstPerS) {
+        OverloadReplay replay = new OverloadReplay(mix, engines, tuning);
+        while (replay.clock.nowMs() < END_MS) {
+            replay.step(ratePerS, burstPerS);
+            replay.clock.advanceMs(1);
+        }
+        return replay;
+    }
+
+    /** Returns what became of a class's calls after the start-up. */
+    Tally of(Profile profile) {
+        return tally(c -> c.profile == profile);
+    }
+
+    /** Returns what became of a class's calls of all teams but the large one. */
+    Tally ofSmallTeams(Profile profile) {
+        return tally(c -> c.profile == profile && !c.team.equals(TEAMS[0]));
+    }
+
+    int longestInEngine() {
+        return longestInEngine;
+    }
+
+    private Tally tally(java.util.function.Predicate<Call> wanted) {
+        Tally tally = new Tally();
+        calls.stream()
+                .filter(wanted)
+                .filter(c -> c.atMs >= WARM_UP_MS && c.atMs < END_MS - WARM_UP_MS)
+                .forEach(c -> c.addTo(tally));
+        return tally;
+    }
+
+    private void step(double ratePerS, double burstPerS) {
+        long now = clock.nowMs();
+        for (int i = 0; i < engines.size(); i++) {
+            int engine = i;
+            engines.get(i).runTo(now, (s, last) -> token(engine, s, last));
+            longestInEngine = Math.max(longestInEngine, engines.get(i).waiting());
+        }
+        routers.forEach(r -> r.step(now));
+        if (random.nextDouble() < ratePerS / 1_000) {
+            arrive(draw(), drawTeam());
+        }
+        if (random.nextDouble() < burstPerS / 1_000) {
+            arrive(REPORTS, TEAMS[0]);
+        }
+    }
+
+    private void arrive(Profile profile, String team) {
+        Call call = new Call(profile, team, calls.size(), clock.nowMs());
+        calls.add(call);
+        call.router.offer(call);
+    }
+
+    private void token(int engine, BatchEngine.Sequence s, boolean last) {
+        Call call = calls.get(s.call);
+        if (call.firstTokenMs < 0) {
+            call.firstTokenMs = clock.nowMs() - call.atMs;
+            call.router.admission.firstToken(RequestId.of("n" + s.call), clock.nowMs());
+        }
+        if (last) {
+            call.totalMs = clock.nowMs() - call.atMs;
+            call.router.ended(call, engine);
+        }
+    }
+
+    private Profile draw() {
+        int left = random.nextInt(mix.stream().mapToInt(Profile::weight).sum());
+        for (Profile p : mix) {
+            left -= p.weight;
+            if (left < 0) {
+                return p;
+            }
+        }
+        throw new AssertionError(left);
+    }
+
+    private String drawTeam() {
+        int left = random.nextInt(IntStream.of(TEAM_SHARES).sum());
+        int i = 0;
+        while (left >= TEAM_SHARES[i]) {
+            left -= TEAM_SHARES[i++];
+        }
+        return TEAMS[i];
+    }
+
+    private int length(double median, double sigma) {
+        return (int) Math.max(1, Math.round(median * Math.exp(sigma * random.nextGaussian())));
+    }
+
+    /** One call from its arrival on. */
+    private final class Call {
+        private final Profile profile;
+        private final String team;
+        private final int number;
+        private final long atMs;
+        private final int prompt;
+        private final int tokens;
+        private final Entry router;
+        private long firstTokenMs = -1;
+        private long totalMs = -1;
+        private long refusedAfterMs = -1;
+
+        Call(Profile profile, String team, int number, long atMs) {
+            this.profile = profile;
+            this.team = team;
+            this.number = number;
+            this.atMs = atMs;
+            prompt = profile.template + length(profile.own, 0.5);
+            tokens = length(profile.output, profile.sigma);
+            router = routers.get(random.nextInt(ROUTERS));
+        }
+
+        WorkRequest work() {
+            return new WorkRequest(
+                    RequestId.of("n" + number),
+                    TeamId.of(team),
+                    profile.workClass,
+                    MODEL,
+                    VERSION,
+                    prompt,
+                    tokens,
+                    atMs);
+        }
+
+        void addTo(Tally tally) {
+            boolean first = firstTokenMs >= 0 && firstTokenMs <= profile.workClass.firstTokenMs();
+            boolean whole = totalMs < 0 || totalMs <= profile.workClass.totalMs();
+            tally.offered++;
+            if (refusedAfterMs >= 0) {
+                tally.refused++;
+                tally.refusedAfterMs += refusedAfterMs;
+            } else if (first && whole) {
+                tally.inTarget++;
+            } else {
+                tally.late++;
+            }
+        }
+    }
+
+    /** One router: its admission, its chooser and what it last heard of the engines. */
+    private final class Entry {
+        private final InFlight inFlight = InFlight.create();
+        private final ExpectedDelayChooser chooser;
+        private final TeamShares shares;
+        private final Admission admission;
+        private final int phaseMs;
+        private RoutingSnapshot snapshot;
+
+        Entry(LimitTuning tuning, int index) {
+            Random own = new Random(index);
+            phaseMs = index * POLL_MS / ROUTERS;
+            chooser = ExpectedDelayChooser.create(inFlight, () -> own);
+            shares = TeamShares.create(RouterId.of("r" + index), OverloadReplay::shareOf);
+            admission =
+                    Admission.create(
+                            SnapshotCapacity.create(
+                                    () -> snapshot, inFlight, () -> ROUTERS, tuning),
+                            shares::weight,
+                            m -> 0,
+                            own,
+                            tuning);
+            poll(0);
+        }
+
+        void step(long now) {
+            if (now % POLL_MS == phaseMs) {
+                poll(now);
+            }
+            if (now % SETTLE_MS == 0) {
+                shares.settle(now);
+            }
+            if (now % TICK_MS == 0) {
+                admission.tick(now).forEach(this::take);
+            }
+        }
+
+        void offer(Call call) {
+            take(admission.offer(call.work(), clock.nowMs()));
+        }
+
+        void ended(Call call, int engine) {
+            inFlight.finished(EngineId.of("e" + engine), clock.nowMs());
+            admission.finished(RequestId.of("n" + call.number), clock.nowMs());
+            shares.used(TeamId.of(call.team), call.tokens, clock.nowMs());
+        }
+
+        private void take(AdmissionDecision decision) {
+            Call call = calls.get(Integer.parseInt(decision.request().value().substring(1)));
+            if (decision instanceof Refused) {
+                call.refusedAfterMs = clock.nowMs() - call.atMs;
+            } else if (decision instanceof Admit) {
+                send(call);
+            } else {
+                assert decision instanceof Queued;
+            }
+        }
+
+        private void send(Call call) {
+            WorkClass c = call.profile.workClass;
+            RouteQuery query = RouteQuery.first(MODEL, VERSION, c.id(), call.prompt, List.of());
+            Chosen chosen = (Chosen) chooser.choose(snapshot, query, clock.nowMs());
+            inFlight.sent(chosen, clock.nowMs());
+            admission.sent(RequestId.of("n" + call.number));
+            shares.used(TeamId.of(call.team), call.prompt, clock.nowMs());
+            int engine = Integer.parseInt(chosen.view().id().value().substring(1));
+            engines.get(engine)
+                    .submit(
+                            new BatchEngine.Sequence(
+                                    call.number, c.firstTokenMs(), call.prompt, call.tokens));
+        }
+
+        private void poll(long now) {
+            RoutingSnapshot.Builder b = RoutingSnapshot.builder(HOME, now);
+            for (int i = 0; i < engines.size(); i++) {
+                b.add(view(i, now));
+            }
+            snapshot = b.build();
+        }
+
+        private EngineView view(int i, long now) {
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+            BackEnd backEnd = new BackEnd(EngineId.of("e" + i), address, HOME, "g", false);
+            SpeedEstimate speed =
+                    SpeedEstimate.of(
+                            BatchEngine.PREFILL_TOKENS_PER_MS, BatchEngine.STEP_MS, 0, 1_000);
+            return EngineView.of(backEnd, MODEL, VERSION, engines.get(i).report(now), now, speed);
+        }
+    }
+
+    private static int shareOf(TeamId team) {
+        for (int i = 0; i < TEAMS.length; i++) {
+            if (TEAMS[i].equals(team.value())) {
+                return TEAM_SHARES[i];
+            }
+        }
+        return 1;
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/limits/OverloadTest.java
@@ -0,0 +1,132 @@
+package org.masticweir.limits;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestReporter;
+import org.masticweir.limits.OverloadReplay.Profile;
+import org.masticweir.limits.OverloadReplay.Tally;
+import org.masticweir.settings.DaemonSettings;
+
+/** Replays the mix of the Spaarstraal example at one and two times the load, on and off. */
+class OverloadTest {
+    private static final ImmutableList<Profile> LONG =
+            ImmutableList.of(OverloadReplay.REPORTS, OverloadReplay.LETTERS);
+    private static final ImmutableList<Profile> ALL =
+            ImmutableList.of(
+                    OverloadReplay.REPORTS,
+                    OverloadReplay.LETTERS,
+                    OverloadReplay.LOOKUPS,
+                    OverloadReplay.CONFIRMATIONS);
+
+    /** Requests a second that two engines serve within target. */
+    private static final double LONG_RATE = 7.5;
+
+    private static final double ALL_RATE = 20;
+
+    private static OverloadReplay replay(ImmutableList<Profile> mix, double load, String... lines) {
+        double rate = (mix.equals(ALL) ? ALL_RATE : LONG_RATE) * load;
+        return OverloadReplay.run(mix, 2, tuning(lines), rate, 0);
+    }
+
+    private static LimitTuning tuning(String... lines) {
+        return LimitTuning.of(
+                DaemonSettings.parse("r.ini", LimitTuningTest.LEAST + String.join("\n", lines))
+                        .limits());
+    }
+
+    private static String figures(OverloadReplay replay, ImmutableList<Profile> mix) {
+        StringBuilder text = new StringBuilder();
+        mix.forEach(
+                p -> text.append(p.workClass().id()).append(' ').append(replay.of(p)).append("; "));
+        return text.append("longest queue in an engine ")
+                .append(replay.longestInEngine())
+                .toString();
+    }
+
+    private static void assertKept(
+            OverloadReplay once, OverloadReplay twice, ImmutableList<Profile> mix) {
+        for (Profile p : mix) {
+            Tally at1 = once.of(p);
+            Tally at2 = twice.of(p);
+            assertTrue(at2.inTarget >= 0.9 * at1.inTarget, p + ": " + at1 + ", " + at2);
+        }
+    }
+
+    /** Goodput of each class at twice the load. */
+    @Nested
+    class TwiceTheLoad {
+        /*
+         * Families wait for letters that never come, while reports are served as ever. Reports
+         * arrive at more than the engines can take; each free place goes to one of them, and all
+         * letters are refused. Cause: the class with the shorter target always went first.
+         */
+        @Test
+        void lettersKeepTheirShareBesideReports(TestReporter reporter) {
+            OverloadReplay once = replay(LONG, 1);
+            OverloadReplay twice = replay(LONG, 2);
+            reporter.publishEntry("1x", figures(once, LONG));
+            reporter.publishEntry("2x", figures(twice, LONG));
+            assertKept(once, twice, LONG);
+            assertTrue(twice.of(OverloadReplay.LETTERS).share() >= 0.98);
+        }
+
+        /*
+         * Advisers wait at the door for a lookup while reports queue for the same engines. All
+         * places are taken for seconds, and those that come free are too few for a burst of
+         * lookups. Cause: no place is left for work that can't wait for one.
+         */
+        @Test
+        void lookupsAndConfirmationsAreInTimeWhereReportsQueue(TestReporter reporter) {
+            OverloadReplay once = replay(ALL, 1);
+            OverloadReplay twice = replay(ALL, 2);
+            OverloadReplay off = replay(ALL, 2, "headroom_percent = 0", "overcommit_percent = 0");
+            reporter.publishEntry("1x", figures(once, ALL));
+            reporter.publishEntry("2x", figures(twice, ALL));
+            reporter.publishEntry("2x without room for prompt classes", figures(off, ALL));
+            assertKept(once, twice, ALL);
+            assertTrue(twice.of(OverloadReplay.LOOKUPS).share() >= 0.95);
+            assertTrue(twice.of(OverloadReplay.CONFIRMATIONS).share() >= 0.95);
+            assertTrue(off.of(OverloadReplay.LOOKUPS).share() < 0.8);
+        }
+
+        /*
+         * Callers hear only after seconds that they should come back later. What can't be served
+         * in time waits until its target has passed. Cause: nothing predicts the wait.
+         */
+        @Test
+        void whatCannotBeServedIsToldEarly(TestReporter reporter) {
+            Tally on = replay(LONG, 2).of(OverloadReplay.REPORTS);
+            Tally off = replay(LONG, 2, "predicted_refusal = false").of(OverloadReplay.REPORTS);
+            reporter.publishEntry("reports, predicted refusal", on + "; off: " + off);
+            assertTrue(2 * on.refusedAfterMs / on.refused < off.refusedAfterMs / off.refused);
+            assertTrue(on.late < off.late, on + ", " + off);
+            assertTrue(on.inTarget > off.inTarget, on + ", " + off);
+        }
+    }
+
+    /** A large team's burst beside the teams that ask for little. */
+    @Nested
+    class Burst {
+        /*
+         * Reports of small teams are refused whenever the large one submits its season's work:
+         * four times what the engines take. Cause: teams are served in the order of arrival.
+         */
+        @Test
+        void smallTeamsKeepTheirTargets(TestReporter reporter) {
+            Tally fair = burst();
+            Tally off = burst("fair_shares = false");
+            reporter.publishEntry("reports of small teams", fair + "; shares off: " + off);
+            assertTrue(fair.share() >= 0.85, fair.toString());
+            assertTrue(off.share() < 0.7, off.toString());
+            assertTrue(fair.late <= 1, fair.toString());
+        }
+
+        private Tally burst(String... lines) {
+            return OverloadReplay.run(LONG, 2, tuning(lines), LONG_RATE * 0.6, LONG_RATE * 2)
+                    .ofSmallTeams(OverloadReplay.REPORTS);
+        }
+    }
+}
