limits: keep places free of a team that is over its share

Change: longer work of a team whose use is over its share (a correction of its weight below 0.7) leaves the headroom, and within a class the next team with a place is served past it. Admission takes a TeamStanding in place of weights.

--- a/masticweir/src/main/java/org/masticweir/limits/Admission.java
+++ b/masticweir/src/main/java/org/masticweir/limits/Admission.java
@@ -9,13 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.id.ModelId;
 import org.masticweir.id.RequestId;
-import org.masticweir.id.TeamId;
 import org.masticweir.limits.AdmissionDecision.Admit;
 import org.masticweir.limits.AdmissionDecision.Queued;
 import org.masticweir.limits.AdmissionDecision.Refused;
@@ -48,7 +46,7 @@
     private static final int MAX_MODELS = 256;
 
     private final CapacitySource capacity;
-    private final ToDoubleFunction<TeamId> weight;
+    private final TeamStanding teams;
     private final ToIntFunction<ModelId> recoveriesWaiting;
     private final RandomGenerator random;
     private final LimitTuning tuning;
@@ -58,12 +56,12 @@
 
     private Admission(
             CapacitySource capacity,
-            ToDoubleFunction<TeamId> weight,
+            TeamStanding teams,
             ToIntFunction<ModelId> recoveriesWaiting,
             RandomGenerator random,
             LimitTuning tuning) {
         this.capacity = checkNotNull(capacity, "capacity");
-        this.weight = checkNotNull(weight, "weight");
+        this.teams = checkNotNull(teams, "teams");
         this.recoveriesWaiting = checkNotNull(recoveriesWaiting, "recoveriesWaiting");
         this.random = checkNotNull(random, "random");
         this.tuning = checkNotNull(tuning, "tuning");
@@ -72,26 +70,26 @@
     /**
      * Returns an admission that has let nothing in yet.
      *
-     * @param weight each team's weight, above 0, for example {@link TeamShares#weight}
+     * @param teams how teams are to be served, for example {@link TeamShares}
      * @param recoveriesWaiting recoveries of a model that go ahead of new work, for example {@link
      *     RecoveryAdmission#waiting}
      */
     public static Admission create(
             CapacitySource capacity,
-            ToDoubleFunction<TeamId> weight,
+            TeamStanding teams,
             ToIntFunction<ModelId> recoveriesWaiting,
             RandomGenerator random,
             LimitTuning tuning) {
-        return new Admission(capacity, weight, recoveriesWaiting, random, tuning);
+        return new Admission(capacity, teams, recoveriesWaiting, random, tuning);
     }
 
     /** Returns an admission with the default tuning. */
     public static Admission create(
             CapacitySource capacity,
-            ToDoubleFunction<TeamId> weight,
+            TeamStanding teams,
             ToIntFunction<ModelId> recoveriesWaiting,
             RandomGenerator random) {
-        return create(capacity, weight, recoveriesWaiting, random, LimitTuning.defaults());
+        return create(capacity, teams, recoveriesWaiting, random, LimitTuning.defaults());
     }
 
     /** Decides on {@code r}; a request offered before and not finished is an error. */
@@ -162,7 +160,7 @@
         Capacity c = capacity.of(key.model(), key.version(), nowMs);
         int reserved = recoveriesWaiting.applyAsInt(key.model());
         List<WorkRequest> late = new ArrayList<>();
-        Optional<WorkRequest> next = queue.poll(c, reserved);
+        Optional<WorkRequest> next = queue.next(c, reserved);
         while (next.isPresent()) {
             WorkRequest r = next.get();
             if (queue.tooLate(r, c, nowMs)) {
@@ -173,7 +171,7 @@
                 queued.remove(r.id());
                 decisions.add(admit(r, queue, nowMs));
             }
-            next = queue.poll(c, reserved);
+            next = queue.next(c, reserved);
         }
         queue.dropLate(c, nowMs, late);
         for (WorkRequest r : late) {
@@ -228,7 +226,7 @@
     private ModelQueue queue(WorkRequest r) {
         return queues.computeIfAbsent(
                 new ModelVersion(r.model(), r.version()),
-                k -> new ModelQueue(weight, new ReturnSchedule(random), tuning));
+                k -> new ModelQueue(teams, new ReturnSchedule(random), tuning));
     }
 
     /** A request that was let in. */
--- a/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
@@ -5,6 +5,8 @@
 import com.google.common.collect.ImmutableList;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.masticweir.id.TeamId;
 
@@ -59,12 +61,12 @@
         return true;
     }
 
-    /** Returns the request to be served next; the queue must hold one. */
-    WorkRequest next() {
+    /** Returns the request to be served next of those that {@code admissible} lets in, if any. */
+    Optional<WorkRequest> next(Predicate<WorkRequest> admissible) {
         return teams.values().stream()
+                .filter(t -> admissible.test(t.first()))
                 .min(comparingDouble(TeamQueue::servedPerWeight))
-                .orElseThrow()
-                .first();
+                .map(TeamQueue::first);
     }
 
     /** Takes {@code r} out and charges its team. */
--- a/masticweir/src/main/java/org/masticweir/limits/LimitTuning.java
+++ b/masticweir/src/main/java/org/masticweir/limits/LimitTuning.java
@@ -13,7 +13,8 @@
  * @param fairShares whether teams of a class are served by weight, and bounded one by one
  * @param predictedRefusal whether an arrival predicted to be late is refused at once
  * @param recoveryAdmission whether only so many recoveries start at a time
- * @param headroomPercent part of the places that only prompt classes may fill
+ * @param headroomPercent part of the places that only prompt classes may fill, and part that teams
+ *     over their share may not
  * @param overcommitPercent how much prompt classes may send beyond all places
  * @param burstPercent how much of its even part of the free places a router may fill
  * @param recoverySharePercent part of the router's places that starting recoveries may hold
@@ -80,6 +81,11 @@
         return classShares ? headroomPercent / PERCENT : 0;
     }
 
+    /** Returns the share of the places that teams over their share leave to others. */
+    double teamHeadroom() {
+        return fairShares ? headroomPercent / PERCENT : 0;
+    }
+
     /** Returns what prompt classes may send beyond all places, as a share of them. */
     double overcommit() {
         return classShares ? overcommitPercent / PERCENT : 0;
--- a/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToDoubleFunction;
 import org.masticweir.id.TeamId;
 import org.masticweir.id.WorkClassId;
 
@@ -29,7 +28,7 @@
     /** Part of the turn under way that is still to come, on average. */
     private static final double TURN_LEFT = 0.5;
 
-    private final ToDoubleFunction<TeamId> weight;
+    private final TeamStanding teams;
     private final Map<WorkClassId, ClassQueue> classes = new LinkedHashMap<>();
     private final ModelLoad load = new ModelLoad();
     private final ReturnSchedule returns;
@@ -39,8 +38,8 @@
     /** Where the class served last stood before. */
     private double clock;
 
-    ModelQueue(ToDoubleFunction<TeamId> weight, ReturnSchedule returns, LimitTuning tuning) {
-        this.weight = weight;
+    ModelQueue(TeamStanding teams, ReturnSchedule returns, LimitTuning tuning) {
+        this.teams = teams;
         this.returns = returns;
         this.tuning = tuning;
         prompt = new PromptClasses(load, tuning);
@@ -91,13 +90,13 @@
     boolean goesAhead(WorkRequest r, Capacity capacity, int reserved) {
         ClassQueue own = queue(r);
         double level = Math.max(clock, own.served());
-        int ahead = own.size();
-        for (ClassQueue q : classes.values()) {
-            if (q != own && q.size() > 0 && q.served() <= level) {
-                ahead += freeFor(q.next(), capacity, reserved) >= 1 ? q.size() : 0;
-            }
-        }
-        return freeFor(r, capacity, reserved) - ahead >= 1;
+        int ahead =
+                classes.values().stream()
+                        .filter(q -> q == own || q.served() <= level)
+                        .filter(q -> q.next(x -> hasPlace(x, capacity, reserved)).isPresent())
+                        .mapToInt(ClassQueue::size)
+                        .sum();
+        return own.size(r.team()) == 0 && freeFor(r, capacity, reserved) - ahead >= 1;
     }
 
     /** Charges the class of {@code r}, which did not wait. */
@@ -107,15 +106,13 @@
         charge(q, r, capacity);
     }
 
-    /** Takes out and returns the next request that there is a place for, if any. */
-    Optional<WorkRequest> poll(Capacity capacity, int reserved) {
+    /** Returns the next request that there is a place for, if any. */
+    Optional<WorkRequest> next(Capacity capacity, int reserved) {
         return classes.values().stream()
-                .filter(q -> q.size() > 0)
-                .filter(q -> freeFor(q.next(), capacity, reserved) >= 1)
+                .flatMap(q -> q.next(r -> hasPlace(r, capacity, reserved)).stream())
                 .min(
-                        comparingDouble(ClassQueue::served)
-                                .thenComparingLong(q -> q.next().firstTokenDueMs()))
-                .map(ClassQueue::next);
+                        comparingDouble((WorkRequest r) -> queue(r).served())
+                                .thenComparingLong(WorkRequest::firstTokenDueMs));
     }
 
     /** Takes out {@code r}, which is let in, and charges its class and team. */
@@ -203,9 +200,13 @@
         return !predict(r, turns, capacity, nowMs).meetsTargets(r, nowMs);
     }
 
+    private boolean hasPlace(WorkRequest r, Capacity capacity, int reserved) {
+        return freeFor(r, capacity, reserved) >= 1;
+    }
+
     /** Returns the places that {@code r} may use of those that {@code capacity} has free. */
     private double freeFor(WorkRequest r, Capacity capacity, int reserved) {
-        double extra = prompt.extraPlaces(r, queue(r), capacity);
+        double extra = prompt.extraPlaces(r, queue(r), capacity, teams.overShare(r.team()));
         return capacity.freePlaces() + extra - load.notYetSent() - reserved;
     }
 
@@ -215,6 +216,6 @@
 
     private ClassQueue queue(WorkRequest r) {
         WorkClassId id = tuning.classShares() ? r.workClass().id() : ALL;
-        return classes.computeIfAbsent(id, k -> new ClassQueue(weight, tuning));
+        return classes.computeIfAbsent(id, k -> new ClassQueue(teams::weight, tuning));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/limits/PromptClasses.java
+++ b/masticweir/src/main/java/org/masticweir/limits/PromptClasses.java
@@ -45,12 +45,20 @@
         }
     }
 
-    /** Returns the places that {@code r} may fill beyond those free; below 0 if it leaves some. */
-    double extraPlaces(WorkRequest r, ClassQueue q, Capacity capacity) {
+    /**
+     * Returns the places that {@code r} may fill beyond those free; below 0 if it leaves some.
+     *
+     * <p>Failure guarded against: one team's burst fills all places for as long as its requests
+     * run. The next place is a small team's, yet there is none for a good part of its target, and
+     * it is refused. Longer work of a team over its share therefore leaves headroom too.
+     */
+    double extraPlaces(WorkRequest r, ClassQueue q, Capacity capacity, boolean teamOverShare) {
         if (isPrompt(r, q, capacity)) {
             return Math.floor(tuning.overcommit() * capacity.reachablePlaces());
         }
-        return active ? -Math.floor(tuning.headroom() * capacity.reachablePlaces()) : 0;
+        double share =
+                Math.max(active ? tuning.headroom() : 0, teamOverShare ? tuning.teamHeadroom() : 0);
+        return -Math.floor(share * capacity.reachablePlaces());
     }
 
     private boolean isPrompt(WorkRequest r, ClassQueue q, Capacity capacity) {
--- a/masticweir/src/main/java/org/masticweir/limits/TeamShares.java
+++ b/masticweir/src/main/java/org/masticweir/limits/TeamShares.java
@@ -21,9 +21,10 @@
  * weight falls on every router until it is back. A team too small for any digest keeps its weight.
  *
  * <p>Use: {@link #used} as tokens flow; every second or so send {@link #digest} to peers, {@link
- * #merge} theirs, and {@link #settle}. Thread-safe; {@link #weight} takes no lock.
+ * #merge} theirs, and {@link #settle}. Thread-safe; {@link #weight} and {@link #overShare} take no
+ * lock.
  */
-public final class TeamShares {
+public final class TeamShares implements TeamStanding {
     /** Time in which the memory of a use falls to 1/e, in ms. */
     private static final double MEMORY_MS = 10_000;
 
@@ -33,6 +34,9 @@
     private static final long DIGEST_LAPSES_MS = 30_000;
     private static final double MIN_CORRECTION = 0.05;
 
+    /** Correction below which a team is over its share, and not by the chance of a few seconds. */
+    private static final double OVER_SHARE = 0.7;
+
     /** Use below which a team no longer counts as active, in tokens a second. */
     private static final double ACTIVE_TOKENS_PER_S = 0.01;
 
@@ -57,10 +61,16 @@
     }
 
     /** Returns the weight of {@code team} in the queues of this router. */
+    @Override
     public double weight(TeamId team) {
         return share.applyAsInt(team) * corrections.getOrDefault(team, 1.0);
     }
 
+    @Override
+    public boolean overShare(TeamId team) {
+        return corrections.getOrDefault(team, 1.0) < OVER_SHARE;
+    }
+
     /** Adds {@code tokens} to the use of {@code team}. */
     public synchronized void used(TeamId team, int tokens, long nowMs) {
         checkNotNull(team, "team");
--- a/masticweir/src/main/java/org/masticweir/serving/ServingPolicy.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServingPolicy.java
@@ -73,11 +73,7 @@
         RecoveryAdmission recoveries = RecoveryAdmission.create(capacity, limits);
         Admission admission =
                 Admission.create(
-                        capacity,
-                        shares::weight,
-                        recoveries::waiting,
-                        new SplittableRandom(),
-                        limits);
+                        capacity, shares, recoveries::waiting, new SplittableRandom(), limits);
         Gates gates = new Gates(admission, recoveries, clock, control);
         RetryBudget budget =
                 RetryBudget.create(retries.budgetPercent() / PERCENT, retries.budgetFloor());
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSetting.java
@@ -407,7 +407,7 @@
                     10,
                     0,
                     90,
-                    "Part of the places kept for prompt classes, where any ask.");
+                    "Part of the places kept for prompt classes, and from teams over their share.");
     static final Setting<Integer> OVERCOMMIT_PERCENT =
             integer(
                     "limits",
