limits: predict for some teams in each tick

Cause: each tick predicts for every team that waits, and each prediction looks at all teams of the class.

Change: a tick predicts for 64 teams of a class, in turn; what can't be in time any more is still found at once for all of them.

--- a/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ClassQueue.java
@@ -34,6 +34,7 @@
     private double clock;
     private double served;
     private int size;
+    private int firstInTurn;
 
     ClassQueue(ToDoubleFunction<TeamId> weight, LimitTuning tuning) {
         this.weight = tuning.fairShares() ? weight : team -> 1;
@@ -144,6 +145,20 @@
         return ImmutableList.copyOf(teams.keySet());
     }
 
+    /** Returns up to {@code most} teams with requests; all of them come up in turn. */
+    ImmutableList<TeamId> teamsInTurn(int most) {
+        ImmutableList<TeamId> all = waitingTeams();
+        if (all.size() <= most) {
+            return all;
+        }
+        firstInTurn = (firstInTurn + most) % all.size();
+        int wrapped = Math.max(0, firstInTurn + most - all.size());
+        return ImmutableList.<TeamId>builder()
+                .addAll(all.subList(firstInTurn, firstInTurn + most - wrapped))
+                .addAll(all.subList(0, wrapped))
+                .build();
+    }
+
     TeamQueue team(TeamId team) {
         return teams.get(team);
     }
--- a/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ModelQueue.java
@@ -28,6 +28,9 @@
     /** Part of the turn under way that is still to come, on average. */
     private static final double TURN_LEFT = 0.5;
 
+    /** Teams of a class that one tick predicts for. */
+    private static final int PREDICTED_IN_ONE_TICK = 64;
+
     private final TeamStanding teams;
     private final Map<WorkClassId, ClassQueue> classes = new LinkedHashMap<>();
     private final ModelLoad load = new ModelLoad();
@@ -155,20 +158,42 @@
                 : nowMs >= r.firstTokenDueMs();
     }
 
-    /** Takes out those that can no longer meet their targets and adds them to {@code late}. */
+    /**
+     * Takes out those that can no longer meet their targets and adds them to {@code late}.
+     *
+     * <p>Failure guarded against: to predict for each team looks at all teams, and with thousands
+     * of them waiting one tick would last longer than the time to the next. Only so many are
+     * predicted for in a tick, in turn; what can't be in time any more is found at once.
+     */
     void dropLate(Capacity capacity, long nowMs, List<WorkRequest> late) {
         if (!tuning.queueDeadlines()) {
             return;
         }
         for (ClassQueue q : classes.values()) {
             for (TeamId team : q.waitingTeams()) {
-                dropLate(q, team, capacity, nowMs, late);
+                dropTooLate(q, team, capacity, nowMs, late);
+            }
+            if (tuning.predictedRefusal()) {
+                q.teamsInTurn(PREDICTED_IN_ONE_TICK)
+                        .forEach(team -> dropLate(q, team, capacity, nowMs, late));
+            }
+        }
+    }
+
+    private void dropTooLate(
+            ClassQueue q, TeamId id, Capacity capacity, long nowMs, List<WorkRequest> late) {
+        for (TeamQueue team = q.team(id); team != null; team = q.team(id)) {
+            WorkRequest first = team.first();
+            if (!tooLate(first, capacity, nowMs)) {
+                return;
             }
+            q.remove(first);
+            late.add(first);
         }
     }
 
     /**
-     * Takes out what is late of one team.
+     * Takes out what is predicted to be late of one team.
      *
      * <p>Only a team's first and last are tried, until both hold: the first has least time left,
      * the last waits longest, and one between them comes to the front before it is due. Without
@@ -193,9 +218,6 @@
     }
 
     private boolean isLate(WorkRequest r, int before, Capacity capacity, long nowMs) {
-        if (!tuning.predictedRefusal()) {
-            return nowMs >= r.firstTokenDueMs();
-        }
         double turns = queue(r).ahead(r, before) + TURN_LEFT;
         return !predict(r, turns, capacity, nowMs).meetsTargets(r, nowMs);
     }
