standins: the proxy cuts some processes off from some routes

Cause: random faults could not cut one failure domain off from the other. All processes connect from one address and learn each other's address by list, heartbeat and rumour, so that one route carries connections of both domains.

Ruled out: a second route for each domain (rumours spread the first one's address); a view of the instance list for each domain (the same); a source address for outgoing connections (loopback gives all of them 127.0.0.1, and the product would need a setting for the tests' sake).

Change: {"partition":{"routes","clients","mode"}} names processes. The proxy looks up their ports where Linux shows them (/proc), cuts or stalls their connections on the routes, and holds new ones until they are looked up on another thread.

Shown by: ProxyTest.Partitions (hold until healed, reset, others pass).

--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Connection.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Connection.java
@@ -1,5 +1,6 @@
 package org.masticweir.standins.proxy;
 
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -26,6 +27,8 @@
     private final SelectionKey targetKey;
     private final Pipe up = new Pipe();
     private final Pipe down = new Pipe();
+    private final int clientPort;
+    private Place place = Place.UNKNOWN;
 
     private Connection(EventLoop loop, Route route, ByteBuffer scratch, SocketChannel client)
             throws IOException {
@@ -33,6 +36,7 @@
         this.route = route;
         this.scratch = scratch;
         this.client = client;
+        clientPort = client.socket().getPort();
         clientKey = loop.register(client, this::pump);
         client.setOption(StandardSocketOptions.TCP_NODELAY, true);
         target = SocketChannel.open();
@@ -46,6 +50,27 @@
         return new Connection(loop, route, scratch, client);
     }
 
+    /** Where a connection's client is while its route is partitioned. */
+    enum Place {
+        UNKNOWN,
+        INSIDE,
+        CUT_OFF
+    }
+
+    /** Takes note that the clients that are cut off now have {@code ports}. */
+    void sorted(ImmutableSet<Integer> ports) {
+        place = ports.contains(clientPort) ? Place.CUT_OFF : Place.INSIDE;
+        if (mode() == Mode.CUT) {
+            reset();
+        } else {
+            pump();
+        }
+    }
+
+    private Mode mode() {
+        return route.modeFor(place);
+    }
+
     /** Moves what the route's mode lets through; called on every event and change of mode. */
     void pump() {
         if (!client.isOpen()) {
@@ -85,7 +110,7 @@
         if (target.isConnected()) {
             return true;
         }
-        if (route.mode().holds(Direction.UP)) {
+        if (mode().holds(Direction.UP)) {
             return false;
         }
         return target.isConnectionPending()
@@ -100,7 +125,7 @@
             SocketChannel source,
             SocketChannel sink)
             throws IOException {
-        if (route.mode().holds(direction)) {
+        if (mode().holds(direction)) {
             return;
         }
         if (pipe.wantsBytes() && sourceKey.isReadable()) {
@@ -124,7 +149,7 @@
         boolean connected = target.isConnected();
         int clientOps = connected ? ops(Direction.UP, up, Direction.DOWN, down) : 0;
         int targetOps = connected ? ops(Direction.DOWN, down, Direction.UP, up) : 0;
-        if (target.isConnectionPending() && !route.mode().holds(Direction.UP)) {
+        if (target.isConnectionPending() && !mode().holds(Direction.UP)) {
             targetOps = SelectionKey.OP_CONNECT;
         }
         clientKey.interestOps(clientOps);
@@ -132,8 +157,8 @@
     }
 
     private int ops(Direction out, Pipe from, Direction in, Pipe to) {
-        boolean reads = !route.mode().holds(out) && from.wantsBytes();
-        boolean writes = !route.mode().holds(in) && to.hasDue(passableUntilMs());
+        boolean reads = !mode().holds(out) && from.wantsBytes();
+        boolean writes = !mode().holds(in) && to.hasDue(passableUntilMs());
         return (reads ? SelectionKey.OP_READ : 0) | (writes ? SelectionKey.OP_WRITE : 0);
     }
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Proxy.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package org.masticweir.standins.proxy;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Collection;
@@ -8,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
@@ -64,6 +66,19 @@
                 });
     }
 
+    /** Cuts some processes off from some routes, or lets them pass again. */
+    void partition(ProxyMessages.Partition partition) {
+        // New connections are sorted from here on, so that none opens unseen during the look-up.
+        run(() -> eachOf(partition, route -> route.partition(partition)));
+        ImmutableSet<Integer> ports = ClientPorts.of(partition.clients());
+        run(() -> eachOf(partition, route -> route.sort(ports)));
+    }
+
+    private int eachOf(ProxyMessages.Partition partition, Consumer<Route> then) {
+        partition.routes().stream().map(this::route).forEach(then);
+        return partition.routes().size();
+    }
+
     /** Returns the address that a route listens on, with the port taken. */
     InetSocketAddress address(String name) {
         return run(() -> route(name).address());
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyMessages.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyMessages.java
@@ -13,8 +13,17 @@
     /** An answer that says only that the call was done. */
     record Done() {}
 
-    /** One change, a list of changes, or a route to add; the fields left out are null in JSON. */
-    record Control(String route, Mode mode, Long delayMs, List<Change> changes, Add add) {
+    /**
+     * One change, a list of changes, a route to add or a partition; the fields left out are null in
+     * JSON.
+     */
+    record Control(
+            String route,
+            Mode mode,
+            Long delayMs,
+            List<Change> changes,
+            Add add,
+            Partition partition) {
         /** Returns the changes that this asks for, none if it only adds a route. */
         ImmutableList<Change> allChanges() {
             ImmutableList.Builder<Change> all = ImmutableList.builder();
@@ -38,6 +47,21 @@
         }
     }
 
+    /**
+     * Sets the mode of the connections that some processes have on some routes.
+     *
+     * <p>It stands before the routes' own mode until it is set to pass.
+     *
+     * @param clients process ids; a process that is started later is not among them
+     */
+    record Partition(List<String> routes, List<Long> clients, Mode mode) {
+        Partition {
+            checkArgument(routes != null, "partition without routes");
+            checkArgument(clients != null, "partition without clients");
+            checkArgument(mode != null, "partition without a mode");
+        }
+    }
+
     /** Adds a route. */
     record Add(String name, String listen, String target) {
         Add {
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyService.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/ProxyService.java
@@ -37,6 +37,9 @@
                 proxy.add(control.add().spec());
             }
             proxy.change(control.allChanges());
+            if (control.partition() != null) {
+                proxy.partition(control.partition());
+            }
         } catch (IllegalArgumentException e) {
             throw MasticweirException.notRun(ErrorCode.BAD_REQUEST, e.getMessage());
         }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Route.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/proxy/Route.java
@@ -1,6 +1,7 @@
 package org.masticweir.standins.proxy;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -8,7 +9,9 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.http.IpAddress;
@@ -26,6 +29,7 @@
     private final SelectionKey key;
     private final Set<Connection> connections = new HashSet<>();
     private Mode mode = Mode.PASS;
+    private Optional<ProxyMessages.Partition> partition = Optional.empty();
     private long delayMs;
     private long opened;
     private long bytesUp;
@@ -77,6 +81,28 @@
         }
     }
 
+    /**
+     * Sets what is done with the connections of some processes; {@link #sort} names the present.
+     */
+    void partition(ProxyMessages.Partition now) {
+        LOG.info("proxy: route {} is {} for {}", spec.name(), now.mode(), now.clients());
+        partition = now.mode() == Mode.PASS ? Optional.empty() : Optional.of(now);
+    }
+
+    /** Applies the partition to the connections that come from {@code ports}. */
+    void sort(ImmutableSet<Integer> ports) {
+        ImmutableList.copyOf(connections).forEach(c -> c.sorted(ports));
+    }
+
+    /** Returns what is done with a connection by its place. */
+    Mode modeFor(Connection.Place place) {
+        return switch (place) {
+            case UNKNOWN -> partition.isPresent() ? Mode.STALL : mode;
+            case INSIDE -> mode;
+            case CUT_OFF -> partition.map(ProxyMessages.Partition::mode).orElse(mode);
+        };
+    }
+
     void passed(Direction direction, long bytes) {
         if (direction == Direction.UP) {
             bytesUp += bytes;
@@ -142,6 +168,7 @@
         try {
             Connection connection = Connection.accept(loop, this, scratch, client);
             connections.add(connection);
+            partition.ifPresent(p -> sortLater(connection, p));
             connection.pump();
         } catch (IOException e) {
             Sockets.reset(client);
@@ -149,6 +176,18 @@
         }
     }
 
+    /** Looks the client up on another thread, as that reads files; until then nothing passes. */
+    private void sortLater(Connection connection, ProxyMessages.Partition now) {
+        CompletableFuture.supplyAsync(() -> ClientPorts.of(now.clients()))
+                .thenAccept(
+                        ports ->
+                                loop.submit(
+                                        () -> {
+                                            connection.sorted(ports);
+                                            return ports;
+                                        }));
+    }
+
     /**
      * Out of file descriptors, accept fails while the client still waits, so the selector would
      * report it again at once and the loop would spin. A short pause lets connections close.
--- a/masticweir-standins/src/test/java/org/masticweir/standins/proxy/ProxyTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/proxy/ProxyTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -18,6 +19,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -255,6 +257,55 @@
         }
     }
 
+    /**
+     * A failure domain is cut off: its processes reach nothing outside, though others on the same
+     * addresses do. Their connections stand still, open and new ones, until the cut is healed.
+     */
+    @Nested
+    class Partitions {
+        private void partition(Mode mode, long... clients) {
+            proxy.partition(
+                    new ProxyMessages.Partition(
+                            List.of("a"), Arrays.stream(clients).boxed().toList(), mode));
+        }
+
+        @Test
+        void holdOpenAndNewConnectionsOfTheirProcessesUntilHealed() throws Exception {
+            Socket client = connect("a");
+            client.getOutputStream().write(1);
+            Socket server = arrival();
+            assertEquals(1, server.getInputStream().read());
+            partition(Mode.STALL, ProcessHandle.current().pid());
+            client.getOutputStream().write(2);
+            assertQuiet(server);
+            connect("a").getOutputStream().write(3);
+            assertNull(arrived.poll(QUIET_MS, TimeUnit.MILLISECONDS));
+            partition(Mode.PASS, ProcessHandle.current().pid());
+            assertEquals(2, server.getInputStream().read());
+            assertEquals(3, arrival().getInputStream().read());
+        }
+
+        @Test
+        void resetConnectionsOfTheirProcesses() throws Exception {
+            Socket client = connect("a");
+            client.getOutputStream().write(1);
+            assertEquals(1, arrival().getInputStream().read());
+            partition(Mode.CUT, ProcessHandle.current().pid());
+            assertThrows(SocketException.class, () -> client.getInputStream().read());
+            assertThrows(SocketException.class, () -> connect("a").getInputStream().read());
+        }
+
+        @Test
+        void letOtherProcessesPass() throws Exception {
+            Socket client = connect("a");
+            partition(Mode.CUT);
+            client.getOutputStream().write(1);
+            assertEquals(1, arrival().getInputStream().read());
+            connect("a").getOutputStream().write(2);
+            assertEquals(2, arrival().getInputStream().read());
+        }
+    }
+
     private RouteSpec spec(String name) {
         return new RouteSpec(name, ANY, (InetSocketAddress) target.getLocalSocketAddress());
     }
