verdicts: say NOT_RUN of a key only where no other submission can have run

Cause: NOT_RUN was about the submission, yet a request is its key. AtMostOnceTest.AskedAgainInAnotherDomainWhilePlatformIsOut on the code before: PLATFORM_UNAVAILABLE, NOT_RUN.

Ruled out: asking platform and peers before a refusal (unanswerable in just these faults, and a wait before each final word); taking the own claim, inserted and released, as proof (another submission may claim the released row later).

Change: the header "Masticweir-Submission: first" is the caller's word that its key has no other submission. NOT_RUN is told only then, or when the router made the key, and not if this router runs, reads or keeps the request or another submission joined it. Any other unsent submission gets verdict MAY_HAVE_RUN with "submission":"NOT_SENT", code and Retry-After as before. Records of engines and services tell when a run began.

Tests: requests that are the first of their key now say so where NOT_RUN is asserted; no assertion was taken out.

AtMostOnceTest and CallerFaultTest pass; unit tests of masticweir, standins, bench and cli pass.

--- a/masticweir-bench/src/main/java/org/masticweir/bench/caller/CallRecord.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/caller/CallRecord.java
@@ -17,6 +17,7 @@
  * @param outcome how it ended
  * @param code error code, empty when there was none
  * @param verdict verdict told, empty when none was
+ * @param submission what was told of this submission beside the verdict, empty when nothing was
  * @param retryAfterMs when the caller was told to come back, 0 when it was not
  */
 public record CallRecord(
@@ -29,6 +30,7 @@
         Outcome outcome,
         String code,
         String verdict,
+        String submission,
         long retryAfterMs,
         long startedAtMs,
         long endedAtMs) {
@@ -38,6 +40,7 @@
         checkNotNull(outcome, "outcome");
         checkNotNull(code, "code");
         checkNotNull(verdict, "verdict");
+        checkNotNull(submission, "submission");
     }
 
     /** Returns the longest time between two tokens, in ms. */
--- a/masticweir-bench/src/main/java/org/masticweir/bench/caller/CallerClient.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/caller/CallerClient.java
@@ -26,6 +26,8 @@
 public final class CallerClient {
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final long CONNECT_TIMEOUT_MS = 2_000;
+    private static final ImmutableMap<String, String> FIRST =
+            ImmutableMap.of("Masticweir-Submission", "first");
 
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final XnioWorker worker;
@@ -41,18 +43,43 @@
     }
 
     /**
-     * Submits a request and reads its answer.
+     * Submits a request for the first time and reads its answer.
+     *
+     * <p>The router takes the caller's word that the key was submitted nowhere else.
+     *
+     * @param progress told the count of tokens after each part, on an I/O thread
+     */
+    public CompletableFuture<CallRecord> submitFirst(
+            InetSocketAddress router, CallRequest request, IntConsumer progress) {
+        return submit(router, request, FIRST, progress);
+    }
+
+    /**
+     * Submits a request whose key may have been submitted before, and reads its answer.
      *
      * @param progress told the count of tokens after each part, on an I/O thread
      */
     public CompletableFuture<CallRecord> submit(
             InetSocketAddress router, CallRequest request, IntConsumer progress) {
+        return submit(router, request, ImmutableMap.of(), progress);
+    }
+
+    private CompletableFuture<CallRecord> submit(
+            InetSocketAddress router,
+            CallRequest request,
+            Map<String, String> more,
+            IntConsumer progress) {
+        Map<String, String> headers =
+                ImmutableMap.<String, String>builder()
+                        .put("Content-Type", "application/json")
+                        .putAll(more)
+                        .buildOrThrow();
         HttpCall call =
                 new HttpCall(
                         "POST",
                         router,
                         "/v1/requests",
-                        headers(request, ImmutableMap.of("Content-Type", "application/json")),
+                        headers(request, headers),
                         request.body().getBytes(StandardCharsets.UTF_8));
         return open(call, progress);
     }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/caller/EventReader.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/caller/EventReader.java
@@ -27,6 +27,7 @@
     private CallRecord.Outcome outcome = CallRecord.Outcome.BROKEN;
     private String code = "";
     private String verdict = "";
+    private String submission = "";
     private long retryAfterMs;
 
     void bytes(ByteBuffer part, long nowMs) throws IOException {
@@ -62,6 +63,7 @@
                 outcome,
                 code,
                 verdict,
+                submission,
                 retryAfterMs,
                 startedAtMs,
                 endedAtMs);
@@ -116,6 +118,7 @@
     private void error(JsonNode json) {
         outcome = CallRecord.Outcome.ERROR;
         code = json.path("code").asText();
+        submission = json.path("submission").asText();
         retryAfterMs = json.path("retry_after_ms").asLong();
         verdict = json.path("verdict").asText();
     }
--- a/masticweir-bench/src/main/java/org/masticweir/bench/demo/DemoCommand.java
+++ b/masticweir-bench/src/main/java/org/masticweir/bench/demo/DemoCommand.java
@@ -90,7 +90,7 @@
                         team, lookupClass, lookupModel, key("lookup"), prompt(), LOOKUP_TOKENS);
         AtomicBoolean killed = new AtomicBoolean();
         CompletableFuture<CallRecord> reportDone =
-                caller.submit(
+                caller.submitFirst(
                         address,
                         report,
                         count -> {
@@ -100,7 +100,7 @@
                                         () -> killEngineOf(control, processes, report));
                             }
                         });
-        CompletableFuture<CallRecord> lookupDone = caller.submit(address, lookup, count -> {});
+        CompletableFuture<CallRecord> lookupDone = caller.submitFirst(address, lookup, count -> {});
         boolean lookupWhole = show("lookup", lookup, lookupDone.join(), control, processes);
         CallRecord record = reportDone.join();
         boolean reportWhole = show("report", report, record, control, processes);
--- a/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/DomainBed.java
@@ -143,6 +143,10 @@
         return RunningCall.submit(caller, router.callers(), request);
     }
 
+    RunningCall submitFirst(DomainRouter router, CallRequest request) {
+        return RunningCall.submitFirst(caller, router.callers(), request);
+    }
+
     /** Announces a router that is not started yet; it lives until the test's end. */
     DomainRouter addRouter(String id, String domain) {
         DomainRouter router = newRouter(id, domain);
--- a/masticweir-it/src/test/java/org/masticweir/it/ReturnedCall.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ReturnedCall.java
@@ -59,6 +59,7 @@
                 end.outcome(),
                 end.code(),
                 end.verdict(),
+                end.submission(),
                 end.retryAfterMs(),
                 before.startedAtMs(),
                 end.endedAtMs());
--- a/masticweir-it/src/test/java/org/masticweir/it/RouterFleet.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterFleet.java
@@ -82,6 +82,15 @@
         return routers.operators(router).query(path).orElse(MissingNode.getInstance());
     }
 
+    /** Cuts every link between routers. */
+    void cutPeers() {
+        routers.forEach(r -> bed.proxy().set(peerRoute(r.id()), "cut"));
+    }
+
+    void passPeers() {
+        routers.forEach(r -> bed.proxy().set(peerRoute(r.id()), "pass"));
+    }
+
     /** Delays all that other routers send to {@code router}, and its answers. */
     void delayPeersOf(FleetRouter router, long ms) {
         bed().proxy().delay(FleetRouters.peerRoute(router.id()), ms);
--- a/masticweir-it/src/test/java/org/masticweir/it/RunningCall.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RunningCall.java
@@ -32,6 +32,14 @@
         return call;
     }
 
+    /** Submits a request whose key is submitted nowhere else before it is answered. */
+    static RunningCall submitFirst(
+            CallerClient client, InetSocketAddress router, CallRequest request) {
+        RunningCall call = new RunningCall(request);
+        call.done = client.submitFirst(router, request, call::progress);
+        return call;
+    }
+
     /** Reads the answer again at {@code router}, after the event {@code lastEventId}. */
     static RunningCall readAgain(
             CallerClient client,
--- a/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/TestBed.java
@@ -149,6 +149,10 @@
         return RunningCall.submit(caller, router.callers(), request);
     }
 
+    RunningCall submitFirst(RouterProcess router, CallRequest request) {
+        return RunningCall.submitFirst(caller, router.callers(), request);
+    }
+
     /** Returns the attempts at {@code request} that the engines which live recorded. */
     ImmutableList<RunGeneration> runsOf(CallRequest request) {
         return engines.stream()
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -93,7 +93,11 @@
         long now = clock.nowMs();
         Sequence sequence =
                 Sequence.admitted(
-                        request, records.open(request), arrivals++, now, settings.stampTokens());
+                        request,
+                        records.open(request, now),
+                        arrivals++,
+                        now,
+                        settings.stampTokens());
         known.put(request.id(), sequence);
         if (!sequence.done()) {
             batch.add(sequence);
--- a/masticweir-standins/src/main/java/org/masticweir/standins/service/Service.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/service/Service.java
@@ -51,7 +51,7 @@
             return false;
         }
         running++;
-        calls.add(new Call(request, input, clock.wallMs()));
+        calls.add(new Call(request, input, clock.nowMs()));
         return true;
     }
 
--- a/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
+++ b/masticweir/src/main/java/org/masticweir/callers/CallerHandler.java
@@ -45,7 +45,17 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        guarded(exchange, () -> route(exchange));
+        guarded(exchange, beforeBody(exchange), () -> route(exchange));
+    }
+
+    /** Returns the rule until the key is known: a call that names no request is about none. */
+    private static KeyVerdict beforeBody(HttpServerExchange exchange) {
+        boolean sole = !exchange.getRequestPath().startsWith(REQUESTS) || saysFirst(exchange);
+        return KeyVerdict.soleIf(() -> sole);
+    }
+
+    private static boolean saysFirst(HttpServerExchange exchange) {
+        return SubmissionHeader.of(exchange) == SubmissionHeader.FIRST;
     }
 
     private void route(HttpServerExchange exchange) {
@@ -103,8 +113,8 @@
         exchange.getRequestReceiver().setMaxBufferSize(readBound());
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (ex, bytes) -> guarded(ex, () -> submit(ex, team, bytes)),
-                        (ex, e) -> ErrorAnswer.send(ex, tooLarge()));
+                        (ex, bytes) -> guarded(ex, beforeBody(ex), () -> submit(ex, team, bytes)),
+                        (ex, e) -> ErrorAnswer.send(ex, beforeBody(ex).told(tooLarge())));
     }
 
     /** Returns how much of a body that is too long is read before its caller is cut off. */
@@ -117,12 +127,31 @@
             throw tooLarge();
         }
         SubmitBody body = SubmitBody.parse(bytes);
-        RequestSpec spec = body.toSpec(team, limits);
+        boolean sole = !body.keyed() || saysFirst(exchange);
+        guarded(
+                exchange,
+                KeyVerdict.soleIf(() -> sole),
+                () -> submit(exchange, body, body.toSpec(team, limits), sole));
+    }
+
+    private void submit(
+            HttpServerExchange exchange, SubmitBody body, RequestSpec spec, boolean sole) {
+        guarded(
+                exchange,
+                KeyVerdict.soleIf(() -> sole && !service.knows(spec.id())),
+                () -> start(exchange, body, spec, sole));
+    }
+
+    private void start(
+            HttpServerExchange exchange, SubmitBody body, RequestSpec spec, boolean sole) {
         RunningRequest request = service.submit(spec, body.keyed(), exchange.getIoThread());
         // Dispatched on the same thread, so that the exchange stays open after this call returns.
         exchange.dispatch(
                 SameThreadExecutor.INSTANCE,
-                () -> answer(exchange, request, body.streams(), Optional.empty()));
+                () -> {
+                    KeyVerdict told = KeyVerdict.soleIf(() -> sole && !request.shared());
+                    answer(exchange, request, told, body.streams(), Optional.empty());
+                });
     }
 
     private void readAgain(HttpServerExchange exchange, String path) {
@@ -137,7 +166,10 @@
                         .orElse("");
         boolean streams = !accept.contains("application/json");
         int shown = id.map(e -> e.index() + 1).orElse(0);
-        withOwnRequest(exchange, path, shown, request -> answer(exchange, request, streams, id));
+        // Who reads by id may have come back from a connection that was lost, or from elsewhere.
+        KeyVerdict told = KeyVerdict.soleIf(() -> false);
+        withOwnRequest(
+                exchange, path, shown, request -> answer(exchange, request, told, streams, id));
     }
 
     private void cancel(HttpServerExchange exchange, String path) {
@@ -164,6 +196,7 @@
                                         found ->
                                                 guarded(
                                                         exchange,
+                                                        beforeBody(exchange),
                                                         () -> then.accept(own(found, team)))));
     }
 
@@ -201,23 +234,24 @@
     private void answer(
             HttpServerExchange exchange,
             RunningRequest request,
+            KeyVerdict told,
             boolean streams,
             Optional<EventId> last) {
         String id = request.spec().id().value();
         if (streams) {
             boolean allowReset = request.spec().allowReset();
-            new EventStreamWriter(exchange, request.log(), last, allowReset, limits.stallMs())
+            new EventStreamWriter(exchange, request.log(), told, last, allowReset, limits.stallMs())
                     .start(id);
         } else {
-            new WholeAnswerWriter(exchange, request.log(), id).start();
+            new WholeAnswerWriter(exchange, request.log(), told, id).start();
         }
     }
 
-    private static void guarded(HttpServerExchange exchange, Runnable step) {
+    private static void guarded(HttpServerExchange exchange, KeyVerdict told, Runnable step) {
         try {
             step.run();
         } catch (MasticweirException e) {
-            ErrorAnswer.send(exchange, e);
+            ErrorAnswer.send(exchange, told.told(e));
         } catch (RuntimeException e) {
             LOG.error("callers: request failed inside the router", e);
             ErrorAnswer.send(
--- a/masticweir/src/main/java/org/masticweir/callers/ErrorAnswer.java
+++ b/masticweir/src/main/java/org/masticweir/callers/ErrorAnswer.java
@@ -6,6 +6,8 @@
 import io.undertow.util.Headers;
 import java.nio.charset.StandardCharsets;
 import org.masticweir.error.MasticweirException;
+import org.masticweir.error.Submission;
+import org.masticweir.error.Verdict;
 
 /** Writes the error object that every failed call ends with. */
 public final class ErrorAnswer {
@@ -35,6 +37,10 @@
         ObjectNode node = MAPPER.createObjectNode();
         node.put("code", error.code().name());
         node.put("verdict", error.verdict().name());
+        if (error.submission() == Submission.NOT_SENT && error.verdict() != Verdict.NOT_RUN) {
+            // Else the verdict says it.
+            node.put("submission", error.submission().name());
+        }
         node.put("message", error.getMessage());
         error.retryAfterMs().ifPresent(ms -> node.put("retry_after_ms", ms));
         return node.toString();
--- a/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/EventStreamWriter.java
@@ -50,6 +50,7 @@
     private final HttpServerExchange exchange;
     private final XnioIoThread thread;
     private final AnswerLog log;
+    private final KeyVerdict told;
     private final long stallMs;
     private final boolean allowReset;
     private final Runnable wake = this::wake;
@@ -68,16 +69,19 @@
     /**
      * Creates a writer that goes on after what the caller has.
      *
+     * @param told what may be told of an error
      * @param allowReset whether the caller accepts that all it has becomes void
      */
     EventStreamWriter(
             HttpServerExchange exchange,
             AnswerLog log,
+            KeyVerdict told,
             Optional<EventId> last,
             boolean allowReset,
             long stallMs) {
         this.exchange = checkNotNull(exchange, "exchange");
         this.log = checkNotNull(log, "log");
+        this.told = checkNotNull(told, "told");
         this.stallMs = stallMs;
         this.allowReset = allowReset;
         thread = exchange.getIoThread();
@@ -113,7 +117,7 @@
                         : Optional.empty();
         if (error.isPresent()) {
             leave();
-            ErrorAnswer.send(exchange, error.get());
+            ErrorAnswer.send(exchange, told.told(error.get()));
         } else if (view.released() > 0 || view.end().isPresent()) {
             sendHead();
         }
@@ -216,7 +220,7 @@
 
     private byte[] endOf(AnswerEnd end, int tokens) {
         if (end instanceof AnswerEnd.Failed failed) {
-            return EventText.error(failed.error());
+            return EventText.error(told.told(failed.error()));
         }
         return EventText.end(generation, tokens, ((AnswerEnd.Completed) end).result());
     }
--- a/masticweir/src/main/java/org/masticweir/callers/WholeAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/callers/WholeAnswerWriter.java
@@ -21,13 +21,16 @@
     private final HttpServerExchange exchange;
     private final XnioIoThread thread;
     private final AnswerLog log;
+    private final KeyVerdict told;
     private final String requestId;
     private final Runnable wake = this::wake;
     private final AtomicBoolean gone = new AtomicBoolean();
 
-    WholeAnswerWriter(HttpServerExchange exchange, AnswerLog log, String requestId) {
+    WholeAnswerWriter(
+            HttpServerExchange exchange, AnswerLog log, KeyVerdict told, String requestId) {
         this.exchange = checkNotNull(exchange, "exchange");
         this.log = checkNotNull(log, "log");
+        this.told = checkNotNull(told, "told");
         this.requestId = checkNotNull(requestId, "requestId");
         thread = exchange.getIoThread();
     }
@@ -54,7 +57,7 @@
         exchange.getResponseHeaders().put(EventStreamWriter.REQUEST, requestId);
         AnswerEnd end = view.end().get();
         if (end instanceof AnswerEnd.Failed failed) {
-            ErrorAnswer.send(exchange, failed.error());
+            ErrorAnswer.send(exchange, told.told(failed.error()));
             return;
         }
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
--- a/masticweir/src/main/java/org/masticweir/serving/RequestService.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RequestService.java
@@ -47,6 +47,9 @@
         RequestRun.Service service = serviceFor(spec);
         RequestRegistry.Admission admission = registry.admit(spec, context.clock().nowMs());
         RunningRequest request = admission.request();
+        if (!admission.fresh()) {
+            request.share();
+        }
         if (!request.spec().equals(spec)) {
             throw MasticweirException.notRun(
                     ErrorCode.KEY_REUSED, "the idempotency key was used for another request");
@@ -58,6 +61,11 @@
         return request;
     }
 
+    /** Tells whether this router runs, reads or keeps a copy of the request {@code id}. */
+    public boolean knows(RequestId id) {
+        return context.registry().find(id).isPresent() || context.copies().links().holds(id);
+    }
+
     /**
      * Finds a request by its id, here or at another router, and serves it here.
      *
@@ -90,6 +98,7 @@
             RequestRun.Service service,
             XnioIoThread thread,
             Optional<RouterId> named) {
+        request.share();
         RequestFollow follow = new RequestFollow(context, request, thread, takeOver(thread));
         if (named.isPresent()) {
             Runnable again = () -> openAgain(request, service, thread, named.get());
@@ -129,8 +138,9 @@
                         .orElseThrow(
                                 () ->
                                         MasticweirException.notRun(
-                                                ErrorCode.NO_CONFIGURATION,
-                                                "the router has no configuration yet"));
+                                                        ErrorCode.NO_CONFIGURATION,
+                                                        "the router has no configuration yet")
+                                                .retryAfterMs(NOT_READY_RETRY_MS));
         return new RequestRun.Service(classOf(deployment, spec), modelOf(deployment, spec));
     }
 
--- a/masticweir/src/main/java/org/masticweir/serving/RunningRequest.java
+++ b/masticweir/src/main/java/org/masticweir/serving/RunningRequest.java
@@ -19,6 +19,7 @@
     private final long acceptedAtMs;
     private volatile Optional<OwnedAnswer> owned = Optional.empty();
     private volatile Placement placement = Placement.NONE;
+    private volatile boolean shared;
     private volatile Runnable canceller = () -> {};
 
     RunningRequest(RequestSpec spec, long acceptedAtMs) {
@@ -38,6 +39,15 @@
         return acceptedAtMs;
     }
 
+    /** Tells whether another submission of the key is known of, here or at another router. */
+    public boolean shared() {
+        return shared;
+    }
+
+    void share() {
+        shared = true;
+    }
+
     /** Returns the answer as other routers may read it, while this router owns the request. */
     public Optional<OwnedAnswer> owned() {
         return owned;
