it: random faults cut a domain off from the other one, and from both

Change: the steps CUT_DOMAIN_FROM_OTHER and CUT_DOMAIN_OFF (from the platform too), each once in every plan, drawn apart so that a seed keeps its other steps. They never overlap with another cut of a domain. A router that starts during a cut is cut off as well. ConfigurationCheck counts a domain that is cut off from both as struck, since it can't hear of a change.

--- a/masticweir-it/src/test/java/org/masticweir/it/ChildProcess.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ChildProcess.java
@@ -77,6 +77,10 @@
         return process.isAlive();
     }
 
+    long pid() {
+        return process.pid();
+    }
+
     /** Ends the process at once, as a power cut would, and waits until it is gone. */
     void kill() {
         process.destroyForcibly();
--- a/masticweir-it/src/test/java/org/masticweir/it/FaultFleet.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FaultFleet.java
@@ -7,10 +7,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Streams;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
 import org.masticweir.bench.BenchWorker;
 import org.masticweir.bench.caller.CallerClient;
 import org.masticweir.bench.standin.StandInControl;
@@ -132,6 +134,25 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Sets the links between both domains to {@code mode}, those within them stay as they are. */
+    void cutDomains(String mode) {
+        cutBetween(0, 1, mode);
+        cutBetween(1, 0, mode);
+    }
+
+    /** Sets what the routers of one domain can do with routers and back ends of another. */
+    private void cutBetween(int from, int to, String mode) {
+        String far = DOMAINS.get(to);
+        ImmutableList<String> routes =
+                Streams.concat(
+                                routersOf(to).stream().map(FaultFleet::peerRoute),
+                                Stream.concat(engines.stream(), services.stream())
+                                        .filter(b -> b.domain().equals(far))
+                                        .map(BackEndProcess::id))
+                        .collect(ImmutableList.toImmutableList());
+        proxy.partition(routes, routersOf(from).stream().map(FleetRouter::pid).toList(), mode);
+    }
+
     OperatorPort operators(FleetRouter router) {
         return new OperatorPort(calls, router.operators());
     }
--- a/masticweir-it/src/test/java/org/masticweir/it/FaultPlan.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FaultPlan.java
@@ -14,7 +14,9 @@
  * The faults and the calls of one run, drawn from a seed; the same seed draws the same; immutable.
  *
  * <p>Steps overlap freely, but at most two routers and two engines are struck at a time, so that
- * callers have a router to go to, and no two steps strike the same process at once.
+ * callers have a router to go to, and no two steps strike the same process at once. The cuts
+ * between domains are drawn apart, so that a seed draws the other steps that it drew before there
+ * were any.
  */
 final class FaultPlan {
     /** Time over which calls are made. */
@@ -78,7 +80,8 @@
 
     static FaultPlan of(long seed) {
         Random random = new Random(seed);
-        return new FaultPlan(seed, drawSteps(random), drawCalls(random));
+        List<FaultStep> steps = withCutsOfDomains(drawSteps(random), new Random(~seed));
+        return new FaultPlan(seed, steps, drawCalls(random));
     }
 
     long seed() {
@@ -96,13 +99,25 @@
     }
 
     private static List<FaultStep> drawSteps(Random random) {
-        List<FaultStep.Kind> kinds = new ArrayList<>(Arrays.asList(FaultStep.Kind.values()));
+        List<FaultStep.Kind> kinds =
+                new ArrayList<>(
+                        Arrays.stream(FaultStep.Kind.values())
+                                .filter(k -> !k.cutsDomains())
+                                .toList());
         Collections.shuffle(kinds, random);
         List<FaultStep> steps = new ArrayList<>();
         for (FaultStep.Kind kind : kinds.subList(0, STEPS)) {
             place(kind, steps, random);
         }
         place(FaultStep.Kind.RACE_OF_OPERATORS, steps, random);
+        return steps;
+    }
+
+    /** Adds the cuts between domains, which every plan has; drawn apart from all the rest. */
+    private static List<FaultStep> withCutsOfDomains(List<FaultStep> steps, Random random) {
+        Arrays.stream(FaultStep.Kind.values())
+                .filter(FaultStep.Kind::cutsDomains)
+                .forEach(k -> place(k, steps, random));
         steps.sort(Comparator.comparingLong(FaultStep::atMs));
         return steps;
     }
--- a/masticweir-it/src/test/java/org/masticweir/it/FaultStep.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FaultStep.java
@@ -39,6 +39,10 @@
         DRAIN_ROUTER(Strikes.ROUTER, 3_000, 4_000),
         CUT_PEER_LINK(Strikes.PEER_LINK, 300, 3_500),
         CUT_DOMAIN_FROM_PLATFORM(Strikes.DOMAIN, 500, 4_000),
+        /** Neither domain reaches routers or back ends of the other one. */
+        CUT_DOMAIN_FROM_OTHER(Strikes.DOMAIN, 1_000, 4_000),
+        /** The domain reaches neither the other one nor the platform. */
+        CUT_DOMAIN_OFF(Strikes.DOMAIN, 1_000, 4_000),
         PLATFORM_OUT(Strikes.PLATFORM, 500, 3_000),
         PLATFORM_SLOW(Strikes.PLATFORM, 1_000, 3_000),
         PLATFORM_LOSES_ANSWERS(Strikes.PLATFORM, 300, 500),
@@ -56,6 +60,11 @@
             this.mostMs = mostMs;
         }
 
+        /** Tells whether the domains are cut from each other. */
+        boolean cutsDomains() {
+            return this == CUT_DOMAIN_FROM_OTHER || this == CUT_DOMAIN_OFF;
+        }
+
         Strikes strikes() {
             return strikes;
         }
@@ -78,8 +87,9 @@
         return atMs <= step.endMs() && step.atMs <= endMs();
     }
 
-    /** Tells whether both steps strike the same thing. */
+    /** Tells whether both steps strike the same thing; one cut is between both domains. */
     boolean strikesLike(FaultStep step) {
-        return kind.strikes() == step.kind.strikes() && target == step.target;
+        boolean cut = kind.cutsDomains() || step.kind.cutsDomains();
+        return kind.strikes() == step.kind.strikes() && (target == step.target || cut);
     }
 }
--- a/masticweir-it/src/test/java/org/masticweir/it/FaultSteps.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FaultSteps.java
@@ -44,6 +44,8 @@
     private final List<Drained> drained = new CopyOnWriteArrayList<>();
     private final AtomicInteger lastTargetMs = new AtomicInteger(FIRST_TARGET_MS);
 
+    private String domainsMode = "pass";
+
     FaultSteps(FaultFleet fleet, StandInRuns runs) {
         this.fleet = checkNotNull(fleet, "fleet");
         this.runs = checkNotNull(runs, "runs");
@@ -77,6 +79,11 @@
             case DRAIN_ROUTER -> fleet.drain(router(step));
             case CUT_PEER_LINK -> cut(FaultFleet.peerRoute(router(step)), step);
             case CUT_DOMAIN_FROM_PLATFORM -> cutFromPlatform(step);
+            case CUT_DOMAIN_FROM_OTHER -> cutDomains(step);
+            case CUT_DOMAIN_OFF -> {
+                cutFromPlatform(step);
+                cutDomains(step);
+            }
             case PLATFORM_OUT -> fleet.platformFault("{\"outage_ms\":" + step.forMs() + "}");
             case PLATFORM_SLOW -> fleet.platformFault("{\"slow_ms\":" + 300 * step.other() + "}");
             case PLATFORM_LOSES_ANSWERS -> fleet.platformFault("{\"lose_answers\":4}");
@@ -101,9 +108,20 @@
                 fleet.proxy().set(FaultFleet.peerRoute(router(step)), "pass");
                 struck.add(new Struck(router(step).id(), begunAtMs.get(step), CLOCK.nowMs()));
             }
-            case CUT_DOMAIN_FROM_PLATFORM ->
-                    fleet.routersOf(step.target())
-                            .forEach(r -> fleet.proxy().set(FaultFleet.platformRoute(r), "pass"));
+            case CUT_DOMAIN_FROM_PLATFORM -> healPlatform(step);
+            case CUT_DOMAIN_FROM_OTHER -> healDomains();
+            case CUT_DOMAIN_OFF -> {
+                healPlatform(step);
+                healDomains();
+                fleet.routersOf(step.target())
+                        .forEach(
+                                r ->
+                                        struck.add(
+                                                new Struck(
+                                                        r.id(),
+                                                        begunAtMs.get(step),
+                                                        CLOCK.nowMs())));
+            }
             case PLATFORM_SLOW -> fleet.platformFault("{\"slow_ms\":0}");
             case PLATFORM_LOSES_ANSWERS -> fleet.platformFault("{\"lose_answers\":0}");
             case SERVICE_LOSES_ANSWERS ->
@@ -142,7 +160,31 @@
                 .forEach(r -> fleet.proxy().set(FaultFleet.platformRoute(r), mode));
     }
 
+    private void healPlatform(FaultStep step) {
+        fleet.routersOf(step.target())
+                .forEach(r -> fleet.proxy().set(FaultFleet.platformRoute(r), "pass"));
+    }
+
+    private synchronized void cutDomains(FaultStep step) {
+        domainsMode = step.other() % 2 == 0 ? "stall" : "cut";
+        fleet.cutDomains(domainsMode);
+    }
+
+    private synchronized void healDomains() {
+        domainsMode = "pass";
+        fleet.cutDomains(domainsMode);
+    }
+
+    /** Has a cut between the domains hold for a router that is a new process now. */
+    private synchronized void cutDomainsAgain() {
+        if (!domainsMode.equals("pass")) {
+            fleet.cutDomains(domainsMode);
+        }
+    }
+
     private void heal(FaultStep step) {
+        router(step).heal();
+        cutDomainsAgain();
         fleet.heal(router(step));
         struck.add(new Struck(router(step).id(), begunAtMs.get(step), CLOCK.nowMs()));
     }
--- a/masticweir-it/src/test/java/org/masticweir/it/FleetRouter.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/FleetRouter.java
@@ -24,7 +24,7 @@
     private final RouterPorts ports;
     private final InetSocketAddress platform;
     private final InetSocketAddress advertised;
-    private ChildProcess process;
+    private volatile ChildProcess process;
     private boolean paused;
 
     /**
@@ -70,6 +70,11 @@
         return advertised;
     }
 
+    /** Returns the id of the process that is the router now. */
+    long pid() {
+        return process.pid();
+    }
+
     boolean runs() {
         return process.alive() && !paused;
     }
--- a/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/ProxyControl.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import org.masticweir.bench.standin.StandInControl;
 import org.masticweir.http.IpAddress;
@@ -51,6 +52,13 @@
                 route);
     }
 
+    /** Sets the mode of the connections that {@code clients}, process ids, have on the routes. */
+    void partition(List<String> routes, List<Long> clients, String mode) {
+        send(
+                "{\"partition\":{\"routes\":[\"%s\"],\"clients\":%s,\"mode\":\"%s\"}}",
+                String.join("\",\"", routes), clients, mode);
+    }
+
     /** Returns what the proxy counted on {@code route}. */
     JsonNode record(String route) {
         return find(route).orElseThrow(() -> new AssertionError("no route " + route));
