--- a/masticweir-it/src/test/java/org/masticweir/it/RouterFleet.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/RouterFleet.java
@@ -84,11 +84,11 @@
 
     /** Cuts every link between routers. */
     void cutPeers() {
-        routers.forEach(r -> bed.proxy().set(peerRoute(r.id()), "cut"));
+        setPeers("cut");
     }
 
     void passPeers() {
-        routers.forEach(r -> bed.proxy().set(peerRoute(r.id()), "pass"));
+        setPeers("pass");
     }
 
     /** Delays all that other routers send to {@code router}, and its answers. */
@@ -114,4 +114,8 @@
     public void close() {
         routers.close();
     }
+
+    private void setPeers(String mode) {
+        routers.all().forEach(r -> bed().proxy().set(FleetRouters.peerRoute(r.id()), mode));
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -64,34 +64,35 @@
     }
 
     private static DaemonSettings from(SettingsReader in) {
-        in.checkOrder(DaemonSetting.INSTANCES_POLL_MS, DaemonSetting.INSTANCES_POLL_MAX_MS);
-        in.checkOrder(DaemonSetting.HEARTBEAT_MS, DaemonSetting.HEARTBEAT_MAX_MS);
-        in.checkAbove(DaemonSetting.HEARTBEAT_MS, 2, DaemonSetting.SUSPECT_MS);
-        in.checkAbove(DaemonSetting.SUSPECT_MS, 1, DaemonSetting.DEAD_MS);
-        in.checkOrder(DaemonSetting.SILENCE_FLOOR_MS, DaemonSetting.SILENCE_START_MS);
-        in.checkTogether(DaemonSetting.KEYSTORE_FILE, DaemonSetting.KEYSTORE_PASSWORD_FILE);
+        in.checkOrder(ProcessSetting.INSTANCES_POLL_MS, ProcessSetting.INSTANCES_POLL_MAX_MS);
+        in.checkOrder(ControlSetting.HEARTBEAT_MS, ControlSetting.HEARTBEAT_MAX_MS);
+        in.checkAbove(ControlSetting.HEARTBEAT_MS, 2, ControlSetting.SUSPECT_MS);
+        in.checkAbove(ControlSetting.SUSPECT_MS, 1, ControlSetting.DEAD_MS);
+        in.checkOrder(ServingSetting.SILENCE_FLOOR_MS, ServingSetting.SILENCE_START_MS);
+        in.checkTogether(ProcessSetting.KEYSTORE_FILE, ProcessSetting.KEYSTORE_PASSWORD_FILE);
         in.checkTogether(
-                DaemonSetting.PEER_KEYSTORE_FILE, DaemonSetting.PEER_KEYSTORE_PASSWORD_FILE);
-        in.checkTogether(DaemonSetting.PEER_KEYSTORE_FILE, DaemonSetting.PEER_TRUST_FILE);
+                ProcessSetting.PEER_KEYSTORE_FILE, ProcessSetting.PEER_KEYSTORE_PASSWORD_FILE);
+        in.checkTogether(ProcessSetting.PEER_KEYSTORE_FILE, ProcessSetting.PEER_TRUST_FILE);
         return new DaemonSettings(
                 Router.from(in),
                 Platform.from(in),
-                new Log(in.get(DaemonSetting.LOG_LAYOUT), in.get(DaemonSetting.LOG_LEVEL)),
+                new Log(in.get(ProcessSetting.LOG_LAYOUT), in.get(ProcessSetting.LOG_LEVEL)),
                 Callers.from(in),
                 Recovery.from(in),
                 Engines.from(in),
                 Peers.from(in),
                 Claims.from(in),
                 new Control(
-                        in.get(DaemonSetting.UNLOAD_AFTER_MS),
-                        in.get(DaemonSetting.LOAD_TIMEOUT_MS)),
+                        in.get(ControlSetting.UNLOAD_AFTER_MS),
+                        in.get(ControlSetting.LOAD_TIMEOUT_MS)),
                 Security.from(in),
                 Config.from(in),
-                new Shutdown(in.get(DaemonSetting.BALANCER_LAG_MS), in.get(DaemonSetting.DRAIN_MS)),
+                new Shutdown(
+                        in.get(ControlSetting.BALANCER_LAG_MS), in.get(ControlSetting.DRAIN_MS)),
                 Limits.from(in),
                 Retries.from(in),
-                new Copies(in.get(DaemonSetting.COPY_FRAMES_PER_S)),
-                new Routing(in.get(DaemonSetting.CHOOSER)));
+                new Copies(in.get(ServingSetting.COPY_FRAMES_PER_S)),
+                new Routing(in.get(ServingSetting.CHOOSER)));
     }
 
     /** Section {@code [router]}: who this router is and where it listens. */
@@ -104,15 +105,15 @@
             InetSocketAddress advertisedPeerAddress,
             int ioThreads) {
         private static Router from(SettingsReader in) {
-            InetSocketAddress peerAddress = in.get(DaemonSetting.PEER_ADDRESS);
+            InetSocketAddress peerAddress = in.get(ProcessSetting.PEER_ADDRESS);
             return new Router(
-                    in.get(DaemonSetting.ID),
-                    in.get(DaemonSetting.DOMAIN),
-                    in.get(DaemonSetting.CALLER_ADDRESS),
-                    in.get(DaemonSetting.OPERATOR_ADDRESS),
+                    in.get(ProcessSetting.ID),
+                    in.get(ProcessSetting.DOMAIN),
+                    in.get(ProcessSetting.CALLER_ADDRESS),
+                    in.get(ProcessSetting.OPERATOR_ADDRESS),
                     peerAddress,
-                    in.getOr(DaemonSetting.ADVERTISED_PEER_ADDRESS, peerAddress),
-                    in.get(DaemonSetting.IO_THREADS));
+                    in.getOr(ProcessSetting.ADVERTISED_PEER_ADDRESS, peerAddress),
+                    in.get(ProcessSetting.IO_THREADS));
         }
     }
 
@@ -126,12 +127,12 @@
             int instancesBytesPerS) {
         private static Platform from(SettingsReader in) {
             return new Platform(
-                    in.get(DaemonSetting.PLATFORM_ADDRESS),
-                    in.get(DaemonSetting.PLATFORM_DEADLINE_MS),
-                    in.get(DaemonSetting.CONFIG_POLL_MS),
-                    in.get(DaemonSetting.INSTANCES_POLL_MS),
-                    in.get(DaemonSetting.INSTANCES_POLL_MAX_MS),
-                    in.get(DaemonSetting.INSTANCES_BYTES_PER_S));
+                    in.get(ProcessSetting.PLATFORM_ADDRESS),
+                    in.get(ProcessSetting.PLATFORM_DEADLINE_MS),
+                    in.get(ProcessSetting.CONFIG_POLL_MS),
+                    in.get(ProcessSetting.INSTANCES_POLL_MS),
+                    in.get(ProcessSetting.INSTANCES_POLL_MAX_MS),
+                    in.get(ProcessSetting.INSTANCES_BYTES_PER_S));
         }
     }
 
@@ -148,12 +149,12 @@
             int maxTeamsShown) {
         private static Callers from(SettingsReader in) {
             return new Callers(
-                    in.get(DaemonSetting.MAX_BODY_BYTES),
-                    in.get(DaemonSetting.MAX_HEADER_BYTES),
-                    in.get(DaemonSetting.MAX_REQUESTS),
-                    in.get(DaemonSetting.STALL_MS),
-                    in.get(DaemonSetting.ORPHAN_MS),
-                    in.get(DaemonSetting.MAX_TEAMS_SHOWN));
+                    in.get(ServingSetting.MAX_BODY_BYTES),
+                    in.get(ServingSetting.MAX_HEADER_BYTES),
+                    in.get(ServingSetting.MAX_REQUESTS),
+                    in.get(ServingSetting.STALL_MS),
+                    in.get(ServingSetting.ORPHAN_MS),
+                    in.get(ServingSetting.MAX_TEAMS_SHOWN));
         }
     }
 
@@ -166,11 +167,11 @@
             int maxAttempts) {
         private static Recovery from(SettingsReader in) {
             return new Recovery(
-                    in.get(DaemonSetting.PROBE_TIMEOUT_MS),
-                    in.get(DaemonSetting.SILENCE_FLOOR_MS),
-                    in.get(DaemonSetting.SILENCE_START_MS),
-                    in.get(DaemonSetting.CONNECT_TIMEOUT_MS),
-                    in.get(DaemonSetting.MAX_ATTEMPTS));
+                    in.get(ServingSetting.PROBE_TIMEOUT_MS),
+                    in.get(ServingSetting.SILENCE_FLOOR_MS),
+                    in.get(ServingSetting.SILENCE_START_MS),
+                    in.get(ServingSetting.CONNECT_TIMEOUT_MS),
+                    in.get(ServingSetting.MAX_ATTEMPTS));
         }
     }
 
@@ -178,9 +179,9 @@
     public record Engines(int statePollMs, int shareAbove, int sharedPollMs) {
         private static Engines from(SettingsReader in) {
             return new Engines(
-                    in.get(DaemonSetting.STATE_POLL_MS),
-                    in.get(DaemonSetting.SHARE_ABOVE),
-                    in.get(DaemonSetting.SHARED_POLL_MS));
+                    in.get(ServingSetting.STATE_POLL_MS),
+                    in.get(ServingSetting.SHARE_ABOVE),
+                    in.get(ServingSetting.SHARED_POLL_MS));
         }
     }
 
@@ -195,13 +196,13 @@
             int handshakeMs) {
         private static Peers from(SettingsReader in) {
             return new Peers(
-                    in.get(DaemonSetting.HEARTBEAT_MS),
-                    in.get(DaemonSetting.HEARTBEAT_MAX_MS),
-                    in.get(DaemonSetting.HEARTBEAT_BYTES_PER_S),
-                    in.get(DaemonSetting.SUSPECT_MS),
-                    in.get(DaemonSetting.DEAD_MS),
-                    in.get(DaemonSetting.LINK_SILENCE_MS),
-                    in.get(DaemonSetting.HANDSHAKE_MS));
+                    in.get(ControlSetting.HEARTBEAT_MS),
+                    in.get(ControlSetting.HEARTBEAT_MAX_MS),
+                    in.get(ControlSetting.HEARTBEAT_BYTES_PER_S),
+                    in.get(ControlSetting.SUSPECT_MS),
+                    in.get(ControlSetting.DEAD_MS),
+                    in.get(ControlSetting.LINK_SILENCE_MS),
+                    in.get(ControlSetting.HANDSHAKE_MS));
         }
     }
 
@@ -213,11 +214,11 @@
             int batchWaitMs, int retentionMs, int shareAbove, int writerWaitMs, int writerAvoidMs) {
         private static Claims from(SettingsReader in) {
             return new Claims(
-                    in.get(DaemonSetting.BATCH_WAIT_MS),
-                    in.get(DaemonSetting.RETENTION_MS),
-                    in.get(DaemonSetting.CLAIMS_SHARE_ABOVE),
-                    in.get(DaemonSetting.WRITER_WAIT_MS),
-                    in.get(DaemonSetting.WRITER_AVOID_MS));
+                    in.get(ControlSetting.BATCH_WAIT_MS),
+                    in.get(ControlSetting.RETENTION_MS),
+                    in.get(ControlSetting.CLAIMS_SHARE_ABOVE),
+                    in.get(ControlSetting.WRITER_WAIT_MS),
+                    in.get(ControlSetting.WRITER_AVOID_MS));
         }
     }
 
@@ -234,12 +235,12 @@
             Optional<Path> peerTrustFile) {
         private static Security from(SettingsReader in) {
             return new Security(
-                    path(in, DaemonSetting.KEYSTORE_FILE),
-                    path(in, DaemonSetting.KEYSTORE_PASSWORD_FILE),
-                    path(in, DaemonSetting.OPERATOR_CREDENTIALS_FILE),
-                    path(in, DaemonSetting.PEER_KEYSTORE_FILE),
-                    path(in, DaemonSetting.PEER_KEYSTORE_PASSWORD_FILE),
-                    path(in, DaemonSetting.PEER_TRUST_FILE));
+                    path(in, ProcessSetting.KEYSTORE_FILE),
+                    path(in, ProcessSetting.KEYSTORE_PASSWORD_FILE),
+                    path(in, ProcessSetting.OPERATOR_CREDENTIALS_FILE),
+                    path(in, ProcessSetting.PEER_KEYSTORE_FILE),
+                    path(in, ProcessSetting.PEER_KEYSTORE_PASSWORD_FILE),
+                    path(in, ProcessSetting.PEER_TRUST_FILE));
         }
 
         private static Optional<Path> path(SettingsReader in, Setting<String> row) {
@@ -251,9 +252,9 @@
     public record Config(int retryMs, int settleWaitMs, int domainWaitMs) {
         private static Config from(SettingsReader in) {
             return new Config(
-                    in.get(DaemonSetting.CONFIG_RETRY_MS),
-                    in.get(DaemonSetting.SETTLE_WAIT_MS),
-                    in.get(DaemonSetting.DOMAIN_WAIT_MS));
+                    in.get(ControlSetting.CONFIG_RETRY_MS),
+                    in.get(ControlSetting.SETTLE_WAIT_MS),
+                    in.get(ControlSetting.DOMAIN_WAIT_MS));
         }
     }
 
@@ -271,16 +272,16 @@
             int maxQueued) {
         private static Limits from(SettingsReader in) {
             return new Limits(
-                    in.get(DaemonSetting.CLASS_SHARES),
-                    in.get(DaemonSetting.QUEUE_DEADLINES),
-                    in.get(DaemonSetting.FAIR_SHARES),
-                    in.get(DaemonSetting.PREDICTED_REFUSAL),
-                    in.get(DaemonSetting.RECOVERY_ADMISSION),
-                    in.get(DaemonSetting.HEADROOM_PERCENT),
-                    in.get(DaemonSetting.OVERCOMMIT_PERCENT),
-                    in.get(DaemonSetting.BURST_PERCENT),
-                    in.get(DaemonSetting.RECOVERY_SHARE_PERCENT),
-                    in.get(DaemonSetting.MAX_QUEUED));
+                    in.get(ServingSetting.CLASS_SHARES),
+                    in.get(ServingSetting.QUEUE_DEADLINES),
+                    in.get(ServingSetting.FAIR_SHARES),
+                    in.get(ServingSetting.PREDICTED_REFUSAL),
+                    in.get(ServingSetting.RECOVERY_ADMISSION),
+                    in.get(ServingSetting.HEADROOM_PERCENT),
+                    in.get(ServingSetting.OVERCOMMIT_PERCENT),
+                    in.get(ServingSetting.BURST_PERCENT),
+                    in.get(ServingSetting.RECOVERY_SHARE_PERCENT),
+                    in.get(ServingSetting.MAX_QUEUED));
         }
     }
 
@@ -288,9 +289,9 @@
     public record Retries(int budgetPercent, int budgetFloor, int maxSends) {
         private static Retries from(SettingsReader in) {
             return new Retries(
-                    in.get(DaemonSetting.BUDGET_PERCENT),
-                    in.get(DaemonSetting.BUDGET_FLOOR),
-                    in.get(DaemonSetting.MAX_SENDS));
+                    in.get(ServingSetting.BUDGET_PERCENT),
+                    in.get(ServingSetting.BUDGET_FLOOR),
+                    in.get(ServingSetting.MAX_SENDS));
         }
     }
 
