recovery: judge probes and keep losses beside the machine

Change: ProbeJudge turns the end of a probe into one of five verdicts, LossRecord keeps engines left out, attempts without a token and the time of the loss. The four ends of a probe are one kind of event, RecoveryEvent.Probed, so the check that the attempt is under way stands once. No behaviour changes.

--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryEvent.java
@@ -55,29 +55,34 @@
         }
     }
 
+    /** How a probe of an attempt's engine ended. */
+    sealed interface Probed extends RecoveryEvent {
+        AttemptId attempt();
+    }
+
     /** The engine answered a probe: its generation stands at token {@code next}. */
-    record ProbeAnswered(AttemptId attempt, int next) implements RecoveryEvent {
+    record ProbeAnswered(AttemptId attempt, int next) implements Probed {
         public ProbeAnswered {
             checkNotNull(attempt, "attempt");
         }
     }
 
     /** The engine did not answer a probe in time. */
-    record ProbeFailed(AttemptId attempt) implements RecoveryEvent {
+    record ProbeFailed(AttemptId attempt) implements Probed {
         public ProbeFailed {
             checkNotNull(attempt, "attempt");
         }
     }
 
     /** The engine answered a probe and does not know the generation, or not yet. */
-    record ProbeUnknown(AttemptId attempt) implements RecoveryEvent {
+    record ProbeUnknown(AttemptId attempt) implements Probed {
         public ProbeUnknown {
             checkNotNull(attempt, "attempt");
         }
     }
 
     /** This router sent no probe, as too many were out; that says nothing of the engine. */
-    record ProbeWithheld(AttemptId attempt) implements RecoveryEvent {
+    record ProbeWithheld(AttemptId attempt) implements Probed {
         public ProbeWithheld {
             checkNotNull(attempt, "attempt");
         }
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -3,8 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import java.util.HashSet;
-import java.util.Set;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
@@ -38,18 +36,17 @@
 
     private final RecoveryPlan plan;
     private final SilenceBounds bounds;
-    private final Set<EngineId> excluded = new HashSet<>();
     private final Assembler assembler;
     private final RunDoubt doubt = new RunDoubt();
     private final SilenceWatch silence = new SilenceWatch();
+    private final LossRecord losses = new LossRecord();
     private final CopyGap gap;
+    private final ProbeJudge probes;
     private final ActionList out;
 
     private Phase phase = Phase.CHOOSING;
     private EngineId engine;
     private boolean rereading;
-    private int fruitlessAttempts;
-    private long lostAtMs = Long.MIN_VALUE;
     private long advisedRetryMs = CHOOSE_AGAIN_MS;
 
     private RecoveryMachine(
@@ -58,6 +55,7 @@
         this.bounds = checkNotNull(bounds, "bounds");
         this.assembler = assembler;
         this.gap = gap;
+        probes = new ProbeJudge(plan, silence, gap);
         out = ActionList.until(plan.deadlineAtMs());
     }
 
@@ -94,9 +92,9 @@
     public ImmutableList<RecoveryAction> start(long nowMs) {
         out.wakeAt(plan.deadlineAtMs());
         if (engine == null) {
-            out.add(new RecoveryAction.ChooseEngine(excluded, false));
+            out.add(new RecoveryAction.ChooseEngine(losses.excluded(), false));
         } else {
-            lostAtMs = nowMs;
+            losses.lost(nowMs);
             rereadSameEngine(nowMs);
             if (gap.asksHead()) {
                 out.add(new RecoveryAction.Probe(assembler.current(), engine));
@@ -123,14 +121,8 @@
             onLinkLost(lost, nowMs);
         } else if (event instanceof RecoveryEvent.Unknown unknown) {
             onUnknown(unknown.attempt(), nowMs);
-        } else if (event instanceof RecoveryEvent.ProbeAnswered answered) {
-            onProbeAnswered(answered, nowMs);
-        } else if (event instanceof RecoveryEvent.ProbeFailed failed) {
-            onProbeFailed(failed.attempt(), nowMs);
-        } else if (event instanceof RecoveryEvent.ProbeUnknown unknown) {
-            onProbeUnknown(unknown.attempt(), nowMs);
-        } else if (event instanceof RecoveryEvent.ProbeWithheld withheld) {
-            onProbeWithheld(withheld.attempt(), nowMs);
+        } else if (event instanceof RecoveryEvent.Probed probed) {
+            onProbed(probed, nowMs);
         } else if (event instanceof RecoveryEvent.Detached) {
             phase = Phase.DONE;
         } else if (event instanceof RecoveryEvent.Cancelled) {
@@ -193,10 +185,8 @@
         if (none.versionGone() && startNewGeneration()) {
             return;
         }
-        boolean underWay = lostAtMs != Long.MIN_VALUE;
-        if (underWay && nowMs - lostAtMs < plan.noEngineWaitMs()) {
-            // An engine left out before may be back: a pause looks like a loss.
-            excluded.clear();
+        if (losses.recoveringFor(plan.noEngineWaitMs(), nowMs)) {
+            losses.excludeNone();
             out.wakeAt(nowMs + CHOOSE_AGAIN_MS);
             return;
         }
@@ -217,7 +207,7 @@
         assembler.supersedeWith(AttemptId.of(generation, 1));
         engine = null;
         out.add(new RecoveryAction.NewGeneration(number, released));
-        out.add(new RecoveryAction.ChooseEngine(excluded, released));
+        out.add(new RecoveryAction.ChooseEngine(losses.excluded(), released));
     }
 
     private void onRefused(RecoveryEvent.Refused refused, long nowMs) {
@@ -291,11 +281,7 @@
         if (silence.tokens(nowMs)) {
             out.wakeAt(nowMs + bound());
         }
-        lostAtMs = Long.MIN_VALUE;
-        fruitlessAttempts = 0;
-        if (!excluded.isEmpty()) {
-            excluded.clear();
-        }
+        losses.progress();
     }
 
     private void onTick(long nowMs) {
@@ -305,7 +291,7 @@
             return;
         }
         if (phase == Phase.CHOOSING) {
-            out.add(new RecoveryAction.ChooseEngine(excluded, lostAtMs != Long.MIN_VALUE));
+            out.add(new RecoveryAction.ChooseEngine(losses.excluded(), losses.recovering()));
             return;
         }
         long dueMs = silence.dueAtMs(bound());
@@ -324,54 +310,19 @@
         out.wakeAt(nowMs + bound());
     }
 
-    private void onProbeAnswered(RecoveryEvent.ProbeAnswered answered, long nowMs) {
-        if (!isUnderWay(answered.attempt())) {
-            return;
-        }
-        silence.answered();
-        if (gap.asksHead()) {
-            gap.headIs(answered.next(), assembler.next());
-            return;
-        }
-        if (nowMs < silence.dueAtMs(bound())) {
-            // Tokens came while the probe was out: an engine ahead of them is no cut link.
-            judge(ProbeVerdict.LISTEN, nowMs);
-            return;
-        }
-        if (answered.next() > assembler.next()) {
-            // The engine went on but its frames do not arrive: the link is cut one way.
-            noteLoss(nowMs);
-            rereadSameEngine(nowMs);
-            return;
-        }
-        judge(silence.answeredWithoutProgress(nowMs), nowMs);
-    }
-
-    private void onProbeFailed(AttemptId attempt, long nowMs) {
-        if (!isUnderWay(attempt)) {
-            return;
+    private void onProbed(RecoveryEvent.Probed probed, long nowMs) {
+        if (isUnderWay(probed.attempt())) {
+            boolean onItsWay = phase == Phase.STARTING && !rereading;
+            ProbeJudge.Standing standing =
+                    new ProbeJudge.Standing(onItsWay, assembler.next(), bound());
+            carryOut(probes.judge(probed, standing, nowMs), nowMs);
         }
-        judge(silence.probeFailed(plan, bound(), nowMs), nowMs);
     }
 
-    private void onProbeUnknown(AttemptId attempt, long nowMs) {
-        boolean onItsWay = phase == Phase.STARTING && !rereading;
-        if (onItsWay && isUnderWay(attempt)) {
-            judge(silence.notArrived(nowMs), nowMs);
-        } else {
-            onUnknown(attempt, nowMs);
-        }
-    }
-
-    private void onProbeWithheld(AttemptId attempt, long nowMs) {
-        if (isUnderWay(attempt)) {
-            silence.withheld();
-            judge(ProbeVerdict.PROBE_AGAIN, nowMs);
-        }
-    }
-
-    private void judge(ProbeVerdict verdict, long nowMs) {
+    private void carryOut(ProbeVerdict verdict, long nowMs) {
         switch (verdict) {
+            case NOTHING:
+                break;
             case LISTEN:
                 out.wakeAt(silence.dueAtMs(bound()));
                 break;
@@ -380,6 +331,10 @@
                 // whole patience would be spent, or sent by the thousand, in one instant.
                 out.wakeAt(nowMs + PROBE_AGAIN_MS);
                 break;
+            case REREAD:
+                noteLoss(nowMs);
+                rereadSameEngine(nowMs);
+                break;
             case LEAVE:
             default:
                 noteLoss(nowMs);
@@ -416,7 +371,7 @@
 
     private void abandonGeneration() {
         gap.close();
-        excluded.add(engine);
+        losses.exclude(engine);
         phase = Phase.CHOOSING;
         silence.endProbes();
         int number = assembler.generation().number() + 1;
@@ -427,15 +382,14 @@
         if (tooManyAttempts()) {
             return;
         }
-        excluded.add(engine);
+        losses.exclude(engine);
         silence.endProbes();
         phase = Phase.CHOOSING;
-        out.add(new RecoveryAction.ChooseEngine(excluded, lostAtMs != Long.MIN_VALUE));
+        out.add(new RecoveryAction.ChooseEngine(losses.excluded(), losses.recovering()));
     }
 
     private boolean tooManyAttempts() {
-        fruitlessAttempts++;
-        if (fruitlessAttempts <= plan.maxAttempts()) {
+        if (!losses.attemptsExceed(plan.maxAttempts())) {
             return false;
         }
         abandon();
@@ -451,9 +405,7 @@
 
     private void noteLoss(long nowMs) {
         doubt.ran();
-        if (lostAtMs == Long.MIN_VALUE) {
-            lostAtMs = nowMs;
-        }
+        losses.lost(nowMs);
     }
 
     private void abandon() {
