config: pass a change between routers as an edit

Ruled out: compression, as half of a team's lines is its credential's hash, which does not compress.

Change: ConfigAsk's revision says what the asking router holds. A peer that has kept that revision (the last four) answers with DocumentEdit: what is kept at both ends, what stands between, and the digest of the result. A router whose text gives another digest drops it and asks for the whole. RecentRevisions keeps and offers, OfferedRevision resolves.

What the table's own readers fetch is as before.

--- a/masticweir/src/main/java/org/masticweir/peer/Fields.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Fields.java
@@ -52,6 +52,11 @@
     /** Returns the next field as text of at most {@code maxBytes} in UTF-8. */
     public String text(int maxBytes) throws IOException {
         take();
+        return text(in, maxBytes);
+    }
+
+    /** Returns the text that starts here, as an item of a list. */
+    public static String text(MessageUnpacker in, int maxBytes) throws IOException {
         int n = in.unpackRawStringHeader();
         checkArgument(n <= maxBytes, "text of %s bytes over %s", n, maxBytes);
         return new String(in.readPayload(n), StandardCharsets.UTF_8);
--- a/masticweir/src/main/java/org/masticweir/router/ConfigControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/ConfigControl.java
@@ -19,7 +19,9 @@
 import org.masticweir.config.ConfigView;
 import org.masticweir.config.Deployment;
 import org.masticweir.config.HistoryEntry;
+import org.masticweir.config.OfferedRevision;
 import org.masticweir.config.ProposedChange;
+import org.masticweir.config.RecentRevisions;
 import org.masticweir.config.RevisionSource;
 import org.masticweir.config.StoredRevision;
 import org.masticweir.config.TableReads;
@@ -52,6 +54,8 @@
     private final long timeoutMs;
     private final Consumer<Deployment> onDeployment;
     private final Map<String, CompletableFuture<ChangeAnswer>> waiting = new HashMap<>();
+    private final RecentRevisions recent = new RecentRevisions();
+    private boolean askWhole;
     private volatile boolean tableAnswers;
 
     /**
@@ -102,8 +106,25 @@
     }
 
     /** Takes a revision that a peer holds. */
-    void offered(StoredRevision row) {
-        run(state.learned(row, RevisionSource.PEER, clock.nowMs()));
+    void offered(OfferedRevision offer) {
+        Optional<StoredRevision> row = offer.resolve(state.view().current());
+        askWhole = row.isEmpty();
+        row.ifPresent(r -> run(state.learned(r, RevisionSource.PEER, clock.nowMs())));
+    }
+
+    /** Returns the revision in force for a router that holds {@code known}, if that is lower. */
+    Optional<OfferedRevision> offerAbove(long known) {
+        return recent.offerAbove(known);
+    }
+
+    /**
+     * Returns the revision that the next ask of a peer names as held here.
+     *
+     * <p>After an edit that does not fit, because this router learned another revision while it was
+     * on its way, none is named and the document comes whole.
+     */
+    long namedInAsks() {
+        return askWhole ? 0 : state.view().revision();
     }
 
     void domainHolds(DomainId domain, long revision) {
@@ -166,6 +187,7 @@
             read(read);
         } else if (action instanceof ConfigAction.Announce announce) {
             LOG.info("config: revision {} in force", announce.row().revision());
+            recent.add(announce.row());
             onDeployment.accept(announce.deployment());
         } else if (action instanceof ConfigAction.Answer answer) {
             answer(answer.answer());
--- a/masticweir/src/main/java/org/masticweir/router/ConfigOffer.java
+++ b/masticweir/src/main/java/org/masticweir/router/ConfigOffer.java
@@ -4,7 +4,9 @@
 
 import java.io.IOException;
 import java.util.Optional;
-import org.masticweir.config.StoredRevision;
+import org.masticweir.config.DocumentEdit;
+import org.masticweir.config.HistoryEntry;
+import org.masticweir.config.OfferedRevision;
 import org.masticweir.peer.Fields;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.peer.PeerMessage;
@@ -12,17 +14,18 @@
 import org.msgpack.core.MessageUnpacker;
 
 /** Answers a {@link ConfigAsk}; empty when the peer holds nothing higher. */
-record ConfigOffer(Optional<StoredRevision> row) implements PeerMessage {
+record ConfigOffer(Optional<OfferedRevision> offered) implements PeerMessage {
     static final MessageCodec<ConfigOffer> CODEC = new Codec();
 
     ConfigOffer {
-        checkNotNull(row, "row");
+        checkNotNull(offered, "offered");
     }
 
-    /** Writes and reads {@link ConfigOffer}. */
+    /** Writes and reads {@link ConfigOffer}; what may be absent is a list of none or one. */
     private static final class Codec implements MessageCodec<ConfigOffer> {
         private static final int FIELDS = 1;
-        private static final int ROW_FIELDS = 5;
+        private static final int OFFER_FIELDS = 6;
+        private static final int EDIT_FIELDS = 4;
         private static final int MAX_NAME_BYTES = 1024;
         private static final int MAX_DOCUMENT_BYTES = 1 << 20;
 
@@ -39,30 +42,58 @@
         @Override
         public void encode(ConfigOffer m, MessagePacker out) throws IOException {
             out.packArrayHeader(FIELDS);
-            out.packArrayHeader(m.row.isPresent() ? 1 : 0);
-            if (m.row.isPresent()) {
-                StoredRevision row = m.row.get();
-                out.packArrayHeader(ROW_FIELDS).packLong(row.revision());
-                out.packString(row.changeId()).packString(row.author()).packLong(row.atMs());
-                out.packString(row.document());
+            out.packArrayHeader(m.offered.isPresent() ? 1 : 0);
+            if (m.offered.isPresent()) {
+                encode(m.offered.get(), out);
+            }
+        }
+
+        private static void encode(OfferedRevision m, MessagePacker out) throws IOException {
+            HistoryEntry entry = m.entry();
+            out.packArrayHeader(OFFER_FIELDS).packLong(entry.revision());
+            out.packString(entry.changeId()).packString(entry.author()).packLong(entry.atMs());
+            out.packArrayHeader(m.document().isPresent() ? 1 : 0);
+            if (m.document().isPresent()) {
+                out.packString(m.document().get());
+            }
+            out.packArrayHeader(m.edit().isPresent() ? 1 : 0);
+            if (m.edit().isPresent()) {
+                DocumentEdit e = m.edit().get();
+                out.packArrayHeader(EDIT_FIELDS).packInt(e.head()).packInt(e.tail());
+                out.packString(e.middle()).packString(e.digest());
             }
         }
 
         @Override
         public ConfigOffer decode(MessageUnpacker in) throws IOException {
             try (Fields f = Fields.open(in, FIELDS)) {
-                return new ConfigOffer(f.list(1, Codec::row).stream().findFirst());
+                return new ConfigOffer(f.list(1, Codec::offer).stream().findFirst());
             }
         }
 
-        private static StoredRevision row(MessageUnpacker in) throws IOException {
-            try (Fields f = Fields.open(in, ROW_FIELDS)) {
-                long revision = f.int64();
-                String changeId = f.text(MAX_NAME_BYTES);
-                String author = f.text(MAX_NAME_BYTES);
-                long atMs = f.int64();
-                return new StoredRevision(
-                        revision, changeId, author, atMs, f.text(MAX_DOCUMENT_BYTES));
+        private static OfferedRevision offer(MessageUnpacker in) throws IOException {
+            try (Fields f = Fields.open(in, OFFER_FIELDS)) {
+                HistoryEntry entry =
+                        new HistoryEntry(
+                                f.int64(),
+                                f.text(MAX_NAME_BYTES),
+                                f.text(MAX_NAME_BYTES),
+                                f.int64());
+                return new OfferedRevision(
+                        entry,
+                        f.list(1, Codec::text).stream().findFirst(),
+                        f.list(1, Codec::edit).stream().findFirst());
+            }
+        }
+
+        private static String text(MessageUnpacker in) throws IOException {
+            return Fields.text(in, MAX_DOCUMENT_BYTES);
+        }
+
+        private static DocumentEdit edit(MessageUnpacker in) throws IOException {
+            try (Fields f = Fields.open(in, EDIT_FIELDS)) {
+                return new DocumentEdit(
+                        f.int32(), f.int32(), f.text(MAX_DOCUMENT_BYTES), f.text(MAX_NAME_BYTES));
             }
         }
     }
--- a/masticweir/src/main/java/org/masticweir/router/PeerControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/PeerControl.java
@@ -121,7 +121,7 @@
             return;
         }
         askingForConfig = true;
-        links.ask(beat.sender().router(), new ConfigAsk(known), askTimeoutMs)
+        links.ask(beat.sender().router(), new ConfigAsk(config.namedInAsks()), askTimeoutMs)
                 .whenCompleteAsync(
                         (offer, failure) -> onOffer(Optional.ofNullable(offer)), control);
     }
@@ -129,14 +129,12 @@
     private void onOffer(Optional<PeerMessage> offer) {
         askingForConfig = false;
         if (offer.isPresent() && offer.get() instanceof ConfigOffer held) {
-            held.row().ifPresent(config::offered);
+            held.offered().ifPresent(config::offered);
         }
     }
 
     private void asked(ConfigAsk ask, Reply reply) {
-        reply.send(
-                new ConfigOffer(
-                        config.view().current().filter(row -> row.revision() > ask.above())));
+        reply.send(new ConfigOffer(config.offerAbove(ask.above())));
     }
 
     private void apply(MembershipEvent event) {
