--- a/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
+++ b/masticweir/src/main/java/org/masticweir/settings/DaemonSettings.java
@@ -270,6 +270,11 @@
             int burstPercent,
             int recoverySharePercent,
             int maxQueued) {
+        /** Returns the limits of a daemon whose settings leave them out. */
+        public static Limits defaults() {
+            return from(SettingsReader.ofDefaults());
+        }
+
         private static Limits from(SettingsReader in) {
             return new Limits(
                     in.get(ServingSetting.CLASS_SHARES),
--- a/masticweir/src/main/java/org/masticweir/settings/SettingsReader.java
+++ b/masticweir/src/main/java/org/masticweir/settings/SettingsReader.java
@@ -34,6 +34,11 @@
         return log.result(() -> value);
     }
 
+    /** Returns a reader of a file that leaves out all that may be left out. */
+    static SettingsReader ofDefaults() {
+        return new SettingsReader(ProblemLog.of("defaults"));
+    }
+
     /** Returns the value in the file, else the default. */
     <T> T get(Setting<T> row) {
         if (row.required()) {
