router: move the ports out of the class that joins the parts

Change: HttpPorts builds, opens and closes the ports of callers and operators, PeerPort the links with all messages that routers send, PortFault names a port that is taken. No behaviour changes.

--- a/masticweir/src/main/java/org/masticweir/router/Router.java
+++ b/masticweir/src/main/java/org/masticweir/router/Router.java
@@ -3,23 +3,13 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.collect.ImmutableList;
-import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import javax.net.ssl.SSLContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.masticweir.callers.CallerHandler;
-import org.masticweir.callers.CallerLimits;
 import org.masticweir.claims.BatchLimits;
-import org.masticweir.claims.ClaimMessageCodecs;
 import org.masticweir.claims.ClaimPolicy;
 import org.masticweir.claims.ClaimService;
 import org.masticweir.claims.ClaimServiceSettings;
@@ -34,9 +24,7 @@
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.id.RouterId;
-import org.masticweir.instances.InstanceNews;
 import org.masticweir.limits.LimitTuning;
-import org.masticweir.membership.Heartbeat;
 import org.masticweir.membership.RouterAddress;
 import org.masticweir.metrics.MetricsPage;
 import org.masticweir.metrics.MetricsTuning;
@@ -44,15 +32,10 @@
 import org.masticweir.operators.EngineQueries;
 import org.masticweir.operators.OperatorHandler;
 import org.masticweir.operators.OperatorLimits;
-import org.masticweir.peer.Hello;
-import org.masticweir.peer.LinkSettings;
-import org.masticweir.peer.MessageCodec;
-import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
 import org.masticweir.platform.HttpPlatform;
 import org.masticweir.recovery.copy.CopyLinkLimits;
 import org.masticweir.recovery.copy.CopyLinks;
-import org.masticweir.recovery.copy.CopyMessageCodecs;
 import org.masticweir.recovery.copy.CopyStore;
 import org.masticweir.recovery.copy.KeyAsk;
 import org.masticweir.recovery.copy.KeyHomes;
@@ -60,8 +43,6 @@
 import org.masticweir.recovery.copy.RegisteredKeys;
 import org.masticweir.recovery.copy.RendezvousRanking;
 import org.masticweir.recovery.copy.StoreLimits;
-import org.masticweir.reports.CandidatesAsk;
-import org.masticweir.reports.EngineShare;
 import org.masticweir.routing.InFlight;
 import org.masticweir.serving.CopyContext;
 import org.masticweir.serving.GapBounds;
@@ -87,10 +68,6 @@
     private static final Logger LOG = LogManager.getLogger(Router.class);
 
     private static final int BUFFER_BYTES = 16 * 1024;
-    private static final int HEADER_SLACK = 4;
-    private static final long BODY_SLACK = 8;
-    private static final int MAX_HEADERS = 200;
-    private static final int MAX_TOKENS = 1 << 20;
     private static final long NO_ENGINE_WAIT_MS = 4_000;
     private static final long RETAIN_MS = 60_000;
     private static final long METRICS_WINDOW_MS = 60_000;
@@ -108,8 +85,7 @@
     private final ServingContext context;
     private final DomainController engines;
     private final Shutdown shutdown;
-    private final Undertow callers;
-    private final Undertow operators;
+    private final HttpPorts ports;
 
     private Router(DaemonSettings settings, Clock clock) {
         this.settings = checkNotNull(settings, "settings");
@@ -119,7 +95,7 @@
         RouterAddress self =
                 RouterAddress.of(
                         own.id(), own.domain(), own.advertisedPeerAddress(), clock.wallMs());
-        links = openLinks(settings, self, clock, security.peers());
+        links = PeerPort.open(settings, self, clock, security.peers());
         LinkGauges.register(metrics, links::counters);
         worker = newWorker(own.ioThreads());
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
@@ -129,8 +105,9 @@
         context = context();
         engines = controller();
         shutdown = new Shutdown(settings.shutdown(), control, registry, clock, engines::release);
-        callers = callerServer();
-        operators = operatorServer();
+        ports =
+                HttpPorts.create(
+                        settings, security, worker, RequestService.of(context), operatorHandler());
     }
 
     /**
@@ -141,8 +118,7 @@
     public static Router start(DaemonSettings settings, Clock clock) {
         Router router = new Router(settings, clock);
         try {
-            open(router.callers, "caller_address", settings.router().callerAddress());
-            open(router.operators, "operator_address", settings.router().operatorAddress());
+            router.ports.open();
         } catch (MasticweirException e) {
             router.close();
             throw e;
@@ -170,55 +146,12 @@
     @Override
     public void close() {
         control.close();
-        callers.stop();
-        operators.stop();
+        ports.close();
         links.close();
         calls.close();
         worker.shutdownNow();
     }
 
-    private static void open(Undertow server, String key, InetSocketAddress address) {
-        try {
-            server.start();
-        } catch (RuntimeException e) {
-            throw portTaken(key, address, e);
-        }
-    }
-
-    private static MasticweirException portTaken(
-            String key, InetSocketAddress address, Exception cause) {
-        String text = address.getHostString() + ":" + address.getPort();
-        return MasticweirException.causedBy(
-                ErrorCode.SETTINGS_INVALID,
-                Verdict.NOT_RUN,
-                "[router] " + key + " = " + text + ": the port cannot be opened; name a free one",
-                cause);
-    }
-
-    private static PeerLinks openLinks(
-            DaemonSettings settings, RouterAddress self, Clock clock, Optional<SSLContext> keys) {
-        InetSocketAddress listen = settings.router().peerAddress();
-        List<MessageCodec<?>> codecs =
-                ImmutableList.<MessageCodec<?>>builder()
-                        .add(Heartbeat.codec(), ConfigAsk.CODEC, ConfigOffer.CODEC)
-                        .add(EngineShare.CODEC, CandidatesAsk.CODEC, InstanceNews.CODEC)
-                        .addAll(CopyMessageCodecs.all())
-                        .addAll(ClaimMessageCodecs.all())
-                        .build();
-        try {
-            return PeerLinks.open(
-                    LinkSettings.of(listen, self.incarnation())
-                            .withHandshakeMs(keys.isPresent() ? settings.peers().handshakeMs() : 0)
-                            .withSilenceMs(settings.peers().linkSilenceMs()),
-                    Hello.of(self.router(), self.incarnation(), self.domain()),
-                    MessageRegistry.of(codecs),
-                    clock,
-                    keys);
-        } catch (RuntimeException e) {
-            throw portTaken("peer_address", listen, e);
-        }
-    }
-
     private DomainController controller() {
         return DomainController.create(
                 settings.router().id(),
@@ -339,28 +272,7 @@
         return claims;
     }
 
-    private Undertow callerServer() {
-        DaemonSettings.Callers bounds = settings.callers();
-        CallerLimits limits =
-                new CallerLimits(
-                        bounds.maxBodyBytes(),
-                        bounds.maxHeaderBytes(),
-                        bounds.stallMs(),
-                        MAX_TOKENS);
-        Undertow.Builder server = Undertow.builder().setWorker(worker);
-        security.listen(server, settings.router().callerAddress());
-        return server
-                // The server's own limit is above ours: up to it we can still answer with a code.
-                .setServerOption(
-                        UndertowOptions.MAX_HEADER_SIZE, bounds.maxHeaderBytes() * HEADER_SLACK)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .setServerOption(
-                        UndertowOptions.MAX_ENTITY_SIZE, (long) bounds.maxBodyBytes() * BODY_SLACK)
-                .setHandler(CallerHandler.of(RequestService.of(context), limits))
-                .build();
-    }
-
-    private Undertow operatorServer() {
+    private OperatorHandler operatorHandler() {
         RouterOperators answers =
                 new RouterOperators(
                         settings,
@@ -370,16 +282,12 @@
                         EngineQueries.of(() -> control.view().routing(), context.inFlight()),
                         clock,
                         shutdown::start);
-        OperatorHandler handler =
-                OperatorHandler.of(
-                        answers,
-                        answers,
-                        MetricsPage.of(metrics),
-                        OperatorLimits.defaults(),
-                        security.operators());
-        Undertow.Builder server = Undertow.builder().setWorker(worker);
-        security.listen(server, settings.router().operatorAddress());
-        return server.setHandler(handler).build();
+        return OperatorHandler.of(
+                answers,
+                answers,
+                MetricsPage.of(metrics),
+                OperatorLimits.defaults(),
+                security.operators());
     }
 
     private static XnioWorker newWorker(int ioThreads) {
