control: take back an order to leave that arrives after the list's other word

Cause: a run of the whole suite was red by both tests of DomainReadsTest, "healed: not within 30000 ms", on an idle machine. Run again with the routers' views printed, 1 of 4 runs failed the same way: engine e1 live on the instance list, leaving by its own word at both routers, for good. The holder's log has LEAVE, APPLIED, and no ROLE after it; in good runs ROLE follows in 0.4 s. The controller forgot that it had told the engine to leave as soon as the list said live and the engine showed itself as serving, also while the order was on its way. The order then arrived, and the engine's word passed for its own. A replacement that is called off at the wrong moment would lose an engine until somebody restarts it.

Change: an engine that was told to leave and is listed as live again is to be brought back to serving until its duty has read it back as serving and has no order open; only then it is forgotten.

Test: DomainLoopTest.Leaving, the order held on its way over the list's change: LEAVE alone before, LEAVE and ROLE after. The tests of control pass. DomainReadsTest was not run on this commit yet.

--- a/masticweir/src/main/java/org/masticweir/control/DomainTenure.java
+++ b/masticweir/src/main/java/org/masticweir/control/DomainTenure.java
@@ -110,16 +110,25 @@
         if (engine.leaving() && role.equals(Optional.of(EngineRole.SERVING))) {
             toldToLeave.add(engine.id());
         }
-        boolean wantedAgain = !engine.leaving() && toldToLeave.contains(engine.id());
-        if (wantedAgain && role.equals(Optional.of(EngineRole.LEAVING))) {
-            // The list took its word back. Left alone, the engine would stay out for good, though
-            // it never said so itself.
-            return EngineTarget.backToServing();
-        }
-        if (wantedAgain) {
+        if (!engine.leaving() && toldToLeave.contains(engine.id())) {
+            if (!isBack(engine.id())) {
+                return EngineTarget.backToServing();
+            }
             toldToLeave.remove(engine.id());
         }
         boolean leave = engine.leaving() && toldToLeave.contains(engine.id());
         return EngineTarget.of(leave, grants.orderedOf(engine.id()), plan.unloadableOf(engine));
     }
+
+    /**
+     * Tells whether an engine that was told to leave serves again for good.
+     *
+     * <p>Failure guarded against: the list takes its word back while the order to leave is on its
+     * way. The engine still shows itself as serving and leaves then; were it forgotten that it was
+     * told to, it would stay out for good, though it never said so itself. What it shows counts
+     * only once no order to it is open.
+     */
+    private boolean isBack(EngineId engine) {
+        return Optional.ofNullable(duties.get(engine)).map(EngineDuty::isBack).orElse(false);
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/control/EngineDuty.java
+++ b/masticweir/src/main/java/org/masticweir/control/EngineDuty.java
@@ -49,6 +49,11 @@
         drive();
     }
 
+    /** Tells whether the engine was ordered back, or shows that it never left. */
+    boolean isBack() {
+        return target.equals(EngineTarget.backToServing()) && state.isSettled();
+    }
+
     Optional<Order> openOrder() {
         return state.openOrder();
     }
--- a/masticweir/src/test/java/org/masticweir/control/ControlWorld.java
+++ b/masticweir/src/test/java/org/masticweir/control/ControlWorld.java
@@ -57,6 +57,11 @@
         ControlView view = ControlView.idle();
         boolean paused;
         boolean pauseAtSend;
+
+        /** Keeps the next order on its way until {@link #arrive}. */
+        boolean slowSend;
+
+        private Optional<Runnable> onItsWay = Optional.empty();
         Optional<Order> heldBack = Optional.empty();
         private FakeEngine heldBackFor;
 
@@ -93,6 +98,11 @@
             return heldBackFor.take(heldBack.orElseThrow());
         }
 
+        /** Lets the order arrive that was kept on its way. */
+        void arrive() {
+            onItsWay.orElseThrow().run();
+        }
+
         CompletableFuture<Void> release() {
             CompletableFuture<Void> released = new CompletableFuture<>();
             loop.release(released);
@@ -112,6 +122,12 @@
                 heldBackFor = engineAt(address);
                 return new CompletableFuture<>();
             }
+            if (slowSend) {
+                slowSend = false;
+                CompletableFuture<SendOutcome> answer = new CompletableFuture<>();
+                onItsWay = Optional.of(() -> answer.complete(engineAt(address).take(order)));
+                return answer;
+            }
             return CompletableFuture.completedFuture(engineAt(address).take(order));
         }
     }
--- a/masticweir/src/test/java/org/masticweir/control/DomainLoopTest.java
+++ b/masticweir/src/test/java/org/masticweir/control/DomainLoopTest.java
@@ -105,6 +105,30 @@
             assertEquals(EngineRole.SERVING, engine.role);
         }
 
+        /**
+         * An engine is back on the list, and gets no work any more.
+         *
+         * <p>Its order to leave was still on its way when the list took its word back, so that it
+         * showed itself as serving, and it left only then. Cause: the controller had forgotten by
+         * then who had told it to leave, and took that for the engine's own word.
+         */
+        @Test
+        void orderToLeaveThatArrivesAfterTheListsOtherWordIsTakenBack() {
+            Router router = world.router("a");
+            world.run(START_MS);
+            router.slowSend = true;
+            engine.listedLeaving = true;
+            world.run(START_MS);
+            engine.listedLeaving = false;
+            world.run(START_MS);
+            router.arrive();
+            world.run(ROLLED_MS);
+            assertEquals(
+                    List.of(OrderKind.LEAVE, OrderKind.ROLE),
+                    engine.taken.stream().map(Order::kind).toList());
+            assertEquals(EngineRole.SERVING, engine.role);
+        }
+
         /** An engine leaves by itself; the list lags, and an order back would give it work. */
         @Test
         void engineThatLeavesByItselfIsLeftAlone() {
