tests: record links that come up and go down in one class

SecureLinkTest and SilentLinkTest had the same listener, 15 lines alike to the letter. SeenLinks replaces both. Their tests and PeerLinksTest pass.

--- a/masticweir/src/test/java/org/masticweir/peer/SecureLinkTest.java
+++ b/masticweir/src/test/java/org/masticweir/peer/SecureLinkTest.java
@@ -80,23 +80,6 @@
         return links(id, Optional.of(files.keys(directory(id), store, trust, fileClock)));
     }
 
-    private static LinkedBlockingQueue<String> events(PeerLinks l) {
-        LinkedBlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        l.listen(
-                new LinkListener() {
-                    @Override
-                    public void linkUp(Hello peer, LinkDirection d) {
-                        seen.add("up");
-                    }
-
-                    @Override
-                    public void linkDown(RouterId peer, LinkDirection d) {
-                        seen.add("down");
-                    }
-                });
-        return seen;
-    }
-
     private static PeerMessage ask(PeerLinks from, RouterId to, Note note) throws Exception {
         return from.ask(to, note, LONG_MS).get(WAIT_S, TimeUnit.SECONDS);
     }
@@ -159,7 +142,7 @@
             fileClock.advanceMs(5_000);
             ask(a, B, new Note(2, ""));
             a.forget(B);
-            LinkedBlockingQueue<String> seen = events(a);
+            LinkedBlockingQueue<String> seen = SeenLinks.of(a);
             a.learn(B, b.address());
             assertThrows(ExecutionException.class, () -> ask(a, B, new Note(3, "")));
             files.replace(directory(B), "stranger", "authority");
--- a/masticweir/src/test/java/org/masticweir/peer/SilentLinkTest.java
+++ b/masticweir/src/test/java/org/masticweir/peer/SilentLinkTest.java
@@ -68,23 +68,6 @@
         return f.get(WAIT_S, TimeUnit.SECONDS);
     }
 
-    private static LinkedBlockingQueue<String> events(PeerLinks l) {
-        LinkedBlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        l.listen(
-                new LinkListener() {
-                    @Override
-                    public void linkUp(Hello peer, LinkDirection d) {
-                        seen.add("up");
-                    }
-
-                    @Override
-                    public void linkDown(RouterId peer, LinkDirection d) {
-                        seen.add("down");
-                    }
-                });
-        return seen;
-    }
-
     /**
      * A caller's answer stands still: its tokens wait for a copy at a peer behind a partition that
      * drops packets. No reset comes, so that the ask would wait for its own time-out or for TCP. It
@@ -97,7 +80,7 @@
         try (StallingRelay relay = StallingRelay.to(b.address())) {
             a.learn(B, relay.address());
             get(ask(a, 1));
-            LinkedBlockingQueue<String> seen = events(a);
+            LinkedBlockingQueue<String> seen = SeenLinks.of(a);
             relay.stall(true);
             long beginMs = Clock.system().nowMs();
             List<CompletableFuture<PeerMessage>> asks = List.of(ask(a, 2), ask(a, UNANSWERED));
@@ -132,7 +115,7 @@
         PeerLinks b = links(B, Clock.system());
         a.learn(B, b.address());
         get(ask(a, 1));
-        LinkedBlockingQueue<String> seen = events(a);
+        LinkedBlockingQueue<String> seen = SeenLinks.of(a);
         CompletableFuture<PeerMessage> slow = ask(a, UNANSWERED);
         assertEquals(null, seen.poll(4, TimeUnit.SECONDS));
         assertFalse(slow.isDone());
@@ -150,7 +133,7 @@
         PeerLinks b = links(B, Clock.system());
         a.learn(B, b.address());
         get(ask(a, 1));
-        LinkedBlockingQueue<String> seen = events(a);
+        LinkedBlockingQueue<String> seen = SeenLinks.of(a);
         CompletableFuture<PeerMessage> waiting = ask(a, UNANSWERED);
         get(ask(a, 2));
         clock.advanceMs(60_000);
