--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopySender.java
@@ -29,7 +29,7 @@
     private GenerationSpec generation;
     private Optional<Placement> placement;
     private Optional<AnswerEnd> end = Optional.empty();
-    private Optional<Sent> inFlight = Optional.empty();
+    private Optional<SentCommand> inFlight = Optional.empty();
     private long lastNumber;
     private int accepted;
     private int acked;
@@ -155,7 +155,7 @@
             onStale(stale.current());
             return;
         }
-        Optional<Sent> sent = inFlight.filter(s -> s.isAnsweredBy(answered));
+        Optional<SentCommand> sent = inFlight.filter(s -> s.isAnsweredBy(answered));
         if (sent.isEmpty()) {
             // Late or repeated: the command was sent again, or went to another holder since.
             return;
@@ -193,7 +193,7 @@
         }
     }
 
-    private void onAcked(Sent sent, HolderAnswer.Acked ack) {
+    private void onAcked(SentCommand sent, HolderAnswer.Acked ack) {
         holderAnswered();
         if (ack.generation() != generation.id().number()) {
             return;
@@ -275,7 +275,7 @@
         }
         CopyCommand command = command(nowMs);
         lastNumber++;
-        inFlight = Optional.of(new Sent(holder.get(), lastNumber, placement, end, nowMs));
+        inFlight = Optional.of(new SentCommand(holder.get(), lastNumber, placement, end, nowMs));
         out.add(new CopyAction.SendToHolder(holder.get(), lastNumber, command));
         if (!holderHasCopy && noHolderSinceMs.isEmpty()) {
             noHolderSinceMs = Optional.of(nowMs);
@@ -384,20 +384,4 @@
         }
         wakeAtMs = next;
     }
-
-    /** The command that waits for its answer, and what the holder knows once it has answered. */
-    private record Sent(
-            RouterId holder,
-            long number,
-            Optional<Placement> placement,
-            Optional<AnswerEnd> end,
-            long atMs) {
-        boolean isAnsweredBy(CopyEvent.Answered answered) {
-            return answered.holder().equals(holder) && answered.number() == number;
-        }
-
-        Sent at(long laterMs) {
-            return new Sent(holder, number, placement, end, laterMs);
-        }
-    }
 }
