peer: write messages of fixed fields by one codec

Cause: recovery.copy had a codec made of a type, a count of fields, a writer and a reader. ShareNews also sent its router's name, which the receiver replaced by that of the link.

Ruled out: EngineShare, InstanceNews and Heartbeat, whose fields vary in number, and so stay as they are.

Change: CopyMessageCodec is peer.FieldsCodec; Hello, Failure, Probe, ConfigAsk, ConfigOffer, CandidatesAsk, the three messages of claims and ShareNews use it.

Tests of codecs, links, claims, copies, shares, replays and package cycles pass; in two of them merge takes the router's name, no assertion changed.

--- a/masticweir/src/main/java/org/masticweir/limits/ShareDigest.java
+++ b/masticweir/src/main/java/org/masticweir/limits/ShareDigest.java
@@ -5,7 +5,6 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
-import org.masticweir.id.RouterId;
 
 /**
  * What one router tells the others of its teams' use; immutable.
@@ -14,13 +13,11 @@
  * @param totalTokensPerS use of all teams
  * @param activeTeams teams that used anything lately
  */
-public record ShareDigest(
-        RouterId router, List<TeamUse> top, double totalTokensPerS, int activeTeams) {
+public record ShareDigest(List<TeamUse> top, double totalTokensPerS, int activeTeams) {
     /** Most teams in one digest; bounds what an exchange costs at any number of teams. */
     public static final int MAX_TOP = 16;
 
     public ShareDigest {
-        checkNotNull(router, "router");
         top = ImmutableList.copyOf(checkNotNull(top, "top"));
         checkArgument(top.size() <= MAX_TOP, "%s teams in a digest", top.size());
         checkArgument(totalTokensPerS >= 0, "%s tokens a second", totalTokensPerS);
--- a/masticweir/src/main/java/org/masticweir/limits/TeamShares.java
+++ b/masticweir/src/main/java/org/masticweir/limits/TeamShares.java
@@ -85,15 +85,16 @@
         List<TeamUse> uses = ownUses(nowMs);
         double total = uses.stream().mapToDouble(TeamUse::tokensPerS).sum();
         List<TeamUse> top = uses.subList(0, Math.min(ShareDigest.MAX_TOP, uses.size()));
-        return new ShareDigest(self, top, total, uses.size());
+        return new ShareDigest(top, total, uses.size());
     }
 
-    /** Takes another router's digest in place of its earlier one. */
-    public synchronized void merge(ShareDigest digest, long nowMs) {
+    /** Takes the digest of another router in place of its earlier one. */
+    public synchronized void merge(RouterId from, ShareDigest digest, long nowMs) {
+        checkNotNull(from, "from");
         checkNotNull(digest, "digest");
-        boolean known = others.containsKey(digest.router());
-        if (!digest.router().equals(self) && (known || others.size() < MAX_ROUTERS)) {
-            others.put(digest.router(), new Received(digest, nowMs));
+        boolean known = others.containsKey(from);
+        if (!from.equals(self) && (known || others.size() < MAX_ROUTERS)) {
+            others.put(from, new Received(digest, nowMs));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodec.java
+++ b/masticweir/src/main/java/org/masticweir/peer/FieldsCodec.java
@@ -1,20 +1,18 @@
-package org.masticweir.recovery.copy;
+package org.masticweir.peer;
 
 import java.io.IOException;
-import org.masticweir.peer.Fields;
-import org.masticweir.peer.MessageCodec;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Writes and reads one copy message as an array of a fixed count of fields; immutable. */
-final class CopyMessageCodec<T extends CopyMessage> implements MessageCodec<T> {
+/** Writes and reads one message as an array of a fixed count of fields; immutable. */
+public final class FieldsCodec<T extends PeerMessage> implements MessageCodec<T> {
     private final int type;
     private final Class<T> messageType;
     private final int fields;
     private final Writer<T> writer;
     private final Reader<T> reader;
 
-    private CopyMessageCodec(
+    private FieldsCodec(
             int type, Class<T> messageType, int fields, Writer<T> writer, Reader<T> reader) {
         this.type = type;
         this.messageType = messageType;
@@ -24,9 +22,9 @@
     }
 
     /** Returns the codec of messages whose {@code fields} the writer writes in order. */
-    static <T extends CopyMessage> CopyMessageCodec<T> of(
+    public static <T extends PeerMessage> FieldsCodec<T> of(
             int type, Class<T> messageType, int fields, Writer<T> writer, Reader<T> reader) {
-        return new CopyMessageCodec<>(type, messageType, fields, writer, reader);
+        return new FieldsCodec<>(type, messageType, fields, writer, reader);
     }
 
     @Override
@@ -54,13 +52,13 @@
 
     /** Writes the fields of one message. */
     @FunctionalInterface
-    interface Writer<T> {
+    public interface Writer<T> {
         void write(T message, MessagePacker out) throws IOException;
     }
 
     /** Reads the fields of one message. */
     @FunctionalInterface
-    interface Reader<T> {
+    public interface Reader<T> {
         T read(Fields f) throws IOException;
     }
 }
--- a/masticweir/src/main/java/org/masticweir/peer/Hello.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Hello.java
@@ -3,11 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.io.IOException;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
-import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 
 /**
  * The first message each side of a link sends: who it is.
@@ -15,7 +12,25 @@
  * @param incarnation grows with every restart under the same router id
  */
 public record Hello(RouterId router, long incarnation, DomainId domain) implements PeerMessage {
-    static final MessageCodec<Hello> CODEC = new Codec();
+    private static final int TYPE = 1;
+    private static final int FIELDS = 3;
+    private static final int MAX_ID_BYTES = 128;
+
+    static final MessageCodec<Hello> CODEC =
+            FieldsCodec.of(
+                    TYPE,
+                    Hello.class,
+                    FIELDS,
+                    (m, out) -> {
+                        out.packString(m.router.value());
+                        out.packLong(m.incarnation);
+                        out.packString(m.domain.value());
+                    },
+                    f ->
+                            new Hello(
+                                    RouterId.of(f.text(MAX_ID_BYTES)),
+                                    f.int64(),
+                                    DomainId.of(f.text(MAX_ID_BYTES))));
 
     public Hello {
         checkNotNull(router, "router");
@@ -26,38 +41,4 @@
     public static Hello of(RouterId router, long incarnation, DomainId domain) {
         return new Hello(router, incarnation, domain);
     }
-
-    /** Writes and reads {@link Hello}. */
-    private static final class Codec implements MessageCodec<Hello> {
-        private static final int TYPE = 1;
-        private static final int FIELDS = 3;
-        private static final int MAX_ID_BYTES = 128;
-
-        @Override
-        public int type() {
-            return TYPE;
-        }
-
-        @Override
-        public Class<Hello> messageType() {
-            return Hello.class;
-        }
-
-        @Override
-        public void encode(Hello m, MessagePacker out) throws IOException {
-            out.packArrayHeader(FIELDS);
-            out.packString(m.router.value());
-            out.packLong(m.incarnation);
-            out.packString(m.domain.value());
-        }
-
-        @Override
-        public Hello decode(MessageUnpacker in) throws IOException {
-            try (Fields f = Fields.open(in, FIELDS)) {
-                RouterId router = RouterId.of(f.text(MAX_ID_BYTES));
-                long incarnation = f.int64();
-                return new Hello(router, incarnation, DomainId.of(f.text(MAX_ID_BYTES)));
-            }
-        }
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodecs.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyMessageCodecs.java
@@ -5,6 +5,7 @@
 import org.masticweir.id.RequestId;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.Fields;
+import org.masticweir.peer.FieldsCodec;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.recovery.copy.CopyMessage.AppendBatch;
 import org.masticweir.recovery.copy.CopyMessage.AppendReplies;
@@ -59,7 +60,7 @@
 
     private static ImmutableList<MessageCodec<?>> ofOwners() {
         return ImmutableList.of(
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         WHOLE_COPY,
                         WholeCopy.class,
                         2,
@@ -68,7 +69,7 @@
                             ValueCodec.one(out, m.copy(), ValueCodec::copy);
                         },
                         f -> new WholeCopy(f.bool(), ValueCodec.one(f, ValueCodec::copy))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         APPEND_BATCH,
                         AppendBatch.class,
                         2,
@@ -80,7 +81,7 @@
                             }
                         },
                         CopyMessageCodecs::batch),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         APPEND_REPLIES,
                         AppendReplies.class,
                         1,
@@ -95,25 +96,25 @@
 
     private static ImmutableList<MessageCodec<?>> ofLookups() {
         return ImmutableList.of(
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         HOLDER_REPLY,
                         HolderReply.class,
                         1,
                         (m, out) -> ValueCodec.one(out, m.answer(), HolderCodec::answer),
                         f -> new HolderReply(ValueCodec.one(f, HolderCodec::answer))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         FIND_COPY,
                         FindCopy.class,
                         1,
                         (m, out) -> out.packString(m.request().value()),
                         f -> new FindCopy(request(f))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         FOUND_COPY,
                         FoundCopy.class,
                         1,
                         (m, out) -> ValueCodec.optional(out, m.summary(), HolderCodec::summary),
                         f -> new FoundCopy(ValueCodec.optional(f, HolderCodec::summary))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         TAKE_OVER_COPY,
                         TakeOverCopy.class,
                         2,
@@ -122,7 +123,7 @@
                             ValueCodec.one(out, m.expected(), ValueCodec::epoch);
                         },
                         f -> new TakeOverCopy(request(f), ValueCodec.one(f, ValueCodec::epoch))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         FENCE_COPY,
                         FenceCopy.class,
                         2,
@@ -135,13 +136,13 @@
 
     private static ImmutableList<MessageCodec<?>> ofReaders() {
         return ImmutableList.of(
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         SUBSCRIBE,
                         Subscribe.class,
                         1,
                         (m, out) -> out.packString(m.request().value()),
                         f -> new Subscribe(request(f))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         SUBSCRIBED,
                         Subscribed.class,
                         2,
@@ -153,7 +154,7 @@
                                 new Subscribed(
                                         ValueCodec.one(f, ValueCodec::spec),
                                         ValueCodec.one(f, ValueCodec::generation))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         READ_TOKENS,
                         ReadTokens.class,
                         3,
@@ -163,7 +164,7 @@
                             out.packInt(m.from());
                         },
                         f -> new ReadTokens(request(f), f.int32(), f.int32())),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         SUBSCRIBED_TOKENS,
                         SubscribedTokens.class,
                         4,
@@ -183,7 +184,7 @@
 
     private static ImmutableList<MessageCodec<?>> ofKeys() {
         return ImmutableList.of(
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         WITHDRAW_COPY,
                         WithdrawCopy.class,
                         2,
@@ -192,7 +193,7 @@
                             ValueCodec.one(out, m.epoch(), ValueCodec::epoch);
                         },
                         f -> new WithdrawCopy(request(f), ValueCodec.one(f, ValueCodec::epoch))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         REGISTER_KEY,
                         RegisterKey.class,
                         3,
@@ -202,13 +203,13 @@
                             out.packBoolean(m.passedOn());
                         },
                         f -> new RegisterKey(request(f), router(f), f.bool())),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         KEY_OWNER,
                         KeyOwner.class,
                         1,
                         (m, out) -> out.packString(m.owner().value()),
                         f -> new KeyOwner(router(f))),
-                CopyMessageCodec.of(
+                FieldsCodec.of(
                         RELEASE_KEY,
                         ReleaseKey.class,
                         3,
--- a/masticweir/src/main/java/org/masticweir/router/ShareExchange.java
+++ b/masticweir/src/main/java/org/masticweir/router/ShareExchange.java
@@ -10,7 +10,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.masticweir.id.RouterId;
-import org.masticweir.limits.ShareDigest;
 import org.masticweir.limits.TeamShares;
 import org.masticweir.peer.PeerLinks;
 import org.masticweir.time.Clock;
@@ -57,7 +56,9 @@
             Clock clock,
             ScheduledExecutorService control,
             int periodMs) {
-        links.on(ShareNews.class, (from, news, reply) -> heard(shares, from, news, clock));
+        links.on(
+                ShareNews.class,
+                (from, news, reply) -> shares.merge(from, news.digest(), clock.nowMs()));
         ShareExchange exchange = new ShareExchange(shares, peers, clock, links::send);
         if (periodMs > 0) {
             control.scheduleWithFixedDelay(
@@ -76,12 +77,4 @@
         }
         next = all.isEmpty() ? 0 : (next + told) % all.size();
     }
-
-    /** Takes a router's digest under the name of its link, whatever name it gives itself. */
-    private static void heard(TeamShares shares, RouterId from, ShareNews news, Clock clock) {
-        ShareDigest d = news.digest();
-        shares.merge(
-                new ShareDigest(from, d.top(), d.totalTokensPerS(), d.activeTeams()),
-                clock.nowMs());
-    }
 }
--- a/masticweir/src/test/java/org/masticweir/limits/OverloadReplay.java
+++ b/masticweir/src/test/java/org/masticweir/limits/OverloadReplay.java
@@ -294,6 +294,7 @@
     private final class Entry {
         private final InFlight inFlight = InFlight.create();
         private final ExpectedDelayChooser chooser;
+        private final RouterId id;
         private final TeamShares shares;
         private final Admission admission;
         private final int phaseMs;
@@ -303,7 +304,8 @@
             Random own = new Random(index);
             phaseMs = index * POLL_MS / fleet.routers;
             chooser = ExpectedDelayChooser.create(inFlight, () -> own);
-            shares = TeamShares.create(RouterId.of("r" + index), OverloadReplay::shareOf);
+            id = RouterId.of("r" + index);
+            shares = TeamShares.create(id, OverloadReplay::shareOf);
             admission =
                     Admission.create(
                             SnapshotCapacity.create(
@@ -320,7 +322,7 @@
                 poll(now);
             }
             if (fleet.exchange && now % EXCHANGE_MS == 0) {
-                routers.forEach(other -> other.shares.merge(shares.digest(now), now));
+                routers.forEach(other -> other.shares.merge(id, shares.digest(now), now));
             }
             if (now % SETTLE_MS == 0) {
                 shares.settle(now);
--- a/masticweir/src/test/java/org/masticweir/limits/TeamSharesTest.java
+++ b/masticweir/src/test/java/org/masticweir/limits/TeamSharesTest.java
@@ -30,7 +30,7 @@
             for (int n = 1; n <= 9; n++) {
                 TeamShares other = shares("r" + n);
                 other.used(BIG, 1_000, 0);
-                here.merge(other.digest(0), 0);
+                here.merge(RouterId.of("r" + n), other.digest(0), 0);
             }
             here.settle(0);
             assertEquals(0.55, here.weight(BIG), 0.01);
