config: make an edit of the document once for all that ask

Change: RecentRevisions keeps the edits to its latest revision until the next one comes, at most one for each of the revisions that it keeps.

--- a/masticweir/src/main/java/org/masticweir/config/RecentRevisions.java
+++ b/masticweir/src/main/java/org/masticweir/config/RecentRevisions.java
@@ -4,6 +4,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -18,9 +20,13 @@
 
     private final Deque<StoredRevision> rows = new ArrayDeque<>();
 
+    /** Offers of the latest by the revision that the asking router holds. */
+    private final Map<Long, OfferedRevision> offers = new HashMap<>();
+
     /** Keeps a revision that came in force, higher than those before. */
     public void add(StoredRevision row) {
         rows.addLast(checkNotNull(row, "row"));
+        offers.clear();
         if (rows.size() > KEPT) {
             rows.removeFirst();
         }
@@ -37,7 +43,13 @@
         return rows.stream()
                 .filter(row -> row.revision() == known)
                 .findFirst()
-                .map(before -> OfferedRevision.editOf(before, latest))
+                .map(before -> edit(before, latest))
                 .orElseGet(() -> OfferedRevision.whole(latest));
     }
+
+    /** All peers ask within a moment, and an edit reads both documents whole. */
+    private OfferedRevision edit(StoredRevision before, StoredRevision latest) {
+        return offers.computeIfAbsent(
+                before.revision(), r -> OfferedRevision.editOf(before, latest));
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/peer/LinkLoop.java
+++ b/masticweir/src/main/java/org/masticweir/peer/LinkLoop.java
@@ -18,7 +18,8 @@
 /**
  * The one thread of all links: a selector, tasks from other threads and timers.
  *
- * <p>{@link #execute} and {@link #stop} may be called from any thread, all else from this thread.
+ * <p>{@link #execute}, {@link #executeAfter} and {@link #stop} may be called from any thread, all
+ * else from this thread.
  */
 final class LinkLoop implements Runnable {
     private static final Logger LOG = LogManager.getLogger(LinkLoop.class);
@@ -51,6 +52,12 @@
         }
     }
 
+    /** Runs {@code task} on this thread once {@code delayMs} have passed from now; any thread. */
+    void executeAfter(Runnable task, long delayMs) {
+        long atMs = nowMs() + delayMs;
+        execute(() -> at(atMs, task));
+    }
+
     void stop() {
         stopped = true;
         selector.wakeup();
--- a/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
@@ -68,8 +68,7 @@
             replyDue = replyDue || queued;
         }
         if (counted(message, frame, queued)) {
-            long atMs = context.loop().nowMs() + timeoutMs;
-            context.loop().execute(() -> context.loop().at(atMs, () -> asks.fail(c, timeout())));
+            context.loop().executeAfter(() -> asks.fail(c, timeout()), timeoutMs);
         } else {
             asks.fail(c, notTaken());
         }
--- a/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
@@ -146,8 +146,7 @@
 
     /** Runs {@code task} on the links' thread once {@code delayMs} have passed. */
     public void executeAfter(Runnable task, long delayMs) {
-        long atMs = loop.nowMs() + delayMs;
-        loop.execute(() -> loop.at(atMs, task));
+        loop.executeAfter(task, delayMs);
     }
 
     public LinkCounters counters() {
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/CopyLinks.java
@@ -180,12 +180,11 @@
 
     private void carryOut(RouterId holder, AppendQueue queue, AppendQueue.Turn turn) {
         turn.batch().ifPresent(b -> sendBatch(holder, queue, b));
-        turn.wakeUpMs()
-                .ifPresent(
-                        ms ->
-                                links.executeAfter(
-                                        () -> carryOut(holder, queue, queue.wokenUp(clock.nowMs())),
-                                        ms));
+        turn.wakeUpMs().ifPresent(ms -> links.executeAfter(() -> wakeUp(holder, queue), ms));
+    }
+
+    private void wakeUp(RouterId holder, AppendQueue queue) {
+        carryOut(holder, queue, queue.wokenUp(clock.nowMs()));
     }
 
     private void sendBatch(RouterId holder, AppendQueue queue, AppendQueue.Batch batch) {
--- a/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
+++ b/masticweir/src/main/java/org/masticweir/router/ControlLoop.java
@@ -180,7 +180,7 @@
      * Returns the serving routers of the own domain, this one if it serves; control thread only.
      */
     List<RouterId> servingHere() {
-        List<RouterId> here = new ArrayList<>(peers.membership().servingHere());
+        List<RouterId> here = new ArrayList<>(othersServingHere());
         if (ownState() == MemberState.SERVING) {
             here.add(settings.router().id());
         }
@@ -276,7 +276,7 @@
     }
 
     private void tick() {
-        config.poll(1 + peers.membership().servingHere().size());
+        config.poll(1 + othersServingHere().size());
         instances.poll();
         config.tick();
         peers.tick();
