--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/catalog/ServerBookTest.java
@@ -0,0 +1,90 @@
+package org.masticweir.catalog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
+
+/** The newest word on a server wins, whoever brings it. */
+class ServerBookTest {
+    private static final EngineId ID = EngineId.of("e1");
+
+    private final ServerBook book = ServerBook.create();
+
+    private static BackendServer server(boolean leaving) {
+        return new BackendServer(
+                ID,
+                ServiceName.of("s"),
+                new InetSocketAddress("127.0.0.1", 1),
+                DomainId.of("a"),
+                4,
+                leaving);
+    }
+
+    /**
+     * A caller's request goes to a server that has left: a peer's older word on it arrives after
+     * the store's newer one and takes its place.
+     */
+    @Nested
+    class OlderWords {
+        @Test
+        void doNotBringBackAServerThatIsLeaving() {
+            book.put(server(true), 9);
+            assertFalse(book.put(server(false), 8));
+            assertTrue(book.servers().get(0).leaving());
+        }
+
+        @Test
+        void doNotBringBackAServerThatIsGone() {
+            book.put(server(false), 5);
+            book.remove(ID, 9, 0, 0);
+            assertFalse(book.put(server(false), 8));
+            assertEquals(List.of(), book.servers());
+        }
+    }
+
+    /**
+     * All requests are refused for two seconds: entries lapsed while the store was away, and a
+     * router believed the empty list that it got back.
+     */
+    @Nested
+    class LapsedEntries {
+        @Test
+        void areKeptForTheTimeInWhichServersComeBack() {
+            book.put(server(false), 5);
+            book.remove(ID, 9, 1_000, 3_000);
+            assertFalse(book.tick(2_999));
+            assertEquals(1, book.servers().size());
+        }
+
+        @Test
+        void areGoneAfterIt() {
+            book.put(server(false), 5);
+            book.remove(ID, 9, 1_000, 3_000);
+            assertTrue(book.tick(3_000));
+            assertEquals(List.of(), book.servers());
+        }
+
+        @Test
+        void stayIfTheServerIsBack() {
+            book.put(server(false), 5);
+            book.remove(ID, 9, 1_000, 3_000);
+            book.put(server(false), 12);
+            assertFalse(book.tick(3_000));
+            assertEquals(1, book.servers().size());
+        }
+    }
+
+    @Test
+    void aWholeReadingRemovesWhatItLacks() {
+        book.put(server(false), 5);
+        assertTrue(book.retain(List.of(), 9, 0, 0));
+        assertEquals(List.of(), book.servers());
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -0,0 +1,169 @@
+package org.masticweir.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.Repeatability;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.Verdict;
+
+/** Where a request goes after each failure. */
+class CourseTest {
+    private final ForwardWorld world = new ForwardWorld().domain("a", 3).domain("b", 3);
+
+    private static Step.Send send(Step step) {
+        return assertInstanceOf(Step.Send.class, step);
+    }
+
+    private static Step.End end(Step step) {
+        return assertInstanceOf(Step.End.class, step);
+    }
+
+    /** Requests that must not run twice. */
+    @Nested
+    class Mutating {
+        private final Course course = world.course(Repeatability.MUTATING, 3);
+
+        /**
+         * A family gets its letter twice: the server that was writing it breaks off, the request
+         * goes to another one, and both finish. The broken connection does not say whether it ran.
+         */
+        @Test
+        void isNotSentAgainOnceItMayHaveRun() {
+            BackendServer first = send(course.next(0)).server();
+            Step.End end = end(course.lost(first, 100));
+            assertEquals(Verdict.MAY_HAVE_RUN, end.verdict());
+            assertEquals(502, end.code().httpStatus(), "a refusal would say that it has not run");
+        }
+
+        @Test
+        void goesToAnotherServerAfterAWordThatItDidNotRun() {
+            BackendServer first = send(course.next(0)).server();
+            assertNotEquals(first, send(course.refused(5)).server());
+        }
+
+        @Test
+        void isRefusedAsNotRunAfterAllSendsWereRefused() {
+            course.next(0);
+            course.refused(1);
+            course.refused(2);
+            Step.End end = end(course.refused(3));
+            assertEquals(Verdict.NOT_RUN, end.verdict());
+            assertEquals(503, end.code().httpStatus());
+            assertTrue(end.retryAfterMs().isPresent());
+        }
+
+        @Test
+        void mayHaveRunWhileItIsAtAServer() {
+            course.next(0);
+            assertEquals(ErrorCode.DEADLINE_EXCEEDED, course.expired().code());
+        }
+    }
+
+    /** Streams that may go on elsewhere. */
+    @Nested
+    class Resumable {
+        private final Course course = world.course(Repeatability.RESUMABLE, 5);
+
+        /**
+         * A report stands still for a second: its engine is lost, and another one reads the whole
+         * prompt again although an engine elsewhere holds a copy of the run.
+         */
+        @Test
+        void goesOnAtTheHolderOfItsCopyAfterItsLastEvent() {
+            Step.Send first = send(course.next(0));
+            course.event(41);
+            Step.Send next = send(course.lost(first.server(), 2_000));
+            assertEquals(first.holder().orElseThrow(), next.server());
+            assertTrue(next.fromCopy());
+            assertEquals(OptionalLong.of(41), next.afterEvent());
+        }
+
+        @Test
+        void hasItsCopyInAnotherDomain() {
+            Step.Send first = send(course.next(0));
+            assertNotEquals(first.server().domain(), first.holder().orElseThrow().domain());
+        }
+
+        @Test
+        void doesNotAskForACopyBeforeItsFirstEvent() {
+            Step.Send first = send(course.next(0));
+            assertFalse(send(course.lost(first.server(), 500)).fromCopy());
+        }
+
+        @Test
+        void startsAnewWhereTheHolderHasNoCopy() {
+            Step.Send first = send(course.next(0));
+            course.event(3);
+            send(course.lost(first.server(), 1_000));
+            Step.Send anew = send(course.refused(1_010));
+            assertFalse(anew.fromCopy());
+            assertEquals(OptionalLong.of(3), anew.afterEvent());
+        }
+
+        /** An address that changed hands is not one of the servers that the route allows. */
+        @Test
+        void doesNotCountServersThatAreGone() {
+            Step step = course.next(0);
+            for (int i = 0; i < 5; i++) {
+                step = course.wrongServer(send(step).server(), i);
+            }
+            send(step);
+            assertEquals(1, course.sends());
+        }
+
+        @Test
+        void waitsForAServerIfTheCallerHasPartOfTheAnswer() {
+            Step.Send first = send(course.next(0));
+            course.event(7);
+            world.servers.clear();
+            assertInstanceOf(Step.Hold.class, course.lost(first.server(), 1_000));
+        }
+    }
+
+    /** Nothing can take the request. */
+    @Nested
+    class WithoutServers {
+        @Test
+        void isRefusedAtOnceIfTheServiceHasNone() {
+            world.servers.clear();
+            Step.End end = end(world.course(Repeatability.IDEMPOTENT, 2).next(0));
+            assertEquals(Verdict.NOT_RUN, end.verdict());
+        }
+
+        @Test
+        void waitsForAnEighthOfItsGoalWhileAllAreDown() {
+            world.servers.forEach(s -> world.health.failed(s, 0));
+            Course course = world.course(Repeatability.IDEMPOTENT, 2);
+            assertInstanceOf(Step.Hold.class, course.next(0));
+            world.servers.forEach(s -> world.health.failed(s, 600));
+            end(course.next(ForwardWorld.GOAL_MS / 8 + 1));
+        }
+    }
+
+    /** Servers answer with a failure of theirs. */
+    @Nested
+    class FailedAnswers {
+        @Test
+        void ofIdempotentRequestsAreTriedElsewhereOnce() {
+            Course course = world.course(Repeatability.IDEMPOTENT, 2);
+            course.next(0);
+            assertTrue(course.failedAnswer(50).isPresent());
+            assertTrue(course.failedAnswer(100).isEmpty());
+        }
+
+        @Test
+        void ofMutatingRequestsAreTheAnswer() {
+            Course course = world.course(Repeatability.MUTATING, 2);
+            course.next(0);
+            assertTrue(course.failedAnswer(50).isEmpty());
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -0,0 +1,95 @@
+package org.masticweir.forward;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.EngineSpec;
+import org.masticweir.catalog.Repeatability;
+import org.masticweir.catalog.Route;
+import org.masticweir.catalog.ServiceName;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
+
+/** Servers of one service and what a router knows of them. */
+final class ForwardWorld {
+    static final ServiceName SERVICE = ServiceName.of("reports");
+    static final EngineSpec ENGINE = new EngineSpec(96, 88_000, true);
+    static final RequestSize PROMPT = new RequestSize(8_200, 1_120);
+    static final long GOAL_MS = 4_500;
+
+    final List<BackendServer> servers = new ArrayList<>();
+    final LoadBoard loads = LoadBoard.create();
+    final ServerHealth health = ServerHealth.create();
+    final Placement placement =
+            Placement.create(loads, health, DomainId.of("a"), new SplittableRandom(7));
+    final ServiceRepeats repeats = ServiceRepeats.partOf(0.8, 150, 8);
+
+    /** Adds servers {@code domain-1} to {@code domain-n}. */
+    ForwardWorld domain(String domain, int count) {
+        for (int i = 1; i <= count; i++) {
+            servers.add(server(domain + "-" + i, domain));
+        }
+        listed(0);
+        return this;
+    }
+
+    void listed(long nowMs) {
+        health.listed(Set.copyOf(servers.stream().map(BackendServer::id).toList()), nowMs);
+    }
+
+    static BackendServer server(String id, String domain) {
+        return new BackendServer(
+                EngineId.of(id),
+                SERVICE,
+                new InetSocketAddress("127.0.0.1", 7_000),
+                DomainId.of(domain),
+                96,
+                false);
+    }
+
+    BackendServer byId(String id) {
+        return servers.stream().filter(s -> s.id().value().equals(id)).findAny().orElseThrow();
+    }
+
+    Course course(Repeatability repeatability, int attempts) {
+        return Course.of(
+                plan(repeatability, attempts),
+                () -> ImmutableList.copyOf(servers),
+                placement,
+                health,
+                repeats,
+                new SplittableRandom(3));
+    }
+
+    static RequestPlan plan(Repeatability repeatability, int attempts) {
+        boolean streams = repeatability == Repeatability.RESUMABLE;
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        repeatability,
+                        streams,
+                        25_000,
+                        GOAL_MS,
+                        700,
+                        1,
+                        attempts,
+                        false,
+                        ImmutableList.of(new Route.Share(SERVICE, 1)));
+        return new RequestPlan(
+                route,
+                SERVICE,
+                streams ? Optional.of(ENGINE) : Optional.empty(),
+                streams ? PROMPT : RequestSize.none(),
+                OptionalLong.empty(),
+                0,
+                25_000);
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -0,0 +1,179 @@
+package org.masticweir.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.RouterId;
+
+/** Which server gets a request. */
+class PlacementTest {
+    private final ForwardWorld world = new ForwardWorld().domain("a", 2).domain("b", 2);
+
+    private Optional<BackendServer> choose() {
+        return world.placement.server(
+                ImmutableList.copyOf(world.servers),
+                ForwardWorld.PROMPT,
+                Optional.of(ForwardWorld.ENGINE),
+                Set.of(),
+                0);
+    }
+
+    /** Requests with long prompts. */
+    @Nested
+    class Engines {
+        /** Two prompts in reading at one engine make all its streams pause. */
+        @Test
+        void withoutPromptInReadingGoFirst() {
+            for (int i = 0; i < 4; i++) {
+                world.loads.sent(choose().orElseThrow().id(), ForwardWorld.PROMPT);
+            }
+            world.servers.forEach(s -> assertEquals(1, world.loads.use(s.id()).reading()));
+        }
+
+        @Test
+        void ofPeersCountToo() {
+            ServerUse use = new ServerUse(1, 1, 8_000, 9_000);
+            world.servers.stream()
+                    .filter(s -> !s.id().value().equals("b-2"))
+                    .forEach(s -> world.loads.peerUse(RouterId.of("r2"), s.id(), use));
+            assertEquals("b-2", choose().orElseThrow().id().value());
+        }
+
+        @Test
+        void withoutRoomInMemoryAreNotChosen() {
+            world.servers.forEach(s -> world.loads.holding(s.id(), 80_000));
+            assertTrue(choose().isEmpty());
+        }
+
+        @Test
+        void thatLeaveAreNotChosen() {
+            List<BackendServer> leaving = new ArrayList<>();
+            for (BackendServer s : world.servers) {
+                leaving.add(
+                        new BackendServer(
+                                s.id(), s.service(), s.address(), s.domain(), s.slots(), true));
+            }
+            world.servers.clear();
+            world.servers.addAll(leaving);
+            assertTrue(choose().isEmpty());
+        }
+    }
+
+    /**
+     * Replays a wave of prompts on eight routers: 60 prompts a second of 8,200 tokens, read in 1.1
+     * s, over 64 engines. Routers that tell each other what they have sent keep the most prompts at
+     * one engine far below those that go by their own sends.
+     */
+    @Nested
+    class WaveOverEightRouters {
+        private static final int ROUTERS = 8;
+        private static final int ENGINES = 64;
+        private static final int PROMPTS = 600;
+        private static final long GAP_MS = 17;
+        private static final long READ_MS = 1_100;
+
+        private int mostTogether(boolean telling) {
+            List<ForwardWorld> routers = new ArrayList<>();
+            for (int i = 0; i < ROUTERS; i++) {
+                routers.add(new ForwardWorld().domain("a", ENGINES));
+            }
+            SplittableRandom random = new SplittableRandom(11);
+            Map<EngineId, List<Long>> reading = new HashMap<>();
+            List<Runnable> ends = new ArrayList<>();
+            int most = 0;
+            for (int i = 0; i < PROMPTS; i++) {
+                long now = i * GAP_MS;
+                int r = random.nextInt(ROUTERS);
+                ForwardWorld router = routers.get(r);
+                EngineId engine =
+                        router.placement
+                                .server(
+                                        ImmutableList.copyOf(router.servers),
+                                        ForwardWorld.PROMPT,
+                                        Optional.of(ForwardWorld.ENGINE),
+                                        Set.of(),
+                                        now)
+                                .orElseThrow()
+                                .id();
+                router.loads.sent(engine, ForwardWorld.PROMPT);
+                List<Long> until = reading.computeIfAbsent(engine, e -> new ArrayList<>());
+                until.removeIf(ms -> ms <= now);
+                until.add(now + READ_MS);
+                most = Math.max(most, until.size());
+                ends.add(() -> router.loads.read(engine, ForwardWorld.PROMPT));
+                ends.add(() -> router.loads.ended(engine, ForwardWorld.PROMPT));
+                if (i >= READ_MS / GAP_MS) {
+                    int first = 2 * (i - (int) (READ_MS / GAP_MS));
+                    ends.get(first).run();
+                    ends.get(first + 1).run();
+                }
+                if (telling) {
+                    tell(routers, r, engine);
+                }
+            }
+            return most;
+        }
+
+        private void tell(List<ForwardWorld> routers, int from, EngineId engine) {
+            for (int i = 0; i < ROUTERS; i++) {
+                if (i != from) {
+                    routers.get(i)
+                            .loads
+                            .peerUse(
+                                    RouterId.of("r" + from),
+                                    engine,
+                                    routers.get(from).loads.ownUse(engine));
+                }
+            }
+        }
+
+        @Test
+        void isSpreadByThoseThatTell() {
+            int alone = mostTogether(false);
+            int telling = mostTogether(true);
+            assertTrue(telling <= 3, "at most " + telling + " prompts together");
+            assertTrue(alone > telling, "alone " + alone + ", telling " + telling);
+        }
+    }
+
+    /** Requests without a prompt. */
+    @Nested
+    class PlainServers {
+        private BackendServer plain() {
+            return Placement.create(
+                            world.loads, world.health, DomainId.of("a"), new SplittableRandom(1))
+                    .server(
+                            ImmutableList.copyOf(world.servers),
+                            RequestSize.none(),
+                            Optional.empty(),
+                            Set.of(),
+                            10)
+                    .orElseThrow();
+        }
+
+        @Test
+        void thatSayTheyAreFullAreTheLastChoice() {
+            world.loads.reported(EngineId.of("a-1"), 96, 5);
+            world.loads.reported(EngineId.of("a-2"), 96, 5);
+            assertEquals("b", plain().domain().value());
+        }
+
+        @Test
+        void ofTheOwnDomainGoFirstWhenAllIsIdle() {
+            assertEquals("a", plain().domain().value());
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/EventSplitterTest.java
@@ -0,0 +1,71 @@
+package org.masticweir.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Only whole events leave the splitter. */
+class EventSplitterTest {
+    private static final String THREE =
+            "id: 7\ndata: a\n\nx-version: 2\nid: 8\r\ndata: b\r\n\r\ndata: no id\n\n";
+
+    private final List<String> events = new ArrayList<>();
+    private final List<OptionalLong> ids = new ArrayList<>();
+
+    private EventSplitter split(String text, int step) throws IOException {
+        EventSplitter splitter = new EventSplitter();
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        for (int i = 0; i < bytes.length; i += step) {
+            ByteBuffer part = ByteBuffer.wrap(bytes, i, Math.min(step, bytes.length - i));
+            splitter.take(
+                    part,
+                    (event, id) -> {
+                        events.add(StandardCharsets.UTF_8.decode(event).toString());
+                        ids.add(id);
+                    });
+        }
+        return splitter;
+    }
+
+    /** However the bytes are cut on their way, the same events come out, byte for byte. */
+    @Property
+    void givesTheSameEventsHoweverTheBytesAreCut(@ForAll @IntRange(min = 1, max = 80) int step)
+            throws IOException {
+        events.clear();
+        ids.clear();
+        EventSplitter splitter = split(THREE, step);
+        assertEquals(THREE, String.join("", events));
+        assertEquals(List.of(OptionalLong.of(7), OptionalLong.of(8), OptionalLong.empty()), ids);
+        assertTrue(splitter.isAtEventEnd());
+    }
+
+    /**
+     * A report shows half a sentence twice: its server stopped in the middle of an event, the part
+     * was passed on, and the next server began with that event.
+     */
+    @Test
+    void keepsTheBeginningOfAnEventThatNeverEnds() throws IOException {
+        EventSplitter splitter = split("id: 1\ndata: a\n\nid: 2\ndata: ha", 5);
+        assertEquals(1, events.size());
+        assertFalse(splitter.isAtEventEnd());
+    }
+
+    @Test
+    void givesUpOnAnEventWithoutEnd() {
+        assertThrows(
+                IOException.class,
+                () -> split("x".repeat(EventSplitter.MAX_EVENT_BYTES + 1), 4096));
+    }
+}
