relay: a router that leaves takes only what can end in time

The balancer goes on sending where a domain has hardly another router.

Requests are now taken only while their route's timeout fits into the time that is left, streams for a quarter of it, and nothing in the last look before closing. Ruled out: a longer wait; the platform ends the process.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -36,11 +36,11 @@
     private static final long LEAVING_RETURN_MS = 1_000;
 
     private final RelayContext context;
-    private final RequestCount underWay;
+    private final RelayIntake intake;
 
-    RelayHandler(RelayContext context, RequestCount underWay) {
+    RelayHandler(RelayContext context, RelayIntake intake) {
         this.context = checkNotNull(context, "context");
-        this.underWay = checkNotNull(underWay, "underWay");
+        this.intake = checkNotNull(intake, "intake");
     }
 
     /** A request that is refused before it is read. */
@@ -67,8 +67,8 @@
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        underWay.begin();
-        if (underWay.isLeaving()) {
+        intake.begin();
+        if (intake.isLeaving()) {
             exchange.setPersistent(false);
         }
         try {
@@ -91,7 +91,7 @@
         Route route =
                 catalog.route(host, exchange.getRequestURI())
                         .orElseThrow(() -> unknown(view, ErrorCode.NOT_FOUND, "no such route"));
-        if (route.streams() && underWay.isClosedToStreams()) {
+        if (!intake.takes(route, now)) {
             throw new Refusal(ErrorCode.SHUTTING_DOWN, "this router is leaving");
         }
         CallerHead caller = callerHead(headers);
@@ -199,7 +199,7 @@
                         exchange,
                         admitted.headers(),
                         body,
-                        underWay::end)
+                        intake::end)
                 .start();
     }
 
@@ -213,7 +213,7 @@
         context.metrics().failed(refusal.code);
         new CallerAnswer(exchange, () -> {})
                 .error(refusal.code, returnMs(refusal.code), refusal.getMessage());
-        underWay.end();
+        intake.end();
     }
 
     private static OptionalLong returnMs(ErrorCode code) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -86,7 +86,7 @@
     private final LoadBoard loads = LoadBoard.create();
     private final ServerHealth health = ServerHealth.create();
     private final MetricRegistry metrics = new MetricRegistry();
-    private final RequestCount underWay = new RequestCount();
+    private final RelayIntake intake = new RelayIntake();
     private final ServiceRepeats repeats;
     private final PeerLinks links;
     private final PeerDirectory directory;
@@ -134,14 +134,14 @@
                         this::hearsStore,
                         directory,
                         uses);
-        shutdown = new RelayShutdown(underWay, control, clock, settings.graceMs());
+        shutdown = new RelayShutdown(intake, control, clock, settings.graceMs());
         ports =
                 RelayPorts.create(
                         settings,
                         worker,
-                        new RelayHandler(context(uses), underWay),
+                        new RelayHandler(context(uses), intake),
                         platform.dialect().readyPath(),
-                        () -> deployment.isReady() && !underWay.isLeaving(),
+                        () -> deployment.isReady() && !intake.isLeaving(),
                         metrics);
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayShutdown.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayShutdown.java
@@ -14,8 +14,7 @@
  * Takes a router out of service without cutting off a request; thread-safe.
  *
  * <p>The balancer is told first. It goes on sending for a few seconds, in which everything is
- * served but streams, which would be cut off in their middle at the end; their callers are sent to
- * another router while they have all their time left.
+ * served that can end in time.
  */
 final class RelayShutdown {
     private static final Logger LOG = LogManager.getLogger(RelayShutdown.class);
@@ -23,28 +22,21 @@
     /** Time until the balancer has taken this router out, in ms: two of its questions, and one. */
     private static final long BALANCER_MS = 3_000;
 
-    /**
-     * Part of the time of grace after which a new stream might not end before the process has to. A
-     * stream of 140 events takes 5.7 s as a rule, of 8 s.
-     */
-    private static final int STREAMS_PART = 4;
-
     /** What is left of the time of grace for closing, in ms; closing takes some 10 ms. */
     private static final long RESERVE_MS = 150;
 
     private static final long LOOK_EVERY_MS = 50;
 
-    private final RequestCount underWay;
+    private final RelayIntake intake;
     private final ScheduledExecutorService control;
     private final Clock clock;
     private final long graceMs;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private boolean started;
 
-    RelayShutdown(
-            RequestCount underWay, ScheduledExecutorService control, Clock clock, long graceMs) {
+    RelayShutdown(RelayIntake intake, ScheduledExecutorService control, Clock clock, long graceMs) {
         checkArgument(graceMs >= 0, "grace of %s ms", graceMs);
-        this.underWay = checkNotNull(underWay, "underWay");
+        this.intake = checkNotNull(intake, "intake");
         this.control = checkNotNull(control, "control");
         this.clock = checkNotNull(clock, "clock");
         this.graceMs = graceMs;
@@ -54,11 +46,9 @@
     synchronized CompletableFuture<Void> start() {
         if (!started) {
             started = true;
-            LOG.info("router: leaving, {} requests under way", underWay.get());
-            underWay.leave();
+            LOG.info("router: leaving, {} requests under way", intake.underWay());
             long beganMs = clock.nowMs();
-            control.schedule(
-                    underWay::closeToStreams, graceMs / STREAMS_PART, TimeUnit.MILLISECONDS);
+            intake.leave(beganMs, beganMs + Math.max(0, graceMs - RESERVE_MS));
             control.schedule(() -> look(beganMs), BALANCER_MS, TimeUnit.MILLISECONDS);
         }
         return done;
@@ -70,7 +60,12 @@
     }
 
     private void look(long beganMs) {
-        int left = underWay.get();
+        int left = intake.underWay();
+        if (left == 0) {
+            // Before the last look: what came in between is refused, not cut off.
+            intake.close();
+            left = intake.underWay();
+        }
         long passedMs = clock.nowMs() - beganMs;
         if (left == 0 || passedMs >= graceMs - RESERVE_MS) {
             LOG.info("router: left after {} ms, {} requests cut off", passedMs, left);
