forward: streams stay in the router's failure domain while its engines read no prompt

Cause: a domain that is cut off loses each stream whose router and engine lie on two sides. Engines were chosen with hardly any weight on the domain (50 tokens), so three of four streams crossed it.

Ruled out: copies for these; their holders lie beyond the cut as well. Now another domain weighs half of a long prompt.

--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -26,8 +26,11 @@
      */
     private static final long TOKENS_A_REQUEST = 100;
 
-    /** What another failure domain weighs, in the same unit: its way costs time and bytes. */
-    private static final long TOKENS_A_DOMAIN = 50;
+    /**
+     * What another failure domain weighs, in the same unit: half of a long prompt. A domain that is
+     * cut off keeps the streams whose router and engine both lie in it, and loses the others.
+     */
+    private static final long TOKENS_A_DOMAIN = 4_000;
 
     /** What another failure domain weighs for plain requests, in requests present a slot. */
     private static final double SLOTS_A_DOMAIN = 0.2;
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -52,6 +52,25 @@
             assertEquals("b-2", choose().orElseThrow().id().value());
         }
 
+        /**
+         * A domain is cut off, and the reports of its callers stand still: their engines lie on the
+         * other side although engines of the domain were idle.
+         */
+        @Test
+        void ofTheOwnDomainAreChosenWhileNoneReadsAPrompt() {
+            assertEquals("a", choose().orElseThrow().domain().value());
+            world.loads.sent(EngineId.of("a-1"), RequestSize.none());
+            world.loads.sent(EngineId.of("a-2"), RequestSize.none());
+            assertEquals("a", choose().orElseThrow().domain().value());
+        }
+
+        @Test
+        void ofAnotherDomainAreChosenBeforeASecondPromptAtHome() {
+            world.loads.sent(EngineId.of("a-1"), ForwardWorld.PROMPT);
+            world.loads.sent(EngineId.of("a-2"), ForwardWorld.PROMPT);
+            assertEquals("b", choose().orElseThrow().domain().value());
+        }
+
         @Test
         void withoutRoomInMemoryAreNotChosen() {
             world.servers.forEach(s -> world.loads.holding(s.id(), 80_000));
--- a/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
@@ -138,12 +138,34 @@
             assertEquals("whole: abcd", exchange(Ending.CLOSE, HEAD + "ab", "cd"));
         }
 
+        @Test
+        void isWholeIfNothingSaysThatTheConnectionCloses() throws Exception {
+            assertEquals("whole: abcd", exchange(Ending.CLOSE, "HTTP/1.1 200 OK\r\n\r\nabcd"));
+        }
+
         @Test
         void isLostIfItsConnectionIsReset() throws Exception {
             assertTrue(exchange(Ending.RESET, HEAD, "ab").startsWith("lost: "));
         }
     }
 
+    /** A booking ends with an error although its answer was whole: more bytes came after it. */
+    @Nested
+    class BytesAfterTheAnswer {
+        private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabcd";
+
+        @Test
+        void areNobodysIfTheyComeWithIt() throws Exception {
+            String other = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwxyz";
+            assertEquals("whole: abcd", exchange(Ending.CLOSE, ANSWER + other));
+        }
+
+        @Test
+        void areNobodysIfTheyAreNoAnswer() throws Exception {
+            assertEquals("whole: abcd", exchange(Ending.RESET, ANSWER + "garbage"));
+        }
+    }
+
     /** A chunk's end is missing: what came must not pass for the whole answer. */
     @Test
     void chunkedAnswerWithoutItsLastChunkIsLost() throws Exception {
