forward: an idempotent request without answer is tried elsewhere once

Ruled out: broken connections, which are seen at once.

After seven tenths of the goal it goes to a server with free places, once.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.Repeatability;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
 import org.masticweir.id.EngineId;
@@ -29,6 +30,12 @@
     /** Part of the time goal for which a request waits for a server before it is refused. */
     private static final int HOLD_PART = 8;
 
+    /**
+     * Part of the time goal after which an idempotent request is tried elsewhere. What is left is
+     * enough for the median of the work; 99 in 100 answers come sooner.
+     */
+    private static final double SLOW_PART = 0.7;
+
     /** Part of the time goal after which a refused caller may come back, at the earliest. */
     private static final int RETURN_PART = 4;
 
@@ -140,6 +147,32 @@
         return next(nowMs) instanceof Step.Send send ? Optional.of(send) : Optional.empty();
     }
 
+    /** Returns the wait for a whole answer after which {@link #slow} may find a better server. */
+    public OptionalLong slowAfterMs() {
+        boolean once =
+                plan.route().repeatability() == Repeatability.IDEMPOTENT
+                        && sends < plan.route().attempts();
+        return once
+                ? OptionalLong.of(Math.max(1, (long) (plan.route().goalMs() * SLOW_PART)))
+                : OptionalLong.empty();
+    }
+
+    /**
+     * Returns a send in place of the one that is under way, which no answer has come to.
+     *
+     * <p>Failure guarded against: a server runs a request and its answer is lost without a sign, or
+     * a server hangs. The caller would wait for its whole timeout. Only a server that has places
+     * free is tried, so that in overload, where all are slow, nothing is sent twice.
+     */
+    public Optional<Step.Send> slow(long nowMs) {
+        boolean free = anyServer(nowMs).filter(s -> placement.hasFreePlace(s, nowMs)).isPresent();
+        if (!free || slowAfterMs().isEmpty() || nowMs >= plan.expiresMs()) {
+            return Optional.empty();
+        }
+        ended();
+        return next(nowMs) instanceof Step.Send send ? Optional.of(send) : Optional.empty();
+    }
+
     /** The caller has got event {@code id}. */
     public void event(long id) {
         hasEvent = true;
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -78,6 +78,11 @@
         return ranking.best();
     }
 
+    /** Returns whether a plain request would be worked on at once at {@code server}. */
+    boolean hasFreePlace(BackendServer server, long nowMs) {
+        return loads.present(server.id(), nowMs) < server.slots();
+    }
+
     /**
      * Returns the server that should hold a copy of a run at {@code runner}.
      *
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -145,6 +145,8 @@
         long dueMs = plan.expiresMs();
         if (plan.route().streams()) {
             dueMs = Math.min(dueMs, silence.dueMs());
+        } else if (course.slowAfterMs().isPresent()) {
+            dueMs = Math.min(dueMs, silence.sentMs + course.slowAfterMs().getAsLong());
         }
         timer(Math.max(1, dueMs - now()), this::timeIsUp);
     }
@@ -159,9 +161,28 @@
             silence.isOver();
             return;
         }
+        if (!plan.route().streams()) {
+            answerIsSlow(now);
+            return;
+        }
         watchTime();
     }
 
+    private void answerIsSlow(long now) {
+        Optional<Step.Send> instead = course.slow(now);
+        if (instead.isEmpty()) {
+            timer(Math.max(1, plan.expiresMs() - now), this::timeIsUp);
+            return;
+        }
+        LOG.info(
+                "relay: request {} got no answer from {} in {} ms",
+                caller.request(),
+                silence.server.id(),
+                now - silence.sentMs);
+        leaveServer();
+        take(instead.get());
+    }
+
     private void leaveServer() {
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
--- a/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -166,4 +166,44 @@
             assertTrue(course.failedAnswer(50).isEmpty());
         }
     }
+
+    /**
+     * A manager's query runs into its timeout: the server had run it, its answer was lost on the
+     * way, and nothing said so.
+     */
+    @Nested
+    class AnswerThatDoesNotCome {
+        private final Course course = world.course(Repeatability.IDEMPOTENT, 2);
+
+        @Test
+        void isWaitedForForPartOfTheGoal() {
+            course.next(0);
+            assertTrue(course.slowAfterMs().getAsLong() < ForwardWorld.GOAL_MS);
+        }
+
+        @Test
+        void isAskedForElsewhereOnce() {
+            Step.Send first = send(course.next(0));
+            Step.Send second = course.slow(3_000).orElseThrow();
+            assertNotEquals(first.server(), second.server());
+            assertTrue(course.slowAfterMs().isEmpty());
+        }
+
+        @Test
+        void isNotAskedForElsewhereWhileAllServersAreBusy() {
+            course.next(0);
+            world.servers.forEach(s -> world.loads.reported(s.id(), 96, 2_900));
+            assertTrue(course.slow(3_000).isEmpty());
+            assertEquals(1, course.sends());
+        }
+
+        @Test
+        void ofAMutatingRequestIsWaitedForToTheEnd() {
+            Course mutating = world.course(Repeatability.MUTATING, 2);
+            mutating.next(0);
+            assertTrue(mutating.slowAfterMs().isEmpty());
+            assertTrue(mutating.slow(3_000).isEmpty());
+            assertEquals(1, mutating.sends());
+        }
+    }
 }
