forward: spread running streams, take the engine's word on what it holds, learn reading

Now a running request weighs a quarter of a prompt, the engine's report decides whether it may still hold the request, quick readings count for little, and streams are taken while leaving if their tokens fit.

--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -24,13 +24,14 @@
      * What one running request weighs against tokens of a prompt in reading. A step's length grows
      * by about 3 in 100 with a request; a prompt's chunk of 200 tokens makes it 8 times as long.
      */
-    private static final long TOKENS_A_REQUEST = 100;
+    private static final long TOKENS_A_REQUEST = 2_000;
 
     /**
-     * What another failure domain weighs, in the same unit: half of a long prompt. A domain that is
-     * cut off keeps the streams whose router and engine both lie in it, and loses the others.
+     * What another failure domain weighs, in the same unit: a quarter of a long prompt. A domain
+     * that is cut off keeps the streams whose router and engine both lie in it, and loses the
+     * others.
      */
-    private static final long TOKENS_A_DOMAIN = 4_000;
+    private static final long TOKENS_A_DOMAIN = 2_000;
 
     /** What another failure domain weighs for plain requests, in requests present a slot. */
     private static final double SLOTS_A_DOMAIN = 0.2;
--- a/masticweir/src/main/java/org/masticweir/forward/SilenceBounds.java
+++ b/masticweir/src/main/java/org/masticweir/forward/SilenceBounds.java
@@ -30,7 +30,20 @@
     /** Weight of the newest observation of the reading speed. */
     private static final double SPEED_WEIGHT = 0.1;
 
-    private double tokensPerMs;
+    /** Observations before the learnt speed counts. */
+    private static final int LEAST_READS = 5;
+
+    /**
+     * Part of the learnt time below which an observation counts as so much. A prompt that lay in
+     * the engine's memory is read in no time and says nothing of the next one.
+     */
+    private static final double LEAST_PART = 0.7;
+
+    /** Part of the time goal that an engine has in any case. */
+    private static final int LEAST_GOAL_PART = 4;
+
+    private double msAToken;
+    private int reads;
 
     private SilenceBounds() {}
 
@@ -43,8 +56,9 @@
         if (tokens <= 0 || ms <= 0) {
             return;
         }
-        double seen = (double) tokens / ms;
-        tokensPerMs = tokensPerMs == 0 ? seen : tokensPerMs + SPEED_WEIGHT * (seen - tokensPerMs);
+        double seen = Math.max((double) ms / tokens, msAToken * LEAST_PART);
+        msAToken = reads == 0 ? seen : msAToken + SPEED_WEIGHT * (seen - msAToken);
+        reads++;
     }
 
     /**
@@ -68,10 +82,10 @@
      * @param goalMs time goal of the first event
      */
     public long firstEventMs(long tokens, long goalMs) {
-        if (tokensPerMs == 0) {
+        if (reads < LEAST_READS) {
             return goalMs / 2;
         }
-        long expectedMs = Math.round(tokens / tokensPerMs * READ_SLACK) + READ_EXTRA_MS;
-        return Math.min(expectedMs, goalMs / 2);
+        long expectedMs = Math.round(tokens * msAToken * READ_SLACK) + READ_EXTRA_MS;
+        return Math.max(goalMs / LEAST_GOAL_PART, Math.min(expectedMs, goalMs / 2));
     }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/forward/StreamPace.java
@@ -0,0 +1,55 @@
+package org.masticweir.forward;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.OptionalLong;
+
+/**
+ * How long streams take, learnt from those that ended; owned by the traffic thread.
+ *
+ * <p>Load that it answers: a router leaves, and streams that it takes meanwhile are cut off in
+ * their middle when the process has to end. A stream's length follows from the tokens that it may
+ * make, so the ones that still fit can be told from the others.
+ */
+public final class StreamPace {
+    /** Weight of the newest observation. */
+    private static final double WEIGHT = 0.1;
+
+    /** Times the learnt time that a stream is given: engines differ by a third in their speed. */
+    private static final double MARGIN = 1.3;
+
+    private boolean learnt;
+    private double firstEventMs;
+    private double msAToken;
+
+    private StreamPace() {}
+
+    public static StreamPace create() {
+        return new StreamPace();
+    }
+
+    /**
+     * Takes note of a stream that ended.
+     *
+     * @param firstMs time to its first event
+     * @param restMs time from there to its end
+     */
+    public void observe(RequestSize size, long firstMs, long restMs) {
+        checkNotNull(size, "size");
+        if (size.output() == 0) {
+            return;
+        }
+        double perToken = (double) restMs / size.output();
+        double weight = learnt ? WEIGHT : 1;
+        firstEventMs += weight * (firstMs - firstEventMs);
+        msAToken += weight * (perToken - msAToken);
+        learnt = true;
+    }
+
+    /** Returns the time in which nearly all streams of {@code size} end; empty while unknown. */
+    public OptionalLong expectedMs(RequestSize size) {
+        return learnt
+                ? OptionalLong.of(Math.round(MARGIN * (firstEventMs + msAToken * size.output())))
+                : OptionalLong.empty();
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/logs/LogSetup.java
+++ b/masticweir/src/main/java/org/masticweir/logs/LogSetup.java
@@ -60,7 +60,8 @@
                         .addAttribute("blocking", false)
                         .addComponent(builder.newAppenderRef(APPENDER)));
         builder.add(builder.newRootLogger(level).add(builder.newAppenderRef(QUEUE)));
-        Configurator.reconfigure(builder.build(false));
+        // Not a change of a default setup: building that first takes a tenth of a start.
+        Configurator.initialize(builder.build(false));
     }
 
     /** Changes the lowest level that is written. */
--- a/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
@@ -1,85 +1,55 @@
 package org.masticweir.relay;
 
-import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
-import org.masticweir.http.HttpHead;
-import org.masticweir.http.HttpStream;
-import org.masticweir.http.HttpStreamListener;
+import org.masticweir.forward.EngineReport;
+import org.masticweir.http.HttpOutcome;
 import org.masticweir.id.EngineId;
 
 /**
- * Asks an engine that has not begun a request in time whether it lives; on the traffic thread.
+ * Asks an engine that has not begun a request in time what it is doing; on the traffic thread.
  *
- * <p>Failure guarded against: an engine goes dark while it reads a prompt. It is silent then in any
- * case, so silence says nothing, and waiting for the longest reading time would cost the goal. A
- * living engine answers this call at once, however busy it is.
+ * <p>Failure guarded against: an engine goes dark while it reads a prompt, or drops the request
+ * without a sign. It is silent while it reads in any case, so silence says nothing, and waiting for
+ * the longest reading time would cost the goal. A living engine answers this call at once.
  */
-final class AliveCheck implements HttpStreamListener {
+final class AliveCheck {
+    private static final Logger LOG = LogManager.getLogger(AliveCheck.class);
+
     /** Time for the answer, in ms: a way there and back and a busy engine's turn. */
     private static final long ANSWER_MS = 300;
 
-    private final Consumer<Boolean> then;
-    private Optional<HttpStream> http = Optional.empty();
-    private boolean over;
-
-    private AliveCheck(Consumer<Boolean> then) {
-        this.then = then;
-    }
+    private AliveCheck() {}
 
-    /** Tells {@code then}, once, whether {@code engine} is listed and answers. */
+    /** Tells {@code then}, once, what {@code engine} says; nothing if it is gone or silent. */
     static void ask(
             RelayContext context,
             List<BackendServer> servers,
             EngineId engine,
-            Consumer<Boolean> then) {
+            Consumer<Optional<EngineReport>> then) {
         Optional<BackendServer> listed =
                 servers.stream().filter(s -> s.id().equals(engine)).findAny();
         if (listed.isEmpty()) {
-            then.accept(false);
+            then.accept(Optional.empty());
             return;
         }
-        AliveCheck check = new AliveCheck(then);
-        context.thread().executeAfter(() -> check.end(false), ANSWER_MS, TimeUnit.MILLISECONDS);
-        check.http =
-                Optional.of(
-                        HttpStream.open(
-                                context.thread(),
-                                context.buffers(),
-                                context.dialect().aliveCheck(listed.get().address()),
-                                ANSWER_MS,
-                                check));
-    }
-
-    @Override
-    public void head(HttpHead head) {
-        end(head.isSuccess());
-    }
-
-    @Override
-    public void bytes(ByteBuffer part) {
-        part.position(part.limit());
-    }
-
-    @Override
-    public void end() {
-        end(false);
+        context.calls()
+                .call(context.dialect().aliveCheck(listed.get().address()), ANSWER_MS)
+                .thenAccept(outcome -> then.accept(report(context.dialect(), outcome)));
     }
 
-    @Override
-    public void lost(boolean sent) {
-        end(false);
-    }
-
-    private void end(boolean alive) {
-        if (over) {
-            return;
+    private static Optional<EngineReport> report(Dialect dialect, HttpOutcome outcome) {
+        if (outcome instanceof HttpOutcome.Answered answered && answered.answer().isSuccess()) {
+            try {
+                return Optional.of(dialect.engineReport(answered.answer().text()));
+            } catch (IllegalArgumentException e) {
+                LOG.warn("relay: an engine's report is not understood, {}", e.getMessage());
+            }
         }
-        over = true;
-        http.ifPresent(HttpStream::close);
-        then.accept(alive);
+        return Optional.empty();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/Dialect.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Dialect.java
@@ -1,6 +1,7 @@
 package org.masticweir.relay;
 
 import java.net.InetSocketAddress;
+import org.masticweir.forward.EngineReport;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpHeaders;
@@ -26,6 +27,13 @@
     /** Returns a call that a living engine answers at once, whatever its load. */
     HttpCall aliveCheck(InetSocketAddress engine);
 
+    /**
+     * Reads the answer to an {@link #aliveCheck}.
+     *
+     * @throws IllegalArgumentException if it is malformed
+     */
+    EngineReport engineReport(String body);
+
     /** Returns the path at which the balancer asks whether this router takes connections. */
     String readyPath();
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -8,6 +8,8 @@
 import org.masticweir.forward.RepeatGate;
 import org.masticweir.forward.ServerHealth;
 import org.masticweir.forward.SilenceBounds;
+import org.masticweir.forward.StreamPace;
+import org.masticweir.http.HttpCaller;
 import org.masticweir.time.Clock;
 import org.xnio.XnioIoThread;
 
@@ -22,12 +24,14 @@
         XnioIoThread thread,
         Dialect dialect,
         ByteBufferPool buffers,
+        HttpCaller calls,
         Supplier<RelayView> view,
         LoadBoard loads,
         ServerHealth health,
         Placement placement,
         RepeatGate repeats,
         SilenceBounds silence,
+        StreamPace pace,
         RandomGenerator random,
         RelayMetrics metrics,
         long connectTimeoutMs,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -29,12 +29,6 @@
     /** When a caller may come back that was refused for want of a catalog, in ms. */
     private static final long UNSURE_RETURN_MS = 300;
 
-    /**
-     * When a caller may come back that this router can't serve before it leaves, in ms: the
-     * balancer has noticed by then.
-     */
-    private static final long LEAVING_RETURN_MS = 1_000;
-
     private final RelayContext context;
     private final RelayIntake intake;
 
@@ -91,10 +85,10 @@
         Route route =
                 catalog.route(host, exchange.getRequestURI())
                         .orElseThrow(() -> unknown(view, ErrorCode.NOT_FOUND, "no such route"));
-        if (!intake.takes(route, now)) {
+        CallerHead caller = callerHead(headers);
+        if (!intake.takes(needsMs(route, caller), now)) {
             throw new Refusal(ErrorCode.SHUTTING_DOWN, "this router is leaving");
         }
-        CallerHead caller = callerHead(headers);
         Optional<Team> team = team(view, catalog, route, caller);
         ServiceName service = route.service(caller.request().hashCode());
         Optional<EngineSpec> engine = catalog.service(service).flatMap(ServiceSpec::engine);
@@ -125,6 +119,13 @@
                 : 0;
     }
 
+    /** The timeout of a stream is far longer than any stream; that of other requests is not. */
+    private OptionalLong needsMs(Route route, CallerHead caller) {
+        return route.streams()
+                ? context.pace().expectedMs(caller.size())
+                : OptionalLong.of(route.timeoutMs());
+    }
+
     private CallerHead callerHead(HttpHeaders headers) throws Refusal {
         try {
             return context.dialect().callerHead(headers);
@@ -191,16 +192,15 @@
                         admitted.caller().afterEvent(),
                         admitted.receivedMs(),
                         admitted.receivedMs() + waitMs);
-        new RelayRun(
-                        context,
+        RelayRequest request =
+                RelayRequest.of(
+                        exchange,
                         plan,
                         admitted.caller(),
                         admitted.team(),
-                        exchange,
                         admitted.headers(),
-                        body,
-                        intake::end)
-                .start();
+                        body);
+        new RelayRun(context, request, exchange, intake::end).start();
     }
 
     private void refuse(HttpServerExchange exchange, Refusal refusal) {
@@ -216,10 +216,10 @@
         intake.end();
     }
 
-    private static OptionalLong returnMs(ErrorCode code) {
+    private OptionalLong returnMs(ErrorCode code) {
         return switch (code) {
             case NO_CONFIGURATION -> OptionalLong.of(UNSURE_RETURN_MS);
-            case SHUTTING_DOWN -> OptionalLong.of(LEAVING_RETURN_MS);
+            case SHUTTING_DOWN -> OptionalLong.of(intake.balancerMs(context.clock().nowMs()));
             default -> OptionalLong.empty();
         };
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayIntake.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayIntake.java
@@ -2,8 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.masticweir.catalog.Route;
 
 /**
  * Counts the requests under way, and decides which ones a router that leaves still takes;
@@ -15,11 +15,11 @@
  * caller has time to go elsewhere.
  */
 final class RelayIntake {
-    /**
-     * Part of the time of grace for which streams are taken. A stream of 140 events takes 5.7 s as
-     * a rule, of 8 s; its route's timeout of 25 s says nothing about it.
-     */
-    private static final int STREAMS_PART = 4;
+    /** Time in which the balancer notices, in ms: two of its questions, a second apart, and one. */
+    static final long BALANCER_MS = 3_000;
+
+    /** Least time after which a refused caller may come back, in ms: here it has no chance. */
+    private static final long LEAST_RETURN_MS = 200;
 
     private final AtomicInteger underWay = new AtomicInteger();
     private volatile boolean leaving;
@@ -58,15 +58,20 @@
         return leaving;
     }
 
-    /** Returns whether a request of {@code route} can still be served to its end. */
-    boolean takes(Route route, long nowMs) {
+    /**
+     * Returns whether a request can still be served to its end.
+     *
+     * @param needsMs time in which it ends; empty if that is not known
+     */
+    boolean takes(OptionalLong needsMs, long nowMs) {
         if (closed || !leaving) {
             return !closed;
         }
-        long lastMs =
-                route.streams()
-                        ? beganMs + (endsMs - beganMs) / STREAMS_PART
-                        : endsMs - route.timeoutMs();
-        return nowMs < lastMs;
+        return needsMs.isPresent() && nowMs + needsMs.getAsLong() <= endsMs;
+    }
+
+    /** Returns the time until the balancer sends nothing more here, in ms. */
+    long balancerMs(long nowMs) {
+        return Math.max(LEAST_RETURN_MS, beganMs + BALANCER_MS - nowMs);
     }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRequest.java
@@ -0,0 +1,62 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.undertow.server.HttpServerExchange;
+import java.util.Optional;
+import org.masticweir.forward.RequestPlan;
+import org.masticweir.forward.Step;
+import org.masticweir.http.HttpCall;
+import org.masticweir.http.HttpHeaders;
+import org.masticweir.id.TeamId;
+
+/**
+ * A caller's request as it was read; never changed.
+ *
+ * @param path path and query as they came
+ * @param body not copied, as it may be long and is only read
+ */
+record RelayRequest(
+        RequestPlan plan,
+        CallerHead caller,
+        Optional<TeamId> team,
+        String method,
+        String path,
+        HttpHeaders headers,
+        byte[] body) {
+    RelayRequest {
+        checkNotNull(plan, "plan");
+        checkNotNull(caller, "caller");
+        checkNotNull(team, "team");
+        checkNotNull(method, "method");
+        checkNotNull(path, "path");
+        checkNotNull(headers, "headers");
+        checkNotNull(body, "body");
+    }
+
+    static RelayRequest of(
+            HttpServerExchange exchange,
+            RequestPlan plan,
+            CallerHead caller,
+            Optional<TeamId> team,
+            HttpHeaders headers,
+            byte[] body) {
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
+        String method = exchange.getRequestMethod().toString();
+        return new RelayRequest(plan, caller, team, method, path, headers, body);
+    }
+
+    /** Returns the caller's id of the request. */
+    String id() {
+        return caller.request();
+    }
+
+    /** Returns the call that carries out {@code send}. */
+    HttpCall callFor(Step.Send send, Dialect dialect, long nowMs) {
+        long leftMs = Math.max(1, plan.expiresMs() - nowMs);
+        SendHead head = new SendHead(caller.request(), send, team, leftMs);
+        return new HttpCall(
+                method, send.server().address(), path, dialect.toServer(headers, head), body);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -26,6 +26,7 @@
 import org.masticweir.forward.ServerHealth;
 import org.masticweir.forward.ServiceRepeats;
 import org.masticweir.forward.SilenceBounds;
+import org.masticweir.forward.StreamPace;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.id.EngineId;
@@ -218,12 +219,14 @@
                 thread,
                 platform.dialect(),
                 new DefaultByteBufferPool(true, BUFFER_BYTES),
+                calls,
                 () -> view,
                 loads,
                 health,
                 Placement.create(loads, health, settings.domain(), random),
                 repeats,
                 SilenceBounds.create(),
+                StreamPace.create(),
                 random,
                 RelayMetrics.of(metrics, clock),
                 CONNECT_MS,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -11,14 +11,13 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.Course;
+import org.masticweir.forward.EngineReport;
 import org.masticweir.forward.LoadTicket;
 import org.masticweir.forward.RequestPlan;
+import org.masticweir.forward.SendSilence;
 import org.masticweir.forward.Step;
-import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
-import org.masticweir.http.HttpHeaders;
 import org.masticweir.id.EngineId;
-import org.masticweir.id.TeamId;
 import org.xnio.XnioExecutor;
 
 /**
@@ -32,11 +31,7 @@
 
     private final RelayContext context;
     private final RequestPlan plan;
-    private final CallerHead caller;
-    private final Optional<TeamId> team;
-    private final HttpServerExchange exchange;
-    private final HttpHeaders headers;
-    private final byte[] body;
+    private final RelayRequest request;
     private final Course course;
     private final CallerAnswer answer;
     private final CallerWatch watch;
@@ -45,8 +40,9 @@
     private Optional<ServerSend> send = Optional.empty();
     private Optional<LoadTicket> ticket = Optional.empty();
     private Optional<XnioExecutor.Key> timer = Optional.empty();
-    private Silence silence;
+    private SendSilence silence;
     private int sendNumber;
+    private long firstEventMs;
     private long lastEventMs;
     private boolean resuming;
     private boolean over;
@@ -58,21 +54,13 @@
      */
     RelayRun(
             RelayContext context,
-            RequestPlan plan,
-            CallerHead caller,
-            Optional<TeamId> team,
+            RelayRequest request,
             HttpServerExchange exchange,
-            HttpHeaders headers,
-            byte[] body,
             Runnable ended) {
         this.context = checkNotNull(context, "context");
-        this.plan = checkNotNull(plan, "plan");
-        this.caller = checkNotNull(caller, "caller");
-        this.team = checkNotNull(team, "team");
-        this.exchange = checkNotNull(exchange, "exchange");
-        this.headers = checkNotNull(headers, "headers");
-        this.body = checkNotNull(body, "body");
+        this.request = checkNotNull(request, "request");
         this.ended = checkNotNull(ended, "ended");
+        plan = request.plan();
         course =
                 Course.of(
                         plan,
@@ -105,31 +93,20 @@
     private void send(Step.Send next) {
         sendNumber++;
         int number = sendNumber;
-        long leftMs = Math.max(1, plan.expiresMs() - now());
-        HttpCall call =
-                new HttpCall(
-                        exchange.getRequestMethod().toString(),
-                        next.server().address(),
-                        pathOf(exchange),
-                        context.dialect()
-                                .toServer(
-                                        headers,
-                                        new SendHead(caller.request(), next, team, leftMs)),
-                        body);
         if (sendNumber > 1) {
             logSend(next);
         }
         context.metrics().sent(sendNumber);
         ticket = Optional.of(LoadTicket.open(context.loads(), next, plan.size()));
         context.loadsChanged().run();
-        silence = new Silence(next.server(), next.fromCopy());
+        silence = SendSilence.of(next, plan, context.loads(), context.silence(), now());
         ServerSend opened =
                 ServerSend.open(
                         context.thread(),
                         context.buffers(),
-                        call,
+                        request.callFor(next, context.dialect(), now()),
                         context.connectTimeoutMs(),
-                        caller.request(),
+                        request.id(),
                         plan.route().streams(),
                         context.dialect(),
                         new Listener(next, number));
@@ -146,7 +123,7 @@
         if (plan.route().streams()) {
             dueMs = Math.min(dueMs, silence.dueMs());
         } else if (course.slowAfterMs().isPresent()) {
-            dueMs = Math.min(dueMs, silence.sentMs + course.slowAfterMs().getAsLong());
+            dueMs = Math.min(dueMs, silence.sentMs() + course.slowAfterMs().getAsLong());
         }
         timer(Math.max(1, dueMs - now()), this::timeIsUp);
     }
@@ -158,7 +135,7 @@
             return;
         }
         if (plan.route().streams() && now >= silence.dueMs()) {
-            silence.isOver();
+            silenceIsTooLong(now);
             return;
         }
         if (!plan.route().streams()) {
@@ -168,6 +145,45 @@
         watchTime();
     }
 
+    private void silenceIsTooLong(long now) {
+        if (silence.provesLoss()) {
+            serverIsLost("silent for " + silence.silentMs(now) + " ms");
+            return;
+        }
+        SendSilence asked = silence;
+        AliveCheck.ask(
+                context,
+                context.view().get().serversOf(plan.service()),
+                asked.server().id(),
+                report -> {
+                    if (over || silence != asked) {
+                        return;
+                    }
+                    LOG.info(
+                            "relay: request {} not begun by {} after {} ms, which reports {}",
+                            request.id(),
+                            asked.server().id(),
+                            now() - asked.sentMs(),
+                            report.map(EngineReport::toString).orElse("nothing"));
+                    if (report.isEmpty()) {
+                        serverIsLost("no sign of life");
+                    } else if (asked.reported(report.get(), request.id(), now())) {
+                        watchTime();
+                    } else {
+                        serverIsLost("does not have the request any more");
+                    }
+                });
+    }
+
+    private void serverIsLost(String reason) {
+        BackendServer server = silence.server();
+        resuming = answer.isStreaming();
+        leaveServer();
+        LOG.info("relay: request {}: {} {}", request.id(), server.id(), reason);
+        take(course.lost(server, now()));
+        context.loadsChanged().run();
+    }
+
     private void answerIsSlow(long now) {
         Optional<Step.Send> instead = course.slow(now);
         if (instead.isEmpty()) {
@@ -176,9 +192,9 @@
         }
         LOG.info(
                 "relay: request {} got no answer from {} in {} ms",
-                caller.request(),
-                silence.server.id(),
-                now - silence.sentMs);
+                request.id(),
+                silence.server().id(),
+                now - silence.sentMs());
         leaveServer();
         take(instead.get());
     }
@@ -202,7 +218,7 @@
         }
         LOG.info(
                 "relay: request {} ends {} {} after {} ms and {} sends, {}",
-                caller.request(),
+                request.id(),
                 end.code(),
                 end.verdict(),
                 now() - plan.receivedMs(),
@@ -219,7 +235,7 @@
         }
         LOG.info(
                 "relay: request {} was left by its caller after {} ms",
-                caller.request(),
+                request.id(),
                 now() - plan.receivedMs());
         context.metrics().callerLeft();
         finish();
@@ -256,7 +272,7 @@
     private void logSend(Step.Send next) {
         LOG.info(
                 "relay: request {} goes to {} in {}, send {} after event {}, {}",
-                caller.request(),
+                request.id(),
                 next.server().id(),
                 next.server().domain(),
                 sendNumber,
@@ -264,11 +280,6 @@
                 next.fromCopy() ? "from its copy" : "anew");
     }
 
-    private static String pathOf(HttpServerExchange exchange) {
-        String query = exchange.getQueryString();
-        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
-    }
-
     /** Hears one send; words of an earlier one change nothing. */
     private final class Listener implements SendListener {
         private final Step.Send sent;
@@ -294,11 +305,16 @@
                             && course.lastEvent().isPresent()
                             && id.getAsLong() <= course.lastEvent().getAsLong();
             long now = now();
-            silence.heard(now);
+            context.health().answered(sent.server().id(), now);
+            if (silence.heard(now)) {
+                ticket.ifPresent(LoadTicket::read);
+                context.loadsChanged().run();
+            }
             if (repeated) {
                 return;
             }
             if (!answer.isStreaming()) {
+                firstEventMs = now;
                 context.metrics().firstEvent(now - plan.receivedMs());
                 answer.startEvents(
                         new HttpHead(head.status(), context.dialect().toCaller(head.headers())));
@@ -307,7 +323,7 @@
                 context.metrics().resumed(now - lastEventMs);
                 LOG.info(
                         "relay: request {} goes on at {} after {} ms",
-                        caller.request(),
+                        request.id(),
                         sent.server().id(),
                         now - lastEventMs);
             }
@@ -322,6 +338,13 @@
                 return;
             }
             context.metrics().answered(now() - plan.receivedMs());
+            if (answer.isStreaming()) {
+                context.pace()
+                        .observe(
+                                plan.size(),
+                                firstEventMs - plan.receivedMs(),
+                                now() - firstEventMs);
+            }
             finish();
             answer.endEvents();
         }
@@ -397,7 +420,7 @@
         private void log(String what) {
             LOG.info(
                     "relay: request {}: {} in {} {} after {} ms, send {}",
-                    caller.request(),
+                    request.id(),
                     sent.server().id(),
                     sent.server().domain(),
                     what,
@@ -405,83 +428,4 @@
                     number);
         }
     }
-
-    /** The engine's silence on the send that is under way. */
-    private final class Silence {
-        private final BackendServer server;
-        private final long sentMs = now();
-        private final long tokensAhead;
-        private final boolean fromCopy;
-        private boolean heard;
-        private long lastMs = sentMs;
-        private long allowedMs;
-
-        Silence(BackendServer server, boolean fromCopy) {
-            this.server = server;
-            this.fromCopy = fromCopy;
-            tokensAhead = context.loads().use(server.id()).readingTokens();
-            allowedMs =
-                    fromCopy
-                            ? nextEventBound()
-                            : context.silence().firstEventMs(tokensAhead, plan.route().goalMs());
-        }
-
-        long dueMs() {
-            return lastMs + allowedMs;
-        }
-
-        void heard(long nowMs) {
-            if (!heard) {
-                heard = true;
-                ticket.ifPresent(LoadTicket::read);
-                context.loadsChanged().run();
-                if (!fromCopy) {
-                    context.silence().observeRead(tokensAhead, nowMs - sentMs);
-                }
-            }
-            context.health().answered(server.id(), nowMs);
-            lastMs = nowMs;
-            allowedMs = nextEventBound();
-        }
-
-        void isOver() {
-            if (heard || fromCopy) {
-                engineIsLost("silent for " + (now() - lastMs) + " ms");
-                return;
-            }
-            askWhetherAlive();
-        }
-
-        private long nextEventBound() {
-            int reading = context.loads().use(server.id()).reading();
-            return context.silence().nextEventMs(plan.route().gapGoalMs(), reading);
-        }
-
-        private void askWhetherAlive() {
-            // The answer counts only for this send; a living engine gets the same time again.
-            AliveCheck.ask(
-                    context,
-                    context.view().get().serversOf(plan.service()),
-                    server.id(),
-                    alive -> {
-                        if (over || silence != this) {
-                            return;
-                        }
-                        if (alive) {
-                            lastMs = now();
-                            watchTime();
-                        } else {
-                            engineIsLost("no sign of life");
-                        }
-                    });
-        }
-
-        private void engineIsLost(String reason) {
-            resuming = answer.isStreaming();
-            leaveServer();
-            LOG.info("relay: request {}: {} {}", caller.request(), server.id(), reason);
-            take(course.lost(server, now()));
-            context.loadsChanged().run();
-        }
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayShutdown.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayShutdown.java
@@ -19,9 +19,6 @@
 final class RelayShutdown {
     private static final Logger LOG = LogManager.getLogger(RelayShutdown.class);
 
-    /** Time until the balancer has taken this router out, in ms: two of its questions, and one. */
-    private static final long BALANCER_MS = 3_000;
-
     /** What is left of the time of grace for closing, in ms; closing takes some 10 ms. */
     private static final long RESERVE_MS = 150;
 
@@ -49,7 +46,7 @@
             LOG.info("router: leaving, {} requests under way", intake.underWay());
             long beganMs = clock.nowMs();
             intake.leave(beganMs, beganMs + Math.max(0, graceMs - RESERVE_MS));
-            control.schedule(() -> look(beganMs), BALANCER_MS, TimeUnit.MILLISECONDS);
+            control.schedule(() -> look(beganMs), RelayIntake.BALANCER_MS, TimeUnit.MILLISECONDS);
         }
         return done;
     }
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/forward/SendSilenceTest.java
@@ -0,0 +1,119 @@
+package org.masticweir.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.catalog.Repeatability;
+
+/** How long an engine may be silent, and what its own word changes. */
+class SendSilenceTest {
+    private static final long GOAL_MS = ForwardWorld.GOAL_MS;
+
+    private final ForwardWorld world = new ForwardWorld().domain("a", 1);
+    private final SilenceBounds bounds = SilenceBounds.create();
+
+    private SendSilence send(boolean fromCopy) {
+        Step.Send send =
+                new Step.Send(
+                        world.servers.get(0), Optional.empty(), fromCopy, OptionalLong.empty());
+        LoadTicket.open(world.loads, send, ForwardWorld.PROMPT);
+        RequestPlan plan = ForwardWorld.plan(Repeatability.RESUMABLE, 5);
+        return SendSilence.of(send, plan, world.loads, bounds, 0);
+    }
+
+    private void learn(long ms, int times) {
+        for (int i = 0; i < times; i++) {
+            bounds.observeRead(8_200, ms);
+        }
+    }
+
+    /** The prompt is being read. */
+    @Nested
+    class BeforeTheFirstEvent {
+        @Test
+        void isHalfTheGoalWhileTheSpeedIsUnknown() {
+            assertEquals(GOAL_MS / 2, send(false).dueMs());
+        }
+
+        @Test
+        void followsTheSpeedOfReading() {
+            learn(1_000, 20);
+            assertEquals(1_550, send(false).dueMs());
+        }
+
+        /**
+         * After all routers had started again, reports went from engine to engine and none read
+         * them: prompts that still lay in engines' memory had been read in no time, the bound
+         * shrank to 580 ms, and a whole reading takes 1,030 ms.
+         */
+        @Test
+        void isNotShortenedByPromptsThatLayInMemory() {
+            learn(1_000, 5);
+            learn(20, 30);
+            assertTrue(send(false).dueMs() >= GOAL_MS / 4);
+        }
+
+        @Test
+        void provesNoLoss() {
+            assertFalse(send(false).provesLoss());
+            assertTrue(send(true).provesLoss());
+        }
+    }
+
+    /** An engine ran a report, dropped it without a sign, and the caller waited 18 s for it. */
+    @Nested
+    class WordOfTheEngine {
+        private final SendSilence silence = send(false);
+
+        private boolean mayHold(int admitted, int waiting, String... running) {
+            return silence.reported(
+                    new EngineReport(Set.of(running), admitted, waiting), "r1", 2_300);
+        }
+
+        @Test
+        void thatItIsIdleShowsTheLoss() {
+            assertFalse(mayHold(0, 0));
+            assertFalse(mayHold(2, 0, "r2", "r3"));
+        }
+
+        @Test
+        void thatItReadsOrQueuesLeavesTheRequestThere() {
+            assertTrue(mayHold(1, 0));
+            assertTrue(mayHold(1, 1, "r2"));
+            assertTrue(mayHold(1, 0, "r1"));
+        }
+
+        @Test
+        void givesItTheSameTimeAgain() {
+            long allowedMs = silence.dueMs();
+            mayHold(1, 0);
+            assertEquals(2_300 + allowedMs, silence.dueMs());
+        }
+    }
+
+    /** The engine makes tokens. */
+    @Nested
+    class BetweenEvents {
+        @Test
+        void isHalfThePauseThatIsOnTime() {
+            SendSilence silence = send(true);
+            silence.heard(100);
+            assertEquals(100 + 350, silence.dueMs());
+        }
+
+        @Test
+        void growsWithThePromptsInReading() {
+            SendSilence silence = send(true);
+            world.loads.sent(world.servers.get(0).id(), ForwardWorld.PROMPT);
+            silence.heard(100);
+            assertTrue(silence.dueMs() > 100 + 350);
+            assertTrue(silence.dueMs() < 100 + 700);
+        }
+    }
+}
--- a/masticweir/src/test/java/org/masticweir/relay/RelayIntakeTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/RelayIntakeTest.java
@@ -4,39 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableList;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.masticweir.catalog.Repeatability;
-import org.masticweir.catalog.Route;
-import org.masticweir.catalog.ServiceName;
 
 /** Which requests a router takes while it leaves. */
 class RelayIntakeTest {
     private static final long TIMEOUT_MS = 800;
+    private static final OptionalLong TIMEOUT = OptionalLong.of(TIMEOUT_MS);
 
     private final RelayIntake intake = new RelayIntake();
 
-    private static Route route(boolean streams) {
-        return new Route(
-                "r",
-                "h",
-                "/",
-                streams ? Repeatability.RESUMABLE : Repeatability.MUTATING,
-                streams,
-                streams ? 25_000 : TIMEOUT_MS,
-                300,
-                0,
-                1,
-                1,
-                false,
-                ImmutableList.of(new Route.Share(ServiceName.of("s"), 1)));
-    }
-
     @Test
     void takesAllUntilItLeaves() {
-        assertTrue(intake.takes(route(false), Long.MAX_VALUE / 2));
-        assertTrue(intake.takes(route(true), Long.MAX_VALUE / 2));
+        assertTrue(intake.takes(TIMEOUT, Long.MAX_VALUE / 2));
+        assertTrue(intake.takes(OptionalLong.empty(), Long.MAX_VALUE / 2));
     }
 
     /**
@@ -52,19 +34,24 @@
 
         @Test
         void refusesWhatMayNotEndInTime() {
-            assertFalse(intake.takes(route(false), 16_818));
-            assertFalse(intake.takes(route(false), 16_850 - TIMEOUT_MS));
+            assertFalse(intake.takes(TIMEOUT, 16_818));
+            assertFalse(intake.takes(TIMEOUT, 16_851 - TIMEOUT_MS));
         }
 
         @Test
         void takesWhatEndsInTime() {
-            assertTrue(intake.takes(route(false), 16_849 - TIMEOUT_MS));
+            assertTrue(intake.takes(TIMEOUT, 16_849 - TIMEOUT_MS));
+        }
+
+        @Test
+        void refusesWhatMayTakeAnyTime() {
+            assertFalse(intake.takes(OptionalLong.empty(), 9_001));
         }
 
         @Test
-        void takesStreamsForAQuarterOfTheTime() {
-            assertTrue(intake.takes(route(true), 10_900));
-            assertFalse(intake.takes(route(true), 11_000));
+        void sendsCallersBackOnceTheBalancerHasNoticed() {
+            assertEquals(RelayIntake.BALANCER_MS - 500, intake.balancerMs(9_500));
+            assertTrue(intake.balancerMs(14_000) > 0);
         }
     }
 
