relay: one line for each decision on a request; a stream without events ends whole

A request's first send and its end were not logged, so its story began with a failure.

A caller that comes back with the last event got no end: the head had never been sent, and ending it failed.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -7,11 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.Course;
-import org.masticweir.forward.EngineReport;
 import org.masticweir.forward.LoadTicket;
 import org.masticweir.forward.RequestPlan;
 import org.masticweir.forward.SendSilence;
@@ -27,12 +24,11 @@
  * to a server and its entry on the load board.
  */
 final class RelayRun {
-    private static final Logger LOG = LogManager.getLogger(RelayRun.class);
-
     private final RelayContext context;
     private final RequestPlan plan;
     private final RelayRequest request;
     private final Course course;
+    private final RequestLog log;
     private final CallerAnswer answer;
     private final CallerWatch watch;
     private final Runnable ended;
@@ -61,6 +57,7 @@
         this.request = checkNotNull(request, "request");
         this.ended = checkNotNull(ended, "ended");
         plan = request.plan();
+        log = new RequestLog(context, request);
         course =
                 Course.of(
                         plan,
@@ -93,9 +90,7 @@
     private void send(Step.Send next) {
         sendNumber++;
         int number = sendNumber;
-        if (sendNumber > 1) {
-            logSend(next);
-        }
+        log.goes(next, number);
         context.metrics().sent(sendNumber);
         ticket = Optional.of(LoadTicket.open(context.loads(), next, plan.size()));
         context.loadsChanged().run();
@@ -159,12 +154,7 @@
                     if (over || silence != asked) {
                         return;
                     }
-                    LOG.info(
-                            "relay: request {} not begun by {} after {} ms, which reports {}",
-                            request.id(),
-                            asked.server().id(),
-                            now() - asked.sentMs(),
-                            report.map(EngineReport::toString).orElse("nothing"));
+                    log.reported(asked.server(), report, asked.sentMs());
                     if (report.isEmpty()) {
                         serverIsLost("no sign of life");
                     } else if (asked.reported(report.get(), request.id(), now())) {
@@ -177,9 +167,9 @@
 
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
+        log.at(server, reason, silence.sentMs());
         resuming = answer.isStreaming();
         leaveServer();
-        LOG.info("relay: request {}: {} {}", request.id(), server.id(), reason);
         take(course.lost(server, now()));
         context.loadsChanged().run();
     }
@@ -190,11 +180,7 @@
             timer(Math.max(1, plan.expiresMs() - now), this::timeIsUp);
             return;
         }
-        LOG.info(
-                "relay: request {} got no answer from {} in {} ms",
-                request.id(),
-                silence.server().id(),
-                now - silence.sentMs());
+        log.at(silence.server(), "sent no answer", silence.sentMs());
         leaveServer();
         take(instead.get());
     }
@@ -216,14 +202,7 @@
         if (over) {
             return;
         }
-        LOG.info(
-                "relay: request {} ends {} {} after {} ms and {} sends, {}",
-                request.id(),
-                end.code(),
-                end.verdict(),
-                now() - plan.receivedMs(),
-                course.sends(),
-                end.reason());
+        log.ended(end, course.sends());
         context.metrics().failed(end.code());
         finish();
         answer.error(end.code(), end.retryAfterMs(), end.reason());
@@ -233,10 +212,7 @@
         if (over) {
             return;
         }
-        LOG.info(
-                "relay: request {} was left by its caller after {} ms",
-                request.id(),
-                now() - plan.receivedMs());
+        log.left();
         context.metrics().callerLeft();
         finish();
         answer.abort();
@@ -269,17 +245,6 @@
         return context.clock().nowMs();
     }
 
-    private void logSend(Step.Send next) {
-        LOG.info(
-                "relay: request {} goes to {} in {}, send {} after event {}, {}",
-                request.id(),
-                next.server().id(),
-                next.server().domain(),
-                sendNumber,
-                next.afterEvent().isPresent() ? next.afterEvent().getAsLong() : "none",
-                next.fromCopy() ? "from its copy" : "anew");
-    }
-
     /** Hears one send; words of an earlier one change nothing. */
     private final class Listener implements SendListener {
         private final Step.Send sent;
@@ -316,16 +281,11 @@
             if (!answer.isStreaming()) {
                 firstEventMs = now;
                 context.metrics().firstEvent(now - plan.receivedMs());
-                answer.startEvents(
-                        new HttpHead(head.status(), context.dialect().toCaller(head.headers())));
+                startEvents(head);
             } else if (resuming) {
                 resuming = false;
                 context.metrics().resumed(now - lastEventMs);
-                LOG.info(
-                        "relay: request {} goes on at {} after {} ms",
-                        request.id(),
-                        sent.server().id(),
-                        now - lastEventMs);
+                log.goesOn(sent.server(), now - lastEventMs);
             }
             lastEventMs = now;
             id.ifPresent(course::event);
@@ -333,17 +293,21 @@
         }
 
         @Override
-        public void eventsEnded() {
+        public void eventsEnded(HttpHead head) {
             if (isStale()) {
                 return;
             }
             context.metrics().answered(now() - plan.receivedMs());
+            log.answered("last event " + RequestLog.text(course.lastEvent()), course.sends());
             if (answer.isStreaming()) {
                 context.pace()
                         .observe(
                                 plan.size(),
                                 firstEventMs - plan.receivedMs(),
                                 now() - firstEventMs);
+            } else {
+                // A caller that has all events gets none, and the end.
+                startEvents(head);
             }
             finish();
             answer.endEvents();
@@ -367,6 +331,7 @@
                 return;
             }
             context.metrics().answered(now() - plan.receivedMs());
+            log.answered("status " + head.status() + " of " + sent.server().id(), course.sends());
             finish();
             answer.whole(
                     new HttpHead(head.status(), context.dialect().toCaller(head.headers())), bytes);
@@ -378,7 +343,7 @@
                 return;
             }
             leaveServer();
-            log("refused with " + head.status());
+            log.at(sent.server(), "refused with " + head.status(), sentMs);
             if (word.wrongServer()) {
                 take(course.wrongServer(sent.server(), now()));
                 context.loadsChanged().run();
@@ -394,7 +359,7 @@
                 return;
             }
             leaveServer();
-            log("could not be reached");
+            log.at(sent.server(), "could not be reached", sentMs);
             take(course.notSent(sent.server(), now()));
             context.loadsChanged().run();
         }
@@ -406,26 +371,20 @@
             }
             resuming = answer.isStreaming();
             leaveServer();
-            log("lost it, " + reason);
+            log.at(sent.server(), "lost it, " + reason, sentMs);
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
 
+        private void startEvents(HttpHead head) {
+            answer.startEvents(
+                    new HttpHead(head.status(), context.dialect().toCaller(head.headers())));
+        }
+
         private void heardOf(ServerWord word) {
             EngineId id = sent.server().id();
             context.health().answered(id, now());
             word.present().ifPresent(n -> context.loads().reported(id, n, now()));
         }
-
-        private void log(String what) {
-            LOG.info(
-                    "relay: request {}: {} in {} {} after {} ms, send {}",
-                    request.id(),
-                    sent.server().id(),
-                    sent.server().domain(),
-                    what,
-                    now() - sentMs,
-                    number);
-        }
     }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -0,0 +1,102 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.Catalog;
+import org.masticweir.forward.EngineReport;
+import org.masticweir.forward.ServerUse;
+import org.masticweir.forward.Step;
+
+/**
+ * Writes one line for each decision on one request, with the request's id and what decided it; on
+ * the traffic thread.
+ */
+final class RequestLog {
+    private static final Logger LOG = LogManager.getLogger(RequestLog.class);
+
+    private final RelayContext context;
+    private final String id;
+    private final long receivedMs;
+
+    RequestLog(RelayContext context, RelayRequest request) {
+        this.context = checkNotNull(context, "context");
+        id = request.id();
+        receivedMs = request.plan().receivedMs();
+    }
+
+    /** The request is sent, for the {@code number}-th time. */
+    void goes(Step.Send send, int number) {
+        ServerUse use = context.loads().use(send.server().id());
+        LOG.info(
+                "relay: request {} goes to {} in {}, send {} after event {}, {}; {} running and {}"
+                        + " reading there, copy at {}, config {}",
+                id,
+                send.server().id(),
+                send.server().domain(),
+                number,
+                text(send.afterEvent()),
+                send.fromCopy() ? "from its copy" : "anew",
+                use.running(),
+                use.reading(),
+                send.holder().map(h -> h.id().value()).orElse("none"),
+                context.view().get().catalog().map(Catalog::version).orElse(0L));
+    }
+
+    /** Something happened at the server of the send that left at {@code sentMs}. */
+    void at(BackendServer server, String what, long sentMs) {
+        LOG.info(
+                "relay: request {}: {} in {} {} after {} ms",
+                id,
+                server.id(),
+                server.domain(),
+                what,
+                context.clock().nowMs() - sentMs);
+    }
+
+    /** An engine that has not begun the request in time reports, or does not. */
+    void reported(BackendServer server, Optional<EngineReport> report, long sentMs) {
+        at(server, "reports " + report.map(EngineReport::toString).orElse("nothing"), sentMs);
+    }
+
+    /** A stream goes on after a pause. */
+    void goesOn(BackendServer server, long pauseMs) {
+        LOG.info("relay: request {} goes on at {} after {} ms", id, server.id(), pauseMs);
+    }
+
+    void answered(String what, int sends) {
+        LOG.info(
+                "relay: request {} answered, {} after {} ms and {} sends",
+                id,
+                what,
+                ageMs(),
+                sends);
+    }
+
+    void ended(Step.End end, int sends) {
+        LOG.info(
+                "relay: request {} ends {} {} after {} ms and {} sends, {}",
+                id,
+                end.code(),
+                end.verdict(),
+                ageMs(),
+                sends,
+                end.reason());
+    }
+
+    void left() {
+        LOG.info("relay: request {} was left by its caller after {} ms", id, ageMs());
+    }
+
+    static String text(OptionalLong event) {
+        return event.isPresent() ? Long.toString(event.getAsLong()) : "none";
+    }
+
+    private long ageMs() {
+        return context.clock().nowMs() - receivedMs;
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/SendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendListener.java
@@ -10,7 +10,7 @@
     void event(HttpHead head, ByteBuffer bytes, OptionalLong id);
 
     /** End: the series of events is complete. */
-    void eventsEnded();
+    void eventsEnded(HttpHead head);
 
     /** End: a whole answer. */
     void answered(HttpHead head, ServerWord word, byte[] body);
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -146,7 +146,7 @@
                 listener.answered(head, word, body.toByteArray());
             } else if (splitter.isAtEventEnd()) {
                 over = true;
-                listener.eventsEnded();
+                listener.eventsEnded(head);
             } else {
                 unusable("the answer ends within an event");
             }
