forward: ask an engine that is passed over about the prompts it reads

Cause: a domain goes dark while an engine of it reads a prompt.

Now it is asked as soon as its server is passed over, and the question names the server, so another life at the address does not answer it. A report says nothing of a request sent less than 600 ms before; a trial had taken a prompt from its engine after 256 ms.

--- a/masticweir/src/main/java/org/masticweir/forward/SendSilence.java
+++ b/masticweir/src/main/java/org/masticweir/forward/SendSilence.java
@@ -6,6 +6,12 @@
 
 /** How long the server of one send has been silent, and may be; owned by the traffic thread. */
 public final class SendSilence {
+    /** Time between two looks at a server that has not begun, in ms: a third of a pause at most. */
+    static final long LOOK_MS = 250;
+
+    /** Age that an engine's report may have, in ms: a request sent since may be missing in it. */
+    static final long REPORT_AGE_MS = 600;
+
     private final BackendServer server;
     private final boolean fromCopy;
     private final long gapGoalMs;
@@ -56,7 +62,7 @@
      */
     public boolean reported(EngineReport report, String request, long nowMs) {
         lastMs = nowMs;
-        return report.mayHold(request);
+        return nowMs - sentMs < REPORT_AGE_MS || report.mayHold(request);
     }
 
     /** Returns when the server has been silent for too long. */
@@ -64,6 +70,22 @@
         return lastMs + allowedMs;
     }
 
+    /** Returns when to look again. */
+    public long nextLookMs(long nowMs) {
+        return provesLoss() ? dueMs() : Math.min(dueMs(), nowMs + LOOK_MS);
+    }
+
+    /**
+     * Returns whether the silence calls for a step now.
+     *
+     * <p>Failure guarded against: a domain goes dark while an engine of it reads a prompt. Its
+     * streams show the loss within half a pause, while the reading one would be waited for for
+     * seconds. It is asked as soon as its server is passed over for new requests.
+     */
+    public boolean isTooLong(ServerHealth health, long nowMs) {
+        return nowMs >= dueMs() || (!provesLoss() && health.isDown(server, nowMs));
+    }
+
     /**
      * Returns whether too long a silence shows that the server is lost. Before its first event it
      * may only be reading; a copy leaves next to nothing to read.
--- a/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
@@ -1,6 +1,5 @@
 package org.masticweir.relay;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -8,7 +7,6 @@
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.EngineReport;
 import org.masticweir.http.HttpOutcome;
-import org.masticweir.id.EngineId;
 
 /**
  * Asks an engine that has not begun a request in time what it is doing; on the traffic thread.
@@ -27,18 +25,9 @@
 
     /** Tells {@code then}, once, what {@code engine} says; nothing if it is gone or silent. */
     static void ask(
-            RelayContext context,
-            List<BackendServer> servers,
-            EngineId engine,
-            Consumer<Optional<EngineReport>> then) {
-        Optional<BackendServer> listed =
-                servers.stream().filter(s -> s.id().equals(engine)).findAny();
-        if (listed.isEmpty()) {
-            then.accept(Optional.empty());
-            return;
-        }
+            RelayContext context, BackendServer engine, Consumer<Optional<EngineReport>> then) {
         context.calls()
-                .call(context.dialect().aliveCheck(listed.get().address()), ANSWER_MS)
+                .call(context.dialect().aliveCheck(engine), ANSWER_MS)
                 .thenAccept(outcome -> then.accept(report(context.dialect(), outcome)));
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/Dialect.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Dialect.java
@@ -1,6 +1,6 @@
 package org.masticweir.relay;
 
-import java.net.InetSocketAddress;
+import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.EngineReport;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
@@ -24,8 +24,11 @@
     /** Returns the fields of an answer on its way to the caller. */
     HttpHeaders toCaller(HttpHeaders fromServer);
 
-    /** Returns a call that a living engine answers at once, whatever its load. */
-    HttpCall aliveCheck(InetSocketAddress engine);
+    /**
+     * Returns a call that a living engine answers at once, whatever its load, and that another life
+     * at its address does not answer with success.
+     */
+    HttpCall aliveCheck(BackendServer engine);
 
     /**
      * Reads the answer to an {@link #aliveCheck}.
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -116,7 +116,7 @@
     private void watchTime() {
         long dueMs = plan.expiresMs();
         if (plan.route().streams()) {
-            dueMs = Math.min(dueMs, silence.dueMs());
+            dueMs = Math.min(dueMs, silence.nextLookMs(now()));
         } else if (course.slowAfterMs().isPresent()) {
             dueMs = Math.min(dueMs, silence.sentMs() + course.slowAfterMs().getAsLong());
         }
@@ -129,7 +129,7 @@
             end(course.expired());
             return;
         }
-        if (plan.route().streams() && now >= silence.dueMs()) {
+        if (plan.route().streams() && silence.isTooLong(context.health(), now)) {
             silenceIsTooLong(now);
             return;
         }
@@ -148,8 +148,7 @@
         SendSilence asked = silence;
         AliveCheck.ask(
                 context,
-                context.view().get().serversOf(plan.service()),
-                asked.server().id(),
+                asked.server(),
                 report -> {
                     if (over || silence != asked) {
                         return;
@@ -158,6 +157,7 @@
                     if (report.isEmpty()) {
                         serverIsLost("no sign of life");
                     } else if (asked.reported(report.get(), request.id(), now())) {
+                        context.health().answered(asked.server().id(), now());
                         watchTime();
                     } else {
                         serverIsLost("does not have the request any more");
--- a/masticweir/src/test/java/org/masticweir/forward/SendSilenceTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/SendSilenceTest.java
@@ -59,6 +59,19 @@
             assertTrue(send(false).dueMs() >= GOAL_MS / 4);
         }
 
+        /**
+         * A report began 4.5 s late: its engine's whole domain went dark as it read the prompt, and
+         * the router waited for the reading although other streams had shown the loss.
+         */
+        @Test
+        void isTooLongAtOnceIfItsServerIsPassedOver() {
+            SendSilence silence = send(false);
+            assertFalse(silence.isTooLong(world.health, 400));
+            world.health.failed(world.servers.get(0), 390);
+            assertTrue(silence.isTooLong(world.health, 400));
+            assertEquals(400 + SendSilence.LOOK_MS, silence.nextLookMs(400));
+        }
+
         @Test
         void provesNoLoss() {
             assertFalse(send(false).provesLoss());
@@ -89,6 +102,14 @@
             assertTrue(mayHold(1, 0, "r1"));
         }
 
+        /** A prompt was taken from the engine that had begun to read it, by an older report. */
+        @Test
+        void saysNothingOfARequestThatWasJustSent() {
+            EngineReport idle = new EngineReport(Set.of(), 0, 0);
+            assertTrue(silence.reported(idle, "r1", 256));
+            assertFalse(silence.reported(idle, "r1", SendSilence.REPORT_AGE_MS));
+        }
+
         @Test
         void givesItTheSameTimeAgain() {
             long allowedMs = silence.dueMs();
