--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -29,7 +28,6 @@
  * @param balancer address at which the balancer asks whether this router takes connections
  * @param peers address that other routers connect to
  * @param metrics address of the metrics page
- * @param seeds addresses of routers that may be running
  * @param store address of the platform's store
  * @param retryShare repeats allowed for a request over all routers
  * @param retryAllowance repeats allowed beyond that in ten seconds over all routers
@@ -42,7 +40,6 @@
         InetSocketAddress balancer,
         InetSocketAddress peers,
         InetSocketAddress metrics,
-        ImmutableList<InetSocketAddress> seeds,
         InetSocketAddress store,
         double retryShare,
         int retryAllowance,
@@ -76,7 +73,6 @@
         checkNotNull(balancer, "balancer");
         checkNotNull(peers, "peers");
         checkNotNull(metrics, "metrics");
-        checkNotNull(seeds, "seeds");
         checkNotNull(store, "store");
         checkNotNull(logLevel, "logLevel");
     }
@@ -133,7 +129,7 @@
         RelaySettings settings() {
             IniSection router = section("router", "id", "domain");
             IniSection retries = section("retries", "share", "allowance");
-            IniSection peers = section("peers", "address", "seeds");
+            IniSection peers = section("peers", "address");
             double graceS =
                     section("shutdown", "grace_s")
                             .required("grace_s", ValueRule.decimal(0, MAX_GRACE_S));
@@ -144,8 +140,6 @@
                     section("balancer", "address").required("address", ADDRESS),
                     peers.required("address", ADDRESS),
                     section("metrics", "address").required("address", ADDRESS),
-                    ImmutableList.copyOf(
-                            peers.optional("seeds", ValueRule.listOf(ADDRESS), List.of())),
                     section("store", "address").required("address", ADDRESS),
                     retries.required("share", ValueRule.decimal(0, MAX_SHARE)),
                     retries.required("allowance", ValueRule.integer("allowance", 0, MAX_ALLOWANCE)),
