relay: errors of the control thread are logged and end nothing

Cause, found by reading: the executor keeps an error for a result that nobody asks for and never runs a periodic step again, so one unreadable entry in the store could have ended the following of a table, the pulse or the ticks without a line.

Errors are logged and periodic steps go on; the next call to the store is scheduled before its rows are looked at; an id that is no id is skipped with a line; a request that fails inside the router is answered 500 and counted as ended.

--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -89,9 +89,10 @@
         if (outcome instanceof FeedOutcome.HistoryGone) {
             LOG.info("feed: history of table {} is gone, it is read whole", table);
         }
+        // Before the rows are looked at: a row that nobody can take must not end the following.
+        control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
         if (outcome instanceof FeedOutcome.Rows rows) {
             listener.rows(rows, whole, state.removalDueMs(now));
         }
-        control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/Deployment.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Deployment.java
@@ -102,14 +102,17 @@
         List<EngineId> listed = new ArrayList<>();
         boolean changed = false;
         for (FeedOutcome.Change change : rows.changes()) {
-            EngineId id = EngineId.of(change.key().key());
+            Optional<EngineId> id = idOf(change);
+            if (id.isEmpty()) {
+                continue;
+            }
             if (change.removed()) {
-                if (book.remove(id, change.revision(), now, removalDueMs)) {
-                    news.add(ServerWordNews.removed(id, change.revision()));
+                if (book.remove(id.get(), change.revision(), now, removalDueMs)) {
+                    news.add(ServerWordNews.removed(id.get(), change.revision()));
                 }
                 continue;
             }
-            listed.add(id);
+            listed.add(id.get());
             read(change).ifPresent(s -> put(s, change.revision(), news));
         }
         if (whole) {
@@ -176,6 +179,15 @@
         }
     }
 
+    private static Optional<EngineId> idOf(FeedOutcome.Change change) {
+        try {
+            return Optional.of(EngineId.of(change.key().key()));
+        } catch (IllegalArgumentException e) {
+            LOG.error("instances: id of {} is not understood, {}", change.key(), e.getMessage());
+            return Optional.empty();
+        }
+    }
+
     private Optional<BackendServer> read(FeedOutcome.Change change) {
         try {
             return Optional.of(form.server(change.key().key(), change.value()));
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -70,6 +70,9 @@
             readBody(exchange, admitted);
         } catch (Refusal refusal) {
             refuse(exchange, refusal);
+        } catch (RuntimeException e) {
+            LOG.error("relay: a request failed inside the router", e);
+            refuse(exchange, new Refusal(ErrorCode.INTERNAL, "internal error"));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -8,8 +8,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.Level;
@@ -78,8 +76,7 @@
     private final RelaySettings settings;
     private final Clock clock;
     private final PlatformPort platform;
-    private final ScheduledExecutorService control =
-            Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "control"));
+    private final ControlThread control = new ControlThread();
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final HttpCaller calls;
