forward: streams stay in their router's domain until its engines are far busier

Ruled out: holders of copies (in another domain by need), detection alone (350 ms). The new test fails with the weight before.

--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -27,11 +27,13 @@
     private static final long TOKENS_A_REQUEST = 2_000;
 
     /**
-     * What another failure domain weighs, in the same unit: a quarter of a long prompt. A domain
-     * that is cut off keeps the streams whose router and engine both lie in it, and loses the
-     * others.
+     * What another failure domain weighs, in the same unit: a long prompt in reading, or four
+     * running requests. A domain that is cut off keeps the streams whose router and engine both lie
+     * in it; each other one is read anew, seconds late. Sharing an engine with three running
+     * requests costs a tenth of a step's length, so streams stay at home until every engine there
+     * reads a prompt or runs far more than others.
      */
-    private static final long TOKENS_A_DOMAIN = 2_000;
+    private static final long TOKENS_A_DOMAIN = 8_000;
 
     /** What another failure domain weighs for plain requests, in requests present a slot. */
     private static final double SLOTS_A_DOMAIN = 0.2;
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -64,6 +64,30 @@
             assertEquals("a", choose().orElseThrow().domain().value());
         }
 
+        /**
+         * A domain is cut off for seconds. Its callers' reports pause for two seconds: each engine
+         * of the domain ran a report or two, so new ones had gone to idle engines elsewhere.
+         */
+        @Test
+        void ofTheOwnDomainAreChosenWhileTheyRunAFewRequests() {
+            for (String engine : List.of("a-1", "a-2")) {
+                for (int i = 0; i < 3; i++) {
+                    world.loads.sent(EngineId.of(engine), RequestSize.none());
+                }
+            }
+            assertEquals("a", choose().orElseThrow().domain().value());
+        }
+
+        @Test
+        void ofAnotherDomainAreChosenOnceThoseAtHomeRunManyMore() {
+            for (String engine : List.of("a-1", "a-2")) {
+                for (int i = 0; i < 5; i++) {
+                    world.loads.sent(EngineId.of(engine), RequestSize.none());
+                }
+            }
+            assertEquals("b", choose().orElseThrow().domain().value());
+        }
+
         @Test
         void ofAnotherDomainAreChosenBeforeASecondPromptAtHome() {
             world.loads.sent(EngineId.of("a-1"), ForwardWorld.PROMPT);
