forward: a stream whose caller came back goes to the engine that keeps its prompt

Ruled out: going on from the copy (it is the memory of another attempt), moves by the router itself (one stream). Change: up to 12 engines, the nearest and idlest first, are asked for their list of prompts; the first that names the prompt's own part gets the request. Tests of the decision and of the path fail without the question.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -55,6 +55,8 @@
     private OptionalLong lastEvent;
     private boolean hasEvent;
     private Optional<BackendServer> holder = Optional.empty();
+    private Optional<BackendServer> keeper = Optional.empty();
+    private boolean asked;
 
     private Course(
             RequestPlan plan,
@@ -87,7 +89,12 @@
         return new Course(plan, servers, placement, health, repeats, random);
     }
 
-    /** Returns the first step, and the next one after a {@link Step.Hold}. */
+    /**
+     * Returns the first step, and the next one after a {@link Step.Hold}.
+     *
+     * <p>A caller that comes back for the rest of its answer has the engines asked for its prompt
+     * first.
+     */
     public Step next(long nowMs) {
         if (nowMs >= plan.expiresMs()) {
             return expired();
@@ -98,8 +105,17 @@
         if (sends >= plan.route().attempts()) {
             return end(ErrorCode.ENGINE_LOST, "sent as often as the route allows");
         }
+        if (!asked && plan.mayBeKept()) {
+            asked = true;
+            ImmutableList<BackendServer> engines =
+                    placement.toAsk(servers.get(), plan.size(), plan.engine().get(), nowMs);
+            if (!engines.isEmpty()) {
+                return new Step.Ask(engines);
+            }
+        }
         Optional<BackendServer> copy = usableHolder(nowMs);
-        Optional<BackendServer> server = copy.or(() -> anyServer(nowMs));
+        Optional<BackendServer> server =
+                copy.or(() -> usableKeeper(nowMs)).or(() -> anyServer(nowMs));
         if (server.isEmpty()) {
             return holdOrEnd(nowMs);
         }
@@ -109,6 +125,12 @@
         return send(server.get(), copy.isPresent(), nowMs);
     }
 
+    /** Takes the engine that keeps the prompt, if one said so, and returns the next step. */
+    public Step found(Optional<BackendServer> engine, long nowMs) {
+        keeper = checkNotNull(engine, "engine");
+        return next(nowMs);
+    }
+
     /** The server could not be connected to; nothing left this process. */
     public Step notSent(BackendServer server, long nowMs) {
         sends--;
@@ -247,6 +269,13 @@
                 .flatMap(h -> servers.get().stream().filter(s -> s.id().equals(h.id())).findAny());
     }
 
+    private Optional<BackendServer> usableKeeper(long nowMs) {
+        return keeper.filter(
+                k ->
+                        !tried.contains(k.id())
+                                && placement.canTake(k, plan.size(), plan.engine(), nowMs));
+    }
+
     private Optional<BackendServer> anyServer(long nowMs) {
         return placement.server(servers.get(), plan.size(), plan.engine(), tried, nowMs);
     }
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -47,6 +48,13 @@
     /** Ranks closer than this are equal, and drawn from, so that routers don't all choose one. */
     private static final double DRAW = 0.05;
 
+    /**
+     * Engines asked for one prompt. Streams run in their router's domain if they can, so all
+     * engines of a small domain are among them; a call costs an engine about a hundredth of what
+     * reading a long prompt does.
+     */
+    static final int MOST_ASKED = 12;
+
     private final LoadBoard loads;
     private final ServerHealth health;
     private final DomainId home;
@@ -73,14 +81,37 @@
             long nowMs) {
         Ranking ranking = new Ranking();
         for (BackendServer server : servers) {
-            boolean usable = !tried.contains(server.id()) && !health.isDown(server, nowMs);
-            if (usable && fits(server, size, engine)) {
+            if (!tried.contains(server.id()) && canTake(server, size, engine, nowMs)) {
                 ranking.offer(server, rank(server, engine, nowMs));
             }
         }
         return ranking.best();
     }
 
+    /**
+     * Returns the engines to ask for a prompt that one of them may have read before, best first.
+     *
+     * <p>Load that it answers: routers are lost, and all their callers come back to others at one
+     * moment. No router knows where those streams ran. Placed by load alone, nearly each prompt is
+     * read a second time, a second of an engine's work, while the engine that read it still keeps
+     * it.
+     */
+    ImmutableList<BackendServer> toAsk(
+            ImmutableList<BackendServer> servers, RequestSize size, EngineSpec engine, long nowMs) {
+        Optional<EngineSpec> spec = Optional.of(engine);
+        return servers.stream()
+                .filter(s -> canTake(s, size, spec, nowMs))
+                .sorted(Comparator.comparingDouble(s -> rank(s, spec, nowMs)))
+                .limit(MOST_ASKED)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns whether {@code server} can take a request now. */
+    boolean canTake(
+            BackendServer server, RequestSize size, Optional<EngineSpec> engine, long nowMs) {
+        return !health.isDown(server, nowMs) && fits(server, size, engine);
+    }
+
     /** Returns whether a plain request would be worked on at once at {@code server}. */
     boolean hasFreePlace(BackendServer server, long nowMs) {
         return loads.present(server.id(), nowMs) < server.slots();
--- a/masticweir/src/main/java/org/masticweir/forward/RequestPlan.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestPlan.java
@@ -8,11 +8,13 @@
 import org.masticweir.catalog.Repeatability;
 import org.masticweir.catalog.Route;
 import org.masticweir.catalog.ServiceName;
+import org.masticweir.id.PromptId;
 
 /**
  * What is fixed of a request for as long as it lasts; immutable.
  *
  * @param engine set if the service's servers are model engines
+ * @param prompt the part of its prompt that no other caller's request shares
  * @param callersEvent last event that the caller already had when it sent the request
  * @param receivedMs when it was received
  * @param expiresMs when the caller or the route gives it up
@@ -22,6 +24,7 @@
         ServiceName service,
         Optional<EngineSpec> engine,
         RequestSize size,
+        Optional<PromptId> prompt,
         OptionalLong callersEvent,
         long receivedMs,
         long expiresMs) {
@@ -30,9 +33,18 @@
         checkNotNull(service, "service");
         checkNotNull(engine, "engine");
         checkNotNull(size, "size");
+        checkNotNull(prompt, "prompt");
         checkNotNull(callersEvent, "callersEvent");
     }
 
+    /**
+     * Returns whether an engine may still keep the prompt: the caller has events of an answer that
+     * broke off.
+     */
+    boolean mayBeKept() {
+        return callersEvent.isPresent() && engine.isPresent() && prompt.isPresent();
+    }
+
     /** Returns whether a copy of the run is worth having. */
     boolean isCopied() {
         return route.repeatability() == Repeatability.RESUMABLE
--- a/masticweir/src/main/java/org/masticweir/forward/Step.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Step.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
@@ -31,6 +32,16 @@
         }
     }
 
+    /**
+     * Engines are to be asked which of them keeps the request's prompt in its memory; what they say
+     * goes to {@link Course#found}.
+     */
+    record Ask(ImmutableList<BackendServer> engines) implements Step {
+        public Ask {
+            checkArgument(!engines.isEmpty(), "nobody to ask");
+        }
+    }
+
     /** Nothing can take the request now; ask again after {@code ms}. */
     record Hold(long ms) implements Step {
         public Hold {
--- a/masticweir/src/main/java/org/masticweir/relay/Dialect.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Dialect.java
@@ -5,6 +5,7 @@
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpHeaders;
+import org.masticweir.id.PromptId;
 
 /** The header fields of one platform's requests and answers; stateless and thread-safe. */
 public interface Dialect {
@@ -37,6 +38,16 @@
      */
     EngineReport engineReport(String body);
 
+    /** Returns a call that asks an engine which prompts it keeps in its memory. */
+    HttpCall keptPrompts(BackendServer engine);
+
+    /**
+     * Returns whether the answer to {@link #keptPrompts} names {@code prompt}.
+     *
+     * @throws IllegalArgumentException if it is malformed
+     */
+    boolean keeps(String body, PromptId prompt);
+
     /** Returns the path at which the balancer asks whether this router takes connections. */
     String readyPath();
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -192,6 +192,7 @@
                         admitted.service(),
                         admitted.engine(),
                         admitted.caller().size(),
+                        admitted.caller().prompt(),
                         admitted.caller().afterEvent(),
                         admitted.receivedMs(),
                         admitted.receivedMs() + waitMs);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -80,6 +80,8 @@
         }
         if (step instanceof Step.Send next) {
             send(next);
+        } else if (step instanceof Step.Ask ask) {
+            search(ask);
         } else if (step instanceof Step.Hold hold) {
             timer(hold.ms(), () -> take(course.next(now())));
         } else {
@@ -87,6 +89,19 @@
         }
     }
 
+    private void search(Step.Ask ask) {
+        PromptSearch.among(
+                context,
+                ask.engines(),
+                plan.prompt().orElseThrow(),
+                keeper -> {
+                    if (!over) {
+                        log.searched(ask.engines().size(), keeper);
+                        take(course.found(keeper, now()));
+                    }
+                });
+    }
+
     private void send(Step.Send next) {
         sendNumber++;
         int number = sendNumber;
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -47,6 +47,15 @@
                 context.view().get().catalog().map(Catalog::version).orElse(0L));
     }
 
+    /** Engines were asked for the prompt. */
+    void searched(int asked, Optional<BackendServer> keeper) {
+        LOG.info(
+                "relay: request {}: its prompt is kept by {}, {} engines asked",
+                id,
+                keeper.map(k -> k.id().value()).orElse("none"),
+                asked);
+    }
+
     /** Something happened at the server of the send that left at {@code sentMs}. */
     void at(BackendServer server, String what, long sentMs) {
         LOG.info(
--- a/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -6,6 +6,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -128,6 +130,71 @@
         }
     }
 
+    /**
+     * All routers lose power, and the callers of a dozen reports come back at one moment with the
+     * last event they have. Each report went to any engine, which read its whole prompt again while
+     * the engine that had read it still kept it: a second of work for each.
+     */
+    @Nested
+    class OfACallerThatComesBack {
+        private final Course course = world.course(ForwardWorld.planOfReturn(41));
+
+        private ImmutableList<BackendServer> asked() {
+            return assertInstanceOf(Step.Ask.class, course.next(0)).engines();
+        }
+
+        @Test
+        void asksTheEnginesOfItsDomainFirst() {
+            ImmutableList<BackendServer> asked = asked();
+            assertEquals(world.servers.size(), asked.size());
+            assertTrue(asked.stream().limit(3).allMatch(s -> s.domain().value().equals("a")));
+        }
+
+        @Test
+        void goesToTheEngineThatKeepsItsPrompt() {
+            BackendServer keeper = world.byId("b-3");
+            assertTrue(asked().contains(keeper));
+            Step.Send send = send(course.found(Optional.of(keeper), 10));
+            assertEquals(keeper, send.server());
+            assertEquals(OptionalLong.of(41), send.afterEvent());
+            assertFalse(send.fromCopy(), "the memory of another attempt is not its own");
+        }
+
+        @Test
+        void goesElsewhereIfThatEngineWasLostMeanwhile() {
+            BackendServer keeper = world.byId("b-3");
+            asked();
+            world.health.failed(keeper, 5);
+            assertNotEquals(keeper, send(course.found(Optional.of(keeper), 10)).server());
+        }
+
+        @Test
+        void goesElsewhereAfterThatEngineRefusedIt() {
+            asked();
+            BackendServer keeper = world.byId("b-3");
+            course.found(Optional.of(keeper), 10);
+            assertNotEquals(keeper, send(course.refused(20)).server());
+        }
+
+        @Test
+        void isPlacedLikeAnyOtherIfNoneKeepsIt() {
+            asked();
+            assertEquals("a", send(course.found(Optional.empty(), 10)).server().domain().value());
+        }
+
+        @Test
+        void doesNotAskEnginesThatAreDown() {
+            world.servers.forEach(s -> world.health.failed(s, 0));
+            assertInstanceOf(Step.Hold.class, course.next(1));
+        }
+
+        @Test
+        void asksAFewOfManyEngines() {
+            world.domain("c", 40);
+            assertEquals(Placement.MOST_ASKED, asked().size());
+        }
+    }
+
     /** Nothing can take the request. */
     @Nested
     class WithoutServers {
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -15,6 +15,7 @@
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
+import org.masticweir.id.PromptId;
 
 /** Servers of one service and what a router knows of them. */
 final class ForwardWorld {
@@ -58,8 +59,12 @@
     }
 
     Course course(Repeatability repeatability, int attempts) {
+        return course(plan(repeatability, attempts));
+    }
+
+    Course course(RequestPlan plan) {
         return Course.of(
-                plan(repeatability, attempts),
+                plan,
                 () -> ImmutableList.copyOf(servers),
                 placement,
                 health,
@@ -67,6 +72,20 @@
                 new SplittableRandom(3));
     }
 
+    /** Returns the plan of a stream whose caller has its events up to {@code lastEvent}. */
+    static RequestPlan planOfReturn(long lastEvent) {
+        RequestPlan first = plan(Repeatability.RESUMABLE, 5);
+        return new RequestPlan(
+                first.route(),
+                first.service(),
+                first.engine(),
+                first.size(),
+                Optional.of(PromptId.of("91bd3f06")),
+                OptionalLong.of(lastEvent),
+                first.receivedMs(),
+                first.expiresMs());
+    }
+
     static RequestPlan plan(Repeatability repeatability, int attempts) {
         boolean streams = repeatability == Repeatability.RESUMABLE;
         Route route =
@@ -88,6 +107,7 @@
                 SERVICE,
                 streams ? Optional.of(ENGINE) : Optional.empty(),
                 streams ? PROMPT : RequestSize.none(),
+                Optional.empty(),
                 OptionalLong.empty(),
                 0,
                 25_000);
