cli: explain prints what logs tell of one request, in order

Cause: an engineer on call has an id and the logs of all routers; the lines that decided lie on several of them, some on routers that the request never met. Tests: RequestStoryTest, 8 cases, run green; no run on a platform's logs yet.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/CommandLine.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/CommandLine.java
@@ -17,6 +17,7 @@
         add(parser, "requests", new RequestsCommand(options));
         add(parser, "metrics", new MetricsCommand(options));
         add(parser, "drain", new DrainCommand(options));
+        add(parser, "explain", new ExplainCommand(options, System.in));
         JCommander config = add(parser, "config", new ConfigCommand(options));
         add(config, "show", new ConfigShowCommand(options));
         add(config, "check", new ConfigCheckCommand(options));
--- /dev/null
+++ b/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
@@ -0,0 +1,98 @@
+package org.masticweir.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * An engineer on call has the id of a report that paused, and the logs of eight routers with
+ * thousands of lines a second. What decided lies in four of them, one on a router that the request
+ * never met.
+ */
+class RequestStoryTest {
+    private static final String GOES =
+            "2026-12-03T00:00:01.100Z INFO  relay: request a1 goes to e1 in north, send 1";
+    private static final String LOST =
+            "2026-12-03T00:00:02.300Z INFO  relay: request a1: e1 in north lost it";
+    private static final String REMOVED =
+            "2026-12-03T00:00:02.250Z INFO  instances: e1 removed, revision 7 from r2";
+
+    private static ImmutableList<String> story(String... lines) {
+        RequestStory story = new RequestStory("a1");
+        for (String line : lines) {
+            story.take(line);
+        }
+        return story.inOrder();
+    }
+
+    @Test
+    void isInOrderOfTimeOverAllLogs() {
+        assertEquals(ImmutableList.of(GOES, LOST), story(LOST, GOES));
+    }
+
+    @Test
+    void tellsWhatWasLearntOfItsServersMeanwhile() {
+        assertEquals(ImmutableList.of(GOES, REMOVED, LOST), story(REMOVED, GOES, LOST));
+    }
+
+    @Test
+    void tellsThatTheStoreWasAway() {
+        String away = "2026-12-03T00:00:00.900Z WARN  feed: table servers lost, no answer";
+        assertEquals(ImmutableList.of(away, GOES), story(GOES, away));
+    }
+
+    @Test
+    void leavesOutOtherRequestsServersAndTimes() {
+        String other = "2026-12-03T00:00:01.100Z INFO  relay: request a12 goes to e1 in north";
+        String server = "2026-12-03T00:00:01.100Z INFO  instances: e2 removed, revision 7";
+        String late = "2026-12-03T00:01:01.100Z INFO  instances: e1 present, revision 9 from r2";
+        assertEquals(ImmutableList.of(GOES), story(other, server, late, GOES, "no time, a1"));
+    }
+
+    @Test
+    void isEmptyForARequestThatNoLineNames() {
+        assertTrue(story(REMOVED).isEmpty());
+    }
+
+    /** The command around it. */
+    @Nested
+    class Command {
+        private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+        @TempDir private Path dir;
+
+        private ExitCode run(String... args) {
+            return new Masticweir(new PrintStream(out), new PrintStream(err)).run(args);
+        }
+
+        @Test
+        void readsAllFilesNamed() throws IOException {
+            Path one = Files.writeString(dir.resolve("r1.log"), LOST + "\n");
+            Path two = Files.writeString(dir.resolve("r2.log"), GOES + "\n");
+            assertEquals(ExitCode.OK, run("explain", "a1", one.toString(), two.toString()));
+            assertEquals(GOES + "\n" + LOST + "\n", out.toString());
+        }
+
+        @Test
+        void saysWhenNoLineNamesTheRequest() throws IOException {
+            Path log = Files.writeString(dir.resolve("r1.log"), REMOVED + "\n");
+            assertEquals(ExitCode.BAD_INPUT, run("explain", "a1", log.toString()));
+            assertTrue(err.toString().contains("no line names request a1"), err.toString());
+        }
+
+        @Test
+        void saysWhichFileCannotBeRead() {
+            assertEquals(ExitCode.BAD_INPUT, run("explain", "a1", dir + "/none.log"));
+            assertTrue(err.toString().contains("none.log"), err.toString());
+        }
+    }
+}
