routing: an engine that only silence speaks against serves while its model has no other

Change: such an engine counts as live in the view while its model has no live one; a failed probe, a reset or a failed connect ends that. Unit tests fail without it.

--- a/masticweir/src/main/java/org/masticweir/routing/EngineHealth.java
+++ b/masticweir/src/main/java/org/masticweir/routing/EngineHealth.java
@@ -84,7 +84,7 @@
         boolean changed =
                 checkNotNull(failure, "failure").mayBeLoad()
                         ? t.refused(nowMs) && ejectWithinCap(t, nowMs)
-                        : t.suspect(nowMs);
+                        : t.suspect(failure == EngineFailure.SILENT, nowMs);
         return changed ? Optional.of(HealthChange.to(engine, t.state())) : Optional.empty();
     }
 
@@ -118,6 +118,11 @@
      * taken for the model's capacity, shows as callers refused while the engine idles. Shares
      * therefore count against the largest among the live engines of a model, so that a model always
      * has an engine in full use.
+     *
+     * <p>Failure guarded against: a domain is alone with its only engine, one stream there falls
+     * silent as the machine stalls, and for half a second all callers are refused although the
+     * engine answers. An engine that only silence speaks against therefore counts as live while its
+     * model has no other; a probe that fails ends that.
      */
     public HealthView view(long nowMs) {
         Map<ModelId, Double> largest = largestShares(nowMs);
@@ -138,6 +143,9 @@
     }
 
     private static Standing standing(EngineTrack t, Map<ModelId, Double> largest, long nowMs) {
+        if (t.isDoubtedForSilenceOnly() && !largest.keySet().containsAll(t.models)) {
+            return Standing.GOOD;
+        }
         Standing own = t.standing(nowMs);
         if (t.state() != EngineState.LIVE) {
             return own;
--- a/masticweir/src/main/java/org/masticweir/routing/EngineTrack.java
+++ b/masticweir/src/main/java/org/masticweir/routing/EngineTrack.java
@@ -19,6 +19,7 @@
 
     final ImmutableSet<ModelId> models;
     private EngineState state = EngineState.LIVE;
+    private boolean silenceOnly;
     private long changedAtMs;
     private boolean ramping;
     private int refusals;
@@ -48,16 +49,26 @@
         return new Standing(state, Math.min(1, FIRST_SHARE + (1 - FIRST_SHARE) * age));
     }
 
-    /** Stops new work until probes succeed; returns whether that is a change. */
-    boolean suspect(long nowMs) {
+    /**
+     * Stops new work until probes succeed; returns whether that is a change.
+     *
+     * @param silent whether a stream's silence is all that was seen
+     */
+    boolean suspect(boolean silent, long nowMs) {
         goodProbes = 0;
         boolean changes = state != EngineState.SUSPECT;
+        silenceOnly = silent && (changes || silenceOnly);
         if (changes) {
             change(EngineState.SUSPECT, nowMs);
         }
         return changes;
     }
 
+    /** Returns whether nothing but a stream's silence speaks against the engine. */
+    boolean isDoubtedForSilenceOnly() {
+        return state == EngineState.SUSPECT && silenceOnly;
+    }
+
     /** Counts a refusal; returns whether there were many within a short time. */
     boolean refused(long nowMs) {
         refusals = nowMs - refusedAtMs > REFUSAL_WINDOW_MS ? 1 : refusals + 1;
@@ -70,7 +81,8 @@
         if (!alive) {
             goodProbes = 0;
             failedProbes++;
-            return failedProbes >= FAILED_PROBES_TO_SUSPECT && suspect(nowMs);
+            silenceOnly = false;
+            return failedProbes >= FAILED_PROBES_TO_SUSPECT && suspect(false, nowMs);
         }
         failedProbes = 0;
         goodProbes++;
--- a/masticweir/src/test/java/org/masticweir/routing/EngineHealthTest.java
+++ b/masticweir/src/test/java/org/masticweir/routing/EngineHealthTest.java
@@ -49,6 +49,52 @@
                 .count();
     }
 
+    /**
+     * A domain is alone, and its callers are refused for half a second although its only engine
+     * lives: the machine stalled, one stream stayed silent past its bound, and the engine was set
+     * aside until two probes had answered.
+     */
+    @Nested
+    class LastOneThatFallsSilent {
+        private final EngineHealth health = watching(2);
+
+        private EngineState state(int engine) {
+            return health.view(100).of(id(engine)).state();
+        }
+
+        @Test
+        void goesOnServing() {
+            health.failed(id(0), EngineFailure.CONNECT_FAILED, 50);
+            health.failed(id(1), EngineFailure.SILENT, 100);
+            assertEquals(EngineState.LIVE, state(1));
+            assertEquals(EngineState.SUSPECT, state(0));
+        }
+
+        @Test
+        void servesAgainOnceTheOtherIsFoundLost() {
+            health.failed(id(1), EngineFailure.SILENT, 50);
+            assertEquals(EngineState.SUSPECT, state(1), "another one is there");
+            health.failed(id(0), EngineFailure.CONNECT_FAILED, 100);
+            assertEquals(EngineState.LIVE, state(1));
+        }
+
+        @Test
+        void isSetAsideOnceAProbeFails() {
+            health.failed(id(0), EngineFailure.CONNECT_FAILED, 50);
+            health.failed(id(1), EngineFailure.SILENT, 60);
+            health.probed(id(1), false, 100);
+            assertEquals(EngineState.SUSPECT, state(1));
+        }
+
+        @Test
+        void isSetAsideIfItAlsoBreaksOff() {
+            health.failed(id(0), EngineFailure.CONNECT_FAILED, 50);
+            health.failed(id(1), EngineFailure.SILENT, 60);
+            health.failed(id(1), EngineFailure.RESET, 100);
+            assertEquals(EngineState.SUSPECT, state(1));
+        }
+    }
+
     /** All other engines of a model are lost while one is on its slow return. */
     @Nested
     class LastOnesReturning {
