relay: counters and histograms by class, team, server, domain and cause, as text

Cause: the metrics address told requests of all kinds in one figure, and in a form of our own. Now each request is counted under its class and team with its outcome, each send under its domain, server and cause, and times of answers, first events and resumptions by class or domain, in the usual text form. Classes, teams and servers are bounded at 64 each.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -214,7 +214,7 @@
                 exchange.getRequestURI(),
                 refusal.code,
                 refusal.getMessage());
-        context.metrics().failed(refusal.code);
+        context.metrics().refusedUnread(refusal.code);
         new CallerAnswer(exchange, () -> {})
                 .error(refusal.code, returnMs(refusal.code), refusal.getMessage());
         intake.end();
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -2,73 +2,128 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.base.Ascii;
+import java.util.Optional;
+import org.masticweir.catalog.BackendServer;
 import org.masticweir.error.ErrorCode;
+import org.masticweir.id.TeamId;
+import org.masticweir.metrics.BoundedLabels;
+import org.masticweir.metrics.MetricName;
 import org.masticweir.metrics.WindowedReservoir;
 import org.masticweir.time.Clock;
 
-/** Counts what requests experience; thread-safe. */
+/**
+ * Counts what requests experience, by class, team, server, failure domain and cause; thread-safe.
+ *
+ * <p>A class is a route of the catalog. Classes, teams and servers are bounded in number, as they
+ * come and go while the process runs.
+ */
 final class RelayMetrics {
     private static final long WINDOW_MS = 60_000;
 
+    /** Classes, teams and servers shown each; some hundred bytes a series. */
+    private static final int MOST_SHOWN = 64;
+
+    private static final String NO_TEAM = "none";
+
     private final MetricRegistry registry;
-    private final Histogram answerMs;
-    private final Histogram firstEventMs;
-    private final Histogram resumeMs;
-    private final Counter answered;
-    private final Counter sent;
-    private final Counter sentAgain;
-    private final Counter callersLeft;
+    private final Clock clock;
+    private final BoundedLabels classes = BoundedLabels.of(MOST_SHOWN);
+    private final BoundedLabels teams = BoundedLabels.of(MOST_SHOWN);
+    private final BoundedLabels servers = BoundedLabels.of(MOST_SHOWN);
 
     private RelayMetrics(MetricRegistry registry, Clock clock) {
         this.registry = checkNotNull(registry, "registry");
-        answerMs = histogram("answer_ms", clock);
-        firstEventMs = histogram("first_event_ms", clock);
-        resumeMs = histogram("resume_ms", clock);
-        answered = registry.counter("answered_total");
-        sent = registry.counter("sent_total");
-        sentAgain = registry.counter("sent_again_total");
-        callersLeft = registry.counter("callers_left_total");
+        this.clock = checkNotNull(clock, "clock");
     }
 
     static RelayMetrics of(MetricRegistry registry, Clock clock) {
         return new RelayMetrics(registry, clock);
     }
 
-    /** A request went to a server, for the {@code sends}-th time. */
-    void sent(int sends) {
-        sent.inc();
-        if (sends > 1) {
-            sentAgain.inc();
-        }
+    /** How one send ended. */
+    enum SendEnd {
+        ANSWERED,
+        REFUSED,
+        BROKE_OFF,
+        SILENT,
+        NOT_REACHED
     }
 
-    void firstEvent(long ms) {
-        firstEventMs.update(ms);
+    /** Returns the counts of one request. */
+    ForRequest request(String route, Optional<TeamId> team) {
+        return new ForRequest(
+                classes.shownAs(route), teams.shownAs(team.map(TeamId::value).orElse(NO_TEAM)));
     }
 
-    /** A stream went on after a loss, {@code ms} after its last event. */
-    void resumed(long ms) {
-        resumeMs.update(ms);
+    /** A request was refused before its route was known or taken. */
+    void refusedUnread(ErrorCode code) {
+        count("requests_refused_unread_total", "outcome", lower(code));
     }
 
-    void answered(long ms) {
-        answered.inc();
-        answerMs.update(ms);
+    /** A request went to {@code server}, for the {@code sends}-th time. */
+    void sent(BackendServer server, int sends) {
+        String again = sends > 1 ? "yes" : "no";
+        count("sends_total", "domain", server.domain().value(), "again", again);
     }
 
-    void failed(ErrorCode code) {
-        registry.counter("failed_total." + code).inc();
+    /** A send to {@code server} ended. */
+    void sendEnded(BackendServer server, SendEnd end) {
+        String shown = servers.shownAs(server.id().value());
+        count("sends_ended_total", "server", shown, "cause", lower(end));
     }
 
-    void callerLeft() {
-        callersLeft.inc();
+    /** A stream went on at {@code server} after a loss, {@code ms} after its last event. */
+    void resumed(BackendServer server, long ms) {
+        histogram("resume_ms", "domain", server.domain().value()).update(ms);
     }
 
-    private Histogram histogram(String name, Clock clock) {
+    /** What is counted of one request under its class and team. */
+    final class ForRequest {
+        private final String route;
+        private final String team;
+
+        private ForRequest(String route, String team) {
+            this.route = route;
+            this.team = team;
+        }
+
+        void firstEvent(long ms) {
+            histogram("first_event_ms", "class", route).update(ms);
+        }
+
+        void answered(long ms) {
+            histogram("answer_ms", "class", route).update(ms);
+            ended("answered");
+        }
+
+        void failed(ErrorCode code) {
+            ended(lower(code));
+        }
+
+        void callerLeft() {
+            ended("caller_left");
+        }
+
+        private void ended(String outcome) {
+            count("requests_ended_total", "class", route, "outcome", outcome);
+            count("team_requests_ended_total", "team", team, "outcome", outcome);
+        }
+    }
+
+    private void count(String family, String... labels) {
+        registry.counter(MetricName.of(family, labels)).inc();
+    }
+
+    private Histogram histogram(String family, String... labels) {
         return registry.histogram(
-                name, () -> new Histogram(WindowedReservoir.of(clock, WINDOW_MS)));
+                MetricName.of(family, labels),
+                () -> new Histogram(WindowedReservoir.of(clock, WINDOW_MS)));
+    }
+
+    private static String lower(Enum<?> value) {
+        return Ascii.toLowerCase(value.name());
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
@@ -14,7 +14,7 @@
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
-import org.masticweir.metrics.MetricsPage;
+import org.masticweir.metrics.MetricsText;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -56,7 +56,7 @@
                         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MS);
         listen(server, settings.callers(), new HttpContinueReadHandler(requests));
         listen(server, settings.balancer(), readiness(readyPath, ready));
-        listen(server, settings.metrics(), metricsPage(MetricsPage.of(metrics)));
+        listen(server, settings.metrics(), metricsPage(MetricsText.of(metrics)));
         return new RelayPorts(server.build());
     }
 
@@ -102,10 +102,10 @@
         };
     }
 
-    private static HttpHandler metricsPage(MetricsPage page) {
+    private static HttpHandler metricsPage(MetricsText text) {
         return exchange -> {
-            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-            exchange.getResponseSender().send(page.json());
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, MetricsText.CONTENT_TYPE);
+            exchange.getResponseSender().send(text.page());
         };
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -15,6 +15,7 @@
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpHead;
 import org.masticweir.id.EngineId;
+import org.masticweir.relay.RelayMetrics.SendEnd;
 import org.xnio.XnioExecutor;
 
 /**
@@ -29,6 +30,7 @@
     private final RelayRequest request;
     private final Course course;
     private final RequestLog log;
+    private final RelayMetrics.ForRequest metrics;
     private final CallerAnswer answer;
     private final CallerWatch watch;
     private final Runnable ended;
@@ -58,6 +60,7 @@
         this.ended = checkNotNull(ended, "ended");
         plan = request.plan();
         log = new RequestLog(context, request);
+        metrics = context.metrics().request(plan.route().name(), request.team());
         course =
                 Course.of(
                         plan,
@@ -106,7 +109,7 @@
         sendNumber++;
         int number = sendNumber;
         log.goes(next, number);
-        context.metrics().sent(sendNumber);
+        context.metrics().sent(next.server(), sendNumber);
         ticket = Optional.of(LoadTicket.open(context.loads(), next, plan.size()));
         context.loadsChanged().run();
         silence = SendSilence.of(next, plan, context.loads(), context.silence(), now());
@@ -183,6 +186,7 @@
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
         log.at(server, reason, silence.sentMs());
+        context.metrics().sendEnded(server, SendEnd.SILENT);
         resuming = answer.isStreaming();
         leaveServer();
         take(course.lost(server, now()));
@@ -196,6 +200,7 @@
             return;
         }
         log.at(silence.server(), "sent no answer", silence.sentMs());
+        context.metrics().sendEnded(silence.server(), SendEnd.SILENT);
         leaveServer();
         take(instead.get());
     }
@@ -218,7 +223,7 @@
             return;
         }
         log.ended(end, course.sends());
-        context.metrics().failed(end.code());
+        metrics.failed(end.code());
         finish();
         answer.error(end.code(), end.retryAfterMs(), end.reason());
     }
@@ -228,7 +233,7 @@
             return;
         }
         log.left();
-        context.metrics().callerLeft();
+        metrics.callerLeft();
         finish();
         answer.abort();
     }
@@ -295,11 +300,11 @@
             }
             if (!answer.isStreaming()) {
                 firstEventMs = now;
-                context.metrics().firstEvent(now - plan.receivedMs());
+                metrics.firstEvent(now - plan.receivedMs());
                 startEvents(head);
             } else if (resuming) {
                 resuming = false;
-                context.metrics().resumed(now - lastEventMs);
+                context.metrics().resumed(sent.server(), now - lastEventMs);
                 log.goesOn(sent.server(), now - lastEventMs);
             }
             lastEventMs = now;
@@ -312,7 +317,8 @@
             if (isStale()) {
                 return;
             }
-            context.metrics().answered(now() - plan.receivedMs());
+            metrics.answered(now() - plan.receivedMs());
+            context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
             log.answered("last event " + RequestLog.text(course.lastEvent()), course.sends());
             if (answer.isStreaming()) {
                 context.pace()
@@ -334,6 +340,7 @@
                 return;
             }
             heardOf(word);
+            context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
             boolean failed = head.status() >= 500;
             leaveServer();
             Optional<Step.Send> again = failed ? course.failedAnswer(now()) : Optional.empty();
@@ -345,7 +352,7 @@
                 take(course.lost(sent.server(), now()));
                 return;
             }
-            context.metrics().answered(now() - plan.receivedMs());
+            metrics.answered(now() - plan.receivedMs());
             log.answered("status " + head.status() + " of " + sent.server().id(), course.sends());
             finish();
             answer.whole(
@@ -359,6 +366,7 @@
             }
             leaveServer();
             log.at(sent.server(), "refused with " + head.status(), sentMs);
+            context.metrics().sendEnded(sent.server(), SendEnd.REFUSED);
             if (word.wrongServer()) {
                 take(course.wrongServer(sent.server(), now()));
                 context.loadsChanged().run();
@@ -375,6 +383,7 @@
             }
             leaveServer();
             log.at(sent.server(), "could not be reached", sentMs);
+            context.metrics().sendEnded(sent.server(), SendEnd.NOT_REACHED);
             take(course.notSent(sent.server(), now()));
             context.loadsChanged().run();
         }
@@ -387,6 +396,7 @@
             resuming = answer.isStreaming();
             leaveServer();
             log.at(sent.server(), "lost it, " + reason, sentMs);
+            context.metrics().sendEnded(sent.server(), SendEnd.BROKE_OFF);
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
