routing: a last engine is given up after four probes without answer, not one

A stream's silence is told only after the request's own probe of the engine stayed without answer too (AttemptWatch.probed), and a failed probe ended the exception at once. The stall that silences the stream silences the probe. Now four in a row end it (about a second), a reset or a failed connect does at once.

--- a/masticweir/src/main/java/org/masticweir/routing/EngineHealth.java
+++ b/masticweir/src/main/java/org/masticweir/routing/EngineHealth.java
@@ -121,8 +121,8 @@
      *
      * <p>Failure guarded against: a domain is alone with its only engine, one stream there falls
      * silent as the machine stalls, and for half a second all callers are refused although the
-     * engine answers. An engine that only silence speaks against therefore counts as live while its
-     * model has no other; a probe that fails ends that.
+     * engine lives. An engine that only silence speaks against therefore counts as live while its
+     * model has no other; a reset, a failed connect or probes that stay without answer end that.
      */
     public HealthView view(long nowMs) {
         Map<ModelId, Double> largest = largestShares(nowMs);
--- a/masticweir/src/main/java/org/masticweir/routing/EngineTrack.java
+++ b/masticweir/src/main/java/org/masticweir/routing/EngineTrack.java
@@ -10,6 +10,12 @@
 
     private static final int PROBES_TO_RETURN = 2;
     private static final int FAILED_PROBES_TO_SUSPECT = 2;
+
+    /**
+     * Probes in a row without an answer that end what silence alone leaves open: about a second.
+     */
+    private static final int FAILED_PROBES_TO_GIVE_UP = 4;
+
     private static final int REFUSALS_TO_EJECT = 5;
     private static final long REFUSAL_WINDOW_MS = 1_000;
     private static final long EJECTED_MS = 10_000;
@@ -81,8 +87,8 @@
         if (!alive) {
             goodProbes = 0;
             failedProbes++;
-            silenceOnly = false;
-            return failedProbes >= FAILED_PROBES_TO_SUSPECT && suspect(false, nowMs);
+            silenceOnly &= failedProbes < FAILED_PROBES_TO_GIVE_UP;
+            return failedProbes >= FAILED_PROBES_TO_SUSPECT && suspect(true, nowMs);
         }
         failedProbes = 0;
         goodProbes++;
