--- a/masticweir-cli/src/main/java/org/masticweir/cli/RequestStory.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/RequestStory.java
@@ -29,13 +29,13 @@
 
     private static final Pattern TIME =
             Pattern.compile("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d(?:\\.\\d+)?Z");
-    private static final Pattern SERVER = Pattern.compile(" goes to (\\S+) in ");
+    private static final Pattern SERVER = Pattern.compile(" (?:goes to|resumed on) ([\\w.-]+)");
 
     /** Prefixes of lines on what a router believes of servers. */
-    private static final Pattern OF_SERVERS = Pattern.compile(" (?:instances|routing): ");
+    private static final Pattern OF_SERVERS = Pattern.compile("[ \"](?:instances|routing): ");
 
     /** Prefixes of lines on what any request of a router depends on. */
-    private static final Pattern OF_ALL = Pattern.compile(" (?:feed|router): ");
+    private static final Pattern OF_ALL = Pattern.compile("[ \"](?:feed|router): ");
 
     private final Pattern named;
     private final List<Line> lines = new ArrayList<>();
--- a/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
+++ b/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
@@ -44,6 +44,15 @@
         assertEquals(ImmutableList.of(GOES, REMOVED, LOST), story(REMOVED, GOES, LOST));
     }
 
+    @Test
+    void readsTheOtherLayoutOfLogsToo() {
+        String resumed =
+                "{\"time\":\"2026-12-03T00:00:01Z\",\"message\":\"recovery: request a1 resumed on e1\"}";
+        String suspect =
+                "{\"time\":\"2026-12-03T00:00:00Z\",\"message\":\"routing: engine e1 suspect\"}";
+        assertEquals(ImmutableList.of(suspect, resumed), story(resumed, suspect));
+    }
+
     @Test
     void tellsThatTheStoreWasAway() {
         String away = "2026-12-03T00:00:00.900Z WARN  feed: table servers lost, no answer";
