forward: requests for engines wait in line, and engines read two prompts at once

Cause of refusals: each request looked for itself for an eighth of its goal; 15 of 171 reports were refused to the end though engines ended reading a prompt each hundred ms, and later ones ran before them. Cause of pauses: an engine got three or four prompts at once, and then all streams there pause for 630 ms or longer. Change: a line by urgency and arrival, half of the goal long in time, no longer than what can leave the engines in it; at most two prompts in reading. A request larger than any engine is refused at once. PlacementTest's routers now tell the end of a prompt's reading too, as real ones do; its bound is as before.

--- a/masticweir/src/main/java/org/masticweir/catalog/EngineSpec.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/EngineSpec.java
@@ -14,4 +14,9 @@
         checkArgument(batch >= 1, "batch %s", batch);
         checkArgument(memoryTokens >= 1, "memory of %s tokens", memoryTokens);
     }
+
+    /** Returns whether a request of so many tokens can ever run. */
+    public boolean holds(long tokens) {
+        return tokens <= memoryTokens;
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -30,6 +30,9 @@
     /** Part of the time goal for which a request waits for a server before it is refused. */
     private static final int HOLD_PART = 8;
 
+    /** Part of the time goal for which a request waits for a place at an engine. */
+    private static final int ENGINE_HOLD_PART = 2;
+
     /**
      * Part of the time goal after which an idempotent request is tried elsewhere. What is left is
      * enough for the median of the work; 99 in 100 answers come sooner.
@@ -44,6 +47,7 @@
     private final Placement placement;
     private final ServerHealth health;
     private final RepeatGate repeats;
+    private final WaitingLine line;
     private final RandomGenerator random;
 
     private final Set<EngineId> tried = new HashSet<>();
@@ -57,6 +61,7 @@
     private Optional<BackendServer> holder = Optional.empty();
     private Optional<BackendServer> keeper = Optional.empty();
     private boolean asked;
+    private Optional<WaitingLine.Place> place = Optional.empty();
 
     private Course(
             RequestPlan plan,
@@ -64,12 +69,14 @@
             Placement placement,
             ServerHealth health,
             RepeatGate repeats,
+            WaitingLine line,
             RandomGenerator random) {
         this.plan = checkNotNull(plan, "plan");
         this.servers = checkNotNull(servers, "servers");
         this.placement = checkNotNull(placement, "placement");
         this.health = checkNotNull(health, "health");
         this.repeats = checkNotNull(repeats, "repeats");
+        this.line = checkNotNull(line, "line");
         this.random = checkNotNull(random, "random");
         lastEvent = plan.callersEvent();
     }
@@ -85,8 +92,9 @@
             Placement placement,
             ServerHealth health,
             RepeatGate repeats,
+            WaitingLine line,
             RandomGenerator random) {
-        return new Course(plan, servers, placement, health, repeats, random);
+        return new Course(plan, servers, placement, health, repeats, line, random);
     }
 
     /**
@@ -116,7 +124,7 @@
         Optional<BackendServer> copy = usableHolder(nowMs);
         Optional<BackendServer> server =
                 copy.or(() -> usableKeeper(nowMs)).or(() -> anyServer(nowMs));
-        if (server.isEmpty()) {
+        if (server.isEmpty() || mustWait(nowMs)) {
             return holdOrEnd(nowMs);
         }
         if (arrivals > 0 && !repeats.tryRepeat(plan.service(), nowMs)) {
@@ -243,7 +251,14 @@
         verdict = Verdict.MAY_HAVE_RUN;
     }
 
+    /** Gives up what the request still holds; nothing is asked of the course any more. */
+    public void close() {
+        place.ifPresent(line::leave);
+        place = Optional.empty();
+    }
+
     private Step send(BackendServer server, boolean fromCopy, long nowMs) {
+        close();
         if (!counted) {
             counted = true;
             repeats.requested(plan.service(), nowMs);
@@ -286,14 +301,56 @@
      * caller has part of the answer waits for as long as the caller does.
      */
     private Step holdOrEnd(long nowMs) {
-        boolean begun = hasEvent;
-        long patienceMs = plan.route().goalMs() / HOLD_PART;
-        boolean patient = nowMs - plan.receivedMs() < patienceMs;
-        boolean hopeless = servers.get().stream().allMatch(BackendServer::leaving);
-        if (begun || (patient && !hopeless)) {
+        if (hasEvent) {
             return new Step.Hold(HOLD_MS);
         }
-        return end(ErrorCode.NO_ENGINE, hopeless ? "no server" : "no server is free");
+        if (servers.get().stream().allMatch(BackendServer::leaving)) {
+            return end(ErrorCode.NO_ENGINE, "no server");
+        }
+        if (plan.engine().isPresent() && !plan.engine().get().holds(plan.size().total())) {
+            return new Step.End(
+                    ErrorCode.NO_ENGINE, verdict, OptionalLong.empty(), "larger than any engine");
+        }
+        if (nowMs - plan.receivedMs() >= patienceMs()) {
+            return end(ErrorCode.NO_ENGINE, "no server is free");
+        }
+        if (waitsInLine() && place.isEmpty()) {
+            if (line.ahead(plan.service(), plan.route().priority(), nowMs) >= longestLine()) {
+                return end(ErrorCode.NO_ENGINE, "too many wait");
+            }
+            long untilMs = plan.receivedMs() + patienceMs();
+            place = Optional.of(line.enter(plan.service(), plan.route().priority(), untilMs));
+        }
+        return new Step.Hold(HOLD_MS);
+    }
+
+    /**
+     * Returns how long the request waits for a place. A plain one is refused early, so that its
+     * caller can come back in time. A prompt is read in less than half of its goal, so that one
+     * which waits for the other half is still answered in time.
+     */
+    private long patienceMs() {
+        return plan.route().goalMs() / (plan.engine().isPresent() ? ENGINE_HOLD_PART : HOLD_PART);
+    }
+
+    /** Only requests for an engine that were not sent yet wait for each other. */
+    private boolean waitsInLine() {
+        return plan.engine().isPresent() && sends == 0;
+    }
+
+    private boolean mustWait(long nowMs) {
+        if (!waitsInLine()) {
+            return false;
+        }
+        return place.isPresent()
+                ? !line.isFirst(place.get(), nowMs)
+                : line.ahead(plan.service(), plan.route().priority(), nowMs) > 0;
+    }
+
+    /** A run lasts about as long as the goal of its first event, or longer. */
+    private int longestLine() {
+        int running = placement.ownRunning(servers.get());
+        return WaitingLine.longest(running, patienceMs(), plan.route().goalMs());
     }
 
     private Step.End end(ErrorCode code, String reason) {
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -45,6 +45,14 @@
     /** What doubt weighs for plain requests, in requests present a slot. */
     private static final double SLOTS_A_DOUBT = 1;
 
+    /**
+     * Prompts that an engine reads at once. It reads a part of each between two steps, so that two
+     * make the pauses of all its streams six tenths of the longest that is on time (430 of 700 ms),
+     * three nine tenths, and four break the goal of every stream there. In a burst a third one
+     * waits for another's end instead, and is read as soon.
+     */
+    private static final int MOST_READING = 2;
+
     /** Ranks closer than this are equal, and drawn from, so that routers don't all choose one. */
     private static final double DRAW = 0.05;
 
@@ -112,6 +120,11 @@
         return !health.isDown(server, nowMs) && fits(server, size, engine);
     }
 
+    /** Returns how many requests this router has at {@code servers}. */
+    int ownRunning(ImmutableList<BackendServer> servers) {
+        return servers.stream().mapToInt(s -> loads.ownUse(s.id()).running()).sum();
+    }
+
     /** Returns whether a plain request would be worked on at once at {@code server}. */
     boolean hasFreePlace(BackendServer server, long nowMs) {
         return loads.present(server.id(), nowMs) < server.slots();
@@ -150,6 +163,10 @@
             return true;
         }
         ServerUse use = loads.use(server.id());
+        boolean reads = size.prompt() > 0;
+        if (reads && use.reading() >= MOST_READING) {
+            return false;
+        }
         return use.running() < server.slots()
                 && use.memoryTokens() + size.total() <= engine.get().memoryTokens();
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import org.masticweir.forward.ServerHealth;
 import org.masticweir.forward.SilenceBounds;
 import org.masticweir.forward.StreamPace;
+import org.masticweir.forward.WaitingLine;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.time.Clock;
 import org.xnio.XnioIoThread;
@@ -31,6 +32,7 @@
         ServerHealth health,
         Placement placement,
         RepeatGate repeats,
+        WaitingLine line,
         SilenceBounds silence,
         StreamPace pace,
         RandomGenerator random,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -25,6 +25,7 @@
 import org.masticweir.forward.ServiceRepeats;
 import org.masticweir.forward.SilenceBounds;
 import org.masticweir.forward.StreamPace;
+import org.masticweir.forward.WaitingLine;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.id.EngineId;
@@ -223,6 +224,7 @@
                 health,
                 Placement.create(loads, health, settings.domain(), random),
                 repeats,
+                WaitingLine.create(),
                 SilenceBounds.create(),
                 StreamPace.create(),
                 random,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -68,6 +68,7 @@
                         context.placement(),
                         context.health(),
                         context.repeats(),
+                        context.line(),
                         context.random());
         answer = new CallerAnswer(exchange, this::callerLeft);
         watch = CallerWatch.start(exchange, this::callerLeft);
@@ -241,6 +242,7 @@
     /** Gives back all that the request holds; the answer's last bytes may still be written. */
     private void finish() {
         over = true;
+        course.close();
         leaveServer();
         watch.stop();
         ended.run();
--- a/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -215,6 +215,91 @@
         }
     }
 
+    /**
+     * Many reports come at once and the engines' memory is full. A place went to whichever request
+     * looked next, so that one that had waited for long was given up while later ones ran.
+     */
+    @Nested
+    class WaitsForAnEngine {
+        private final Course first = world.course(Repeatability.RESUMABLE, 5);
+        private final Course second = world.course(Repeatability.RESUMABLE, 5);
+
+        private void fill() {
+            world.servers.forEach(s -> world.loads.holding(s.id(), 80_000));
+        }
+
+        private void free(String engine) {
+            world.loads.holding(world.byId(engine).id(), -80_000);
+        }
+
+        @Test
+        void behindThoseThatCameBefore() {
+            fill();
+            assertInstanceOf(Step.Hold.class, first.next(0));
+            assertInstanceOf(Step.Hold.class, second.next(10));
+            free("a-1");
+            assertInstanceOf(Step.Hold.class, second.next(20));
+            send(first.next(30));
+            send(second.next(40));
+        }
+
+        @Test
+        void behindThoseThatWaitEvenIfItComesWhenAPlaceIsFree() {
+            fill();
+            first.next(0);
+            free("a-1");
+            assertInstanceOf(Step.Hold.class, second.next(10));
+            send(first.next(20));
+        }
+
+        @Test
+        void notBehindACallerThatLeft() {
+            fill();
+            first.next(0);
+            second.next(10);
+            first.close();
+            free("a-1");
+            send(second.next(20));
+        }
+
+        /** A place that is not left must not stop a service for good. */
+        @Test
+        void notBehindOneWhoseTimeIsOver() {
+            fill();
+            first.next(0);
+            Course late = world.course(Repeatability.RESUMABLE, 5);
+            free("a-1");
+            send(late.next(ForwardWorld.GOAL_MS / 2 + 1));
+        }
+
+        @Test
+        void forHalfOfItsGoal() {
+            fill();
+            assertInstanceOf(Step.Hold.class, first.next(0));
+            assertInstanceOf(Step.Hold.class, first.next(ForwardWorld.GOAL_MS / 2 - 1));
+            Step.End end = end(first.next(ForwardWorld.GOAL_MS / 2));
+            assertEquals(Verdict.NOT_RUN, end.verdict());
+        }
+
+        @Test
+        void notAtAllIfMoreWaitThanCanBeServedInTime() {
+            fill();
+            for (int i = 0; i < WaitingLine.LEAST_LENGTH; i++) {
+                assertInstanceOf(Step.Hold.class, world.course(Repeatability.RESUMABLE, 5).next(i));
+            }
+            Step.End end = end(first.next(10));
+            assertEquals("too many wait", end.reason());
+            assertTrue(end.retryAfterMs().isPresent());
+        }
+
+        @Test
+        void notAtAllIfItIsLargerThanAnyEngine() {
+            Course large = world.course(ForwardWorld.planOfSize(new RequestSize(90_000, 10)));
+            Step.End end = end(large.next(0));
+            assertTrue(end.retryAfterMs().isEmpty(), "it need not come back");
+        }
+    }
+
     /** Servers answer with a failure of theirs. */
     @Nested
     class FailedAnswers {
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -29,6 +29,7 @@
     final ServerHealth health = ServerHealth.create();
     final Placement placement =
             Placement.create(loads, health, DomainId.of("a"), new SplittableRandom(7));
+    final WaitingLine line = WaitingLine.create();
     final ServiceRepeats repeats = ServiceRepeats.partOf(0.8, 150, 8);
 
     /** Adds servers {@code domain-1} to {@code domain-n}. */
@@ -69,6 +70,7 @@
                 placement,
                 health,
                 repeats,
+                line,
                 new SplittableRandom(3));
     }
 
@@ -86,6 +88,20 @@
                 first.expiresMs());
     }
 
+    /** Returns the plan of a stream of {@code size}. */
+    static RequestPlan planOfSize(RequestSize size) {
+        RequestPlan usual = plan(Repeatability.RESUMABLE, 5);
+        return new RequestPlan(
+                usual.route(),
+                usual.service(),
+                usual.engine(),
+                size,
+                usual.prompt(),
+                usual.callersEvent(),
+                usual.receivedMs(),
+                usual.expiresMs());
+    }
+
     static RequestPlan plan(Repeatability repeatability, int attempts) {
         boolean streams = repeatability == Repeatability.RESUMABLE;
         Route route =
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -95,6 +95,21 @@
             assertEquals("b", choose().orElseThrow().domain().value());
         }
 
+        /**
+         * All reports pause too long in a burst: each engine reads four prompts at once, a part of
+         * each between two steps of the streams that run there.
+         */
+        @Test
+        void thatReadTwoPromptsAreNotChosen() {
+            for (int i = 0; i < 2 * world.servers.size(); i++) {
+                world.loads.sent(choose().orElseThrow().id(), ForwardWorld.PROMPT);
+            }
+            world.servers.forEach(s -> assertEquals(2, world.loads.use(s.id()).reading()));
+            assertTrue(choose().isEmpty());
+            world.loads.read(EngineId.of("b-1"), ForwardWorld.PROMPT);
+            assertEquals("b-1", choose().orElseThrow().id().value());
+        }
+
         @Test
         void withoutRoomInMemoryAreNotChosen() {
             world.servers.forEach(s -> world.loads.holding(s.id(), 80_000));
@@ -157,7 +172,13 @@
                 until.add(now + READ_MS);
                 most = Math.max(most, until.size());
                 ends.add(() -> router.loads.read(engine, ForwardWorld.PROMPT));
-                ends.add(() -> router.loads.ended(engine, ForwardWorld.PROMPT));
+                ends.add(
+                        () -> {
+                            router.loads.ended(engine, ForwardWorld.PROMPT);
+                            if (telling) {
+                                tell(routers, r, engine);
+                            }
+                        });
                 if (i >= READ_MS / GAP_MS) {
                     int first = 2 * (i - (int) (READ_MS / GAP_MS));
                     ends.get(first).run();
