forward: a stream with no other engine left returns to one that it left

In a domain that is alone with few engines users would see the same. Now such a stream goes to the best engine that is not down, within the attempts of its route.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -27,12 +27,6 @@
     /** Pause before servers are looked for again, in ms: a tenth of a short request's work. */
     private static final long HOLD_MS = 10;
 
-    /** Part of the time goal for which a request waits for a server before it is refused. */
-    private static final int HOLD_PART = 8;
-
-    /** Part of the time goal for which a request waits for a place at an engine. */
-    private static final int ENGINE_HOLD_PART = 2;
-
     /**
      * Part of the time goal after which an idempotent request is tried elsewhere. What is left is
      * enough for the median of the work; 99 in 100 answers come sooner.
@@ -47,7 +41,7 @@
     private final Placement placement;
     private final ServerHealth health;
     private final RepeatGate repeats;
-    private final WaitingLine line;
+    private final RequestWait wait;
     private final RandomGenerator random;
 
     private final Set<EngineId> tried = new HashSet<>();
@@ -61,7 +55,6 @@
     private Optional<BackendServer> holder = Optional.empty();
     private Optional<BackendServer> keeper = Optional.empty();
     private boolean asked;
-    private Optional<WaitingLine.Place> place = Optional.empty();
 
     private Course(
             RequestPlan plan,
@@ -76,7 +69,7 @@
         this.placement = checkNotNull(placement, "placement");
         this.health = checkNotNull(health, "health");
         this.repeats = checkNotNull(repeats, "repeats");
-        this.line = checkNotNull(line, "line");
+        wait = new RequestWait(plan, line);
         this.random = checkNotNull(random, "random");
         lastEvent = plan.callersEvent();
     }
@@ -124,7 +117,7 @@
         Optional<BackendServer> copy = usableHolder(nowMs);
         Optional<BackendServer> server =
                 copy.or(() -> usableKeeper(nowMs)).or(() -> anyServer(nowMs));
-        if (server.isEmpty() || mustWait(nowMs)) {
+        if (server.isEmpty() || wait.mustWait(sends, nowMs)) {
             return holdOrEnd(nowMs);
         }
         if (arrivals > 0 && !repeats.tryRepeat(plan.service(), nowMs)) {
@@ -253,12 +246,11 @@
 
     /** Gives up what the request still holds; nothing is asked of the course any more. */
     public void close() {
-        place.ifPresent(line::leave);
-        place = Optional.empty();
+        wait.close();
     }
 
     private Step send(BackendServer server, boolean fromCopy, long nowMs) {
-        close();
+        wait.close();
         if (!counted) {
             counted = true;
             repeats.requested(plan.service(), nowMs);
@@ -291,8 +283,21 @@
                                 && placement.canTake(k, plan.size(), plan.engine(), nowMs));
     }
 
+    /**
+     * Returns the best server that was not tried yet. A stream that may go on anywhere returns to
+     * one that was, if no other is left.
+     *
+     * <p>Failure guarded against: a domain is alone with two engines, both stall for a moment under
+     * one stream, and it is held until its time is over though both live.
+     */
     private Optional<BackendServer> anyServer(long nowMs) {
-        return placement.server(servers.get(), plan.size(), plan.engine(), tried, nowMs);
+        Optional<BackendServer> fresh = serverBut(tried, nowMs);
+        boolean anywhere = plan.route().repeatability() == Repeatability.RESUMABLE;
+        return fresh.isPresent() || !anywhere ? fresh : serverBut(Set.of(), nowMs);
+    }
+
+    private Optional<BackendServer> serverBut(Set<EngineId> excluded, long nowMs) {
+        return placement.server(servers.get(), plan.size(), plan.engine(), excluded, nowMs);
     }
 
     /**
@@ -311,46 +316,11 @@
             return new Step.End(
                     ErrorCode.NO_ENGINE, verdict, OptionalLong.empty(), "larger than any engine");
         }
-        if (nowMs - plan.receivedMs() >= patienceMs()) {
-            return end(ErrorCode.NO_ENGINE, "no server is free");
-        }
-        if (waitsInLine() && place.isEmpty()) {
-            if (line.ahead(plan.service(), plan.route().priority(), nowMs) >= longestLine()) {
-                return end(ErrorCode.NO_ENGINE, "too many wait");
-            }
-            long untilMs = plan.receivedMs() + patienceMs();
-            place = Optional.of(line.enter(plan.service(), plan.route().priority(), untilMs));
-        }
-        return new Step.Hold(HOLD_MS);
-    }
-
-    /**
-     * Returns how long the request waits for a place. A plain one is refused early, so that its
-     * caller can come back in time. A prompt is read in less than half of its goal, so that one
-     * which waits for the other half is still answered in time.
-     */
-    private long patienceMs() {
-        return plan.route().goalMs() / (plan.engine().isPresent() ? ENGINE_HOLD_PART : HOLD_PART);
-    }
-
-    /** Only requests for an engine that were not sent yet wait for each other. */
-    private boolean waitsInLine() {
-        return plan.engine().isPresent() && sends == 0;
-    }
-
-    private boolean mustWait(long nowMs) {
-        if (!waitsInLine()) {
-            return false;
-        }
-        return place.isPresent()
-                ? !line.isFirst(place.get(), nowMs)
-                : line.ahead(plan.service(), plan.route().priority(), nowMs) > 0;
-    }
-
-    /** A run lasts about as long as the goal of its first event, or longer. */
-    private int longestLine() {
         int running = placement.ownRunning(servers.get());
-        return WaitingLine.longest(running, patienceMs(), plan.route().goalMs());
+        Optional<String> refusal = wait.refusal(sends, running, nowMs);
+        return refusal.isPresent()
+                ? end(ErrorCode.NO_ENGINE, refusal.get())
+                : new Step.Hold(HOLD_MS);
     }
 
     private Step.End end(ErrorCode code, String reason) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -186,8 +186,7 @@
 
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
-        log.at(server, reason, silence.sentMs());
-        context.metrics().sendEnded(server, SendEnd.SILENT);
+        sendEnded(server, SendEnd.SILENT, reason, silence.sentMs());
         resuming = answer.isStreaming();
         leaveServer();
         take(course.lost(server, now()));
@@ -200,12 +199,17 @@
             timer(Math.max(1, plan.expiresMs() - now), this::timeIsUp);
             return;
         }
-        log.at(silence.server(), "sent no answer", silence.sentMs());
-        context.metrics().sendEnded(silence.server(), SendEnd.SILENT);
+        sendEnded(silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
         leaveServer();
         take(instead.get());
     }
 
+    /** A send ended without an answer that the caller gets. */
+    private void sendEnded(BackendServer server, SendEnd end, String what, long sentMs) {
+        log.at(server, what, sentMs);
+        context.metrics().sendEnded(server, end);
+    }
+
     private void leaveServer() {
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
@@ -367,8 +371,7 @@
                 return;
             }
             leaveServer();
-            log.at(sent.server(), "refused with " + head.status(), sentMs);
-            context.metrics().sendEnded(sent.server(), SendEnd.REFUSED);
+            sendEnded(sent.server(), SendEnd.REFUSED, "refused with " + head.status(), sentMs);
             if (word.wrongServer()) {
                 take(course.wrongServer(sent.server(), now()));
                 context.loadsChanged().run();
@@ -384,8 +387,7 @@
                 return;
             }
             leaveServer();
-            log.at(sent.server(), "could not be reached", sentMs);
-            context.metrics().sendEnded(sent.server(), SendEnd.NOT_REACHED);
+            sendEnded(sent.server(), SendEnd.NOT_REACHED, "could not be reached", sentMs);
             take(course.notSent(sent.server(), now()));
             context.loadsChanged().run();
         }
@@ -397,8 +399,7 @@
             }
             resuming = answer.isStreaming();
             leaveServer();
-            log.at(sent.server(), "lost it, " + reason, sentMs);
-            context.metrics().sendEnded(sent.server(), SendEnd.BROKE_OFF);
+            sendEnded(sent.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
--- a/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -121,6 +121,24 @@
             assertEquals(1, course.sends());
         }
 
+        /**
+         * A report ends in its middle though both engines of its domain live: each had stalled for
+         * a moment, was left for the other, and nobody was left to ask.
+         */
+        @Test
+        void returnsToAnEngineThatWasLeftIfNoOtherIsLeft() {
+            ForwardWorld small = new ForwardWorld().domain("a", 1).domain("b", 1);
+            Course alone = small.course(Repeatability.RESUMABLE, 5);
+            BackendServer first = send(alone.next(0)).server();
+            alone.event(1);
+            BackendServer second = send(alone.lost(first, 1_000)).server();
+            alone.event(2);
+            assertInstanceOf(Step.Hold.class, alone.lost(second, 1_100));
+            Step.Send third = send(alone.next(1_100 + ServerHealth.FIRST_DOWN_MS));
+            assertEquals(first, third.server());
+            assertEquals(OptionalLong.of(2), third.afterEvent());
+        }
+
         @Test
         void waitsForAServerIfTheCallerHasPartOfTheAnswer() {
             Step.Send first = send(course.next(0));
