--- a/masticweir/src/main/java/org/masticweir/catalog/BackendServer.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/BackendServer.java
@@ -8,23 +8,30 @@
 import org.masticweir.id.EngineId;
 
 /**
- * One life of a backend server; a restart has another id. Immutable.
+ * One life of a backend server as it says of itself; immutable.
  *
+ * @param address where it listens
  * @param slots requests that it works on at once
  * @param leaving whether it takes no new work
  */
 public record BackendServer(
-        EngineId id,
+        ServerLife life,
         ServiceName service,
         InetSocketAddress address,
         DomainId domain,
         int slots,
         boolean leaving) {
     public BackendServer {
-        checkNotNull(id, "id");
+        checkNotNull(life, "life");
         checkNotNull(service, "service");
         checkNotNull(address, "address");
         checkNotNull(domain, "domain");
+        checkArgument(address.getPort() > 0, "address %s", address);
         checkArgument(slots >= 1, "slots %s", slots);
     }
+
+    /** Returns the id, which a later life may have too. */
+    public EngineId id() {
+        return life.id();
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
@@ -15,18 +15,20 @@
 /**
  * The newest word on each backend server, from the store and from peers; not thread-safe.
  *
- * <p>Each word carries the store's revision. An older one changes nothing, in whatever order words
- * arrive, so that a server that has left is never taken for one that serves.
+ * <p>Of two lives of a server the later one holds. Of two words on one life the one with the newer
+ * revision of the store holds, and a removal counts against all that was written before it. Older
+ * words change nothing, in whatever order they arrive, so a server that has left is never taken for
+ * one that serves, and a life that is over never comes back.
  */
 public final class ServerBook {
     /** Removed servers remembered, against older words on them; the longest removed go first. */
     private static final int MAX_REMOVED = 4_096;
 
     private final Map<EngineId, Entry> present = new HashMap<>();
-    private final Map<EngineId, Long> removed =
+    private final Map<EngineId, Removed> removed =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<EngineId, Long> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<EngineId, Removed> eldest) {
                     return size() > MAX_REMOVED;
                 }
             };
@@ -45,6 +47,13 @@
     /** A removal that takes effect later. */
     private record Removal(long revision, long dueMs) {}
 
+    /** What is remembered of a server that is gone: its last life, and as of when. */
+    private record Removed(ServerLife life, long revision) {
+        boolean rulesOut(ServerLife other, long otherRevision) {
+            return otherRevision <= revision || other.isBefore(life);
+        }
+    }
+
     private ServerBook() {}
 
     public static ServerBook create() {
@@ -54,23 +63,26 @@
     /** Takes a server's entry; returns whether what is believed has changed. */
     public boolean put(BackendServer server, long revision) {
         checkNotNull(server, "server");
-        if (revision <= removed.getOrDefault(server.id(), -1L)) {
+        ServerLife life = server.life();
+        Removed gone = removed.get(life.id());
+        if (gone != null && gone.rulesOut(life, revision)) {
             return false;
         }
-        Entry entry = present.get(server.id());
+        Entry entry = present.get(life.id());
         if (entry == null) {
-            present.put(server.id(), new Entry(server, revision));
-            removed.remove(server.id());
+            present.put(life.id(), new Entry(server, revision));
+            removed.remove(life.id());
             return true;
         }
-        if (revision <= entry.revision) {
-            return false;
-        }
-        if (entry.removal.isPresent() && entry.removal.get().revision() > revision) {
+        boolean later = entry.server.life().isBefore(life);
+        boolean newer = revision > entry.revision && !life.isBefore(entry.server.life());
+        boolean removedSince =
+                entry.removal.isPresent() && entry.removal.get().revision() > revision;
+        if (removedSince || !(later || newer)) {
             return false;
         }
         entry.removal = Optional.empty();
-        entry.revision = revision;
+        entry.revision = Math.max(revision, entry.revision);
         boolean changed = !entry.server.equals(server);
         entry.server = server;
         return changed;
@@ -95,7 +107,7 @@
             return false;
         }
         present.remove(id);
-        removed.put(id, revision);
+        removed.put(id, new Removed(entry.server.life(), revision));
         return true;
     }
 
@@ -116,10 +128,11 @@
         Iterator<Map.Entry<EngineId, Entry>> entries = present.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<EngineId, Entry> next = entries.next();
-            Optional<Removal> due = next.getValue().removal.filter(r -> r.dueMs() <= nowMs);
+            Entry entry = next.getValue();
+            Optional<Removal> due = entry.removal.filter(r -> r.dueMs() <= nowMs);
             if (due.isPresent()) {
                 entries.remove();
-                removed.put(next.getKey(), due.get().revision());
+                removed.put(next.getKey(), new Removed(entry.server.life(), due.get().revision()));
                 changed = true;
             }
         }
@@ -133,9 +146,21 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the last life known of {@code id}, whether it is over or not. */
+    public Optional<ServerLife> lifeOf(EngineId id) {
+        Entry entry = present.get(id);
+        return entry != null
+                ? Optional.of(entry.server.life())
+                : Optional.ofNullable(removed.get(id)).map(Removed::life);
+    }
+
     /** Returns the newest revision heard of {@code id}; -1 if none. */
     public long revisionOf(EngineId id) {
         Entry entry = present.get(id);
-        return entry == null ? removed.getOrDefault(id, -1L) : entry.revision;
+        if (entry != null) {
+            return entry.revision;
+        }
+        Removed gone = removed.get(id);
+        return gone == null ? -1 : gone.revision();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -11,9 +11,9 @@
 import java.util.random.RandomGenerator;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Repeatability;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
-import org.masticweir.id.EngineId;
 
 /**
  * The way of one request over its servers, from the first send to its end; owned by the traffic
@@ -44,7 +44,7 @@
     private final RequestWait wait;
     private final RandomGenerator random;
 
-    private final Set<EngineId> tried = new HashSet<>();
+    private final Set<ServerLife> tried = new HashSet<>();
     private int sends;
     private int arrivals;
     private boolean counted;
@@ -258,7 +258,7 @@
         sends++;
         arrivals++;
         underWay = true;
-        tried.add(server.id());
+        tried.add(server.life());
         holder =
                 plan.isCopied()
                         ? placement.holder(
@@ -272,14 +272,18 @@
         if (!hasEvent) {
             return Optional.empty();
         }
-        return holder.filter(h -> !tried.contains(h.id()) && !health.isDown(h, nowMs))
-                .flatMap(h -> servers.get().stream().filter(s -> s.id().equals(h.id())).findAny());
+        return holder.filter(h -> !tried.contains(h.life()) && !health.isDown(h, nowMs))
+                .flatMap(
+                        h ->
+                                servers.get().stream()
+                                        .filter(s -> s.life().equals(h.life()))
+                                        .findAny());
     }
 
     private Optional<BackendServer> usableKeeper(long nowMs) {
         return keeper.filter(
                 k ->
-                        !tried.contains(k.id())
+                        !tried.contains(k.life())
                                 && placement.canTake(k, plan.size(), plan.engine(), nowMs));
     }
 
@@ -296,7 +300,7 @@
         return fresh.isPresent() || !anywhere ? fresh : serverBut(Set.of(), nowMs);
     }
 
-    private Optional<BackendServer> serverBut(Set<EngineId> excluded, long nowMs) {
+    private Optional<BackendServer> serverBut(Set<ServerLife> excluded, long nowMs) {
         return placement.server(servers.get(), plan.size(), plan.engine(), excluded, nowMs);
     }
 
--- a/masticweir/src/main/java/org/masticweir/forward/EngineReport.java
+++ b/masticweir/src/main/java/org/masticweir/forward/EngineReport.java
@@ -1,9 +1,12 @@
 package org.masticweir.forward;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.OptionalLong;
 import java.util.Set;
+import org.masticweir.catalog.ServerLife;
 
 /**
  * What an engine says of its work, as of some hundred ms ago; immutable.
@@ -11,11 +14,22 @@
  * @param running ids of the requests that have made a token
  * @param admitted requests in its batch, those whose prompt is being read among them
  * @param waiting requests that wait for a place in it
+ * @param startedMs Unix time of the engine's start, in ms, if it says so
  */
-public record EngineReport(Set<String> running, int admitted, int waiting) {
+public record EngineReport(Set<String> running, int admitted, int waiting, OptionalLong startedMs) {
     public EngineReport {
         running = ImmutableSet.copyOf(running);
         checkArgument(waiting >= 0, "waiting %s", waiting);
+        checkNotNull(startedMs, "startedMs");
+    }
+
+    /**
+     * Returns whether it may come from {@code life}; an engine that restarted has another start.
+     */
+    public boolean isOf(ServerLife life) {
+        return startedMs.isEmpty()
+                || !life.isStartKnown()
+                || startedMs.getAsLong() == life.startedMs();
     }
 
     /** Returns whether a request sent long enough ago may still be there. */
--- a/masticweir/src/main/java/org/masticweir/forward/LoadBoard.java
+++ b/masticweir/src/main/java/org/masticweir/forward/LoadBoard.java
@@ -6,7 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.masticweir.id.EngineId;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.RouterId;
 
 /**
@@ -20,9 +20,9 @@
     /** How long a server's own word on its queue counts, in ms; the queue is another one then. */
     static final long REPORT_MS = 400;
 
-    private final Map<EngineId, Server> servers = new HashMap<>();
-    private final Map<RouterId, Map<EngineId, ServerUse>> peers = new HashMap<>();
-    private final Set<EngineId> changed = new HashSet<>();
+    private final Map<ServerLife, Server> servers = new HashMap<>();
+    private final Map<RouterId, Map<ServerLife, ServerUse>> peers = new HashMap<>();
+    private final Set<ServerLife> changed = new HashSet<>();
 
     /** State of one server. */
     private static final class Server {
@@ -39,27 +39,27 @@
     }
 
     /** A request was sent to {@code id}. */
-    public void sent(EngineId id, RequestSize size) {
+    public void sent(ServerLife id, RequestSize size) {
         update(id, server(id).own.sent(size));
     }
 
     /** The prompt of a request was read: its first event came, or it ended. */
-    public void read(EngineId id, RequestSize size) {
+    public void read(ServerLife id, RequestSize size) {
         update(id, server(id).own.read(size));
     }
 
     /** A request ended at {@code id}, after it was {@link #read}. */
-    public void ended(EngineId id, RequestSize size) {
+    public void ended(ServerLife id, RequestSize size) {
         update(id, server(id).own.ended(size));
     }
 
     /** A copy of {@code tokens} may come to lie at {@code id}; negative when it is given up. */
-    public void holding(EngineId id, long tokens) {
+    public void holding(ServerLife id, long tokens) {
         update(id, server(id).own.holding(tokens));
     }
 
     /** A server told how many requests it has in all. */
-    public void reported(EngineId id, int present, long nowMs) {
+    public void reported(ServerLife id, int present, long nowMs) {
         Server server = server(id);
         // The answered request itself is still counted in both figures.
         server.reportedOthers = Math.max(0, present - server.own.running());
@@ -67,7 +67,7 @@
     }
 
     /** A peer told what it has at a server now. */
-    public void peerUse(RouterId peer, EngineId id, ServerUse use) {
+    public void peerUse(RouterId peer, ServerLife id, ServerUse use) {
         checkNotNull(use, "use");
         peers.computeIfAbsent(peer, p -> new HashMap<>()).put(id, use);
         sumOthers(id);
@@ -75,14 +75,14 @@
 
     /** A peer is out of reach; what it has sent is not known any more. */
     public void forgetPeer(RouterId peer) {
-        Map<EngineId, ServerUse> gone = peers.remove(peer);
+        Map<ServerLife, ServerUse> gone = peers.remove(peer);
         if (gone != null) {
             gone.keySet().forEach(this::sumOthers);
         }
     }
 
     /** Forgets servers that are gone and that nothing of this router is at. */
-    public void retain(Set<EngineId> present) {
+    public void retain(Set<ServerLife> present) {
         servers.entrySet()
                 .removeIf(
                         e ->
@@ -92,19 +92,19 @@
     }
 
     /** Returns what all known routers have at {@code id}. */
-    public ServerUse use(EngineId id) {
+    public ServerUse use(ServerLife id) {
         Server server = servers.get(id);
         return server == null ? ServerUse.none() : server.own.plus(server.others);
     }
 
     /** Returns what this router has at {@code id}. */
-    public ServerUse ownUse(EngineId id) {
+    public ServerUse ownUse(ServerLife id) {
         Server server = servers.get(id);
         return server == null ? ServerUse.none() : server.own;
     }
 
     /** Returns how many requests {@code id} has by its own word and by what was sent since. */
-    public int present(EngineId id, long nowMs) {
+    public int present(ServerLife id, long nowMs) {
         Server server = servers.get(id);
         if (server == null) {
             return 0;
@@ -115,8 +115,8 @@
     }
 
     /** Returns the engines at which this router has something. */
-    public Set<EngineId> engines() {
-        Set<EngineId> used = new HashSet<>();
+    public Set<ServerLife> engines() {
+        Set<ServerLife> used = new HashSet<>();
         servers.forEach(
                 (id, server) -> {
                     if (server.own.memoryTokens() > 0) {
@@ -127,13 +127,13 @@
     }
 
     /** Returns the engines at which this router's use changed since the last call. */
-    public Set<EngineId> takeChanged() {
-        Set<EngineId> taken = Set.copyOf(changed);
+    public Set<ServerLife> takeChanged() {
+        Set<ServerLife> taken = Set.copyOf(changed);
         changed.clear();
         return taken;
     }
 
-    private void update(EngineId id, ServerUse use) {
+    private void update(ServerLife id, ServerUse use) {
         Server server = server(id);
         boolean told =
                 !use.equals(server.own)
@@ -144,15 +144,15 @@
         }
     }
 
-    private void sumOthers(EngineId id) {
+    private void sumOthers(ServerLife id) {
         ServerUse sum = ServerUse.none();
-        for (Map<EngineId, ServerUse> peer : peers.values()) {
+        for (Map<ServerLife, ServerUse> peer : peers.values()) {
             sum = sum.plus(peer.getOrDefault(id, ServerUse.none()));
         }
         server(id).others = sum;
     }
 
-    private Server server(EngineId id) {
+    private Server server(ServerLife id) {
         return servers.computeIfAbsent(id, i -> new Server());
     }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/LoadTicket.java
+++ b/masticweir/src/main/java/org/masticweir/forward/LoadTicket.java
@@ -3,20 +3,21 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
-import org.masticweir.id.EngineId;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 
 /** One send's entry on the {@link LoadBoard}, from the send to its end. */
 public final class LoadTicket implements AutoCloseable {
     private final LoadBoard loads;
-    private final EngineId server;
+    private final ServerLife server;
     private final RequestSize size;
-    private final Optional<EngineId> holder;
+    private final Optional<ServerLife> holder;
     private final long copied;
     private boolean read;
     private boolean closed;
 
     private LoadTicket(
-            LoadBoard loads, EngineId server, RequestSize size, Optional<EngineId> holder) {
+            LoadBoard loads, ServerLife server, RequestSize size, Optional<ServerLife> holder) {
         this.loads = checkNotNull(loads, "loads");
         this.server = checkNotNull(server, "server");
         this.size = checkNotNull(size, "size");
@@ -28,7 +29,11 @@
     public static LoadTicket open(LoadBoard loads, Step.Send send, RequestSize size) {
         RequestSize toRead = send.fromCopy() ? new RequestSize(0, size.total()) : size;
         LoadTicket ticket =
-                new LoadTicket(loads, send.server().id(), toRead, send.holder().map(h -> h.id()));
+                new LoadTicket(
+                        loads,
+                        send.server().life(),
+                        toRead,
+                        send.holder().map(BackendServer::life));
         loads.sent(ticket.server, toRead);
         ticket.holder.ifPresent(h -> loads.holding(h, ticket.copied));
         return ticket;
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -9,8 +9,8 @@
 import java.util.random.RandomGenerator;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.EngineSpec;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.DomainId;
-import org.masticweir.id.EngineId;
 
 /**
  * Chooses the server of a request and the holder of its copy; owned by the traffic thread.
@@ -85,11 +85,11 @@
             ImmutableList<BackendServer> servers,
             RequestSize size,
             Optional<EngineSpec> engine,
-            Set<EngineId> tried,
+            Set<ServerLife> tried,
             long nowMs) {
         Ranking ranking = new Ranking();
         for (BackendServer server : servers) {
-            if (!tried.contains(server.id()) && canTake(server, size, engine, nowMs)) {
+            if (!tried.contains(server.life()) && canTake(server, size, engine, nowMs)) {
                 ranking.offer(server, rank(server, engine, nowMs));
             }
         }
@@ -122,12 +122,12 @@
 
     /** Returns how many requests this router has at {@code servers}. */
     int ownRunning(ImmutableList<BackendServer> servers) {
-        return servers.stream().mapToInt(s -> loads.ownUse(s.id()).running()).sum();
+        return servers.stream().mapToInt(s -> loads.ownUse(s.life()).running()).sum();
     }
 
     /** Returns whether a plain request would be worked on at once at {@code server}. */
     boolean hasFreePlace(BackendServer server, long nowMs) {
-        return loads.present(server.id(), nowMs) < server.slots();
+        return loads.present(server.life(), nowMs) < server.slots();
     }
 
     /**
@@ -162,7 +162,7 @@
         if (engine.isEmpty()) {
             return true;
         }
-        ServerUse use = loads.use(server.id());
+        ServerUse use = loads.use(server.life());
         boolean reads = size.prompt() > 0;
         if (reads && use.reading() >= MOST_READING) {
             return false;
@@ -175,16 +175,16 @@
         boolean far = !server.domain().equals(home);
         boolean doubtful = health.isDoubtful(server, nowMs);
         if (engine.isEmpty()) {
-            double present = (double) loads.present(server.id(), nowMs) / server.slots();
+            double present = (double) loads.present(server.life(), nowMs) / server.slots();
             return present + (far ? SLOTS_A_DOMAIN : 0) + (doubtful ? SLOTS_A_DOUBT : 0);
         }
-        ServerUse use = loads.use(server.id());
+        ServerUse use = loads.use(server.life());
         long tokens = use.readingTokens() + TOKENS_A_REQUEST * use.running();
         return tokens + (far ? TOKENS_A_DOMAIN : 0) + (doubtful ? TOKENS_A_DOUBT : 0);
     }
 
     private double memoryShare(BackendServer server, EngineSpec engine) {
-        return (double) loads.use(server.id()).memoryTokens() / engine.memoryTokens();
+        return (double) loads.use(server.life()).memoryTokens() / engine.memoryTokens();
     }
 
     /** Keeps the lowest rank offered; among equal ones each is as likely. */
--- a/masticweir/src/main/java/org/masticweir/forward/SendSilence.java
+++ b/masticweir/src/main/java/org/masticweir/forward/SendSilence.java
@@ -32,7 +32,7 @@
         this.bounds = checkNotNull(bounds, "bounds");
         sentMs = nowMs;
         lastMs = nowMs;
-        tokensAhead = loads.use(server.id()).readingTokens();
+        tokensAhead = loads.use(server.life()).readingTokens();
         allowedMs =
                 fromCopy ? nextEventMs() : bounds.firstEventMs(tokensAhead, plan.route().goalMs());
     }
@@ -107,6 +107,6 @@
     }
 
     private long nextEventMs() {
-        return bounds.nextEventMs(gapGoalMs, loads.use(server.id()).reading());
+        return bounds.nextEventMs(gapGoalMs, loads.use(server.life()).reading());
     }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -9,9 +9,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.DomainId;
-import org.masticweir.id.EngineId;
 
 /**
  * Which backend servers are believed to live; owned by the traffic thread.
@@ -43,9 +43,9 @@
      */
     static final long DOUBT_MS = 5_000;
 
-    private final Map<EngineId, State> states = new HashMap<>();
+    private final Map<ServerLife, State> states = new HashMap<>();
     private final Map<Place, Accusation> places = new HashMap<>();
-    private Map<EngineId, Boolean> news = new LinkedHashMap<>();
+    private Map<ServerLife, Boolean> news = new LinkedHashMap<>();
 
     /** The servers of one service in one domain. */
     private record Place(ServiceName service, DomainId domain) {
@@ -55,7 +55,7 @@
     }
 
     /** One failure. */
-    private record Failed(EngineId server, long atMs) {}
+    private record Failed(ServerLife server, long atMs) {}
 
     /** What is held against all servers of a place. */
     private static final class Accusation {
@@ -81,28 +81,28 @@
 
     /** This router could not reach a server, or was broken off by it. */
     public void failed(BackendServer server, long nowMs) {
-        news.putIfAbsent(server.id(), false);
+        news.putIfAbsent(server.life(), false);
         note(server, nowMs);
     }
 
-    /** This router learnt that a server's life is over; its id never comes back. */
+    /** This router learnt that a server's life is over. */
     public void gone(BackendServer server) {
-        news.put(server.id(), true);
-        state(server.id()).gone = true;
+        news.put(server.life(), true);
+        state(server.life()).gone = true;
     }
 
     /** A peer told of a failure. */
     public void peerTold(BackendServer server, boolean gone, long nowMs) {
         checkNotNull(server, "server");
         if (gone) {
-            state(server.id()).gone = true;
+            state(server.life()).gone = true;
         } else {
             note(server, nowMs);
         }
     }
 
     /** A server answered, or went on with an answer. */
-    public void answered(EngineId id, long nowMs) {
+    public void answered(ServerLife id, long nowMs) {
         State state = state(id);
         state.failures = 0;
         state.failedMs = Long.MIN_VALUE / 2;
@@ -112,7 +112,7 @@
 
     /** Returns whether nothing should be sent to a server now. */
     public boolean isDown(BackendServer server, long nowMs) {
-        State state = states.get(server.id());
+        State state = states.get(server.life());
         if (state != null && (state.gone || nowMs < state.downUntilMs)) {
             return true;
         }
@@ -124,7 +124,7 @@
 
     /** Returns whether a server should be the last choice, and hold no copies. */
     public boolean isDoubtful(BackendServer server, long nowMs) {
-        State state = states.get(server.id());
+        State state = states.get(server.life());
         if (state != null && (state.gone || nowMs - state.failedMs < DOUBT_MS)) {
             return true;
         }
@@ -135,16 +135,16 @@
     }
 
     /** Returns the servers that failed here since the last call, and whether they are gone. */
-    public Map<EngineId, Boolean> takeNews() {
-        Map<EngineId, Boolean> taken = news;
+    public Map<ServerLife, Boolean> takeNews() {
+        Map<ServerLife, Boolean> taken = news;
         news = new LinkedHashMap<>();
         return taken;
     }
 
-    /** Takes note of servers that are new in the list and forgets those that are not in it. */
-    public void listed(Set<EngineId> listed, long nowMs) {
+    /** Takes note of lives that are new in the list and forgets those that are not in it. */
+    public void listed(Set<ServerLife> listed, long nowMs) {
         states.keySet().retainAll(listed);
-        for (EngineId id : listed) {
+        for (ServerLife id : listed) {
             states.computeIfAbsent(
                     id,
                     i -> {
@@ -156,7 +156,7 @@
     }
 
     private void note(BackendServer server, long nowMs) {
-        State state = state(server.id());
+        State state = state(server.life());
         if (nowMs >= state.downUntilMs) {
             int doublings = Math.min(state.failures, MAX_DOUBLINGS);
             state.downUntilMs = nowMs + Math.min(MAX_DOWN_MS, FIRST_DOWN_MS << doublings);
@@ -165,11 +165,11 @@
         state.failedMs = nowMs;
         Accusation accusation = places.computeIfAbsent(Place.of(server), p -> new Accusation());
         accusation.recent.removeIf(
-                f -> nowMs - f.atMs() > TOGETHER_MS || f.server().equals(server.id()));
+                f -> nowMs - f.atMs() > TOGETHER_MS || f.server().equals(server.life()));
         if (!accusation.recent.isEmpty()) {
             accusation.atMs = nowMs;
         }
-        accusation.recent.add(new Failed(server.id(), nowMs));
+        accusation.recent.add(new Failed(server.life(), nowMs));
     }
 
     /** A server is not meant that has answered since, or that is a new life listed since. */
@@ -179,7 +179,7 @@
                 && state.listedMs < accusation.atMs;
     }
 
-    private State state(EngineId id) {
+    private State state(ServerLife id) {
         return states.computeIfAbsent(id, i -> new State());
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/Deployment.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Deployment.java
@@ -1,5 +1,6 @@
 package org.masticweir.relay;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
 import org.masticweir.catalog.ServerBook;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.EngineId;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.time.Clock;
@@ -34,6 +36,7 @@
 
     private final DeploymentForm form;
     private final Clock clock;
+    private final UnreadableRows unreadable;
     private final ServerBook book = ServerBook.create();
     private final Consumer<RelayView> publish;
     private Optional<CatalogText> catalogText = Optional.empty();
@@ -44,9 +47,14 @@
     /** The catalog as it stands in the store. */
     record CatalogText(long version, String text) {}
 
-    Deployment(DeploymentForm form, Clock clock, Consumer<RelayView> publish) {
+    Deployment(
+            DeploymentForm form,
+            Clock clock,
+            UnreadableRows unreadable,
+            Consumer<RelayView> publish) {
         this.form = checkNotNull(form, "form");
         this.clock = checkNotNull(clock, "clock");
+        this.unreadable = checkNotNull(unreadable, "unreadable");
         this.publish = checkNotNull(publish, "publish");
     }
 
@@ -56,7 +64,7 @@
         boolean newer = false;
         for (FeedOutcome.Change change : rows.changes()) {
             if (change.key().equals(form.catalogRow()) && !change.removed()) {
-                newer |= catalogText(change.value(), "store");
+                newer |= catalogText(change.value().orElse(""), "store");
             }
         }
         publishIfSurenessChanged();
@@ -107,13 +115,17 @@
                 continue;
             }
             if (change.removed()) {
-                if (book.remove(id.get(), change.revision(), now, removalDueMs)) {
-                    news.add(ServerWordNews.removed(id.get(), change.revision()));
-                }
+                remove(id.get(), change.revision(), removalDueMs, news);
                 continue;
             }
-            listed.add(id.get());
-            read(change).ifPresent(s -> put(s, change.revision(), news));
+            Optional<BackendServer> server = read(id.get(), change);
+            if (server.isPresent()) {
+                listed.add(id.get());
+                put(server.get(), change.revision(), news);
+            } else {
+                // What the row said before is replaced. A server that lives writes it again soon.
+                remove(id.get(), change.revision(), now, news);
+            }
         }
         if (whole) {
             changed = book.retain(listed, rows.revision(), now, removalDueMs);
@@ -179,20 +191,39 @@
         }
     }
 
-    private static Optional<EngineId> idOf(FeedOutcome.Change change) {
+    private void remove(EngineId id, long revision, long dueMs, List<ServerWordNews> news) {
+        if (book.remove(id, revision, clock.nowMs(), dueMs)) {
+            news.add(ServerWordNews.removed(id, revision));
+        }
+    }
+
+    private Optional<EngineId> idOf(FeedOutcome.Change change) {
         try {
             return Optional.of(EngineId.of(change.key().key()));
         } catch (IllegalArgumentException e) {
-            LOG.error("instances: id of {} is not understood, {}", change.key(), e.getMessage());
+            unreadable.found(change.key(), change.revision(), e.getMessage());
             return Optional.empty();
         }
     }
 
-    private Optional<BackendServer> read(FeedOutcome.Change change) {
+    /**
+     * Returns the server that a row names, if it names one to use.
+     *
+     * <p>Failure guarded against: another writer's row, with a field missing, of another type or
+     * beyond its range, takes requests to an address where no server is, or ends the following of
+     * the table.
+     */
+    private Optional<BackendServer> read(EngineId id, FeedOutcome.Change change) {
         try {
-            return Optional.of(form.server(change.key().key(), change.value()));
+            checkArgument(change.value().isPresent(), "it holds no text");
+            BackendServer server = form.server(id, change.value().get());
+            boolean startWasTold = book.lifeOf(id).filter(ServerLife::isStartKnown).isPresent();
+            checkArgument(
+                    server.life().isStartKnown() || !startWasTold,
+                    "no start time, though it had one before");
+            return Optional.of(server);
         } catch (IllegalArgumentException e) {
-            LOG.error("instances: entry {} is not understood, {}", change.key(), e.getMessage());
+            unreadable.found(change.key(), change.revision(), e.getMessage());
             return Optional.empty();
         }
     }
--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentForm.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentForm.java
@@ -2,6 +2,7 @@
 
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
+import org.masticweir.id.EngineId;
 import org.masticweir.store.RowKey;
 
 /** How one platform writes a deployment into its store; stateless and thread-safe. */
@@ -22,7 +23,7 @@
     /**
      * Reads a backend server's row.
      *
-     * @throws IllegalArgumentException if it is malformed
+     * @throws IllegalArgumentException if it names no server to use
      */
-    BackendServer server(String id, String text);
+    BackendServer server(EngineId id, String text);
 }
--- a/masticweir/src/main/java/org/masticweir/relay/KeptPrompts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/KeptPrompts.java
@@ -9,9 +9,9 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
-import org.masticweir.id.EngineId;
 import org.masticweir.id.PromptId;
 import org.masticweir.time.Clock;
 
@@ -36,7 +36,7 @@
     private final HttpCaller calls;
     private final Dialect dialect;
     private final Clock clock;
-    private final Map<EngineId, Asked> asked = new HashMap<>();
+    private final Map<ServerLife, Asked> asked = new HashMap<>();
 
     /** One question to an engine. */
     private record Asked(long atMs, CompletableFuture<ImmutableSet<PromptId>> answer) {}
@@ -51,7 +51,7 @@
     CompletableFuture<ImmutableSet<PromptId>> of(BackendServer engine) {
         long now = clock.nowMs();
         asked.values().removeIf(a -> now - a.atMs() > FRESH_MS);
-        return asked.computeIfAbsent(engine.id(), id -> new Asked(now, ask(engine))).answer();
+        return asked.computeIfAbsent(engine.life(), life -> new Asked(now, ask(engine))).answer();
     }
 
     private CompletableFuture<ImmutableSet<PromptId>> ask(BackendServer engine) {
--- a/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
@@ -93,7 +93,7 @@
     private static void tell(
             FeedOutcome.Change row, BiConsumer<RouterId, InetSocketAddress> found) {
         try {
-            found.accept(RouterId.of(row.key().key()), IpAddress.parse(row.value()));
+            found.accept(RouterId.of(row.key().key()), IpAddress.parse(row.value().orElse("")));
         } catch (IllegalArgumentException e) {
             LOG.warn("peers: row {} is not understood, {}", row.key(), e.getMessage());
         }
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -14,8 +14,8 @@
 import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.ServerUse;
-import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.Hello;
 import org.masticweir.peer.LinkDirection;
@@ -60,9 +60,9 @@
 
     /** Hears what peers have at engines; called on the control thread. */
     interface UseListener {
-        void use(RouterId peer, EngineId engine, ServerUse use);
+        void use(RouterId peer, ServerLife engine, ServerUse use);
 
-        void failure(EngineId server, boolean gone);
+        void failure(ServerLife server, boolean gone);
 
         void forget(RouterId peer);
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.ServerUse;
 import org.masticweir.http.IpAddress;
 import org.masticweir.id.EngineId;
@@ -59,10 +60,10 @@
     }
 
     /** What the sender has at an engine now. */
-    record UseNews(EngineId engine, ServerUse use) implements PeerMessage {}
+    record UseNews(ServerLife engine, ServerUse use) implements PeerMessage {}
 
     /** A server failed at the sender, or is gone for good. */
-    record FailureNews(EngineId server, boolean gone) implements PeerMessage {}
+    record FailureNews(ServerLife server, boolean gone) implements PeerMessage {}
 
     static List<MessageCodec<?>> codecs() {
         return ImmutableList.of(
@@ -99,18 +100,18 @@
                 FieldsCodec.of(
                         USE_NEWS,
                         UseNews.class,
-                        5,
+                        6,
                         RelayMessages::encodeUse,
                         f ->
                                 new UseNews(
-                                        EngineId.of(f.text(MAX_ID_BYTES)),
+                                        life(f),
                                         new ServerUse(f.int32(), f.int32(), f.int64(), f.int64()))),
                 FieldsCodec.of(
                         FAILURE_NEWS,
                         FailureNews.class,
-                        2,
-                        (m, out) -> out.packString(m.server().value()).packBoolean(m.gone()),
-                        f -> new FailureNews(EngineId.of(f.text(MAX_ID_BYTES)), f.bool())));
+                        3,
+                        (m, out) -> encodeLife(m.server(), out).packBoolean(m.gone()),
+                        f -> new FailureNews(life(f), f.bool())));
     }
 
     private static void encodeRouters(List<RouterAt> routers, MessagePacker out)
@@ -129,6 +130,14 @@
         }
     }
 
+    private static MessagePacker encodeLife(ServerLife life, MessagePacker out) throws IOException {
+        return out.packString(life.id().value()).packLong(life.startedMs());
+    }
+
+    private static ServerLife life(Fields f) throws IOException {
+        return ServerLife.of(EngineId.of(f.text(MAX_ID_BYTES)), f.int64());
+    }
+
     private static void encodeWords(List<ServerWordNews> words, MessagePacker out)
             throws IOException {
         out.packArrayHeader(words.size());
@@ -139,7 +148,7 @@
 
     private static void encodeUse(UseNews news, MessagePacker out) throws IOException {
         ServerUse use = news.use();
-        out.packString(news.engine().value()).packInt(use.running()).packInt(use.reading());
+        encodeLife(news.engine(), out).packInt(use.running()).packInt(use.reading());
         out.packLong(use.readingTokens()).packLong(use.memoryTokens());
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -14,6 +14,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
@@ -28,8 +29,8 @@
 import org.masticweir.forward.WaitingLine;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
-import org.masticweir.id.EngineId;
 import org.masticweir.logs.LogSetup;
+import org.masticweir.metrics.MetricName;
 import org.masticweir.peer.Hello;
 import org.masticweir.peer.LinkSettings;
 import org.masticweir.peer.MessageRegistry;
@@ -109,7 +110,12 @@
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
         store = platform.store(settings.store(), calls);
         links = openLinks();
-        deployment = new Deployment(platform.deploymentForm(), clock, this::publish);
+        deployment =
+                new Deployment(
+                        platform.deploymentForm(),
+                        clock,
+                        new UnreadableRows(metrics.counter(MetricName.of("rows_unreadable_total"))),
+                        this::publish);
         directory =
                 new PeerDirectory(
                         store,
@@ -120,7 +126,7 @@
                         thread,
                         loads,
                         health,
-                        id -> view.server(id),
+                        life -> view.server(life),
                         clock,
                         directory::known,
                         links::send);
@@ -199,9 +205,9 @@
 
     private void publish(RelayView next) {
         view = next;
-        Set<EngineId> present =
+        Set<ServerLife> present =
                 next.servers().values().stream()
-                        .map(BackendServer::id)
+                        .map(BackendServer::life)
                         .collect(Collectors.toUnmodifiableSet());
         thread.execute(
                 () -> {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -8,13 +8,13 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.Course;
 import org.masticweir.forward.LoadTicket;
 import org.masticweir.forward.RequestPlan;
 import org.masticweir.forward.SendSilence;
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpHead;
-import org.masticweir.id.EngineId;
 import org.masticweir.relay.RelayMetrics.SendEnd;
 import org.xnio.XnioExecutor;
 
@@ -175,8 +175,11 @@
                     log.reported(asked.server(), report, asked.sentMs());
                     if (report.isEmpty()) {
                         serverIsLost("no sign of life");
+                    } else if (!report.get().isOf(asked.server().life())) {
+                        context.health().gone(asked.server());
+                        serverIsLost("has started again");
                     } else if (asked.reported(report.get(), request.id(), now())) {
-                        context.health().answered(asked.server().id(), now());
+                        context.health().answered(asked.server().life(), now());
                         watchTime();
                     } else {
                         serverIsLost("does not have the request any more");
@@ -296,7 +299,7 @@
                             && course.lastEvent().isPresent()
                             && id.getAsLong() <= course.lastEvent().getAsLong();
             long now = now();
-            context.health().answered(sent.server().id(), now);
+            context.health().answered(sent.server().life(), now);
             if (silence.heard(now)) {
                 ticket.ifPresent(LoadTicket::read);
                 context.loadsChanged().run();
@@ -410,9 +413,9 @@
         }
 
         private void heardOf(ServerWord word) {
-            EngineId id = sent.server().id();
-            context.health().answered(id, now());
-            word.present().ifPresent(n -> context.loads().reported(id, n, now()));
+            ServerLife life = sent.server().life();
+            context.health().answered(life, now());
+            word.present().ifPresent(n -> context.loads().reported(life, n, now()));
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayView.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayView.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.catalog.ServiceName;
-import org.masticweir.id.EngineId;
 
 /**
  * What the traffic thread goes by; immutable, published by the control thread.
@@ -38,8 +38,9 @@
         return new RelayView(catalog, Multimaps.index(servers, BackendServer::service), sure);
     }
 
-    Optional<BackendServer> server(EngineId id) {
-        return servers.values().stream().filter(s -> s.id().equals(id)).findAny();
+    /** Returns the server in that life; empty if it is gone or has started again. */
+    Optional<BackendServer> server(ServerLife life) {
+        return servers.values().stream().filter(s -> s.life().equals(life)).findAny();
     }
 
     ImmutableList<BackendServer> serversOf(ServiceName service) {
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -31,7 +31,7 @@
 
     /** The request is sent, for the {@code number}-th time. */
     void goes(Step.Send send, int number) {
-        ServerUse use = context.loads().use(send.server().id());
+        ServerUse use = context.loads().use(send.server().life());
         LOG.info(
                 "relay: request {} goes to {} in {}, send {} after event {}, {}; {} running and {}"
                         + " reading there, copy at {}, config {}",
--- a/masticweir/src/main/java/org/masticweir/relay/ServerWordNews.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerWordNews.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.http.IpAddress;
 import org.masticweir.id.DomainId;
@@ -19,7 +20,7 @@
  * @param server empty if its entry was removed
  */
 record ServerWordNews(EngineId id, long revision, Optional<BackendServer> server) {
-    private static final int FIELDS = 8;
+    private static final int FIELDS = 9;
     private static final int MAX_TEXT_BYTES = 256;
 
     ServerWordNews {
@@ -40,7 +41,9 @@
         if (server.isEmpty()) {
             return "is gone";
         }
-        return (server.get().leaving() ? "is leaving " : "serves ") + server.get().service();
+        BackendServer listed = server.get();
+        String since = listed.life().isStartKnown() ? ", started " + listed.life().startedMs() : "";
+        return (listed.leaving() ? "is leaving " : "serves ") + listed.service() + since;
     }
 
     void encode(MessagePacker out) throws IOException {
@@ -51,6 +54,7 @@
         out.packString(server.map(s -> s.domain().value()).orElse(""));
         out.packInt(server.map(BackendServer::slots).orElse(0));
         out.packBoolean(server.map(BackendServer::leaving).orElse(false));
+        out.packLong(server.map(s -> s.life().startedMs()).orElse(ServerLife.UNKNOWN_START));
     }
 
     static ServerWordNews decode(MessageUnpacker in) throws IOException {
@@ -63,12 +67,13 @@
             String domain = f.text(MAX_TEXT_BYTES);
             int slots = f.int32();
             boolean leaving = f.bool();
+            long startedMs = f.int64();
             if (!present) {
                 return removed(id, revision);
             }
             return present(
                     new BackendServer(
-                            id,
+                            ServerLife.of(id, startedMs),
                             ServiceName.of(service),
                             IpAddress.parse(address),
                             DomainId.of(domain),
--- a/masticweir/src/main/java/org/masticweir/relay/UseSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/UseSharing.java
@@ -10,10 +10,10 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.LoadBoard;
 import org.masticweir.forward.ServerHealth;
 import org.masticweir.forward.ServerUse;
-import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.PeerMessage;
 import org.masticweir.relay.RelayMessages.FailureNews;
@@ -35,7 +35,7 @@
     private final XnioIoThread thread;
     private final LoadBoard loads;
     private final ServerHealth health;
-    private final Function<EngineId, Optional<BackendServer>> servers;
+    private final Function<ServerLife, Optional<BackendServer>> servers;
     private final Clock clock;
     private final Supplier<? extends Iterable<RouterId>> peers;
     private final BiConsumer<RouterId, PeerMessage> send;
@@ -52,7 +52,7 @@
             XnioIoThread thread,
             LoadBoard loads,
             ServerHealth health,
-            Function<EngineId, Optional<BackendServer>> servers,
+            Function<ServerLife, Optional<BackendServer>> servers,
             Clock clock,
             Supplier<? extends Iterable<RouterId>> peers,
             BiConsumer<RouterId, PeerMessage> send) {
@@ -75,8 +75,8 @@
 
     private void tell() {
         gathering = false;
-        Set<EngineId> changed = loads.takeChanged();
-        for (EngineId engine : changed) {
+        Set<ServerLife> changed = loads.takeChanged();
+        for (ServerLife engine : changed) {
             UseNews news = new UseNews(engine, loads.ownUse(engine));
             peers.get().forEach(p -> send.accept(p, news));
         }
@@ -89,7 +89,7 @@
     }
 
     @Override
-    public void failure(EngineId server, boolean gone) {
+    public void failure(ServerLife server, boolean gone) {
         thread.execute(
                 () ->
                         servers.apply(server)
@@ -97,7 +97,7 @@
     }
 
     @Override
-    public void use(RouterId peer, EngineId engine, ServerUse use) {
+    public void use(RouterId peer, ServerLife engine, ServerUse use) {
         thread.execute(() -> loads.peerUse(peer, engine, use));
     }
 
@@ -108,7 +108,7 @@
 
     @Override
     public void tellAll(RouterId peer) {
-        Consumer<EngineId> tell =
+        Consumer<ServerLife> tell =
                 engine -> send.accept(peer, new UseNews(engine, loads.ownUse(engine)));
         thread.execute(() -> loads.engines().forEach(tell));
     }
--- a/masticweir/src/main/java/org/masticweir/store/FeedOutcome.java
+++ b/masticweir/src/main/java/org/masticweir/store/FeedOutcome.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
+import java.util.Optional;
 
 /** How one call to a {@link ChangeFeed} ended. */
 public sealed interface FeedOutcome {
@@ -14,8 +15,12 @@
         }
     }
 
-    /** One row that changed; a removed one is marked and has no value. */
-    record Change(RowKey key, long revision, boolean removed, String value) {
+    /**
+     * One row that changed.
+     *
+     * @param value empty if the row was removed, or if what it holds is no text
+     */
+    record Change(RowKey key, long revision, boolean removed, Optional<String> value) {
         public Change {
             checkNotNull(key, "key");
             checkNotNull(value, "value");
--- a/masticweir/src/test/java/org/masticweir/catalog/ServerBookTest.java
+++ b/masticweir/src/test/java/org/masticweir/catalog/ServerBookTest.java
@@ -18,8 +18,12 @@
     private final ServerBook book = ServerBook.create();
 
     private static BackendServer server(boolean leaving) {
+        return server(ServerLife.UNKNOWN_START, leaving);
+    }
+
+    private static BackendServer server(long startedMs, boolean leaving) {
         return new BackendServer(
-                ID,
+                ServerLife.of(ID, startedMs),
                 ServiceName.of("s"),
                 new InetSocketAddress("127.0.0.1", 1),
                 DomainId.of("a"),
@@ -81,6 +85,64 @@
         }
     }
 
+    /**
+     * Requests are sent for a copy that no longer exists: a server has started again under its id,
+     * and a word on the life before is believed after one on the new life.
+     */
+    @Nested
+    class LivesOfOneId {
+        private long started() {
+            return book.servers().get(0).life().startedMs();
+        }
+
+        @Test
+        void takeTurnsWithTheEntry() {
+            book.put(server(100, true), 5);
+            assertTrue(book.put(server(200, false), 6));
+            assertEquals(200, started());
+            assertFalse(book.servers().get(0).leaving());
+        }
+
+        @Test
+        void doNotComeBackByAnOlderWord() {
+            book.put(server(200, false), 6);
+            assertFalse(book.put(server(100, true), 5));
+            assertEquals(200, started());
+        }
+
+        @Test
+        void doNotComeBackByANewerRevisionOfAnEarlierLife() {
+            book.put(server(200, false), 6);
+            assertFalse(book.put(server(100, false), 9));
+            assertEquals(200, started());
+        }
+
+        @Test
+        void areTheSameInWhateverOrderWordsArrive() {
+            book.put(server(100, false), 9);
+            assertTrue(book.put(server(200, false), 6));
+            assertEquals(200, started());
+            assertEquals(9, book.revisionOf(ID));
+        }
+
+        @Test
+        void areOverAfterARemovalAndOnlyALaterOneFollows() {
+            book.put(server(200, false), 6);
+            book.remove(ID, 7, 0, 0);
+            assertFalse(book.put(server(100, false), 9));
+            assertTrue(book.put(server(300, false), 10));
+            assertEquals(300, started());
+        }
+
+        @Test
+        void mayBeginAndEndBetweenTwoReadings() {
+            book.put(server(100, false), 5);
+            assertTrue(book.put(server(300, false), 9));
+            assertFalse(book.put(server(200, false), 8));
+            assertEquals(300, started());
+        }
+    }
+
     @Test
     void aWholeReadingRemovesWhatItLacks() {
         book.put(server(false), 5);
--- a/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -32,7 +33,8 @@
 
     @Test
     void restsAfterChangesSoThatASeriesCostsOneCall() {
-        FeedOutcome.Change change = new FeedOutcome.Change(RowKey.of("t", "k"), 8, false, "v");
+        FeedOutcome.Change change =
+                new FeedOutcome.Change(RowKey.of("t", "k"), 8, false, Optional.of("v"));
         assertEquals(500, state.ended(new FeedOutcome.Rows(List.of(change), 8), 0));
         assertEquals(0, state.ended(NOTHING, 600));
     }
--- a/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -243,11 +243,11 @@
         private final Course second = world.course(Repeatability.RESUMABLE, 5);
 
         private void fill() {
-            world.servers.forEach(s -> world.loads.holding(s.id(), 80_000));
+            world.servers.forEach(s -> world.loads.holding(s.life(), 80_000));
         }
 
         private void free(String engine) {
-            world.loads.holding(world.byId(engine).id(), -80_000);
+            world.loads.holding(world.byId(engine).life(), -80_000);
         }
 
         @Test
@@ -362,7 +362,7 @@
         @Test
         void isNotAskedForElsewhereWhileAllServersAreBusy() {
             course.next(0);
-            world.servers.forEach(s -> world.loads.reported(s.id(), 96, 2_900));
+            world.servers.forEach(s -> world.loads.reported(s.life(), 96, 2_900));
             assertTrue(course.slow(3_000).isEmpty());
             assertEquals(1, course.sends());
         }
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -12,6 +12,7 @@
 import org.masticweir.catalog.EngineSpec;
 import org.masticweir.catalog.Repeatability;
 import org.masticweir.catalog.Route;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
@@ -42,12 +43,20 @@
     }
 
     void listed(long nowMs) {
-        health.listed(Set.copyOf(servers.stream().map(BackendServer::id).toList()), nowMs);
+        health.listed(Set.copyOf(servers.stream().map(BackendServer::life).toList()), nowMs);
+    }
+
+    static ServerLife life(String id) {
+        return ServerLife.ofUnknownStart(EngineId.of(id));
     }
 
     static BackendServer server(String id, String domain) {
+        return server(life(id), domain);
+    }
+
+    static BackendServer server(ServerLife life, String domain) {
         return new BackendServer(
-                EngineId.of(id),
+                life,
                 SERVICE,
                 new InetSocketAddress("127.0.0.1", 7_000),
                 DomainId.of(domain),
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.DomainId;
-import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
 
 /** Which server gets a request. */
@@ -38,9 +38,9 @@
         @Test
         void withoutPromptInReadingGoFirst() {
             for (int i = 0; i < 4; i++) {
-                world.loads.sent(choose().orElseThrow().id(), ForwardWorld.PROMPT);
+                world.loads.sent(choose().orElseThrow().life(), ForwardWorld.PROMPT);
             }
-            world.servers.forEach(s -> assertEquals(1, world.loads.use(s.id()).reading()));
+            world.servers.forEach(s -> assertEquals(1, world.loads.use(s.life()).reading()));
         }
 
         @Test
@@ -48,7 +48,7 @@
             ServerUse use = new ServerUse(1, 1, 8_000, 9_000);
             world.servers.stream()
                     .filter(s -> !s.id().value().equals("b-2"))
-                    .forEach(s -> world.loads.peerUse(RouterId.of("r2"), s.id(), use));
+                    .forEach(s -> world.loads.peerUse(RouterId.of("r2"), s.life(), use));
             assertEquals("b-2", choose().orElseThrow().id().value());
         }
 
@@ -59,8 +59,8 @@
         @Test
         void ofTheOwnDomainAreChosenWhileNoneReadsAPrompt() {
             assertEquals("a", choose().orElseThrow().domain().value());
-            world.loads.sent(EngineId.of("a-1"), RequestSize.none());
-            world.loads.sent(EngineId.of("a-2"), RequestSize.none());
+            world.loads.sent(ForwardWorld.life("a-1"), RequestSize.none());
+            world.loads.sent(ForwardWorld.life("a-2"), RequestSize.none());
             assertEquals("a", choose().orElseThrow().domain().value());
         }
 
@@ -72,7 +72,7 @@
         void ofTheOwnDomainAreChosenWhileTheyRunAFewRequests() {
             for (String engine : List.of("a-1", "a-2")) {
                 for (int i = 0; i < 3; i++) {
-                    world.loads.sent(EngineId.of(engine), RequestSize.none());
+                    world.loads.sent(ForwardWorld.life(engine), RequestSize.none());
                 }
             }
             assertEquals("a", choose().orElseThrow().domain().value());
@@ -82,7 +82,7 @@
         void ofAnotherDomainAreChosenOnceThoseAtHomeRunManyMore() {
             for (String engine : List.of("a-1", "a-2")) {
                 for (int i = 0; i < 5; i++) {
-                    world.loads.sent(EngineId.of(engine), RequestSize.none());
+                    world.loads.sent(ForwardWorld.life(engine), RequestSize.none());
                 }
             }
             assertEquals("b", choose().orElseThrow().domain().value());
@@ -90,8 +90,8 @@
 
         @Test
         void ofAnotherDomainAreChosenBeforeASecondPromptAtHome() {
-            world.loads.sent(EngineId.of("a-1"), ForwardWorld.PROMPT);
-            world.loads.sent(EngineId.of("a-2"), ForwardWorld.PROMPT);
+            world.loads.sent(ForwardWorld.life("a-1"), ForwardWorld.PROMPT);
+            world.loads.sent(ForwardWorld.life("a-2"), ForwardWorld.PROMPT);
             assertEquals("b", choose().orElseThrow().domain().value());
         }
 
@@ -102,17 +102,17 @@
         @Test
         void thatReadTwoPromptsAreNotChosen() {
             for (int i = 0; i < 2 * world.servers.size(); i++) {
-                world.loads.sent(choose().orElseThrow().id(), ForwardWorld.PROMPT);
+                world.loads.sent(choose().orElseThrow().life(), ForwardWorld.PROMPT);
             }
-            world.servers.forEach(s -> assertEquals(2, world.loads.use(s.id()).reading()));
+            world.servers.forEach(s -> assertEquals(2, world.loads.use(s.life()).reading()));
             assertTrue(choose().isEmpty());
-            world.loads.read(EngineId.of("b-1"), ForwardWorld.PROMPT);
+            world.loads.read(ForwardWorld.life("b-1"), ForwardWorld.PROMPT);
             assertEquals("b-1", choose().orElseThrow().id().value());
         }
 
         @Test
         void withoutRoomInMemoryAreNotChosen() {
-            world.servers.forEach(s -> world.loads.holding(s.id(), 80_000));
+            world.servers.forEach(s -> world.loads.holding(s.life(), 80_000));
             assertTrue(choose().isEmpty());
         }
 
@@ -122,7 +122,7 @@
             for (BackendServer s : world.servers) {
                 leaving.add(
                         new BackendServer(
-                                s.id(), s.service(), s.address(), s.domain(), s.slots(), true));
+                                s.life(), s.service(), s.address(), s.domain(), s.slots(), true));
             }
             world.servers.clear();
             world.servers.addAll(leaving);
@@ -149,14 +149,14 @@
                 routers.add(new ForwardWorld().domain("a", ENGINES));
             }
             SplittableRandom random = new SplittableRandom(11);
-            Map<EngineId, List<Long>> reading = new HashMap<>();
+            Map<ServerLife, List<Long>> reading = new HashMap<>();
             List<Runnable> ends = new ArrayList<>();
             int most = 0;
             for (int i = 0; i < PROMPTS; i++) {
                 long now = i * GAP_MS;
                 int r = random.nextInt(ROUTERS);
                 ForwardWorld router = routers.get(r);
-                EngineId engine =
+                ServerLife engine =
                         router.placement
                                 .server(
                                         ImmutableList.copyOf(router.servers),
@@ -165,7 +165,7 @@
                                         Set.of(),
                                         now)
                                 .orElseThrow()
-                                .id();
+                                .life();
                 router.loads.sent(engine, ForwardWorld.PROMPT);
                 List<Long> until = reading.computeIfAbsent(engine, e -> new ArrayList<>());
                 until.removeIf(ms -> ms <= now);
@@ -191,7 +191,7 @@
             return most;
         }
 
-        private void tell(List<ForwardWorld> routers, int from, EngineId engine) {
+        private void tell(List<ForwardWorld> routers, int from, ServerLife engine) {
             for (int i = 0; i < ROUTERS; i++) {
                 if (i != from) {
                     routers.get(i)
@@ -230,8 +230,8 @@
 
         @Test
         void thatSayTheyAreFullAreTheLastChoice() {
-            world.loads.reported(EngineId.of("a-1"), 96, 5);
-            world.loads.reported(EngineId.of("a-2"), 96, 5);
+            world.loads.reported(ForwardWorld.life("a-1"), 96, 5);
+            world.loads.reported(ForwardWorld.life("a-2"), 96, 5);
             assertEquals("b", plain().domain().value());
         }
 
--- a/masticweir/src/test/java/org/masticweir/forward/SendSilenceTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/SendSilenceTest.java
@@ -86,7 +86,9 @@
 
         private boolean mayHold(int admitted, int waiting, String... running) {
             return silence.reported(
-                    new EngineReport(Set.of(running), admitted, waiting), "r1", 2_300);
+                    new EngineReport(Set.of(running), admitted, waiting, OptionalLong.empty()),
+                    "r1",
+                    2_300);
         }
 
         @Test
@@ -105,7 +107,7 @@
         /** A prompt was taken from the engine that had begun to read it, by an older report. */
         @Test
         void saysNothingOfARequestThatWasJustSent() {
-            EngineReport idle = new EngineReport(Set.of(), 0, 0);
+            EngineReport idle = new EngineReport(Set.of(), 0, 0, OptionalLong.empty());
             assertTrue(silence.reported(idle, "r1", 256));
             assertFalse(silence.reported(idle, "r1", SendSilence.REPORT_AGE_MS));
         }
@@ -131,7 +133,7 @@
         @Test
         void growsWithThePromptsInReading() {
             SendSilence silence = send(true);
-            world.loads.sent(world.servers.get(0).id(), ForwardWorld.PROMPT);
+            world.loads.sent(world.servers.get(0).life(), ForwardWorld.PROMPT);
             silence.heard(100);
             assertTrue(silence.dueMs() > 100 + 350);
             assertTrue(silence.dueMs() < 100 + 700);
--- a/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
@@ -37,7 +37,7 @@
 
         @Test
         void isNotHeldAgainstAServerThatAnswersSince() {
-            health.answered(world.byId("a-3").id(), 1_020);
+            health.answered(world.byId("a-3").life(), 1_020);
             assertFalse(health.isDown(world.byId("a-3"), 1_030));
             assertFalse(health.isDoubtful(world.byId("a-3"), 1_030));
         }
