--- a/masticweir/src/main/java/org/masticweir/logs/LogLayout.java
+++ b/masticweir/src/main/java/org/masticweir/logs/LogLayout.java
@@ -29,7 +29,7 @@
      * Line ends in a message are escaped: a caller's text that reaches a message could otherwise
      * forge a line of its own.
      */
-    private static final String TEXT_PATTERN =
+    static final String TEXT_PATTERN =
             "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX}{UTC} %-5level %enc{%msg}{CRLF}%n%throwable";
 
     private static final String JSON_TEMPLATE = "classpath:org/masticweir/logs/event.json";
--- a/masticweir/src/main/java/org/masticweir/logs/LogSetup.java
+++ b/masticweir/src/main/java/org/masticweir/logs/LogSetup.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder;
@@ -18,16 +19,8 @@
  * Thread-safe.
  */
 public final class LogSetup {
-    /** The one appender of the configuration. */
-    static final String APPENDER = "stderr";
-
-    private static final String QUEUE = "queue";
-
-    /** Lines that wait to be written, some hundred bytes each. */
-    private static final int QUEUED_LINES = 4_096;
-
-    /** Time for the queue's last lines at the end of a process, in ms; hundreds of lines' worth. */
-    private static final int DRAIN_MS = 100;
+    /** The appender that writes. */
+    static final String APPENDER = "output";
 
     private static final ImmutableList<String> LIBRARY_LOGGERS =
             ImmutableList.of("io.undertow", "org.xnio", "org.jboss");
@@ -44,29 +37,15 @@
     }
 
     /**
-     * Replaces the process's log configuration by one that writes to standard output and never
-     * waits for it.
+     * Sets up a process that writes text to standard output and never waits for it.
      *
-     * <p>Failure guarded against: whoever reads the output stops reading, and every thread that
-     * logs stands still. Lines wait in a queue of bounded length; while it is full, lines below
-     * {@link Level#ERROR} are dropped and counted by the library.
+     * <p>Call it before anything logs: a default setup would be built first.
      */
-    public static void toStandardOutput(LogLayout layout, Level level) {
-        ConfigurationBuilder<BuiltConfiguration> builder = builder(layout, level);
-        builder.add(
-                builder.newAppender(APPENDER, ConsoleAppender.PLUGIN_NAME)
-                        .addAttribute("target", ConsoleAppender.Target.SYSTEM_OUT)
-                        .addAttribute("direct", true)
-                        .add(layout.describe(builder)));
-        builder.add(
-                builder.newAppender(QUEUE, "Async")
-                        .addAttribute("bufferSize", QUEUED_LINES)
-                        .addAttribute("blocking", false)
-                        .addAttribute("shutdownTimeout", DRAIN_MS)
-                        .addComponent(builder.newAppenderRef(APPENDER)));
-        builder.add(builder.newRootLogger(level).add(builder.newAppenderRef(QUEUE)));
-        // Not a change of a default setup: building that first takes a tenth of a start.
-        Configurator.initialize(builder.build(false));
+    public static void toStandardOutput(Level level) {
+        checkNotNull(level, "level");
+        LoggerContext context = new LoggerContext("masticweir");
+        Configurator.initialize(
+                new QueuedOutput(context, level, LIBRARY_LOGGERS, libraryLevel(level)));
     }
 
     /**
@@ -105,8 +84,13 @@
         // The log must outlast a graceful shutdown: its own hook would end it while requests
         // finish.
         builder.setShutdownHook("disable");
-        Level libraries = level.isMoreSpecificThan(Level.WARN) ? level : Level.WARN;
+        Level libraries = libraryLevel(level);
         LIBRARY_LOGGERS.forEach(name -> builder.add(builder.newLogger(name, libraries)));
         return builder;
     }
+
+    /** Libraries write nothing below a warning. */
+    private static Level libraryLevel(Level level) {
+        return level.isMoreSpecificThan(Level.WARN) ? level : Level.WARN;
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -257,6 +258,11 @@
                 clock);
     }
 
+    /** Returns the address that callers connect to. */
+    public InetSocketAddress callers() {
+        return settings.callers();
+    }
+
     /** Leaves without cutting off a request; the future completes when {@link #close} may. */
     public CompletableFuture<Void> leave() {
         return shutdown.start();
--- a/masticweir/src/test/java/org/masticweir/logs/LogSetupTest.java
+++ b/masticweir/src/test/java/org/masticweir/logs/LogSetupTest.java
@@ -10,6 +10,7 @@
 import java.time.OffsetDateTime;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.Layout;
 import org.apache.logging.log4j.core.LogEvent;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
@@ -22,17 +23,24 @@
 
 /** The log setup and its two layouts. */
 class LogSetupTest {
-    private static String format(LogLayout layout, String message, Throwable thrown) {
+    private static Layout<?> pattern(LogLayout layout) {
         BuiltConfiguration config = LogSetup.configuration(layout, Level.INFO);
         config.initialize();
-        LogEvent event =
-                Log4jLogEvent.newBuilder()
-                        .setLoggerName("org.masticweir.X")
-                        .setLevel(Level.WARN)
-                        .setMessage(new SimpleMessage(message))
-                        .setThrown(thrown)
-                        .build();
-        return config.getAppender(LogSetup.APPENDER).getLayout().toSerializable(event).toString();
+        return config.getAppender(LogSetup.APPENDER).getLayout();
+    }
+
+    private static LogEvent event(Level level, String message, Throwable thrown) {
+        return Log4jLogEvent.newBuilder()
+                .setLoggerName("org.masticweir.X")
+                .setLevel(level)
+                .setMessage(new SimpleMessage(message))
+                .setThrown(thrown)
+                .setTimeMillis(1_700_000_000_123L)
+                .build();
+    }
+
+    private static String format(LogLayout layout, String message, Throwable thrown) {
+        return pattern(layout).toSerializable(event(Level.WARN, message, thrown)).toString();
     }
 
     /** The JSON layout. */
@@ -70,6 +78,24 @@
             String line = format(LogLayout.TEXT, "callers: a\nb", null);
             assertTrue(line.matches("\\S+Z WARN  callers: a\\\\nb\\R"), line);
         }
+
+        /** The router's own layout writes what the pattern says, to the letter. */
+        @Test
+        void isTheSameWithoutPatterns() {
+            IllegalStateException thrown = new IllegalStateException("inner");
+            for (String message : new String[] {"routing: e17", "callers: a\r\nb", "", "é"}) {
+                for (Level level : new Level[] {Level.INFO, Level.ERROR}) {
+                    LogEvent event = event(level, message, null);
+                    assertEquals(
+                            pattern(LogLayout.TEXT).toSerializable(event),
+                            new TextLayout().toSerializable(event));
+                }
+            }
+            String traced = new TextLayout().toSerializable(event(Level.ERROR, "relay: x", thrown));
+            assertTrue(traced.contains("relay: x"), traced);
+            assertTrue(traced.contains("IllegalStateException: inner"), traced);
+            assertTrue(traced.contains("LogSetupTest"), traced);
+        }
     }
 
     /** The setup of the process. */
