forward: a run away from home has its copy at home

Change: for a run away from home any engine at home that can hold the copy comes first. Tests: PlacementTest.Holders; the first of them fails before. Range: no constant to hold; the weight of 1 only orders holders at home before all others.

--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -39,6 +39,12 @@
     /** What another failure domain weighs for plain requests, in requests present a slot. */
     private static final double SLOTS_A_DOMAIN = 0.2;
 
+    /**
+     * What a holder away from home weighs for a run away from home, in parts of an engine's memory:
+     * any engine at home that can hold the copy comes first.
+     */
+    private static final double MEMORY_A_CUT = 1;
+
     /** What doubt weighs, in the same unit: a long prompt that is already in reading. */
     private static final long TOKENS_A_DOUBT = 10_000;
 
@@ -133,8 +139,9 @@
     /**
      * Returns the server that should hold a copy of a run at {@code runner}.
      *
-     * <p>Failure guarded against: a failure domain loses its engines together, so a copy in the
-     * domain of the run is lost with it.
+     * <p>Failures guarded against: a failure domain loses its engines together, so a copy in the
+     * domain of the run is lost with it. And a domain that is cut off loses its runs elsewhere; a
+     * copy at home is all that it can go on from.
      */
     Optional<BackendServer> holder(
             ImmutableList<BackendServer> servers,
@@ -142,6 +149,7 @@
             RequestSize size,
             EngineSpec engine,
             long nowMs) {
+        boolean runsFar = !runner.domain().equals(home);
         Ranking ranking = new Ranking();
         for (BackendServer server : servers) {
             boolean apart = !server.domain().equals(runner.domain());
@@ -149,7 +157,8 @@
                     && !health.isDown(server, nowMs)
                     && !health.isDoubtful(server, nowMs)
                     && fits(server, size, Optional.of(engine))) {
-                ranking.offer(server, memoryShare(server, engine));
+                boolean farToo = runsFar && !server.domain().equals(home);
+                ranking.offer(server, memoryShare(server, engine) + (farToo ? MEMORY_A_CUT : 0));
             }
         }
         return ranking.best();
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -31,6 +31,47 @@
                 0);
     }
 
+    /**
+     * A report breaks off although its copy lives: its domain is cut off, its engine lies on the
+     * other side, as those at home had just been lost, and so does the copy.
+     */
+    @Nested
+    class Holders {
+        private Optional<BackendServer> holderOf(String runner) {
+            return world.placement.holder(
+                    ImmutableList.copyOf(world.servers),
+                    world.byId(runner),
+                    ForwardWorld.PROMPT,
+                    ForwardWorld.ENGINE,
+                    0);
+        }
+
+        @Test
+        void ofRunsAwayFromHomeAreAtHome() {
+            world.domain("c", 2);
+            world.loads.holding(ForwardWorld.life("a-1"), 40_000);
+            world.loads.holding(ForwardWorld.life("a-2"), 60_000);
+            assertEquals("a-1", holderOf("b-1").orElseThrow().id().value());
+        }
+
+        @Test
+        void ofRunsAtHomeAreElsewhereWhereMostMemoryIsFree() {
+            world.domain("c", 1);
+            world.loads.holding(ForwardWorld.life("b-1"), 40_000);
+            world.loads.holding(ForwardWorld.life("b-2"), 20_000);
+            world.loads.holding(ForwardWorld.life("c-1"), 30_000);
+            assertEquals("b-2", holderOf("a-1").orElseThrow().id().value());
+        }
+
+        @Test
+        void ofRunsAwayFromHomeAreElsewhereWhileThoseAtHomeAreDoubtful() {
+            world.domain("c", 1);
+            world.health.failed(world.byId("a-1"), 0);
+            world.health.failed(world.byId("a-2"), 0);
+            assertEquals("c-1", holderOf("b-1").orElseThrow().id().value());
+        }
+    }
+
     /** Requests with long prompts. */
     @Nested
     class Engines {
