forward: sends that reach no server leave the budget of repeats alone, and streams wait for it

Ruled out: a larger floor (the shared allowance is divided among the routers and is the users' bound). Change: a repeat that reached no server is taken back. A stream whose caller has part of the answer, or whose first event can still be in time, asks for the budget again after 100 ms; everything else ends as before. Tests: CourseTest.RepeatBudget; the first two of its four fail before.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -27,6 +27,11 @@
     /** Pause before servers are looked for again, in ms: a tenth of a short request's work. */
     private static final long HOLD_MS = 10;
 
+    /**
+     * Pause before the budget is asked again, in ms: a tenth of the second in which it moves on.
+     */
+    private static final long BUDGET_HOLD_MS = 100;
+
     /**
      * Part of the time goal after which an idempotent request is tried elsewhere. What is left is
      * enough for the median of the work; 99 in 100 answers come sooner.
@@ -47,6 +52,7 @@
     private final Set<ServerLife> tried = new HashSet<>();
     private int sends;
     private int arrivals;
+    private OptionalLong countedMs = OptionalLong.empty();
     private boolean counted;
     private boolean underWay;
     private Verdict verdict = Verdict.NOT_RUN;
@@ -120,8 +126,12 @@
         if (server.isEmpty() || wait.mustWait(sends, nowMs)) {
             return holdOrEnd(nowMs);
         }
-        if (arrivals > 0 && !repeats.tryRepeat(plan.service(), nowMs)) {
-            return end(ErrorCode.OVERLOADED, "no retry budget");
+        countedMs = OptionalLong.empty();
+        if (arrivals > 0) {
+            if (!repeats.tryRepeat(plan.service(), nowMs)) {
+                return holdForBudget(nowMs);
+            }
+            countedMs = OptionalLong.of(nowMs);
         }
         return send(server.get(), copy.isPresent(), nowMs);
     }
@@ -136,6 +146,9 @@
     public Step notSent(BackendServer server, long nowMs) {
         sends--;
         arrivals--;
+        if (countedMs.isPresent()) {
+            repeats.neverArrived(plan.service(), countedMs.getAsLong(), nowMs);
+        }
         didNotRun();
         health.failed(server, nowMs);
         return next(nowMs);
@@ -327,6 +340,21 @@
                 : new Step.Hold(HOLD_MS);
     }
 
+    /**
+     * A stream waits for the budget while it can still be of use; anything else ends.
+     *
+     * <p>Load that it answers: several domains fail within seconds, and each of a router's streams
+     * is repeated. The budget is there again a second later, while a stream that ends now has had
+     * its prompt read for nothing.
+     */
+    private Step holdForBudget(long nowMs) {
+        boolean stream = plan.route().repeatability() == Repeatability.RESUMABLE;
+        boolean inTime = nowMs - plan.receivedMs() < plan.route().goalMs();
+        return stream && (hasEvent || inTime)
+                ? new Step.Hold(BUDGET_HOLD_MS)
+                : end(ErrorCode.OVERLOADED, "no retry budget");
+    }
+
     private Step.End end(ErrorCode code, String reason) {
         ErrorCode told = verdict.safeToSendAgain() ? ErrorCode.OVERLOADED : code;
         boolean unsure = !verdict.safeToSendAgain() && told.httpStatus() == 503;
--- a/masticweir/src/main/java/org/masticweir/forward/RepeatGate.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RepeatGate.java
@@ -9,4 +9,7 @@
 
     /** Counts one more send and returns true if the budget allows it, else changes nothing. */
     boolean tryRepeat(ServiceName service, long nowMs);
+
+    /** Takes back a send that was counted at {@code countedMs}, as it reached no server. */
+    void neverArrived(ServiceName service, long countedMs, long nowMs);
 }
--- a/masticweir/src/main/java/org/masticweir/forward/ServiceRepeats.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServiceRepeats.java
@@ -68,6 +68,11 @@
         return budget(service).tryRetry(classOf(service), ALL_TEAMS, nowMs);
     }
 
+    @Override
+    public void neverArrived(ServiceName service, long countedMs, long nowMs) {
+        budget(service).neverSent(classOf(service), ALL_TEAMS, countedMs, nowMs);
+    }
+
     private RetryBudget budget(ServiceName service) {
         return budgets.computeIfAbsent(service, s -> RetryBudget.create(share, floor));
     }
--- a/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
@@ -83,6 +83,18 @@
         return true;
     }
 
+    /**
+     * Takes back a retry that was counted at {@code countedMs}: it has left this process never.
+     *
+     * <p>Failure guarded against: a domain is cut off, its sends to all others fail to connect, and
+     * the budget is spent on them when an engine at home could take the request.
+     */
+    public synchronized void neverSent(
+            WorkClassId workClass, TeamId team, long countedMs, long nowMs) {
+        all.removeRetry(countedMs, nowMs);
+        window(workClass, team).removeRetry(countedMs, nowMs);
+    }
+
     /** Counts a send in the place of one that its engine lost before the first token. */
     public synchronized void lostSent(WorkClassId workClass, TeamId team, long nowMs) {
         all.addRetry(nowMs);
--- a/masticweir/src/main/java/org/masticweir/retry/SendWindow.java
+++ b/masticweir/src/main/java/org/masticweir/retry/SendWindow.java
@@ -21,6 +21,17 @@
         retrySum++;
     }
 
+    /** Takes back a retry that was added at {@code addedMs}, if that still counts. */
+    void removeRetry(long addedMs, long nowMs) {
+        advance(nowMs);
+        long slot = Math.floorDiv(addedMs, SLOT_MS);
+        int i = Math.floorMod(slot, SLOTS);
+        if (slot > lastSlot - SLOTS && retries[i] > 0) {
+            retries[i]--;
+            retrySum--;
+        }
+    }
+
     int firsts(long nowMs) {
         advance(nowMs);
         return firstSum;
--- a/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/CourseTest.java
@@ -28,6 +28,74 @@
         return assertInstanceOf(Step.End.class, step);
     }
 
+    /**
+     * A household's report is given up half written although engines are free: its domain was cut
+     * off, sends to all others failed to connect, and the budget of second sends was spent on them.
+     */
+    @Nested
+    class RepeatBudget {
+        /** Repeats that this router may make in ten seconds while it has few requests. */
+        private static final int FLOOR = 15;
+
+        private Course lostOnce(long nowMs) {
+            Course course = world.course(Repeatability.RESUMABLE, 60);
+            BackendServer first = send(course.next(nowMs)).server();
+            course.event(3);
+            assertInstanceOf(Step.Send.class, course.lost(first, nowMs));
+            return course;
+        }
+
+        private void spend() {
+            for (int i = 0; i < FLOOR; i++) {
+                lostOnce(0).close();
+                world.listed(0);
+                world.servers.forEach(s -> world.health.answered(s.life(), 0));
+            }
+        }
+
+        @Test
+        void isNotSpentOnSendsThatReachNoServer() {
+            Course cutOff = world.course(Repeatability.RESUMABLE, 60);
+            Step step = cutOff.lost(send(cutOff.next(0)).server(), 0);
+            for (int i = 1; i <= 3 * FLOOR; i++) {
+                long now = i;
+                Step after = cutOff.notSent(send(step).server(), now);
+                world.servers.forEach(s -> world.health.answered(s.life(), now));
+                step = after instanceof Step.Hold ? cutOff.next(i) : after;
+            }
+            assertInstanceOf(Step.Send.class, step);
+            lostOnce(100);
+        }
+
+        @Test
+        void isWaitedForByAStreamWhoseCallerHasPartOfIt() {
+            Course course = world.course(Repeatability.RESUMABLE, 60);
+            BackendServer first = send(course.next(0)).server();
+            course.event(3);
+            spend();
+            assertInstanceOf(Step.Hold.class, course.lost(first, 100));
+            assertInstanceOf(Step.Hold.class, course.next(9_900));
+            assertInstanceOf(Step.Send.class, course.next(10_100));
+        }
+
+        @Test
+        void isWaitedForByAStreamWhileItsFirstEventCanBeInTime() {
+            Course course = world.course(Repeatability.RESUMABLE, 60);
+            BackendServer first = send(course.next(0)).server();
+            spend();
+            assertInstanceOf(Step.Hold.class, course.lost(first, 100));
+            assertEquals("no retry budget", end(course.next(ForwardWorld.GOAL_MS)).reason());
+        }
+
+        @Test
+        void isNotWaitedForByALookup() {
+            Course course = world.course(Repeatability.IDEMPOTENT, 3);
+            BackendServer first = send(course.next(0)).server();
+            spend();
+            assertEquals("no retry budget", end(course.lost(first, 100)).reason());
+        }
+    }
+
     /** Requests that must not run twice. */
     @Nested
     class Mutating {
