cli: outcomes counts requests in routers' logs by outcome and cause

Cause: what binds was read from logs by hand; operators need the same table of their own logs. Left: the plot of time under way and goodput over time, and the bound worked out by the tool.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/CommandLine.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/CommandLine.java
@@ -18,6 +18,7 @@
         add(parser, "metrics", new MetricsCommand(options));
         add(parser, "drain", new DrainCommand(options));
         add(parser, "explain", new ExplainCommand(options, System.in));
+        add(parser, "outcomes", new OutcomesCommand(options, System.in));
         JCommander config = add(parser, "config", new ConfigCommand(options));
         add(config, "show", new ConfigShowCommand(options));
         add(config, "check", new ConfigCheckCommand(options));
