relay: the thread of early connections ends with the last of them

Cause: a closed connection stays known to the selector until it selects again, so the loop went into a wait without end. Found by reading the change once more; it held a parked thread, and nothing else. Change: the selector drops closed connections before the loop asks whether any is left. Test: EarlyConnectionsTest.leaveNoThreadBehind, which failed before (run against the old loop).

--- a/masticweir/src/main/java/org/masticweir/relay/EarlyConnections.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EarlyConnections.java
@@ -61,6 +61,8 @@
         try {
             while (!selector.keys().isEmpty()) {
                 selector.select(key -> ((Pair) key.attachment()).move());
+                // Closed connections are known to the selector until it selects again.
+                selector.selectNow(key -> ((Pair) key.attachment()).move());
             }
             selector.close();
         } catch (ClosedSelectorException e) {
--- a/masticweir/src/test/java/org/masticweir/relay/EarlyConnectionsTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/EarlyConnectionsTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
@@ -118,6 +119,23 @@
         }
     }
 
+    /** Nothing is left of a start once its callers are gone. */
+    @Test
+    void leaveNoThreadBehind() throws Exception {
+        try (Socket caller = caller();
+                ServerSocket port = listenAfterRelease();
+                Socket inner = port.accept()) {
+            caller.getOutputStream().write('a');
+            assertEquals('a', inner.getInputStream().read());
+        }
+        for (Thread thread : Thread.getAllStackTraces().keySet()) {
+            if (thread.getName().equals("early-connections")) {
+                thread.join(WAIT_MS);
+                assertFalse(thread.isAlive(), "it ends with the last connection");
+            }
+        }
+    }
+
     private ServerSocket listenAfterRelease() throws IOException {
         var waiting = listener.release();
         ServerSocket port = router();
