relay: early connections are counted, not asked of the selector

Where the last connection is closed in the second, unwaited selection, its key is still there at the next look, and the loop waits without end: the mend before this one only made that rare. Change: the thread counts its open pairs and ends at none; closed ones are counted once.

--- a/masticweir/src/main/java/org/masticweir/relay/EarlyConnections.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EarlyConnections.java
@@ -31,6 +31,12 @@
     private final Selector selector;
     private final InetSocketAddress router;
 
+    /**
+     * Pairs that are not closed; belongs to the thread. The selector's own keys don't tell: a
+     * closed one stays among them until the next selection, which may wait for ever.
+     */
+    private int open;
+
     private EarlyConnections(Selector selector, InetSocketAddress router) {
         this.selector = selector;
         this.router = router;
@@ -59,10 +65,8 @@
     private void run(List<SocketChannel> callers) {
         callers.forEach(this::admit);
         try {
-            while (!selector.keys().isEmpty()) {
+            while (open > 0) {
                 selector.select(key -> ((Pair) key.attachment()).move());
-                // Closed connections are known to the selector until it selects again.
-                selector.selectNow(key -> ((Pair) key.attachment()).move());
             }
             selector.close();
         } catch (ClosedSelectorException e) {
@@ -73,9 +77,10 @@
     }
 
     private void admit(SocketChannel caller) {
+        Pair pair = new Pair(caller);
+        open++;
         try {
             caller.configureBlocking(false);
-            Pair pair = new Pair(caller);
             if (pair.callerHasLeft()) {
                 pair.close();
             } else {
@@ -83,7 +88,7 @@
             }
         } catch (IOException e) {
             LOG.info("router: an early connection is lost, {}", e.getMessage());
-            IoUtils.safeClose(caller);
+            pair.close();
         }
     }
 
@@ -95,6 +100,7 @@
         private SocketChannel inner;
         private SelectionKey callerKey;
         private SelectionKey innerKey;
+        private boolean closed;
 
         Pair(SocketChannel caller) {
             this.caller = caller;
@@ -157,6 +163,10 @@
         }
 
         void close() {
+            if (!closed) {
+                closed = true;
+                open--;
+            }
             IoUtils.safeClose(caller);
             IoUtils.safeClose(inner);
         }
