settings: the allowance of repeats may have a fraction

Ruled out: the other numbers of a router's settings; share and grace_s were read with fractions already, ports are whole. Change: the allowance is read as a number with a fraction; ServiceRepeats rounds each router's part down, in one place, since the parts together must stay within what is shared. Tests: each numeric setting as whole, fraction, zero, negative, no number, infinite, too large, with the line that names it; allowanceMayHaveAFraction fails on the code before.

--- a/masticweir/src/main/java/org/masticweir/forward/ServiceRepeats.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServiceRepeats.java
@@ -40,7 +40,7 @@
      * @param allowance repeats allowed beyond that in a window, over all routers
      * @param routers routers among which the allowance is divided
      */
-    public static ServiceRepeats partOf(double share, int allowance, int routers) {
+    public static ServiceRepeats partOf(double share, double allowance, int routers) {
         checkArgument(routers >= 1, "%s routers", routers);
         ServiceRepeats part = new ServiceRepeats(routers);
         part.changeTo(share, allowance);
@@ -48,9 +48,10 @@
     }
 
     /** Takes another shared budget; what was sent in the last window is forgotten. */
-    public void changeTo(double sharedShare, int allowance) {
+    public void changeTo(double sharedShare, double allowance) {
+        checkArgument(allowance >= 0, "allowance %s", allowance);
         double ownShare = sharedShare * USED;
-        int ownFloor = Math.max(1, (int) (allowance * USED / routers));
+        int ownFloor = wholeRepeats(allowance * USED / routers);
         if (ownShare != share || ownFloor != floor) {
             budgets.clear();
         }
@@ -58,6 +59,14 @@
         floor = ownFloor;
     }
 
+    /**
+     * Returns the whole repeats in {@code part}, at least one: rounded down, as the parts of all
+     * routers together must stay within what is shared.
+     */
+    private static int wholeRepeats(double part) {
+        return Math.max(1, (int) part);
+    }
+
     @Override
     public void requested(ServiceName service, long nowMs) {
         budget(service).firstSent(classOf(service), ALL_TEAMS, nowMs);
--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -30,7 +30,8 @@
  * @param metrics address of the metrics page
  * @param store address of the platform's store
  * @param retryShare repeats allowed for a request over all routers
- * @param retryAllowance repeats allowed beyond that in ten seconds over all routers
+ * @param retryAllowance repeats allowed beyond that in ten seconds over all routers; the platform
+ *     scales it with the deployment, so it may have a fraction
  * @param graceMs time between the order to leave and the end of the process
  */
 public record RelaySettings(
@@ -42,7 +43,7 @@
         InetSocketAddress metrics,
         InetSocketAddress store,
         double retryShare,
-        int retryAllowance,
+        double retryAllowance,
         long graceMs,
         LogLevel logLevel) {
     /** The longest file read, in characters. */
@@ -50,7 +51,7 @@
 
     private static final int MAX_SECTIONS = 16;
     private static final double MAX_SHARE = 10;
-    private static final int MAX_ALLOWANCE = 1_000_000;
+    private static final double MAX_ALLOWANCE = 1_000_000;
     private static final int MAX_GRACE_S = 600;
     private static final double MS_A_SECOND = 1_000;
 
@@ -142,7 +143,7 @@
                     section("metrics", "address").required("address", ADDRESS),
                     section("store", "address").required("address", ADDRESS),
                     retries.required("share", ValueRule.decimal(0, MAX_SHARE)),
-                    retries.required("allowance", ValueRule.integer("allowance", 0, MAX_ALLOWANCE)),
+                    retries.required("allowance", ValueRule.decimal(0, MAX_ALLOWANCE)),
                     Math.round(graceS * MS_A_SECOND),
                     section("log", "level")
                             .optional("level", ValueRule.enumOf(LogLevel.class), LogLevel.INFO));
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
@@ -0,0 +1,85 @@
+package org.masticweir.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.masticweir.error.MasticweirException;
+
+/** Which settings of a router are read, and what the others are answered. */
+class RelaySettingsTest {
+    private static RelaySettings parse(String share, String allowance, String graceS) {
+        return RelaySettings.parse(
+                "router.ini",
+                "[router]\nid = r1\ndomain = d1\n[callers]\naddress = 127.0.0.1:1\n"
+                        + "[balancer]\naddress = 127.0.0.1:2\n[peers]\naddress = 127.0.0.1:3\n"
+                        + "[metrics]\naddress = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n"
+                        + "[retries]\nshare = "
+                        + share
+                        + "\nallowance = "
+                        + allowance
+                        + "\n[shutdown]\ngrace_s = "
+                        + graceS
+                        + "\n");
+    }
+
+    /**
+     * No caller is served: a deployment whose budgets the platform has scaled hands its routers a
+     * number with a fraction, each router takes it for an error and ends, again at each start.
+     */
+    @Nested
+    class Numbers {
+        @ParameterizedTest
+        @CsvSource({"0, 0", "150, 150", "24.193548387096776, 24.193548387096776", "1e3, 1000"})
+        void allowanceMayHaveAFraction(String text, double expected) {
+            assertEquals(expected, parse("0.8", text, "8").retryAllowance());
+        }
+
+        @ParameterizedTest
+        @CsvSource({"0, 0", "1, 1", "0.8, 0.8", "10, 10"})
+        void shareMayHaveAFraction(String text, double expected) {
+            assertEquals(expected, parse(text, "150", "8").retryShare());
+        }
+
+        @ParameterizedTest
+        @CsvSource({"0, 0", "8, 8000", "7.5, 7500", "0.0004, 0", "600, 600000"})
+        void graceMayHaveAFraction(String text, long expectedMs) {
+            assertEquals(expectedMs, parse("0.8", "150", text).graceMs());
+        }
+
+        @ParameterizedTest
+        @CsvSource({"-1", "-0.5", "1000000.5", "Infinity", "NaN", "many", "''"})
+        void otherAllowancesAreNamedWithWhatIsAllowed(String text) {
+            assertProblem(
+                    "[retries] allowance", "from 0.0 to 1000000.0", () -> parse("0.8", text, "8"));
+        }
+
+        @ParameterizedTest
+        @CsvSource({"-0.1", "10.1", "Infinity", "NaN", "most", "''"})
+        void otherSharesAreNamedWithWhatIsAllowed(String text) {
+            assertProblem("[retries] share", "from 0.0 to 10.0", () -> parse(text, "150", "8"));
+        }
+
+        @ParameterizedTest
+        @CsvSource({"-1", "600.5", "Infinity", "NaN", "soon", "''"})
+        void otherGracesAreNamedWithWhatIsAllowed(String text) {
+            assertProblem(
+                    "[shutdown] grace_s", "from 0.0 to 600.0", () -> parse("0.8", "150", text));
+        }
+
+        private void assertProblem(String key, String allowed, Runnable reading) {
+            MasticweirException e = assertThrows(MasticweirException.class, reading::run);
+            assertTrue(e.getMessage().contains(key), e.getMessage());
+            assertTrue(e.getMessage().contains(allowed), e.getMessage());
+        }
+    }
+
+    @Test
+    void theLogLevelIsOptional() {
+        assertEquals("INFO", parse("0.8", "150", "8").logLevel().name());
+    }
+}
