--- a/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -29,10 +30,20 @@
             new LinkedHashMap<>() {
                 @Override
                 protected boolean removeEldestEntry(Map.Entry<EngineId, Removed> eldest) {
-                    return size() > MAX_REMOVED;
+                    boolean full = size() > MAX_REMOVED;
+                    if (full) {
+                        forgottenTo = Math.max(forgottenTo, eldest.getValue().revision());
+                    }
+                    return full;
                 }
             };
 
+    /** Up to which revision removals may have been missed or are not remembered; -1 if none. */
+    private long forgottenTo = -1;
+
+    /** The newest word on one server; it has none if the word is its removal. */
+    public record Word(EngineId id, long revision, Optional<BackendServer> server) {}
+
     private static final class Entry {
         private BackendServer server;
         private long revision;
@@ -42,6 +53,12 @@
             this.server = server;
             this.revision = revision;
         }
+
+        Word word() {
+            EngineId id = server.id();
+            return removal.map(r -> new Word(id, r.revision(), Optional.empty()))
+                    .orElse(new Word(id, revision, Optional.of(server)));
+        }
     }
 
     /** A removal that takes effect later. */
@@ -113,6 +130,7 @@
 
     /** Removes all servers that a whole reading of the store at {@code revision} lacks. */
     public boolean retain(Iterable<EngineId> listed, long revision, long nowMs, long dueMs) {
+        forgottenTo = Math.max(forgottenTo, revision);
         List<EngineId> gone = new ArrayList<>(present.keySet());
         listed.forEach(gone::remove);
         boolean changed = false;
@@ -146,6 +164,45 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * Returns all words after {@code revision}, removals among them that are not due yet; empty if
+     * some of them are no longer remembered.
+     */
+    public Optional<ImmutableList<Word>> wordsAfter(long revision) {
+        if (revision < forgottenTo) {
+            return Optional.empty();
+        }
+        ImmutableList.Builder<Word> words = ImmutableList.builder();
+        words().stream().filter(w -> w.revision() > revision).forEach(words::add);
+        removed.forEach(
+                (id, gone) -> {
+                    if (gone.revision() > revision) {
+                        words.add(new Word(id, gone.revision(), Optional.empty()));
+                    }
+                });
+        return Optional.of(words.build());
+    }
+
+    /** Returns the newest word on each server that is there, or whose removal is not due yet. */
+    public ImmutableList<Word> words() {
+        return present.values().stream().map(Entry::word).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns a number that is the same for two books with the same words on servers there. */
+    public long digest() {
+        return words().stream().mapToLong(ServerBook::digestOf).sum();
+    }
+
+    private static long digestOf(Word word) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putUnencodedChars(word.id().value())
+                .putLong(word.revision())
+                .putBoolean(word.server().isPresent())
+                .hash()
+                .asLong();
+    }
+
     /** Returns the last life known of {@code id}, whether it is over or not. */
     public Optional<ServerLife> lifeOf(EngineId id) {
         Entry entry = present.get(id);
--- a/masticweir/src/main/java/org/masticweir/feed/FeedListener.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedListener.java
@@ -1,5 +1,6 @@
 package org.masticweir.feed;
 
+import java.util.OptionalLong;
 import org.masticweir.store.FeedOutcome;
 
 /** Hears of one table; called on the control thread. */
@@ -8,8 +9,8 @@
     /**
      * Rows came.
      *
-     * @param whole whether these are all rows of the table
+     * @param since the revision after which these are all changes; empty if they are all rows
      * @param removalDueMs when a removal among them takes effect
      */
-    void rows(FeedOutcome.Rows rows, boolean whole, long removalDueMs);
+    void rows(FeedOutcome.Rows rows, OptionalLong since, long removalDueMs);
 }
--- a/masticweir/src/main/java/org/masticweir/feed/FeedState.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedState.java
@@ -30,6 +30,15 @@
      */
     static final long DOUBT_MS = 2_200;
 
+    /**
+     * Pause after a whole reading, in ms. Routers that start together hear of each other meanwhile,
+     * and all but the readers make no further call.
+     */
+    static final long SETTLE_MS = 700;
+
+    /** Failed calls in a row after which the store counts as having been away. */
+    private static final int AWAY_FAILURES = 2;
+
     private final FeedPace pace;
     private final RandomGenerator random;
     private OptionalLong since = OptionalLong.empty();
@@ -52,22 +61,43 @@
         record Since(long revision) implements Ask {}
     }
 
+    /**
+     * Takes note that all up to {@code revision} is known from others, as of {@code nowMs}.
+     *
+     * @param storeWasLost whether they said that the store was lost meanwhile
+     */
+    void told(long revision, boolean storeWasLost, long nowMs) {
+        since = OptionalLong.of(Math.max(revision, since.orElse(revision)));
+        failures = storeWasLost ? Math.max(failures, AWAY_FAILURES) : 0;
+        heard = true;
+        lastHeardMs = nowMs;
+    }
+
     Ask next() {
         return since.isPresent() ? new Ask.Since(since.getAsLong()) : new Ask.All();
     }
 
-    /** Takes a call's outcome and returns the pause before the next call, in ms. */
-    long ended(FeedOutcome outcome, long nowMs) {
+    /**
+     * Takes a call's outcome and returns the pause before the next call, in ms.
+     *
+     * @param role this router's part in reading
+     */
+    long ended(FeedOutcome outcome, ReadingRole role, long nowMs) {
         if (outcome instanceof FeedOutcome.Rows rows) {
-            boolean wasAway = heard && (failures > 1 || nowMs - lastHeardMs > pace.awayMs());
+            boolean wasAway =
+                    heard && (failures >= AWAY_FAILURES || nowMs - lastHeardMs > pace.awayMs());
             if (wasAway) {
                 doubtUntilMs = nowMs + DOUBT_MS;
             }
             failures = 0;
             heard = true;
             lastHeardMs = nowMs;
+            boolean whole = since.isEmpty();
             since = OptionalLong.of(rows.revision());
-            return rows.changes().isEmpty() ? 0 : pace.restMs();
+            if (whole) {
+                return SETTLE_MS;
+            }
+            return rows.changes().isEmpty() ? 0 : role.restMs(pace);
         }
         if (outcome instanceof FeedOutcome.HistoryGone) {
             since = OptionalLong.empty();
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/feed/ReadingRole.java
@@ -0,0 +1,34 @@
+package org.masticweir.feed;
+
+/** A router's part in reading the store for its domain. */
+public enum ReadingRole {
+    /** Reads and tells the others at once. */
+    FIRST(1),
+
+    /**
+     * Reads as well, at half the rate, so that what the first one misses while nobody knows of its
+     * failure is known one longer rest later.
+     */
+    STAND_BY(2),
+
+    /** Reads because those before it are silent. */
+    SUBSTITUTE(1),
+
+    /** Is told by those that read. */
+    TOLD(0);
+
+    private final int rests;
+
+    ReadingRole(int rests) {
+        this.rests = rests;
+    }
+
+    public boolean reads() {
+        return rests > 0;
+    }
+
+    /** Returns the pause after an answer with changes, in ms. */
+    long restMs(FeedPace pace) {
+        return pace.restMs() * rests;
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -7,13 +7,17 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.store.ChangeFeed;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.time.Clock;
 
-/** Follows one table for as long as the process runs; confined to the control thread. */
+/**
+ * Follows one table for as long as the process runs, while it is this router's part to read it;
+ * confined to the control thread.
+ */
 public final class TableFollower {
     private static final Logger LOG = LogManager.getLogger(TableFollower.class);
 
@@ -22,36 +26,50 @@
     private final FeedPace pace;
     private final FeedState state;
     private final FeedListener listener;
+    private final Supplier<ReadingRole> role;
     private final ScheduledExecutorService control;
     private final Clock clock;
+    private boolean following;
 
-    private TableFollower(
+    /**
+     * Creates a follower that begins with the first {@link #resume}.
+     *
+     * @param role this router's part in reading, asked before each call
+     */
+    public TableFollower(
             String table,
             ChangeFeed store,
             FeedPace pace,
             FeedListener listener,
+            Supplier<ReadingRole> role,
             ScheduledExecutorService control,
             Clock clock) {
         this.table = checkNotNull(table, "table");
         this.store = checkNotNull(store, "store");
         this.pace = checkNotNull(pace, "pace");
         this.listener = checkNotNull(listener, "listener");
+        this.role = checkNotNull(role, "role");
         this.control = checkNotNull(control, "control");
         this.clock = checkNotNull(clock, "clock");
         state = new FeedState(pace, new SplittableRandom());
     }
 
-    /** Starts following {@code table}; {@code listener} hears of it on the control thread. */
-    public static TableFollower start(
-            String table,
-            ChangeFeed store,
-            FeedPace pace,
-            FeedListener listener,
-            ScheduledExecutorService control,
-            Clock clock) {
-        TableFollower follower = new TableFollower(table, store, pace, listener, control, clock);
-        control.execute(follower::ask);
-        return follower;
+    /** Begins to read, from what was last heard, unless it does already. */
+    public void resume() {
+        if (!following) {
+            following = true;
+            ask();
+        }
+    }
+
+    /**
+     * Takes note that all of the table up to {@code revision} is known from others; while this
+     * router reads itself, what it has read counts.
+     */
+    public void told(long revision, boolean storeWasLost) {
+        if (!following) {
+            state.told(revision, storeWasLost, clock.nowMs());
+        }
     }
 
     /** Returns how long ago the store last answered, in ms; empty if it never did. */
@@ -59,28 +77,46 @@
         return state.ageMs(clock.nowMs());
     }
 
+    /** Returns what this router may tell of the store by this table. */
+    public StoreContact contact() {
+        if (!following) {
+            return StoreContact.NOT_READING;
+        }
+        OptionalLong ageMs = ageMs();
+        if (ageMs.isEmpty()) {
+            return state.isAway() ? StoreContact.LOST : StoreContact.NOT_READING;
+        }
+        boolean inTime = ageMs.getAsLong() <= pace.awayMs() && !state.isAway();
+        return inTime ? StoreContact.HEARD : StoreContact.LOST;
+    }
+
     private void ask() {
+        if (!role.get().reads()) {
+            following = false;
+            return;
+        }
         FeedState.Ask next = state.next();
         if (next instanceof FeedState.Ask.Since since) {
             store.changes(table, since.revision(), pace.waitMs(), pace.timeoutMs())
-                    .thenAccept(outcome -> handOver(outcome, false));
+                    .thenAccept(outcome -> handOver(outcome, OptionalLong.of(since.revision())));
         } else {
-            store.readAll(table, pace.timeoutMs()).thenAccept(outcome -> handOver(outcome, true));
+            store.readAll(table, pace.timeoutMs())
+                    .thenAccept(outcome -> handOver(outcome, OptionalLong.empty()));
         }
     }
 
-    private void handOver(FeedOutcome outcome, boolean whole) {
+    private void handOver(FeedOutcome outcome, OptionalLong since) {
         try {
-            control.execute(() -> ended(outcome, whole));
+            control.execute(() -> ended(outcome, since));
         } catch (RejectedExecutionException e) {
             LOG.debug("feed: {} is no longer followed, the router has stopped", table);
         }
     }
 
-    private void ended(FeedOutcome outcome, boolean whole) {
+    private void ended(FeedOutcome outcome, OptionalLong since) {
         long now = clock.nowMs();
         boolean wasAway = state.isAway();
-        long pauseMs = state.ended(outcome, now);
+        long pauseMs = state.ended(outcome, role.get(), now);
         if (outcome instanceof FeedOutcome.Failed failed && !wasAway) {
             LOG.warn("feed: table {} lost, {}", table, failed.reason());
         } else if (wasAway && !state.isAway()) {
@@ -92,7 +128,7 @@
         // Before the rows are looked at: a row that nobody can take must not end the following.
         control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
         if (outcome instanceof FeedOutcome.Rows rows) {
-            listener.rows(rows, whole, state.removalDueMs(now));
+            listener.rows(rows, since, state.removalDueMs(now));
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/membership/Rendezvous.java
+++ b/masticweir/src/main/java/org/masticweir/membership/Rendezvous.java
@@ -28,7 +28,7 @@
     }
 
     /** Returns the first {@code n} of {@code members} for {@code key}, highest weight first. */
-    static ImmutableList<RouterId> first(String key, Collection<RouterId> members, int n) {
+    public static ImmutableList<RouterId> first(String key, Collection<RouterId> members, int n) {
         return members.stream()
                 .map(m -> new Weighed(m, weight(key, m)))
                 .sorted(Comparator.comparingLong(Weighed::weight).reversed())
--- a/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
@@ -22,7 +22,7 @@
  * #forget forgotten}. Handlers, listeners and the completion of asks run on the links' one thread:
  * they must not block. All methods may be called from any thread.
  */
-public final class PeerLinks implements AutoCloseable {
+public final class PeerLinks implements PeerSender, AutoCloseable {
     private static final long JOIN_MS = 2000;
 
     private final ConcurrentHashMap<RouterId, Outgoing> outgoing = new ConcurrentHashMap<>();
@@ -112,12 +112,7 @@
         counting.forget(peer);
     }
 
-    /**
-     * Queues {@code message} one-way, as a best effort.
-     *
-     * <p>Returns false when it was not queued: the peer is not known, its link was lost and is in
-     * backoff, or its queue is full. True does not say that it arrives.
-     */
+    @Override
     public boolean send(RouterId to, PeerMessage message) {
         Outgoing o = outgoing.get(checkNotNull(to, "to"));
         if (o == null || closed) {
@@ -127,12 +122,7 @@
         return o.send(message);
     }
 
-    /**
-     * Sends {@code message} and returns the future reply.
-     *
-     * <p>The future fails with a {@link MasticweirException}: at once when the message can't be
-     * queued (NOT_RUN), as soon as the link is lost, or after {@code timeoutMs} (MAY_HAVE_RUN).
-     */
+    @Override
     public CompletableFuture<PeerMessage> ask(RouterId to, PeerMessage message, long timeoutMs) {
         checkArgument(timeoutMs > 0, "timeout %s ms", timeoutMs);
         Outgoing o = outgoing.get(checkNotNull(to, "to"));
--- a/masticweir/src/main/java/org/masticweir/relay/Deployment.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Deployment.java
@@ -3,9 +3,11 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -14,6 +16,8 @@
 import org.masticweir.catalog.ServerBook;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.EngineId;
+import org.masticweir.relay.RelayMessages.ServerNews;
+import org.masticweir.relay.RelayMessages.ServersAsk;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.time.Clock;
 
@@ -42,8 +46,18 @@
     private Optional<CatalogText> catalogText = Optional.empty();
     private Optional<Catalog> catalog = Optional.empty();
     private long confirmedMs = Long.MIN_VALUE / 2;
+    private final WordsKnown words = new WordsKnown();
+    private long doubtUntilMs = Long.MIN_VALUE / 2;
     private boolean wasSure;
 
+    /**
+     * What words of a peer were here.
+     *
+     * @param complete whether no word before them is missing
+     * @param news whether they changed what is believed
+     */
+    record Told(boolean complete, boolean news) {}
+
     /** The catalog as it stands in the store. */
     record CatalogText(long version, String text) {}
 
@@ -103,13 +117,20 @@
         confirmedMs = clock.nowMs();
     }
 
-    /** Takes rows of the servers' table; returns the words that were news. */
-    List<ServerWordNews> serverRows(FeedOutcome.Rows rows, boolean whole, long removalDueMs) {
+    /**
+     * Takes rows of the servers' table; returns what peers are told, if anything was news.
+     *
+     * @param since the revision after which these are all changes; empty if they are all rows
+     */
+    Optional<ServerNews> serverRows(FeedOutcome.Rows rows, OptionalLong since, long removalDueMs) {
         List<ServerWordNews> news = new ArrayList<>();
         long now = clock.nowMs();
+        doubtUntilMs = Math.max(doubtUntilMs, removalDueMs);
         List<EngineId> listed = new ArrayList<>();
         boolean changed = false;
+        long newest = WordsKnown.START;
         for (FeedOutcome.Change change : rows.changes()) {
+            newest = Math.max(newest, change.revision());
             Optional<EngineId> id = idOf(change);
             if (id.isEmpty()) {
                 continue;
@@ -127,37 +148,107 @@
                 remove(id.get(), change.revision(), now, news);
             }
         }
-        if (whole) {
+        if (since.isEmpty()) {
             changed = book.retain(listed, rows.revision(), now, removalDueMs);
+            newest = rows.revision();
         }
+        long before = words.newest();
+        words.read(rows.revision(), newest);
         tell(news, "store");
         if (changed || !news.isEmpty()) {
             publishView();
         }
-        return news;
+        return since.isEmpty() || news.isEmpty() ? Optional.empty() : Optional.of(after(before));
     }
 
-    /** Takes words of a peer. */
-    void peerWords(List<ServerWordNews> words, String peer) {
+    /** Takes words of a peer; returns what they were here. */
+    Told peerWords(ServerNews told, String peer) {
         List<ServerWordNews> news = new ArrayList<>();
-        long now = clock.nowMs();
-        for (ServerWordNews word : words) {
+        long dueMs = clock.nowMs() + told.doubtMs();
+        doubtUntilMs = Math.max(doubtUntilMs, dueMs);
+        List<EngineId> listed = new ArrayList<>();
+        long newest = told.after();
+        boolean changed = false;
+        for (ServerWordNews word : told.words()) {
+            newest = Math.max(newest, word.revision());
             if (word.server().isPresent()) {
+                listed.add(word.id());
                 put(word.server().get(), word.revision(), news);
-            } else if (book.remove(word.id(), word.revision(), now, now)) {
-                news.add(word);
+            } else {
+                remove(word.id(), word.revision(), dueMs, news);
             }
         }
+        if (told.isWhole()) {
+            changed = book.retain(listed, told.completeTo(), clock.nowMs(), dueMs);
+        }
+        boolean complete = words.told(told.after(), told.completeTo(), newest);
         tell(news, peer);
-        if (!news.isEmpty()) {
+        if (changed || !news.isEmpty()) {
             publishView();
         }
+        return new Told(complete, changed || !news.isEmpty());
+    }
+
+    /**
+     * Takes note that a peer knows no word after {@code newest} up to {@code completeTo}; returns
+     * whether none up to there is missing here.
+     */
+    boolean peerKnows(long newest, long completeTo) {
+        return words.told(newest, completeTo, WordsKnown.START);
+    }
+
+    /** Returns the revision of the newest word on a server. */
+    long newestWord() {
+        return words.newest();
+    }
+
+    /** Returns the revision up to which all words on servers are known. */
+    long completeTo() {
+        return words.completeTo();
+    }
+
+    /** Returns all words on servers after {@code revision}, or all servers there are. */
+    ServerNews after(long revision) {
+        long doubtMs = Math.max(0, doubtUntilMs - clock.nowMs());
+        Optional<ImmutableList<ServerWordNews>> after =
+                revision == WordsKnown.START
+                        ? Optional.empty()
+                        : book.wordsAfter(revision).map(Deployment::words);
+        return after.map(w -> new ServerNews(revision, words.completeTo(), doubtMs, w))
+                .orElseGet(
+                        () ->
+                                new ServerNews(
+                                        WordsKnown.START,
+                                        words.completeTo(),
+                                        doubtMs,
+                                        allServers()));
+    }
+
+    /** Returns what a peer lacks that knows all words up to what {@code ask} says. */
+    ServerNews answer(ServersAsk ask) {
+        ServerNews after = after(ask.completeTo());
+        if (after.isWhole() && ask.digest() == book.digest()) {
+            return new ServerNews(
+                    ask.completeTo(), after.completeTo(), after.doubtMs(), ImmutableList.of());
+        }
+        return after;
+    }
+
+    /** Returns the question for words that are missing here. */
+    ServersAsk ask() {
+        return new ServersAsk(words.completeTo(), book.digest());
+    }
+
+    private static ImmutableList<ServerWordNews> words(List<ServerBook.Word> words) {
+        return words.stream()
+                .map(w -> new ServerWordNews(w.id(), w.revision(), w.server()))
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Carries out what has become due. */
     void tick() {
         if (book.tick(clock.nowMs())) {
-            LOG.info("instances: entries that lapsed did not come back, {} left", count());
+            LOG.info("instances: entries that lapsed did not come back, {} left", serverCount());
             publishView();
         }
         publishIfSurenessChanged();
@@ -167,11 +258,11 @@
         return catalogText;
     }
 
-    /** Returns the word on every server that is there. */
-    List<ServerWordNews> allServers() {
+    /** Those whose removal is doubted are left out: who lacks them doubts the removal as well. */
+    private List<ServerWordNews> allServers() {
         List<ServerWordNews> all = new ArrayList<>();
-        for (BackendServer server : book.servers()) {
-            all.add(ServerWordNews.present(server, book.revisionOf(server.id())));
+        for (ServerBook.Word word : book.words()) {
+            word.server().ifPresent(s -> all.add(ServerWordNews.present(s, word.revision())));
         }
         return all;
     }
@@ -181,7 +272,7 @@
         return catalog.isPresent() && !book.servers().isEmpty();
     }
 
-    private int count() {
+    int serverCount() {
         return book.servers().size();
     }
 
@@ -191,6 +282,7 @@
         }
     }
 
+    /** A removal that is not due yet is no news; peers that ask are told of it with its doubt. */
     private void remove(EngineId id, long revision, long dueMs, List<ServerWordNews> news) {
         if (book.remove(id, revision, clock.nowMs(), dueMs)) {
             news.add(ServerWordNews.removed(id, revision));
--- a/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
@@ -1,18 +1,21 @@
 package org.masticweir.relay;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.net.InetSocketAddress;
+import com.google.common.base.Splitter;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.http.IpAddress;
+import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
+import org.masticweir.relay.RelayMessages.RouterAt;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.store.RowKey;
 import org.masticweir.store.Transaction;
@@ -29,6 +32,11 @@
 
     private static final String TABLE = "routers";
 
+    /** Between the address and the domain in a row. */
+    private static final char SEPARATOR = ' ';
+
+    private static final Splitter PARTS = Splitter.on(SEPARATOR);
+
     /** Time for one call, in ms. */
     private static final long CALL_MS = 1_000;
 
@@ -36,25 +44,20 @@
     private static final long AGAIN_MS = 500;
 
     private final PlatformPort.Store store;
-    private final RelayMessages.RouterAt self;
+    private final RouterAt self;
     private final ScheduledExecutorService control;
     private final List<RouterId> known = new CopyOnWriteArrayList<>();
 
-    PeerDirectory(
-            PlatformPort.Store store,
-            RelayMessages.RouterAt self,
-            ScheduledExecutorService control) {
+    PeerDirectory(PlatformPort.Store store, RouterAt self, ScheduledExecutorService control) {
         this.store = checkNotNull(store, "store");
         this.self = checkNotNull(self, "self");
         this.control = checkNotNull(control, "control");
     }
 
     /** Writes this router's address, then gives those of the others to {@code found}. */
-    void join(BiConsumer<RouterId, InetSocketAddress> found) {
+    void join(Consumer<RouterAt> found) {
         Transaction put =
-                Transaction.builder()
-                        .put(RowKey.of(TABLE, self.id().value()), IpAddress.text(self.address()))
-                        .build();
+                Transaction.builder().put(RowKey.of(TABLE, self.id().value()), text(self)).build();
         store.transact(put, CALL_MS)
                 .thenAccept(
                         outcome -> {
@@ -78,7 +81,7 @@
         return known;
     }
 
-    private void read(BiConsumer<RouterId, InetSocketAddress> found) {
+    private void read(Consumer<RouterAt> found) {
         store.readAll(TABLE, CALL_MS)
                 .thenAccept(
                         outcome -> {
@@ -90,10 +93,19 @@
                         });
     }
 
-    private static void tell(
-            FeedOutcome.Change row, BiConsumer<RouterId, InetSocketAddress> found) {
+    private static String text(RouterAt router) {
+        return IpAddress.text(router.address()) + SEPARATOR + router.domain().value();
+    }
+
+    private static void tell(FeedOutcome.Change row, Consumer<RouterAt> found) {
         try {
-            found.accept(RouterId.of(row.key().key()), IpAddress.parse(row.value().orElse("")));
+            List<String> parts = PARTS.splitToList(row.value().orElse(""));
+            checkArgument(parts.size() == 2, "no address and domain");
+            found.accept(
+                    new RouterAt(
+                            RouterId.of(row.key().key()),
+                            DomainId.of(parts.get(1)),
+                            IpAddress.parse(parts.get(0))));
         } catch (IllegalArgumentException e) {
             LOG.warn("peers: row {} is not understood, {}", row.key(), e.getMessage());
         }
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -2,65 +2,59 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerLife;
-import org.masticweir.forward.ServerUse;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.Hello;
 import org.masticweir.peer.LinkDirection;
 import org.masticweir.peer.LinkListener;
 import org.masticweir.peer.PeerLinks;
-import org.masticweir.peer.PeerMessage;
-import org.masticweir.peer.Reply;
 import org.masticweir.relay.RelayMessages.CatalogAsk;
-import org.masticweir.relay.RelayMessages.CatalogOffer;
+import org.masticweir.relay.RelayMessages.EngineUse;
 import org.masticweir.relay.RelayMessages.FailureNews;
 import org.masticweir.relay.RelayMessages.Introduction;
 import org.masticweir.relay.RelayMessages.Pulse;
 import org.masticweir.relay.RelayMessages.RouterAt;
 import org.masticweir.relay.RelayMessages.ServerNews;
+import org.masticweir.relay.RelayMessages.ServersAsk;
 import org.masticweir.relay.RelayMessages.UseNews;
 
 /**
- * What routers tell each other; owned by the control thread.
+ * How routers come to know each other, and what they tell of servers' use; owned by the control
+ * thread.
  *
- * <p>Failure that it answers: the store turns some routers away and serves the others, for longer
- * than a change may take. Those that hear it tell the rest of newer catalogs and of servers that
- * leave. A pulse a second also shows links that have gone silent.
+ * <p>Load that it answers: all routers start at once, each opens a link to each other one, and
+ * every caller comes back meanwhile. The own domain is met at once, the others one after the other.
  */
 final class PeerExchange {
     private static final Logger LOG = LogManager.getLogger(PeerExchange.class);
 
-    /** Time between two pulses, in ms: half of the time in which a change must be in force. */
-    private static final long PULSE_MS = 1_000;
+    /** Time before the first router of another domain is met, in ms: callers come first. */
+    private static final long FAR_AFTER_MS = 500;
 
-    /** Time for a peer's answer, in ms. */
-    private static final long ASK_MS = 800;
+    /** Time between two of them, in ms; a fleet of 400 is met within ten seconds. */
+    private static final long FAR_STEP_MS = 20;
 
     private final PeerLinks links;
     private final RouterAt self;
-    private final Deployment deployment;
+    private final KnownRouters routers;
     private final ScheduledExecutorService control;
-    private final BooleanSupplier hearsStore;
     private final PeerDirectory directory;
     private final UseListener uses;
-    private final Map<RouterId, InetSocketAddress> peers = new HashMap<>();
-    private boolean asking;
+    private final StoreSharing sharing;
+    private final StoreReading reading;
+    private final Set<RouterId> farToMeet = new HashSet<>();
 
     /** Hears what peers have at engines; called on the control thread. */
     interface UseListener {
-        void use(RouterId peer, ServerLife engine, ServerUse use);
+        void use(RouterId peer, List<EngineUse> uses);
 
         void failure(ServerLife server, boolean gone);
 
@@ -73,139 +67,61 @@
     PeerExchange(
             PeerLinks links,
             RouterAt self,
-            Deployment deployment,
+            KnownRouters routers,
             ScheduledExecutorService control,
-            BooleanSupplier hearsStore,
             PeerDirectory directory,
-            UseListener uses) {
+            UseListener uses,
+            StoreSharing sharing,
+            StoreReading reading) {
         this.links = checkNotNull(links, "links");
         this.self = checkNotNull(self, "self");
-        this.deployment = checkNotNull(deployment, "deployment");
+        this.routers = checkNotNull(routers, "routers");
         this.control = checkNotNull(control, "control");
-        this.hearsStore = checkNotNull(hearsStore, "hearsStore");
         this.directory = checkNotNull(directory, "directory");
         this.uses = checkNotNull(uses, "uses");
+        this.sharing = checkNotNull(sharing, "sharing");
+        this.reading = checkNotNull(reading, "reading");
     }
 
     /** Registers the handlers; call before the links start. */
     void start() {
-        links.on(Introduction.class, (from, m, reply) -> onControl(() -> introduced(from, m)));
-        links.on(Pulse.class, (from, m, reply) -> onControl(() -> pulse(from, m, reply)));
-        links.on(CatalogAsk.class, (from, m, reply) -> onControl(() -> offer(m, reply)));
-        links.on(
-                ServerNews.class,
-                (from, m, reply) -> onControl(() -> deployment.peerWords(m.words(), from.value())));
-        links.on(
-                UseNews.class,
-                (from, m, reply) -> onControl(() -> uses.use(from, m.engine(), m.use())));
+        links.on(Introduction.class, (from, m, reply) -> onControl(() -> learn(m.router())));
+        links.on(UseNews.class, (from, m, reply) -> onControl(() -> uses.use(from, m.uses())));
         links.on(
                 FailureNews.class,
                 (from, m, reply) -> onControl(() -> uses.failure(m.server(), m.gone())));
+        links.on(Pulse.class, (from, m, reply) -> onControl(() -> sharing.pulse(from, m, reply)));
+        links.on(ServerNews.class, (from, m, reply) -> onControl(() -> sharing.words(from, m)));
+        links.on(ServersAsk.class, (from, m, reply) -> onControl(() -> sharing.answer(m, reply)));
+        links.on(CatalogAsk.class, (from, m, reply) -> onControl(() -> sharing.offer(m, reply)));
         links.listen(new Links());
-        control.scheduleWithFixedDelay(this::pulseAll, PULSE_MS, PULSE_MS, TimeUnit.MILLISECONDS);
+        sharing.start();
     }
 
-    /** Takes note of a router; the first message to it opens the link. */
-    void learn(RouterId id, InetSocketAddress address) {
-        if (id.equals(self.id()) || address.equals(peers.get(id))) {
+    /** Takes note of a router, and introduces this one to it now or soon. */
+    void learn(RouterAt router) {
+        if (!routers.learn(router)) {
             return;
         }
-        peers.put(id, address);
-        directory.add(id);
-        LOG.info("peers: {} is at {}", id, address);
-        links.learn(id, address);
-        links.send(id, introduction());
-    }
-
-    /** Tells all peers that the catalog has changed. */
-    void catalogChanged() {
-        pulseAll();
-    }
-
-    /** Tells all peers what the store said of servers. */
-    void serversChanged(List<ServerWordNews> words) {
-        if (!words.isEmpty()) {
-            sendToAll(new ServerNews(words));
+        LOG.info("peers: {} of {} is at {}", router.id(), router.domain(), router.address());
+        links.learn(router.id(), router.address());
+        if (routers.isHome(router.id())) {
+            meet(router.id());
+        } else if (farToMeet.add(router.id())) {
+            long delayMs = FAR_AFTER_MS + farToMeet.size() * FAR_STEP_MS;
+            control.schedule(() -> meetFar(router.id()), delayMs, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void sendToAll(PeerMessage message) {
-        peers.keySet().forEach(p -> links.send(p, message));
-    }
-
-    private Introduction introduction() {
-        List<RouterAt> known = new ArrayList<>();
-        known.add(self);
-        peers.forEach((id, address) -> known.add(new RouterAt(id, address)));
-        return new Introduction(known);
-    }
-
-    private void introduced(RouterId from, Introduction m) {
-        m.routers().forEach(r -> learn(r.id(), r.address()));
-    }
-
-    private long version() {
-        return deployment.catalogText().map(Deployment.CatalogText::version).orElse(0L);
-    }
-
-    private Pulse ownPulse() {
-        return new Pulse(version(), hearsStore.getAsBoolean());
-    }
-
-    private void pulseAll() {
-        for (RouterId peer : peers.keySet()) {
-            links.ask(peer, ownPulse(), ASK_MS)
-                    .thenAccept(m -> onControl(() -> heard(peer, (Pulse) m)))
-                    .exceptionally(
-                            e -> {
-                                LOG.debug("peers: no answer of {}, {}", peer, e.getMessage());
-                                return null;
-                            });
-        }
-    }
-
-    private void pulse(RouterId from, Pulse theirs, Reply reply) {
-        heard(from, theirs);
-        reply.send(ownPulse());
-    }
-
-    private void heard(RouterId from, Pulse theirs) {
-        if (theirs.catalogVersion() > version()) {
-            ask(from);
-        } else if (theirs.hearsStore()) {
-            deployment.confirmed();
-        }
-    }
-
-    private void ask(RouterId from) {
-        if (asking) {
-            return;
-        }
-        asking = true;
-        links.ask(from, new CatalogAsk(version()), ASK_MS)
-                .whenComplete((m, e) -> onControl(() -> offered(from, Optional.ofNullable(m))));
-    }
-
-    private void offered(RouterId from, Optional<PeerMessage> offer) {
-        asking = false;
-        if (offer.isEmpty()) {
-            LOG.info("config: {} did not give its newer version", from);
-            return;
-        }
-        String text = ((CatalogOffer) offer.get()).text();
-        if (!text.isEmpty() && deployment.catalogText(text, from.value())) {
-            pulseAll();
-        }
+    private void meetFar(RouterId router) {
+        farToMeet.remove(router);
+        meet(router);
     }
 
-    private void offer(CatalogAsk ask, Reply reply) {
-        String text =
-                deployment
-                        .catalogText()
-                        .filter(c -> c.version() > ask.newerThan())
-                        .map(Deployment.CatalogText::text)
-                        .orElse("");
-        reply.send(new CatalogOffer(text));
+    /** Opens the link with a first message; from now on the router hears what all hear. */
+    private void meet(RouterId router) {
+        directory.add(router);
+        links.send(router, new Introduction(self));
     }
 
     private void onControl(Runnable step) {
@@ -226,8 +142,8 @@
             onControl(
                     () -> {
                         LOG.info("peers: link to {} is up", peer.router());
-                        links.send(peer.router(), introduction());
-                        links.send(peer.router(), new ServerNews(deployment.allServers()));
+                        links.send(peer.router(), new Introduction(self));
+                        sharing.linkUp(peer.router());
                         uses.tellAll(peer.router());
                     });
         }
@@ -237,6 +153,7 @@
             onControl(
                     () -> {
                         LOG.info("peers: {} link with {} is down", direction, peer);
+                        reading.closed(peer);
                         if (direction == LinkDirection.INCOMING) {
                             uses.forget(peer);
                         }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -5,8 +5,10 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.masticweir.catalog.ServerLife;
+import org.masticweir.feed.StoreContact;
 import org.masticweir.forward.ServerUse;
 import org.masticweir.http.IpAddress;
+import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.Fields;
@@ -25,26 +27,29 @@
     private static final int SERVER_NEWS = 100;
     private static final int USE_NEWS = 101;
     private static final int FAILURE_NEWS = 102;
+    private static final int SERVERS_ASK = 103;
 
     private static final int MAX_ID_BYTES = 256;
-    private static final int MAX_ROUTERS = 4_096;
+    private static final int USE_FIELDS = 6;
     private static final int MAX_SERVERS = 16_384;
     private static final int MAX_CATALOG_BYTES = 4 << 20;
 
     private RelayMessages() {}
 
-    /** Where routers listen: the sender first, then those that it knows. */
-    record Introduction(List<RouterAt> routers) implements PeerMessage {
-        Introduction {
-            routers = ImmutableList.copyOf(routers);
-        }
-    }
+    /** Where the sender listens. */
+    record Introduction(RouterAt router) implements PeerMessage {}
 
-    /** A router and the address at which its peers reach it. */
-    record RouterAt(RouterId id, InetSocketAddress address) {}
+    /** A router, its failure domain and the address at which its peers reach it. */
+    record RouterAt(RouterId id, DomainId domain, InetSocketAddress address) {}
 
-    /** Asks whether the peer lives, and says which catalog the sender has; the reply is another. */
-    record Pulse(long catalogVersion, boolean hearsStore) implements PeerMessage {}
+    /**
+     * Says what the sender knows of the store; asked for, the reply is another.
+     *
+     * @param newestWord revision of the newest word on a server
+     * @param completeTo revision up to which all words on servers are known
+     */
+    record Pulse(long catalogVersion, StoreContact contact, long newestWord, long completeTo)
+            implements PeerMessage {}
 
     /** Asks for the catalog if the peer's is newer. */
     record CatalogAsk(long newerThan) implements PeerMessage {}
@@ -52,33 +57,64 @@
     /** The catalog as it stands in the store; empty if there is no newer one. */
     record CatalogOffer(String text) implements PeerMessage {}
 
-    /** Words on servers. */
-    record ServerNews(List<ServerWordNews> words) implements PeerMessage {
+    /**
+     * All words on servers after one revision of the store up to another.
+     *
+     * @param after {@link WordsKnown#START} if these are all servers that there are
+     * @param doubtMs how long removals among them are doubted still, in ms
+     */
+    record ServerNews(long after, long completeTo, long doubtMs, List<ServerWordNews> words)
+            implements PeerMessage {
         ServerNews {
             words = ImmutableList.copyOf(words);
         }
+
+        boolean isWhole() {
+            return after == WordsKnown.START;
+        }
     }
 
-    /** What the sender has at an engine now. */
-    record UseNews(ServerLife engine, ServerUse use) implements PeerMessage {}
+    /**
+     * Asks for the words on servers that the sender lacks; the reply is a {@link ServerNews}.
+     *
+     * @param completeTo revision up to which the sender knows all
+     * @param digest of the words that it has, so that no list is sent where both have the same
+     */
+    record ServersAsk(long completeTo, long digest) implements PeerMessage {}
+
+    /** What the sender has at engines now. */
+    record UseNews(List<EngineUse> uses) implements PeerMessage {
+        UseNews {
+            uses = ImmutableList.copyOf(uses);
+        }
+    }
+
+    /** What a router has at one engine. */
+    record EngineUse(ServerLife engine, ServerUse use) {}
 
     /** A server failed at the sender, or is gone for good. */
     record FailureNews(ServerLife server, boolean gone) implements PeerMessage {}
 
     static List<MessageCodec<?>> codecs() {
+        return ImmutableList.<MessageCodec<?>>builder()
+                .addAll(ofRoutersAndUse())
+                .addAll(ofTheStore())
+                .build();
+    }
+
+    private static List<MessageCodec<?>> ofTheStore() {
         return ImmutableList.of(
-                FieldsCodec.of(
-                        INTRODUCTION,
-                        Introduction.class,
-                        1,
-                        (m, out) -> encodeRouters(m.routers(), out),
-                        f -> new Introduction(f.list(MAX_ROUTERS, RelayMessages::router))),
                 FieldsCodec.of(
                         PULSE,
                         Pulse.class,
-                        2,
-                        (m, out) -> out.packLong(m.catalogVersion()).packBoolean(m.hearsStore()),
-                        f -> new Pulse(f.int64(), f.bool())),
+                        4,
+                        RelayMessages::encodePulse,
+                        f ->
+                                new Pulse(
+                                        f.int64(),
+                                        StoreContact.ofOrdinal(f.int32()),
+                                        f.int64(),
+                                        f.int64())),
                 FieldsCodec.of(
                         CATALOG_ASK,
                         CatalogAsk.class,
@@ -94,18 +130,36 @@
                 FieldsCodec.of(
                         SERVER_NEWS,
                         ServerNews.class,
-                        1,
-                        (m, out) -> encodeWords(m.words(), out),
-                        f -> new ServerNews(f.list(MAX_SERVERS, ServerWordNews::decode))),
+                        4,
+                        RelayMessages::encodeServers,
+                        f ->
+                                new ServerNews(
+                                        f.int64(),
+                                        f.int64(),
+                                        f.int64(),
+                                        f.list(MAX_SERVERS, ServerWordNews::decode))),
+                FieldsCodec.of(
+                        SERVERS_ASK,
+                        ServersAsk.class,
+                        2,
+                        (m, out) -> out.packLong(m.completeTo()).packLong(m.digest()),
+                        f -> new ServersAsk(f.int64(), f.int64())));
+    }
+
+    private static List<MessageCodec<?>> ofRoutersAndUse() {
+        return ImmutableList.of(
+                FieldsCodec.of(
+                        INTRODUCTION,
+                        Introduction.class,
+                        3,
+                        (m, out) -> encodeRouter(m.router(), out),
+                        f -> new Introduction(router(f))),
                 FieldsCodec.of(
                         USE_NEWS,
                         UseNews.class,
-                        6,
-                        RelayMessages::encodeUse,
-                        f ->
-                                new UseNews(
-                                        life(f),
-                                        new ServerUse(f.int32(), f.int32(), f.int64(), f.int64()))),
+                        1,
+                        RelayMessages::encodeUses,
+                        f -> new UseNews(f.list(MAX_SERVERS, RelayMessages::use))),
                 FieldsCodec.of(
                         FAILURE_NEWS,
                         FailureNews.class,
@@ -114,20 +168,21 @@
                         f -> new FailureNews(life(f), f.bool())));
     }
 
-    private static void encodeRouters(List<RouterAt> routers, MessagePacker out)
-            throws IOException {
-        out.packArrayHeader(routers.size());
-        for (RouterAt router : routers) {
-            out.packArrayHeader(2).packString(router.id().value());
-            out.packString(IpAddress.text(router.address()));
-        }
+    private static void encodeRouter(RouterAt router, MessagePacker out) throws IOException {
+        out.packString(router.id().value()).packString(router.domain().value());
+        out.packString(IpAddress.text(router.address()));
     }
 
-    private static RouterAt router(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, 2)) {
-            return new RouterAt(
-                    RouterId.of(f.text(MAX_ID_BYTES)), IpAddress.parse(f.text(MAX_ID_BYTES)));
-        }
+    private static RouterAt router(Fields f) throws IOException {
+        return new RouterAt(
+                RouterId.of(f.text(MAX_ID_BYTES)),
+                DomainId.of(f.text(MAX_ID_BYTES)),
+                IpAddress.parse(f.text(MAX_ID_BYTES)));
+    }
+
+    private static void encodePulse(Pulse pulse, MessagePacker out) throws IOException {
+        out.packLong(pulse.catalogVersion()).packInt(pulse.contact().ordinal());
+        out.packLong(pulse.newestWord()).packLong(pulse.completeTo());
     }
 
     private static MessagePacker encodeLife(ServerLife life, MessagePacker out) throws IOException {
@@ -138,17 +193,28 @@
         return ServerLife.of(EngineId.of(f.text(MAX_ID_BYTES)), f.int64());
     }
 
-    private static void encodeWords(List<ServerWordNews> words, MessagePacker out)
-            throws IOException {
-        out.packArrayHeader(words.size());
-        for (ServerWordNews word : words) {
+    private static void encodeServers(ServerNews news, MessagePacker out) throws IOException {
+        out.packLong(news.after()).packLong(news.completeTo()).packLong(news.doubtMs());
+        out.packArrayHeader(news.words().size());
+        for (ServerWordNews word : news.words()) {
             word.encode(out);
         }
     }
 
-    private static void encodeUse(UseNews news, MessagePacker out) throws IOException {
-        ServerUse use = news.use();
-        encodeLife(news.engine(), out).packInt(use.running()).packInt(use.reading());
-        out.packLong(use.readingTokens()).packLong(use.memoryTokens());
+    private static void encodeUses(UseNews news, MessagePacker out) throws IOException {
+        out.packArrayHeader(news.uses().size());
+        for (EngineUse engine : news.uses()) {
+            ServerUse use = engine.use();
+            out.packArrayHeader(USE_FIELDS);
+            encodeLife(engine.engine(), out).packInt(use.running()).packInt(use.reading());
+            out.packLong(use.readingTokens()).packLong(use.memoryTokens());
+        }
+    }
+
+    private static EngineUse use(MessageUnpacker in) throws IOException {
+        try (Fields f = Fields.open(in, USE_FIELDS)) {
+            return new EngineUse(
+                    life(f), new ServerUse(f.int32(), f.int32(), f.int64(), f.int64()));
+        }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -20,6 +20,7 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
 import org.masticweir.feed.FeedPace;
+import org.masticweir.feed.ReadingShare;
 import org.masticweir.feed.TableFollower;
 import org.masticweir.forward.LoadBoard;
 import org.masticweir.forward.Placement;
@@ -36,6 +37,7 @@
 import org.masticweir.peer.LinkSettings;
 import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
+import org.masticweir.relay.RelayMessages.RouterAt;
 import org.masticweir.time.Clock;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -92,13 +94,16 @@
     private final PeerLinks links;
     private final PeerDirectory directory;
     private final Deployment deployment;
+    private final StoreReading reading;
+    private final StoreSharing sharing;
+    private final TableFollower catalogFollower;
+    private final TableFollower serverFollower;
     private final PeerExchange peers;
     private final RelayShutdown shutdown;
     private final RelayPorts ports;
     private final CallersPort callersPort;
 
     private volatile RelayView view = RelayView.empty();
-    private volatile long catalogHeardMs = Long.MIN_VALUE / 2;
 
     private RelayRouter(
             RelaySettings settings, StartupListener listener, Clock clock, PlatformPort platform) {
@@ -119,11 +124,13 @@
                         clock,
                         new UnreadableRows(metrics.counter(MetricName.of("rows_unreadable_total"))),
                         this::publish);
-        directory =
-                new PeerDirectory(
-                        store,
-                        new RelayMessages.RouterAt(settings.router(), settings.peers()),
-                        control);
+        RouterAt self = new RouterAt(settings.router(), settings.domain(), settings.peers());
+        directory = new PeerDirectory(store, self, control);
+        reading = new StoreReading(ReadingShare.of(settings.router()), clock);
+        KnownRouters routers = new KnownRouters(self);
+        sharing = new StoreSharing(links, routers, deployment, reading, this::toldUpTo, control);
+        catalogFollower = catalogFollower();
+        serverFollower = serverFollower();
         UseSharing uses =
                 new UseSharing(
                         thread,
@@ -133,15 +140,7 @@
                         clock,
                         directory::known,
                         links::send);
-        peers =
-                new PeerExchange(
-                        links,
-                        new RelayMessages.RouterAt(settings.router(), settings.peers()),
-                        deployment,
-                        control,
-                        this::hearsStore,
-                        directory,
-                        uses);
+        peers = new PeerExchange(links, self, routers, control, directory, uses, sharing, reading);
         shutdown = new RelayShutdown(intake, control, clock, settings.graceMs());
         ports =
                 RelayPorts.create(
@@ -181,39 +180,47 @@
         ports.openOthers();
         peers.start();
         links.start();
-        follow();
+        control.execute(() -> reading.follow(catalogFollower, serverFollower));
         directory.join(peers::learn);
-        control.scheduleWithFixedDelay(deployment::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         callersPort.openWhenReady();
         LOG.info("router: {} in {} has started", settings.router(), settings.domain());
     }
 
-    private void follow() {
-        String catalogTable = platform.deploymentForm().catalogRow().table();
-        TableFollower.start(
-                catalogTable,
+    private void tick() {
+        deployment.tick();
+        reading.tick();
+    }
+
+    private TableFollower catalogFollower() {
+        return new TableFollower(
+                platform.deploymentForm().catalogRow().table(),
                 store,
                 CATALOG_PACE,
-                (rows, whole, dueMs) -> {
-                    catalogHeardMs = clock.nowMs();
+                (rows, since, dueMs) -> {
                     if (deployment.catalogRows(rows)) {
-                        peers.catalogChanged();
+                        sharing.catalogChanged();
                     }
                 },
+                reading::role,
                 control,
                 clock);
-        TableFollower.start(
+    }
+
+    private TableFollower serverFollower() {
+        return new TableFollower(
                 platform.deploymentForm().serverTable(),
                 store,
                 SERVER_PACE,
-                (rows, whole, dueMs) ->
-                        peers.serversChanged(deployment.serverRows(rows, whole, dueMs)),
+                (rows, since, dueMs) ->
+                        sharing.serversChanged(deployment.serverRows(rows, since, dueMs)),
+                reading::role,
                 control,
                 clock);
     }
 
-    private boolean hearsStore() {
-        return clock.nowMs() - catalogHeardMs <= CATALOG_PACE.waitMs() + CATALOG_PACE.graceMs();
+    private void toldUpTo(long revision) {
+        reading.told(serverFollower, revision);
     }
 
     private void publish(RelayView next) {
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreReading.java
@@ -0,0 +1,83 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.feed.ReadingRole;
+import org.masticweir.feed.ReadingShare;
+import org.masticweir.feed.StoreContact;
+import org.masticweir.feed.TableFollower;
+import org.masticweir.id.RouterId;
+import org.masticweir.time.Clock;
+
+/** This router's part in reading the store's tables; owned by the control thread. */
+final class StoreReading {
+    private static final Logger LOG = LogManager.getLogger(StoreReading.class);
+
+    private final ReadingShare share;
+    private final Clock clock;
+    private List<TableFollower> followers = List.of();
+    private ReadingRole last = ReadingRole.TOLD;
+
+    StoreReading(ReadingShare share, Clock clock) {
+        this.share = checkNotNull(share, "share");
+        this.clock = checkNotNull(clock, "clock");
+    }
+
+    /** Takes the followers of all tables, once. */
+    void follow(TableFollower... tables) {
+        followers = List.of(tables);
+        tick();
+    }
+
+    ReadingRole role() {
+        return share.role(clock.nowMs());
+    }
+
+    /** Begins to read if it has become this router's part. */
+    void tick() {
+        ReadingRole role = role();
+        if (role != last) {
+            LOG.info("store: {} after {}, {}", role, last, share.basis(clock.nowMs()));
+            last = role;
+        }
+        if (role.reads()) {
+            followers.forEach(TableFollower::resume);
+        }
+    }
+
+    /** Takes word of a router of the own domain. */
+    void heard(RouterId from, StoreContact contact) {
+        share.heard(from, contact, clock.nowMs());
+    }
+
+    /** Takes note that the link from a router has closed. */
+    void closed(RouterId router) {
+        share.closed(router);
+    }
+
+    /** Takes note that the servers' table is known up to {@code revision} by a reader's word. */
+    void told(TableFollower servers, long revision) {
+        servers.told(revision, share.wasLost(clock.nowMs()));
+    }
+
+    /** Returns what this router may tell of the store: the worst that its followers say. */
+    StoreContact contact() {
+        StoreContact worst = StoreContact.HEARD;
+        for (TableFollower follower : followers) {
+            StoreContact contact = follower.contact();
+            if (contact == StoreContact.LOST) {
+                return contact;
+            }
+            worst = contact == StoreContact.NOT_READING ? contact : worst;
+        }
+        return worst;
+    }
+
+    /** Returns whether this router must ask peers for what it lacks, as no store tells it. */
+    boolean needsPeers() {
+        return !role().reads() || contact() == StoreContact.LOST;
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/UseSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/UseSharing.java
@@ -2,20 +2,21 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.LoadBoard;
 import org.masticweir.forward.ServerHealth;
-import org.masticweir.forward.ServerUse;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.PeerMessage;
+import org.masticweir.relay.RelayMessages.EngineUse;
 import org.masticweir.relay.RelayMessages.FailureNews;
 import org.masticweir.relay.RelayMessages.UseNews;
 import org.masticweir.time.Clock;
@@ -76,8 +77,8 @@
     private void tell() {
         gathering = false;
         Set<ServerLife> changed = loads.takeChanged();
-        for (ServerLife engine : changed) {
-            UseNews news = new UseNews(engine, loads.ownUse(engine));
+        if (!changed.isEmpty()) {
+            UseNews news = news(changed);
             peers.get().forEach(p -> send.accept(p, news));
         }
         health.takeNews()
@@ -97,8 +98,8 @@
     }
 
     @Override
-    public void use(RouterId peer, ServerLife engine, ServerUse use) {
-        thread.execute(() -> loads.peerUse(peer, engine, use));
+    public void use(RouterId peer, List<EngineUse> uses) {
+        thread.execute(() -> uses.forEach(u -> loads.peerUse(peer, u.engine(), u.use())));
     }
 
     @Override
@@ -108,8 +109,19 @@
 
     @Override
     public void tellAll(RouterId peer) {
-        Consumer<ServerLife> tell =
-                engine -> send.accept(peer, new UseNews(engine, loads.ownUse(engine)));
-        thread.execute(() -> loads.engines().forEach(tell));
+        thread.execute(
+                () -> {
+                    Set<ServerLife> used = loads.engines();
+                    if (!used.isEmpty()) {
+                        send.accept(peer, news(used));
+                    }
+                });
+    }
+
+    private UseNews news(Set<ServerLife> engines) {
+        return new UseNews(
+                engines.stream()
+                        .map(e -> new EngineUse(e, loads.ownUse(e)))
+                        .collect(ImmutableList.toImmutableList()));
     }
 }
--- a/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
@@ -27,22 +27,58 @@
 
     @Test
     void asksForChangesAfterWhatItHas() {
-        state.ended(NOTHING, 0);
+        state.ended(NOTHING, ReadingRole.FIRST, 0);
         assertEquals(new FeedState.Ask.Since(7), state.next());
     }
 
+    @Test
+    void letsRoutersThatStartTogetherMeetBeforeTheNextCall() {
+        assertEquals(FeedState.SETTLE_MS, state.ended(NOTHING, ReadingRole.FIRST, 0));
+        assertEquals(0, state.ended(NOTHING, ReadingRole.FIRST, 3_000));
+    }
+
+    @Test
+    void theStandByRestsTwiceAsLong() {
+        state.ended(NOTHING, ReadingRole.FIRST, 0);
+        FeedOutcome.Change change =
+                new FeedOutcome.Change(RowKey.of("t", "k"), 8, false, Optional.of("v"));
+        FeedOutcome changed = new FeedOutcome.Rows(List.of(change), 8);
+        assertEquals(1_000, state.ended(changed, ReadingRole.STAND_BY, 10));
+    }
+
+    /** A router that begins to read goes on from what it was told; nothing is read twice. */
+    @Test
+    void goesOnFromWhatItWasTold() {
+        state.ended(NOTHING, ReadingRole.FIRST, 0);
+        state.told(30, false, 9_000);
+        assertEquals(new FeedState.Ask.Since(30), state.next());
+        state.ended(NOTHING, ReadingRole.SUBSTITUTE, 10_000);
+        assertEquals(10_000, state.removalDueMs(10_000));
+    }
+
+    /** Entries lapse while the store is away; who reads first after its return doubts them too. */
+    @Test
+    void doubtsRemovalsIfReadersHaveLostTheStore() {
+        state.ended(NOTHING, ReadingRole.FIRST, 0);
+        state.told(30, true, 9_000);
+        state.ended(NOTHING, ReadingRole.SUBSTITUTE, 10_000);
+        assertTrue(state.removalDueMs(10_000) > 10_000);
+    }
+
     @Test
     void restsAfterChangesSoThatASeriesCostsOneCall() {
         FeedOutcome.Change change =
                 new FeedOutcome.Change(RowKey.of("t", "k"), 8, false, Optional.of("v"));
-        assertEquals(500, state.ended(new FeedOutcome.Rows(List.of(change), 8), 0));
-        assertEquals(0, state.ended(NOTHING, 600));
+        state.ended(NOTHING, ReadingRole.FIRST, 0);
+        assertEquals(
+                500, state.ended(new FeedOutcome.Rows(List.of(change), 8), ReadingRole.FIRST, 0));
+        assertEquals(0, state.ended(NOTHING, ReadingRole.FIRST, 600));
     }
 
     @Test
     void readsTheWholeTableWhenTheHistoryIsGone() {
-        state.ended(NOTHING, 0);
-        state.ended(new FeedOutcome.HistoryGone(), 10);
+        state.ended(NOTHING, ReadingRole.FIRST, 0);
+        state.ended(new FeedOutcome.HistoryGone(), ReadingRole.FIRST, 10);
         assertInstanceOf(FeedState.Ask.All.class, state.next());
     }
 
@@ -51,12 +87,12 @@
     class StoreThatIsAway {
         @Test
         void isAskedLessAndLessOften() {
-            long first = state.ended(FAILED, 0);
+            long first = state.ended(FAILED, ReadingRole.FIRST, 0);
             assertTrue(first >= FeedState.FIRST_BACKOFF_MS / 2, "first pause " + first);
             for (int i = 0; i < 20; i++) {
-                state.ended(FAILED, i);
+                state.ended(FAILED, ReadingRole.FIRST, i);
             }
-            long later = state.ended(FAILED, 30);
+            long later = state.ended(FAILED, ReadingRole.FIRST, 30);
             assertTrue(later >= FeedState.MAX_BACKOFF_MS / 2, "later pause " + later);
             assertTrue(later <= FeedState.MAX_BACKOFF_MS, "later pause " + later);
         }
@@ -64,17 +100,17 @@
         /** Entries lapse while the store is away; servers that live are back soon after it. */
         @Test
         void isDoubtedForAWhileAfterItsReturn() {
-            state.ended(NOTHING, 0);
-            state.ended(FAILED, 1_000);
-            state.ended(FAILED, 2_000);
-            state.ended(NOTHING, 5_000);
+            state.ended(NOTHING, ReadingRole.FIRST, 0);
+            state.ended(FAILED, ReadingRole.FIRST, 1_000);
+            state.ended(FAILED, ReadingRole.FIRST, 2_000);
+            state.ended(NOTHING, ReadingRole.FIRST, 5_000);
             assertEquals(5_000 + FeedState.DOUBT_MS, state.removalDueMs(5_100));
             assertEquals(8_000, state.removalDueMs(8_000));
         }
 
         @Test
         void isBelievedAtOnceWhenItWasNotAway() {
-            state.ended(NOTHING, 0);
+            state.ended(NOTHING, ReadingRole.FIRST, 0);
             assertEquals(3_000, state.removalDueMs(3_000));
         }
     }
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -17,16 +18,17 @@
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
+import org.masticweir.relay.RelayMessages.ServerNews;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.store.RowKey;
 import org.masticweir.time.ManualClock;
 
 /** What a router believes of its deployment while rows come that it can't read. */
 class DeploymentTest {
-    private static final String TABLE = "instances";
+    static final String TABLE = "instances";
 
     /** An entry is {@code PORT}, or {@code PORT@START}; a catalog is its version. */
-    private static final class Form implements DeploymentForm {
+    static final class Form implements DeploymentForm {
         @Override
         public RowKey catalogRow() {
             return RowKey.of("settings", "catalog");
@@ -72,17 +74,31 @@
         return new FeedOutcome.Change(RowKey.of(TABLE, key), revision, false, value);
     }
 
+    private static FeedOutcome.Change removed(String key, long revision) {
+        return new FeedOutcome.Change(RowKey.of(TABLE, key), revision, true, Optional.empty());
+    }
+
     private static FeedOutcome.Change row(String key, long revision, String value) {
         return row(key, revision, Optional.of(value));
     }
 
-    private List<ServerWordNews> rows(boolean whole, FeedOutcome.Change... changes) {
+    private Optional<ServerNews> rows(boolean whole, FeedOutcome.Change... changes) {
+        return rows(whole, clock.nowMs(), changes);
+    }
+
+    private Optional<ServerNews> rows(
+            boolean whole, long removalDueMs, FeedOutcome.Change... changes) {
         long last = 0;
         for (FeedOutcome.Change change : changes) {
             last = Math.max(last, change.revision());
         }
+        OptionalLong since = whole ? OptionalLong.empty() : OptionalLong.of(last - 1);
         return deployment.serverRows(
-                new FeedOutcome.Rows(List.of(changes), last), whole, clock.nowMs());
+                new FeedOutcome.Rows(List.of(changes), last), since, removalDueMs);
+    }
+
+    private static ServerNews told(ServerWordNews word) {
+        return new ServerNews(word.revision() - 1, word.revision(), 0, List.of(word));
     }
 
     private String servers() {
@@ -115,7 +131,7 @@
         @Test
         void takeAServerOutUntilItWritesAgain() {
             rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
-            assertEquals(1, rows(false, row("e1", 3, "???")).size());
+            assertEquals(1, rows(false, row("e1", 3, "???")).orElseThrow().words().size());
             assertEquals("e2:82", servers());
             rows(false, row("e1", 4, "81"));
             assertEquals("e1:81 e2:82", servers());
@@ -151,6 +167,76 @@
         }
     }
 
+    /**
+     * A server that has left is sent requests for good, or one that lives is left: a router that
+     * reads nothing itself is not told of a removal, or not that it is doubted.
+     */
+    @Nested
+    class WhatPeersAreTold {
+        private final Deployment peer =
+                new Deployment(new Form(), clock, new UnreadableRows(unreadable), v -> {});
+
+        private void peerAsks() {
+            peer.peerWords(deployment.answer(peer.ask()), "r1");
+        }
+
+        private String peerServers() {
+            return peer.after(WordsKnown.START).words().stream()
+                    .map(w -> w.id().value())
+                    .sorted()
+                    .collect(Collectors.joining(" "));
+        }
+
+        @Test
+        void aPeerThatKnowsNothingIsGivenAll() {
+            rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerAsks();
+            assertEquals("e1 e2", peerServers());
+        }
+
+        @Test
+        void aPeerThatHasTheSameIsGivenNoList() {
+            rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerAsks();
+            rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            assertEquals(List.of(), deployment.answer(peer.ask()).words());
+        }
+
+        @Test
+        void aPeerThatIsBehindIsGivenWhatChanged() {
+            rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerAsks();
+            rows(false, removed("e1", 3));
+            rows(false, row("e3", 4, "83"));
+            assertEquals(2, deployment.answer(peer.ask()).words().size());
+            peerAsks();
+            assertEquals("e2 e3", peerServers());
+        }
+
+        @Test
+        void aRemovalThatIsDoubtedIsToldWithItsDoubt() {
+            rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerAsks();
+            rows(false, clock.nowMs() + 2_000, removed("e1", 3));
+            peerAsks();
+            clock.advanceMs(1_900);
+            peer.tick();
+            assertEquals(2, peer.serverCount());
+            clock.advanceMs(200);
+            peer.tick();
+            assertEquals(1, peer.serverCount());
+        }
+
+        @Test
+        void removalsOfAWholeReadingAreTold() {
+            rows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerAsks();
+            rows(true, row("e2", 5, "82"));
+            peerAsks();
+            assertEquals("e2", peerServers());
+        }
+    }
+
     /**
      * A request is sent to where a server was: it started again under its id, at another address,
      * and a peer that the store turns away still tells of the life before.
@@ -163,7 +249,7 @@
             rows(false, row("e1", 2, "91@900"));
             assertEquals("e1@900:91", servers());
             BackendServer old = new Form().server(EngineId.of("e1"), "81@500");
-            deployment.peerWords(List.of(ServerWordNews.present(old, 3)), "r2");
+            deployment.peerWords(told(ServerWordNews.present(old, 3)), "r2");
             assertEquals("e1@900:91", servers());
         }
 
@@ -171,7 +257,7 @@
         void areHeardOfFromPeers() {
             rows(true, row("e1", 5, "81@500"));
             BackendServer later = new Form().server(EngineId.of("e1"), "91@900");
-            deployment.peerWords(List.of(ServerWordNews.present(later, 4)), "r2");
+            deployment.peerWords(told(ServerWordNews.present(later, 4)), "r2");
             assertEquals("e1@900:91", servers());
         }
     }
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
@@ -0,0 +1,432 @@
+package org.masticweir.relay;
+
+import com.codahale.metrics.Counter;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.feed.FeedListener;
+import org.masticweir.feed.FeedPace;
+import org.masticweir.feed.ReadingRole;
+import org.masticweir.feed.ReadingShare;
+import org.masticweir.feed.TableFollower;
+import org.masticweir.id.DomainId;
+import org.masticweir.id.RouterId;
+import org.masticweir.membership.Rendezvous;
+import org.masticweir.peer.PeerMessage;
+import org.masticweir.peer.PeerSender;
+import org.masticweir.peer.Reply;
+import org.masticweir.relay.RelayMessages.CatalogAsk;
+import org.masticweir.relay.RelayMessages.Pulse;
+import org.masticweir.relay.RelayMessages.RouterAt;
+import org.masticweir.relay.RelayMessages.ServerNews;
+import org.masticweir.relay.RelayMessages.ServersAsk;
+import org.masticweir.store.ChangeFeed;
+import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.RowKey;
+import org.masticweir.time.ManualScheduler;
+
+/**
+ * Routers that read a store together, in one process and on a clock of its own: the decisions and
+ * messages are the product's, links and store are played here with the faults that a test sets.
+ */
+final class StoreFleet {
+    private static final long LINK_MS = 1;
+    private static final long STORE_MS = 4;
+    private static final long TICK_MS = 100;
+    private static final long WAIT_MS = 3_000;
+    private static final long GRACE_MS = 700;
+
+    /** What a call of a router to the store meets. */
+    enum StoreFault {
+        NONE,
+        REFUSED,
+        SILENT
+    }
+
+    final ManualScheduler scheduler = new ManualScheduler();
+    final Store store = new Store();
+    final Map<RouterId, Router> routers = new LinkedHashMap<>();
+
+    /** Links that carry nothing, from the first router to the second. */
+    BiPredicate<RouterId, RouterId> cut = (from, to) -> false;
+
+    long messages;
+
+    StoreFleet(int count, int domains) {
+        store.put("e1", "81");
+        store.catalog(1);
+        for (int i = 0; i < count; i++) {
+            RouterId id = RouterId.of("r" + i);
+            RouterAt at =
+                    new RouterAt(
+                            id,
+                            DomainId.of("d" + i % domains),
+                            new InetSocketAddress("127.0.0.1", 1 + i));
+            routers.put(id, new Router(at));
+        }
+        for (Router router : routers.values()) {
+            routers.values().forEach(other -> router.known.learn(other.at));
+        }
+        routers.values().forEach(Router::start);
+    }
+
+    long nowMs() {
+        return scheduler.clock().nowMs();
+    }
+
+    void runFor(long ms) {
+        scheduler.runTo(nowMs() + ms);
+    }
+
+    List<Router> domain(String domain) {
+        return routers.values().stream().filter(r -> r.at.domain().value().equals(domain)).toList();
+    }
+
+    /** Returns the routers of {@code domain} in the order in which they are to read. */
+    List<Router> ranked(String domain) {
+        List<Router> ranked = new ArrayList<>(domain(domain));
+        ranked.sort((a, b) -> Long.compare(weight(b), weight(a)));
+        return ranked;
+    }
+
+    private static long weight(Router router) {
+        return Rendezvous.weight("store", router.at.id());
+    }
+
+    /** Runs until all of {@code waiting} see {@code port} of server e1; returns how long, in ms. */
+    long untilAllSee(List<Router> waiting, String port, long mostMs) {
+        long startMs = nowMs();
+        while (!waiting.stream().allMatch(r -> r.sees().equals(port))) {
+            if (nowMs() - startMs > mostMs) {
+                return Long.MAX_VALUE;
+            }
+            runFor(10);
+        }
+        return nowMs() - startMs;
+    }
+
+    /** One router: its beliefs, its part in reading, and what it tells. */
+    final class Router implements PeerSender {
+        final RouterAt at;
+        final KnownRouters known;
+        final Deployment deployment;
+        boolean running = true;
+        StoreFault fault = StoreFault.NONE;
+        RelayView view = RelayView.empty();
+        private final StoreReading reading;
+        private final StoreSharing sharing;
+        private final TableFollower servers;
+        private final TableFollower catalog;
+
+        Router(RouterAt at) {
+            this.at = at;
+            known = new KnownRouters(at);
+            deployment =
+                    new Deployment(
+                            new DeploymentTest.Form(),
+                            scheduler.clock(),
+                            new UnreadableRows(new Counter()),
+                            v -> view = v);
+            reading = new StoreReading(ReadingShare.of(at.id()), scheduler.clock());
+            sharing = new StoreSharing(this, known, deployment, reading, this::toldUpTo, scheduler);
+            FeedPace pace = FeedPace.of(WAIT_MS, GRACE_MS, 700);
+            servers =
+                    follower(
+                            DeploymentTest.TABLE,
+                            pace,
+                            (rows, since, dueMs) ->
+                                    sharing.serversChanged(
+                                            deployment.serverRows(rows, since, dueMs)));
+            catalog =
+                    follower(
+                            new DeploymentTest.Form().catalogRow().table(),
+                            FeedPace.of(WAIT_MS, GRACE_MS, 50),
+                            (rows, since, dueMs) -> {
+                                if (deployment.catalogRows(rows)) {
+                                    sharing.catalogChanged();
+                                }
+                            });
+        }
+
+        private TableFollower follower(String table, FeedPace pace, FeedListener listener) {
+            return new TableFollower(
+                    table,
+                    store.of(this),
+                    pace,
+                    listener,
+                    reading::role,
+                    scheduler,
+                    scheduler.clock());
+        }
+
+        private void toldUpTo(long revision) {
+            reading.told(servers, revision);
+        }
+
+        void start() {
+            scheduler.execute(() -> reading.follow(catalog, servers));
+            every(TICK_MS, this::tick);
+            every(StoreSharing.PULSE_MS, sharing::askAll);
+            every(ReadingShare.WORD_MS, sharing::tellHome);
+        }
+
+        private void tick() {
+            deployment.tick();
+            reading.tick();
+        }
+
+        private void every(long ms, Runnable step) {
+            scheduler.at(
+                    nowMs() + ms,
+                    () -> {
+                        if (running) {
+                            step.run();
+                        }
+                        every(ms, step);
+                    });
+        }
+
+        /** Ends without a word; its links stay silent, as when power is lost. */
+        void losePower() {
+            running = false;
+        }
+
+        /** Ends, and the links to it close. */
+        void kill() {
+            running = false;
+            routers.values().forEach(r -> r.reading.closed(at.id()));
+        }
+
+        ReadingRole role() {
+            return reading.role();
+        }
+
+        /** Returns the port at which it believes server e1 to be; nothing if it knows none. */
+        String sees() {
+            return view.servers().values().stream()
+                    .filter(s -> s.id().value().equals("e1"))
+                    .map(s -> Integer.toString(s.address().getPort()))
+                    .findFirst()
+                    .orElse("");
+        }
+
+        long catalogVersion() {
+            return deployment.catalogText().map(Deployment.CatalogText::version).orElse(0L);
+        }
+
+        @Override
+        public boolean send(RouterId to, PeerMessage message) {
+            deliver(this, routers.get(to), message, reply -> {});
+            return true;
+        }
+
+        @Override
+        public CompletableFuture<PeerMessage> ask(
+                RouterId to, PeerMessage message, long timeoutMs) {
+            CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+            Router other = routers.get(to);
+            deliver(
+                    this,
+                    other,
+                    message,
+                    reply -> carry(other, this, () -> answer.complete(reply)));
+            scheduler.at(nowMs() + timeoutMs, () -> answer.completeExceptionally(silent()));
+            return answer;
+        }
+
+        private void take(RouterId from, PeerMessage message, Consumer<PeerMessage> back) {
+            Reply reply = new PlayedReply(back);
+            if (message instanceof Pulse pulse) {
+                sharing.pulse(from, pulse, reply);
+            } else if (message instanceof ServerNews news) {
+                sharing.words(from, news);
+            } else if (message instanceof ServersAsk ask) {
+                sharing.answer(ask, reply);
+            } else if (message instanceof CatalogAsk ask) {
+                sharing.offer(ask, reply);
+            }
+        }
+    }
+
+    private static MasticweirException silent() {
+        return MasticweirException.notRun(ErrorCode.DEADLINE_EXCEEDED, "no reply");
+    }
+
+    private void deliver(Router from, Router to, PeerMessage message, Consumer<PeerMessage> back) {
+        messages++;
+        carry(from, to, () -> to.take(from.at.id(), message, back));
+    }
+
+    private void carry(Router from, Router to, Runnable step) {
+        if (cut.test(from.at.id(), to.at.id())) {
+            return;
+        }
+        scheduler.at(
+                nowMs() + LINK_MS,
+                () -> {
+                    if (to.running) {
+                        step.run();
+                    }
+                });
+    }
+
+    /** Hands an answer back. */
+    private record PlayedReply(Consumer<PeerMessage> back) implements Reply {
+        @Override
+        public boolean send(PeerMessage message) {
+            back.accept(message);
+            return true;
+        }
+
+        @Override
+        public boolean fail(MasticweirException error) {
+            return false;
+        }
+    }
+
+    /** The platform's store: rows, their history, and calls that wait for a change. */
+    final class Store {
+        long calls;
+        private final Map<RowKey, FeedOutcome.Change> rows =
+                new TreeMap<>(Comparator.comparing(RowKey::table).thenComparing(RowKey::key));
+        private final List<FeedOutcome.Change> history = new ArrayList<>();
+        private final List<Waiting> waiting = new ArrayList<>();
+        private long revision = 10;
+        private long oldest;
+
+        /** A call that waits for a change. */
+        private record Waiting(
+                Router router, String table, long since, CompletableFuture<FeedOutcome> answer) {}
+
+        void put(String server, String value) {
+            change(RowKey.of(DeploymentTest.TABLE, server), Optional.of(value));
+        }
+
+        void remove(String server) {
+            change(RowKey.of(DeploymentTest.TABLE, server), Optional.empty());
+        }
+
+        void catalog(long version) {
+            change(new DeploymentTest.Form().catalogRow(), Optional.of(Long.toString(version)));
+        }
+
+        /** Drops what has changed so far. */
+        void forgetHistory() {
+            oldest = ++revision;
+            history.clear();
+        }
+
+        private void change(RowKey key, Optional<String> value) {
+            FeedOutcome.Change change =
+                    new FeedOutcome.Change(key, ++revision, value.isEmpty(), value);
+            history.add(change);
+            if (value.isPresent()) {
+                rows.put(key, change);
+            } else {
+                rows.remove(key);
+            }
+            List<Waiting> hearing =
+                    waiting.stream().filter(w -> w.table().equals(key.table())).toList();
+            waiting.removeAll(hearing);
+            hearing.forEach(w -> later(w.router(), () -> w.answer().complete(after(w))));
+        }
+
+        private FeedOutcome after(Waiting call) {
+            if (call.since() < oldest) {
+                return new FeedOutcome.HistoryGone();
+            }
+            return new FeedOutcome.Rows(
+                    history.stream()
+                            .filter(c -> c.key().table().equals(call.table()))
+                            .filter(c -> c.revision() > call.since())
+                            .toList(),
+                    revision);
+        }
+
+        private void later(Router router, Runnable answer) {
+            scheduler.at(
+                    nowMs() + STORE_MS,
+                    () -> {
+                        if (router.running && router.fault != StoreFault.SILENT) {
+                            answer.run();
+                        }
+                    });
+        }
+
+        ChangeFeed of(Router router) {
+            return new ChangeFeed() {
+                @Override
+                public CompletableFuture<FeedOutcome> readAll(String table, long timeoutMs) {
+                    return call(
+                            router,
+                            timeoutMs,
+                            answer -> later(router, () -> answer.complete(whole(table))));
+                }
+
+                @Override
+                public CompletableFuture<FeedOutcome> changes(
+                        String table, long since, long waitMs, long timeoutMs) {
+                    return call(
+                            router,
+                            timeoutMs,
+                            answer -> await(router, table, since, waitMs, answer));
+                }
+            };
+        }
+
+        private FeedOutcome whole(String table) {
+            return new FeedOutcome.Rows(
+                    rows.values().stream().filter(c -> c.key().table().equals(table)).toList(),
+                    revision);
+        }
+
+        private CompletableFuture<FeedOutcome> call(
+                Router router, long timeoutMs, Consumer<CompletableFuture<FeedOutcome>> made) {
+            calls++;
+            CompletableFuture<FeedOutcome> answer = new CompletableFuture<>();
+            scheduler.at(
+                    nowMs() + timeoutMs,
+                    () -> answer.complete(new FeedOutcome.Failed("no answer in time")));
+            if (router.fault == StoreFault.REFUSED) {
+                later(router, () -> answer.complete(new FeedOutcome.Failed("status 503")));
+            } else if (router.fault == StoreFault.NONE) {
+                made.accept(answer);
+            }
+            return answer;
+        }
+
+        private void await(
+                Router router,
+                String table,
+                long since,
+                long waitMs,
+                CompletableFuture<FeedOutcome> answer) {
+            Waiting call = new Waiting(router, table, since, answer);
+            FeedOutcome now = after(call);
+            boolean answersNow =
+                    !(now instanceof FeedOutcome.Rows rows) || !rows.changes().isEmpty();
+            if (answersNow) {
+                later(router, () -> answer.complete(now));
+                return;
+            }
+            waiting.add(call);
+            scheduler.at(
+                    nowMs() + waitMs,
+                    () -> {
+                        if (waiting.remove(call)) {
+                            later(router, () -> answer.complete(after(call)));
+                        }
+                    });
+        }
+    }
+}
