--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -277,6 +277,11 @@
                 clock);
     }
 
+    /** Adds {@code n} to a counter of the program around this router, on the same metrics page. */
+    public void count(String family, long n) {
+        metrics.counter(MetricName.of(family)).inc(n);
+    }
+
     /** Returns the address that callers connect to. */
     public InetSocketAddress callers() {
         return settings.callers();
