recovery: the only engine is not left for itself; routers grouped once for a whole start

Cause (KNOWN-RED, traced; IsolationTest beside 14 busy loops on 8 cores, load 22): in Alone.domainA r1 logs "engine e1 suspect" at 05:58:39.221 and "live" at 39.463; e1 is the only engine that the domain reaches. The machine stalls, a stream is silent past its bound, the probe ends without answer, the request leaves e1, finds only e1, and is computed there a second time. Ruled out: a lost connection (none in the logs), the cut itself (it came seconds before). Change: where routing has just this engine, and still takes it for one that serves, a failed probe of an idempotent request says nothing (serving.ProbeReading). It is left once routing gives it up or has another. Also: KnownRouters grouped and ranked the fleet anew for each router that it learnt of, 390 times 390 hashes at a start; it does so once when asked. SharedDuty ranks its members when they change, not for each word.

--- a/masticweir/src/main/java/org/masticweir/feed/ReadingShare.java
+++ b/masticweir/src/main/java/org/masticweir/feed/ReadingShare.java
@@ -41,11 +41,13 @@
     private final RouterId self;
     private final SharedDuty<String> duty;
     private final Map<RouterId, Long> heardMs = new HashMap<>();
+    private ImmutableSet<RouterId> members = ImmutableSet.of();
     private long lostMs = Long.MIN_VALUE / 2;
 
     private ReadingShare(RouterId self) {
         this.self = self;
         duty = SharedDuty.of(self, name -> name, STAND_IN);
+        duty.members(ImmutableSet.of(self));
     }
 
     /** Returns the share of {@code self}, which knows no other router of its domain yet. */
@@ -55,8 +57,10 @@
 
     /** Takes a word of {@code from}, a router of the same domain. */
     public void heard(RouterId from, StoreContact contact, long nowMs) {
-        heardMs.put(from, nowMs);
-        rank(nowMs);
+        boolean isNew = heardMs.put(from, nowMs) == null;
+        if (isNew) {
+            rank(nowMs);
+        }
         if (contact == StoreContact.HEARD) {
             duty.heard(STORE, from, nowMs);
         } else if (contact == StoreContact.LOST) {
@@ -93,7 +97,10 @@
 
     private int rank(long nowMs) {
         heardMs.values().removeIf(at -> nowMs - at > MEMBER_MS);
-        duty.members(ImmutableSet.<RouterId>builder().addAll(heardMs.keySet()).add(self).build());
+        if (!members.equals(heardMs.keySet())) {
+            members = ImmutableSet.copyOf(heardMs.keySet());
+            duty.members(ImmutableSet.<RouterId>builder().addAll(members).add(self).build());
+        }
         return duty.rank(STORE, nowMs);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/membership/SharedDuty.java
+++ b/masticweir/src/main/java/org/masticweir/membership/SharedDuty.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -49,7 +51,7 @@
     public void members(Set<RouterId> sharing) {
         if (!members.equals(sharing)) {
             members = ImmutableSet.copyOf(sharing);
-            standings.forEach((duty, standing) -> standing.rank = rankOf(duty, self));
+            standings.forEach((duty, standing) -> standing.ranks = ranks(duty));
         }
     }
 
@@ -61,7 +63,7 @@
     /** Takes note that {@code from} has carried out {@code duty}. */
     public void heard(K duty, RouterId from, long nowMs) {
         Standing standing = standing(duty, nowMs);
-        if (members.contains(from) && rankOf(duty, from) < standing.rank) {
+        if (members.contains(from) && rankOf(from, standing) < rankOf(self, standing)) {
             standing.heardMs = nowMs;
         }
     }
@@ -69,41 +71,41 @@
     /** Tells whether this router carries out {@code duty} now. */
     public boolean isDue(K duty, long nowMs) {
         Standing standing = standing(duty, nowMs);
-        long waitMs = standIn.waitMs(standing.rank);
+        long waitMs = standIn.waitMs(rankOf(self, standing));
         return waitMs == 0 || nowMs - standing.heardMs >= waitMs;
     }
 
     /** Returns how many members come before this router for {@code duty}. */
     public int rank(K duty, long nowMs) {
-        return standing(duty, nowMs).rank;
+        return rankOf(self, standing(duty, nowMs));
     }
 
     private Standing standing(K duty, long nowMs) {
         return standings.computeIfAbsent(
-                checkNotNull(duty, "duty"), d -> new Standing(rankOf(d, self), nowMs));
+                checkNotNull(duty, "duty"), d -> new Standing(ranks(d), nowMs));
     }
 
     /** Returns how many members come before {@code router}, which need not be one. */
-    private int rankOf(K duty, RouterId router) {
-        if (!members.contains(router)) {
-            return members.size();
-        }
-        String name = nameOf.apply(duty);
-        long own = Rendezvous.weight(name, router);
-        int before = 0;
-        for (RouterId member : members) {
-            before += Rendezvous.weight(name, member) > own ? 1 : 0;
+    private int rankOf(RouterId router, Standing standing) {
+        return standing.ranks.getOrDefault(router, members.size());
+    }
+
+    private ImmutableMap<RouterId, Integer> ranks(K duty) {
+        List<RouterId> ranked = Rendezvous.first(nameOf.apply(duty), members, members.size());
+        ImmutableMap.Builder<RouterId, Integer> ranks = ImmutableMap.builder();
+        for (int i = 0; i < ranked.size(); i++) {
+            ranks.put(ranked.get(i), i);
         }
-        return before;
+        return ranks.buildOrThrow();
     }
 
-    /** Where this router stands for one duty, and when a router before it was last heard. */
+    /** Where the members stand for one duty, and when one before this router was last heard. */
     private static final class Standing {
-        private int rank;
+        private ImmutableMap<RouterId, Integer> ranks;
         private long heardMs;
 
-        Standing(int rank, long heardMs) {
-            this.rank = rank;
+        Standing(ImmutableMap<RouterId, Integer> ranks, long heardMs) {
+            this.ranks = ranks;
             this.heardMs = heardMs;
         }
     }
--- a/masticweir/src/main/java/org/masticweir/relay/KnownRouters.java
+++ b/masticweir/src/main/java/org/masticweir/relay/KnownRouters.java
@@ -7,10 +7,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
 import org.masticweir.membership.Rendezvous;
@@ -35,9 +34,13 @@
 
     private final RouterAt self;
     private final Map<RouterId, RouterAt> known = new HashMap<>();
-    private final Set<RouterId> home = new HashSet<>();
-    private ImmutableSet<RouterId> relays = ImmutableSet.of();
-    private ImmutableList<RouterId> otherFar = ImmutableList.of();
+    private Optional<Groups> groups = Optional.empty();
+
+    /** Who stands where, as of the routers known. */
+    private record Groups(
+            ImmutableSet<RouterId> home,
+            ImmutableSet<RouterId> told,
+            ImmutableList<RouterId> otherFar) {}
 
     KnownRouters(RouterAt self) {
         this.self = checkNotNull(self, "self");
@@ -49,52 +52,59 @@
             return false;
         }
         known.put(router.id(), router);
-        home.clear();
-        Map<DomainId, List<RouterId>> far = new HashMap<>();
-        for (RouterAt other : known.values()) {
-            if (other.domain().equals(self.domain())) {
-                home.add(other.id());
-            } else {
-                far.computeIfAbsent(other.domain(), d -> new ArrayList<>()).add(other.id());
-            }
-        }
-        rank(far);
+        groups = Optional.empty();
         return true;
     }
 
-    private void rank(Map<DomainId, List<RouterId>> far) {
-        ImmutableSet.Builder<RouterId> first = ImmutableSet.builder();
-        far.values().forEach(ids -> first.addAll(Rendezvous.first(RANKING, ids, RELAYS)));
-        relays = first.build();
-        otherFar =
-                far.values().stream()
-                        .flatMap(List::stream)
-                        .filter(id -> !relays.contains(id))
-                        .sorted(Comparator.comparing(RouterId::value))
-                        .collect(ImmutableList.toImmutableList());
-    }
-
     boolean isHome(RouterId router) {
-        return home.contains(router);
+        RouterAt at = known.get(router);
+        return at != null && at.domain().equals(self.domain());
     }
 
     /** Returns the other routers of the own domain. */
     ImmutableSet<RouterId> home() {
-        return ImmutableSet.copyOf(home);
+        return groups().home();
     }
 
     /** Returns those that hear words on the store: the own domain and the relays of the others. */
     ImmutableSet<RouterId> told() {
-        return ImmutableSet.<RouterId>builder().addAll(home).addAll(relays).build();
+        return groups().told();
     }
 
     /** Returns those that are asked for a sign of life in the pulse that {@code turn} counts. */
     ImmutableSet<RouterId> asked(long turn) {
         ImmutableSet.Builder<RouterId> asked = ImmutableSet.builder();
         asked.addAll(told());
-        for (int i = (int) (turn % FAR_TURNS); i < otherFar.size(); i += FAR_TURNS) {
-            asked.add(otherFar.get(i));
+        ImmutableList<RouterId> far = groups().otherFar();
+        for (int i = (int) (turn % FAR_TURNS); i < far.size(); i += FAR_TURNS) {
+            asked.add(far.get(i));
         }
         return asked.build();
     }
+
+    /** Grouped when they are asked for: a start learns of the whole fleet, one by one. */
+    private Groups groups() {
+        if (groups.isEmpty()) {
+            groups = Optional.of(group());
+        }
+        return groups.get();
+    }
+
+    private Groups group() {
+        Map<DomainId, List<RouterId>> byDomain = new HashMap<>();
+        for (RouterAt router : known.values()) {
+            byDomain.computeIfAbsent(router.domain(), d -> new ArrayList<>()).add(router.id());
+        }
+        List<RouterId> home = Optional.ofNullable(byDomain.remove(self.domain())).orElse(List.of());
+        ImmutableSet.Builder<RouterId> told = ImmutableSet.<RouterId>builder().addAll(home);
+        byDomain.values().forEach(ids -> told.addAll(Rendezvous.first(RANKING, ids, RELAYS)));
+        ImmutableSet<RouterId> allTold = told.build();
+        ImmutableList<RouterId> otherFar =
+                byDomain.values().stream()
+                        .flatMap(List::stream)
+                        .filter(id -> !allTold.contains(id))
+                        .sorted(Comparator.comparing(RouterId::value))
+                        .collect(ImmutableList.toImmutableList());
+        return new Groups(ImmutableSet.copyOf(home), allTold, otherFar);
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/GenerationRunner.java
@@ -280,10 +280,19 @@
     }
 
     private void onProbe(EngineId engine, RecoveryEvent told) {
-        feed(told);
+        feed(request.spec().idempotent() ? read(engine, told) : told);
         attempts.probed(engine, told);
     }
 
+    private RecoveryEvent read(EngineId engine, RecoveryEvent told) {
+        return ProbeReading.of(
+                told,
+                engine,
+                context.view().get().routing(),
+                request.spec().model(),
+                generation.version());
+    }
+
     private void abandon(RecoveryAction.Abandon abandon) {
         closeStream();
         attempts.ended(now());
--- a/masticweir/src/test/java/org/masticweir/relay/StoreFleetTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/StoreFleetTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.masticweir.id.RouterId;
 import org.masticweir.relay.StoreFleet.Router;
 import org.masticweir.relay.StoreFleet.StoreFault;
@@ -23,6 +25,8 @@
     /** Long enough for pulses to have settled who reads. */
     private static final long SETTLED_MS = 6_000;
 
+    private static final long QUIET_MS = 6_000;
+
     private final StoreFleet fleet = new StoreFleet(ROUTERS, DOMAINS);
 
     private List<Router> all() {
@@ -79,13 +83,27 @@
             assertTrue(all().stream().allMatch(r -> r.catalogVersion() == 2));
         }
 
-        @Test
-        void messagesOfAQuietSecondDoNotGrowWithTheSquare() {
-            fleet.runFor(SETTLED_MS);
-            long before = fleet.messages;
-            fleet.runFor(5_000);
-            long aRouterAndSecond = (fleet.messages - before) / 5 / ROUTERS;
-            assertTrue(aRouterAndSecond < 50, aRouterAndSecond + " messages");
+        /**
+         * Each router said and asked something of each other one each second: at 390 routers 778
+         * messages, out and in. Now most of them stay in the domain.
+         */
+        @ParameterizedTest
+        @CsvSource({"8, 4, 20", "61, 4, 50", "95, 6, 60", "390, 9, 180"})
+        void messagesOfAQuietSecondStayInBounds(int routers, int domains, long most) {
+            StoreFleet sized = new StoreFleet(routers, domains);
+            sized.runFor(SETTLED_MS);
+            long messages = sized.messages;
+            long calls = sized.store.calls;
+            sized.runFor(QUIET_MS);
+            double seconds = QUIET_MS / 1_000.0;
+            double aRouter = (sized.messages - messages) / seconds / routers;
+            double all = (sized.store.calls - calls) / seconds;
+            System.out.printf(
+                    "store fleet: %d routers in %d domains, %.1f messages out a router and second,"
+                            + " %.1f calls to the store a second%n",
+                    routers, domains, aRouter, all);
+            assertTrue(aRouter < most, aRouter + " messages");
+            assertTrue(all <= 2 * domains, all + " calls");
         }
     }
 
