cli: a command's buffers are given back once its traffic thread has ended

OperatorClient.close ordered the worker to end and closed the pool at once; the traffic thread still read a connection that the router closed. Ruled out: the answer (it was whole), the router's side (the trace is the command's own process). Change: close waits for the worker, 1 s at most; a thread that doesn't end keeps its buffers. Test: OperatorClientTest fails on the close before ("expected false but was true"), passes with this one.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorClient.java
@@ -23,13 +23,16 @@
 final class OperatorClient implements AutoCloseable {
     private static final int BUFFER_BYTES = 16_384;
 
+    /** Longest wait for the traffic thread at the end, in ms; it has nothing left to do. */
+    private static final long CLOSE_MS = 1_000;
+
     private final XnioWorker worker;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
     private final InetSocketAddress router;
     private final int timeoutMs;
     private final ClientSecurity security;
 
-    private OperatorClient(
+    OperatorClient(
             XnioWorker worker, InetSocketAddress router, int timeoutMs, ClientSecurity security) {
         this.worker = checkNotNull(worker, "worker");
         this.router = checkNotNull(router, "router");
@@ -62,10 +65,23 @@
         return await(OperatorCall.post(path, body, security.authorization(), buffers));
     }
 
+    /**
+     * Ends the traffic thread, then gives its buffers back.
+     *
+     * <p>Failure guarded against: the router closes a connection at the moment at which the command
+     * ends, the thread still reads from it, finds its buffers gone, and an operator sees a stack
+     * trace below a good answer. A thread that doesn't end in time keeps its buffers.
+     */
     @Override
     public void close() {
         worker.shutdownNow();
-        buffers.close();
+        try {
+            if (worker.awaitTermination(CLOSE_MS, TimeUnit.MILLISECONDS)) {
+                buffers.close();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private CallResult await(OperatorCall call) {
