logs: a lost send's line names the content, the server's life and the events that came

Cause: the lines could not show that two requests ask for the same, nor which requests had no event when their server ended. Change: a content id (team, host, method, path, body), worked out only when a send is lost.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Supplier;
+import com.google.common.base.Suppliers;
 import io.undertow.server.HttpServerExchange;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -15,6 +17,7 @@
 import org.masticweir.forward.SendSilence;
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpHead;
+import org.masticweir.id.ContentId;
 import org.masticweir.relay.RelayMetrics.SendEnd;
 import org.xnio.XnioExecutor;
 
@@ -34,6 +37,7 @@
     private final CallerAnswer answer;
     private final CallerWatch watch;
     private final Runnable ended;
+    private final Supplier<ContentId> content;
 
     private Optional<ServerSend> send = Optional.empty();
     private Optional<LoadTicket> ticket = Optional.empty();
@@ -42,6 +46,7 @@
     private int sendNumber;
     private long firstEventMs;
     private long lastEventMs;
+    private int eventsOfSend;
     private boolean resuming;
     private boolean over;
 
@@ -59,6 +64,7 @@
         this.request = checkNotNull(request, "request");
         this.ended = checkNotNull(ended, "ended");
         plan = request.plan();
+        content = Suppliers.memoize(() -> ContentDigest.of(request));
         log = new RequestLog(context, request);
         metrics = context.metrics().request(plan.route().name(), request.team());
         course =
@@ -108,6 +114,7 @@
 
     private void send(Step.Send next) {
         sendNumber++;
+        eventsOfSend = 0;
         int number = sendNumber;
         log.goes(next, number);
         context.metrics().sent(next.server(), sendNumber);
@@ -189,7 +196,7 @@
 
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
-        sendEnded(server, SendEnd.SILENT, reason, silence.sentMs());
+        sendLost(server, SendEnd.SILENT, reason, silence.sentMs());
         resuming = answer.isStreaming();
         leaveServer();
         take(course.lost(server, now()));
@@ -202,12 +209,18 @@
             timer(Math.max(1, plan.expiresMs() - now), this::timeIsUp);
             return;
         }
-        sendEnded(silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
+        sendLost(silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
         leaveServer();
         take(instead.get());
     }
 
-    /** A send ended without an answer that the caller gets. */
+    /** A send ended that may have run, without a whole answer. */
+    private void sendLost(BackendServer server, SendEnd end, String what, long sentMs) {
+        log.lost(server, what, sentMs, eventsOfSend, content.get());
+        context.metrics().sendEnded(server, end);
+    }
+
+    /** A send ended that has not run. */
     private void sendEnded(BackendServer server, SendEnd end, String what, long sentMs) {
         log.at(server, what, sentMs);
         context.metrics().sendEnded(server, end);
@@ -300,6 +313,7 @@
                             && id.getAsLong() <= course.lastEvent().getAsLong();
             long now = now();
             context.health().answered(sent.server().life(), now);
+            eventsOfSend++;
             if (silence.heard(now)) {
                 ticket.ifPresent(LoadTicket::read);
                 context.loadsChanged().run();
@@ -402,7 +416,7 @@
             }
             resuming = answer.isStreaming();
             leaveServer();
-            sendEnded(sent.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
+            sendLost(sent.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -11,6 +11,7 @@
 import org.masticweir.forward.EngineReport;
 import org.masticweir.forward.ServerUse;
 import org.masticweir.forward.Step;
+import org.masticweir.id.ContentId;
 
 /**
  * Writes one line for each decision on one request, with the request's id and what decided it; on
@@ -67,6 +68,22 @@
                 context.clock().nowMs() - sentMs);
     }
 
+    /**
+     * A send that left at {@code sentMs} ended without a whole answer, {@code events} after its
+     * start.
+     */
+    void lost(BackendServer server, String what, long sentMs, int events, ContentId content) {
+        LOG.info(
+                "relay: request {}: {} in {} {} after {} ms and {} events, content {}",
+                id,
+                server.life(),
+                server.domain(),
+                what,
+                context.clock().nowMs() - sentMs,
+                events,
+                content);
+    }
+
     /** An engine that has not begun the request in time reports, or does not. */
     void reported(BackendServer server, Optional<EngineReport> report, long sentMs) {
         at(server, "reports " + report.map(EngineReport::toString).orElse("nothing"), sentMs);
