--- a/masticweir-it/src/test/java/org/masticweir/it/KnownRed.java
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/KnownRed.java
@@ -1,4 +1,4 @@
-package org.masticweir.it;
+package org.masticweir.testing;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- /dev/null
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/package-info.java
@@ -0,0 +1,2 @@
+/** What the tests of several modules share. */
+package org.masticweir.testing;
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.codahale.metrics.Counter;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -50,6 +51,7 @@
     private final UseListener uses;
     private final StoreSharing sharing;
     private final StoreReading reading;
+    private final Counter linksUp;
     private final Set<RouterId> farToMeet = new HashSet<>();
 
     /** Hears what peers have at engines; called on the control thread. */
@@ -72,7 +74,8 @@
             PeerDirectory directory,
             UseListener uses,
             StoreSharing sharing,
-            StoreReading reading) {
+            StoreReading reading,
+            Counter linksUp) {
         this.links = checkNotNull(links, "links");
         this.self = checkNotNull(self, "self");
         this.routers = checkNotNull(routers, "routers");
@@ -81,6 +84,7 @@
         this.uses = checkNotNull(uses, "uses");
         this.sharing = checkNotNull(sharing, "sharing");
         this.reading = checkNotNull(reading, "reading");
+        this.linksUp = checkNotNull(linksUp, "linksUp");
     }
 
     /** Registers the handlers; call before the links start. */
@@ -139,6 +143,7 @@
             if (direction != LinkDirection.OUTGOING) {
                 return;
             }
+            linksUp.inc();
             onControl(
                     () -> {
                         LOG.info("peers: link to {} is up", peer.router());
@@ -150,6 +155,9 @@
 
         @Override
         public void linkDown(RouterId peer, LinkDirection direction) {
+            if (direction == LinkDirection.OUTGOING) {
+                linksUp.dec();
+            }
             onControl(
                     () -> {
                         LOG.info("peers: {} link with {} is down", direction, peer);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -140,7 +140,17 @@
                         clock,
                         directory::known,
                         links::send);
-        peers = new PeerExchange(links, self, routers, control, directory, uses, sharing, reading);
+        peers =
+                new PeerExchange(
+                        links,
+                        self,
+                        routers,
+                        control,
+                        directory,
+                        uses,
+                        sharing,
+                        reading,
+                        metrics.counter(MetricName.of("peer_links_up")));
         shutdown = new RelayShutdown(intake, control, clock, settings.graceMs());
         ports =
                 RelayPorts.create(
