--- a/masticweir/src/main/java/org/masticweir/error/ErrorCode.java
+++ b/masticweir/src/main/java/org/masticweir/error/ErrorCode.java
@@ -20,6 +20,8 @@
     NO_ENGINE(503),
     NO_CONFIGURATION(503),
     SHUTTING_DOWN(503),
+    /** Servers ended under requests with this content; it is not sent to more of them. */
+    QUARANTINED(503),
     PLATFORM_UNAVAILABLE(503),
     ENGINE_LOST(502),
     ENGINE_REFUSED(502),
--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -14,6 +14,7 @@
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
+import org.masticweir.quarantine.SendRule;
 
 /**
  * The way of one request over its servers, from the first send to its end; owned by the traffic
@@ -46,6 +47,7 @@
     private final Placement placement;
     private final ServerHealth health;
     private final RepeatGate repeats;
+    private final SendGate gate;
     private final RequestWait wait;
     private final RandomGenerator random;
 
@@ -65,12 +67,16 @@
     private Optional<BackendServer> keeper = Optional.empty();
     private boolean asked;
 
+    /** Whether servers ended under the same content. */
+    private boolean apart;
+
     private Course(
             RequestPlan plan,
             Supplier<ImmutableList<BackendServer>> servers,
             Placement placement,
             ServerHealth health,
             RepeatGate repeats,
+            SendGate gate,
             WaitingLine line,
             RandomGenerator random) {
         this.plan = checkNotNull(plan, "plan");
@@ -78,6 +84,7 @@
         this.placement = checkNotNull(placement, "placement");
         this.health = checkNotNull(health, "health");
         this.repeats = checkNotNull(repeats, "repeats");
+        this.gate = checkNotNull(gate, "gate");
         wait = new RequestWait(plan, line);
         this.random = checkNotNull(random, "random");
         lastEvent = plan.callersEvent();
@@ -94,9 +101,10 @@
             Placement placement,
             ServerHealth health,
             RepeatGate repeats,
+            SendGate gate,
             WaitingLine line,
             RandomGenerator random) {
-        return new Course(plan, servers, placement, health, repeats, line, random);
+        return new Course(plan, servers, placement, health, repeats, gate, line, random);
     }
 
     /**
@@ -115,6 +123,15 @@
         if (sends >= plan.route().attempts()) {
             return end(ErrorCode.ENGINE_LOST, "sent as often as the route allows");
         }
+        // Asked before every send: other submissions may have ended servers since the last one.
+        SendRule rule = gate.rule(nowMs);
+        if (rule == SendRule.NEVER) {
+            return quarantined(nowMs);
+        }
+        if (rule == SendRule.WAIT) {
+            return waitForTrial(nowMs);
+        }
+        apart = rule == SendRule.APART;
         if (!asked && plan.mayBeKept()) {
             asked = true;
             ImmutableList<BackendServer> engines =
@@ -317,7 +334,26 @@
     }
 
     private Optional<BackendServer> serverBut(Set<ServerLife> excluded, long nowMs) {
-        return placement.server(servers.get(), plan.size(), plan.engine(), excluded, nowMs);
+        return apart
+                ? placement.quietest(servers.get(), plan.size(), plan.engine(), excluded, nowMs)
+                : placement.server(servers.get(), plan.size(), plan.engine(), excluded, nowMs);
+    }
+
+    /** Returns the end of a request whose content is not sent to servers any more. */
+    public Step.End quarantined(long nowMs) {
+        boolean notRun = verdict().safeToSendAgain();
+        return new Step.End(
+                notRun ? ErrorCode.QUARANTINED : ErrorCode.ENGINE_LOST,
+                verdict(),
+                notRun ? gate.holdLeftMs(nowMs) : OptionalLong.empty(),
+                "servers ended under this content");
+    }
+
+    /** Waits for word on the content, as long as a request waits for a free server. */
+    private Step waitForTrial(long nowMs) {
+        return hasEvent || !wait.isOver(nowMs)
+                ? new Step.Hold(HOLD_MS)
+                : end(ErrorCode.OVERLOADED, "servers ended under this content, and one runs it");
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.EngineSpec;
@@ -93,15 +94,46 @@
             Optional<EngineSpec> engine,
             Set<ServerLife> tried,
             long nowMs) {
+        return lowest(servers, size, engine, tried, nowMs, s -> rank(s, engine, nowMs));
+    }
+
+    /**
+     * Returns the server with the least work of those that can take a request.
+     *
+     * <p>Failure that it limits: servers ended under a request's content. If it ends the next one
+     * too, few other requests are lost with it.
+     */
+    Optional<BackendServer> quietest(
+            ImmutableList<BackendServer> servers,
+            RequestSize size,
+            Optional<EngineSpec> engine,
+            Set<ServerLife> tried,
+            long nowMs) {
+        return lowest(servers, size, engine, tried, nowMs, s -> work(s, engine, nowMs));
+    }
+
+    private Optional<BackendServer> lowest(
+            ImmutableList<BackendServer> servers,
+            RequestSize size,
+            Optional<EngineSpec> engine,
+            Set<ServerLife> tried,
+            long nowMs,
+            ToDoubleFunction<BackendServer> rank) {
         Ranking ranking = new Ranking();
         for (BackendServer server : servers) {
             if (!tried.contains(server.life()) && canTake(server, size, engine, nowMs)) {
-                ranking.offer(server, rank(server, engine, nowMs));
+                ranking.offer(server, rank.applyAsDouble(server));
             }
         }
         return ranking.best();
     }
 
+    private double work(BackendServer server, Optional<EngineSpec> engine, long nowMs) {
+        return engine.isPresent()
+                ? loads.use(server.life()).running()
+                : loads.present(server.life(), nowMs);
+    }
+
     /**
      * Returns the engines to ask for a prompt that one of them may have read before, best first.
      *
--- a/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
@@ -45,7 +45,7 @@
      * @param running requests of this router that run at the service's servers
      */
     Optional<String> refusal(int sends, int running, long nowMs) {
-        if (nowMs - plan.receivedMs() >= patienceMs()) {
+        if (isOver(nowMs)) {
             return Optional.of("no server is free");
         }
         if (standsInLine(sends) && place.isEmpty()) {
@@ -60,6 +60,11 @@
         return Optional.empty();
     }
 
+    /** Returns whether the request has waited as long as is of use. */
+    boolean isOver(long nowMs) {
+        return nowMs - plan.receivedMs() >= patienceMs();
+    }
+
     /** Leaves the line. */
     @Override
     public void close() {
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -0,0 +1,350 @@
+package org.masticweir.quarantine;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.ContentId;
+import org.masticweir.id.RouterId;
+
+/**
+ * Contents under which servers ended, by the word of all routers; owned by the traffic thread.
+ *
+ * <p>Failure that it answers: a request ends each server that begins to run it, and is submitted
+ * again and again, at any router and under new ids. What one submission has learnt is lost with it,
+ * so each of them would end as many servers as its route allows, with all that they run. Here the
+ * evidence outlives the submission. After {@link #LIMIT} servers its content is not sent any more.
+ *
+ * <p>Whoever shares it takes what {@link #takeNews} returns after each command and tells the other
+ * routers.
+ */
+public final class Quarantine {
+    /** Servers that may end under one content. */
+    public static final int LIMIT = 3;
+
+    /**
+     * Time from a run's first event within which the end of its server speaks against it, in ms. A
+     * run that lasts longer at one server is cleared.
+     */
+    public static final long TRIAL_MS = 2_000;
+
+    /** How long a trial of a router that is not heard of any more holds up the others, in ms. */
+    static final long TRIAL_LOST_MS = 10_000;
+
+    /** How long evidence below the limit is kept after the last of it, in ms. */
+    static final long SUSPECT_MS = 600_000;
+
+    /** Contents kept; some hundred bytes each. */
+    static final int MOST_CONTENTS = 4_096;
+
+    private final RouterId self;
+    private final long holdMs;
+
+    /** Least recently changed first. */
+    private final Map<ContentId, Entry> entries = new LinkedHashMap<>();
+
+    private final Set<ContentId> news = new LinkedHashSet<>();
+
+    /** What is known of one content. */
+    private static final class Entry {
+        private final Map<RouterId, Long> trialsUntilMs = new HashMap<>();
+        private CrashRecord record;
+        private long changedMs;
+        private int ownTrials;
+        private int inquiries;
+
+        Entry(CrashRecord record) {
+            this.record = record;
+        }
+
+        int count() {
+            return record.held().size();
+        }
+    }
+
+    /** What a command changed for one content. */
+    public enum Change {
+        NONE,
+        SUSPECTED,
+        QUARANTINED,
+        CLEARED
+    }
+
+    /**
+     * What other routers are told of one content.
+     *
+     * @param onTrial whether a request with it runs at the teller's word
+     * @param ageMs age of the last evidence
+     */
+    public record News(CrashRecord record, boolean onTrial, long ageMs) {
+        public News {
+            checkNotNull(record, "record");
+        }
+    }
+
+    private Quarantine(RouterId self, long holdMs) {
+        this.self = checkNotNull(self, "self");
+        this.holdMs = holdMs;
+    }
+
+    /**
+     * Returns an empty quarantine.
+     *
+     * @param holdMs time after the last evidence for which a content is not sent
+     */
+    public static Quarantine create(RouterId self, long holdMs) {
+        checkArgument(holdMs > 0, "hold of %s ms", holdMs);
+        return new Quarantine(self, holdMs);
+    }
+
+    /** Returns whether nothing is held against any content, so that no content id is needed. */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
+    /** Returns whether a request with {@code content} may be sent now. */
+    public SendRule rule(ContentId content, long nowMs) {
+        Entry entry = current(content, nowMs);
+        if (entry == null) {
+            return SendRule.FREE;
+        }
+        int count = entry.count();
+        if (count >= LIMIT) {
+            return SendRule.NEVER;
+        }
+        if (count + entry.inquiries >= LIMIT || (count > 0 && isOnTrial(entry, nowMs))) {
+            return SendRule.WAIT;
+        }
+        return count > 0 ? SendRule.APART : SendRule.FREE;
+    }
+
+    /** Returns the servers that are held against {@code content}. */
+    public ImmutableSet<ServerLife> held(ContentId content) {
+        Entry entry = entries.get(content);
+        return entry == null ? ImmutableSet.of() : entry.record.held();
+    }
+
+    /** Returns how long a quarantined content is held from now on, in ms. */
+    public long holdLeftMs(ContentId content, long nowMs) {
+        Entry entry = entries.get(content);
+        return entry == null ? 0 : Math.max(0, entry.changedMs + holdMs - nowMs);
+    }
+
+    /**
+     * This router sends a request with {@code content}; returns whether it is on trial now, until
+     * {@link #trialEnded}.
+     */
+    public boolean trialBegins(ContentId content, long nowMs) {
+        Entry entry = current(content, nowMs);
+        if (entry == null || entry.count() == 0) {
+            return false;
+        }
+        entry.ownTrials++;
+        entry.trialsUntilMs.put(self, Long.MAX_VALUE);
+        news.add(content);
+        return true;
+    }
+
+    /** A send that {@link #trialBegins} put on trial is over. */
+    public void trialEnded(ContentId content) {
+        Entry entry = entries.get(content);
+        if (entry == null || entry.ownTrials == 0) {
+            return;
+        }
+        entry.ownTrials--;
+        if (entry.ownTrials == 0) {
+            entry.trialsUntilMs.remove(self);
+            news.add(content);
+        }
+    }
+
+    /** A loss under {@code content} is looked into, until {@link #inquiryEnded}. */
+    public void inquiryBegins(ContentId content, long nowMs) {
+        entry(content, nowMs).inquiries++;
+    }
+
+    /** The cause of a loss was found; the server did not end if {@code life} is empty. */
+    public Change inquiryEnded(ContentId content, Optional<ServerLife> life, long nowMs) {
+        Entry entry = entry(content, nowMs);
+        entry.inquiries = Math.max(0, entry.inquiries - 1);
+        if (life.isPresent()) {
+            return ended(content, life.get(), nowMs);
+        }
+        dropIfBlank(content, entry);
+        return Change.NONE;
+    }
+
+    /** {@code life} ended while it began to run a request with {@code content}. */
+    public Change ended(ContentId content, ServerLife life, long nowMs) {
+        Entry entry = entry(content, nowMs);
+        return change(entry, entry.record.with(life), nowMs);
+    }
+
+    /** A request with {@code content} was run without harm. */
+    public Change ranWell(ContentId content, long nowMs) {
+        Entry entry = current(content, nowMs);
+        return entry == null || entry.count() == 0
+                ? Change.NONE
+                : change(entry, entry.record.withdrawAll(), nowMs);
+    }
+
+    /** Returns the contents against which the end of {@code life} is held. */
+    public ImmutableList<ContentId> heldFor(ServerLife life) {
+        return entries.values().stream()
+                .map(e -> e.record)
+                .filter(r -> r.held().contains(life))
+                .map(CrashRecord::content)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** {@code life} was believed to have ended under {@code content}, and answers. */
+    public Change lives(ContentId content, ServerLife life, long nowMs) {
+        Entry entry = current(content, nowMs);
+        return entry == null ? Change.NONE : change(entry, entry.record.withdraw(life), nowMs);
+    }
+
+    /** Takes what a router told; its words may come twice, late and in any order. */
+    public Change told(RouterId peer, News told, long nowMs) {
+        Entry entry = entry(told.record().content(), nowMs);
+        if (told.onTrial()) {
+            entry.trialsUntilMs.put(peer, nowMs + TRIAL_LOST_MS);
+        } else {
+            entry.trialsUntilMs.remove(peer);
+        }
+        Change change = merge(entry, told.record(), nowMs - told.ageMs());
+        dropIfBlank(told.record().content(), entry);
+        return change;
+    }
+
+    /** Takes a record that outlasted the routers, whose last evidence is of {@code ageMs} ago. */
+    public Change recalled(CrashRecord record, long ageMs, long nowMs) {
+        return merge(entry(record.content(), nowMs), record, nowMs - ageMs);
+    }
+
+    /** Forgets the trials of a router that is lost. */
+    public void forget(RouterId peer) {
+        entries.values().forEach(e -> e.trialsUntilMs.remove(peer));
+    }
+
+    /** Returns what is known of {@code content}. */
+    public Optional<CrashRecord> record(ContentId content) {
+        return Optional.ofNullable(entries.get(content)).map(e -> e.record);
+    }
+
+    /** Returns what changed here since the last call. */
+    public ImmutableList<News> takeNews(long nowMs) {
+        ImmutableList<News> taken =
+                news.stream()
+                        .filter(entries::containsKey)
+                        .map(c -> newsOf(entries.get(c), nowMs))
+                        .collect(ImmutableList.toImmutableList());
+        news.clear();
+        return taken;
+    }
+
+    /** Returns all that a router is told which knows nothing. */
+    public ImmutableList<News> all(long nowMs) {
+        return entries.values().stream()
+                .filter(e -> !e.record.ended().isEmpty())
+                .map(e -> newsOf(e, nowMs))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static News newsOf(Entry entry, long nowMs) {
+        return new News(entry.record, entry.ownTrials > 0, Math.max(0, nowMs - entry.changedMs));
+    }
+
+    /** What others told is not told to others again. */
+    private Change merge(Entry entry, CrashRecord record, long atMs) {
+        Change change = change(entry, entry.record.merge(record), atMs);
+        news.remove(record.content());
+        return change;
+    }
+
+    private Change change(Entry entry, CrashRecord record, long atMs) {
+        int before = entry.count();
+        if (record.equals(entry.record)) {
+            return Change.NONE;
+        }
+        entry.changedMs = entry.record.ended().isEmpty() ? atMs : Math.max(entry.changedMs, atMs);
+        entry.record = record;
+        entries.remove(record.content());
+        entries.put(record.content(), entry);
+        news.add(record.content());
+        int after = entry.count();
+        if (after >= LIMIT) {
+            return before < LIMIT ? Change.QUARANTINED : Change.NONE;
+        }
+        if (after > before) {
+            return Change.SUSPECTED;
+        }
+        return after == 0 && before > 0 ? Change.CLEARED : Change.NONE;
+    }
+
+    private Entry entry(ContentId content, long nowMs) {
+        Entry entry = current(content, nowMs);
+        if (entry != null) {
+            return entry;
+        }
+        makeRoom(nowMs);
+        Entry fresh = new Entry(CrashRecord.of(content));
+        fresh.changedMs = nowMs;
+        entries.put(content, fresh);
+        return fresh;
+    }
+
+    private Entry current(ContentId content, long nowMs) {
+        Entry entry = entries.get(content);
+        if (entry != null && isOver(entry, nowMs)) {
+            entries.remove(content);
+            return null;
+        }
+        return entry;
+    }
+
+    private boolean isOver(Entry entry, long nowMs) {
+        long keptMs = entry.count() >= LIMIT ? holdMs : Math.min(holdMs, SUSPECT_MS);
+        return entry.inquiries == 0 && nowMs - entry.changedMs >= keptMs;
+    }
+
+    /**
+     * Forgets what has run out, and if need be the oldest below the limit: each content costs a
+     * caller a server, so those in quarantine are the dearest to learn again.
+     */
+    private void makeRoom(long nowMs) {
+        if (entries.size() < MOST_CONTENTS) {
+            return;
+        }
+        entries.values().removeIf(e -> isOver(e, nowMs));
+        removeOldest(false);
+        removeOldest(true);
+    }
+
+    private void removeOldest(boolean quarantined) {
+        Iterator<Entry> oldest = entries.values().iterator();
+        while (entries.size() >= MOST_CONTENTS && oldest.hasNext()) {
+            if (oldest.next().count() >= LIMIT == quarantined) {
+                oldest.remove();
+            }
+        }
+    }
+
+    private void dropIfBlank(ContentId content, Entry entry) {
+        if (entry.record.ended().isEmpty() && entry.inquiries == 0) {
+            entries.remove(content);
+        }
+    }
+
+    private static boolean isOnTrial(Entry entry, long nowMs) {
+        return entry.trialsUntilMs.values().stream().anyMatch(until -> nowMs < until);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
@@ -31,7 +31,7 @@
                 .thenAccept(outcome -> then.accept(report(context.dialect(), outcome)));
     }
 
-    private static Optional<EngineReport> report(Dialect dialect, HttpOutcome outcome) {
+    static Optional<EngineReport> report(Dialect dialect, HttpOutcome outcome) {
         if (outcome instanceof HttpOutcome.Answered answered && answered.answer().isSuccess()) {
             try {
                 return Optional.of(dialect.engineReport(answered.answer().text()));
--- a/masticweir/src/main/java/org/masticweir/relay/ContentDigest.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentDigest.java
@@ -6,7 +6,6 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.util.Arrays;
-import org.masticweir.http.HttpHeaders;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.TeamId;
 
@@ -15,7 +14,8 @@
  *
  * <p>The team is part of it, so that no caller can make the work of another team look like its own.
  * The hash is one for which no two inputs with the same value can be made. Request id, deadline and
- * the last event that the caller has differ between submissions of the same work and are left out.
+ * the last event that the caller has differ between submissions of the same work and are left out;
+ * so is the port at which a router was called.
  */
 final class ContentDigest {
     private static final int ID_BYTES = 16;
@@ -26,17 +26,13 @@
         Hasher hasher = Hashing.sha256().newHasher();
         put(hasher, request.team().map(TeamId::value).orElse(""));
         put(hasher, request.method());
-        put(hasher, host(request.headers()));
+        put(hasher, request.plan().route().host());
         put(hasher, request.path());
         hasher.putBytes(request.body());
         byte[] digest = hasher.hash().asBytes();
         return ContentId.of(HashCode.fromBytes(Arrays.copyOf(digest, ID_BYTES)).toString());
     }
 
-    private static String host(HttpHeaders headers) {
-        return headers.first("Host").orElse("");
-    }
-
     /** The length goes first, so that the end of one part can't pass for the start of the next. */
     private static void put(Hasher hasher, String part) {
         byte[] bytes = part.getBytes(UTF_8);
--- a/masticweir/src/main/java/org/masticweir/relay/Dialect.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Dialect.java
@@ -32,6 +32,14 @@
      */
     HttpCall aliveCheck(BackendServer engine);
 
+    /**
+     * Returns a call to a plain server's {@code path} that no other life at its address accepts.
+     */
+    HttpCall healthCheck(BackendServer server, String path);
+
+    /** Returns whether an answer comes from another server than the one that was meant. */
+    boolean isOtherServers(int status);
+
     /**
      * Reads the answer to an {@link #aliveCheck}.
      *
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
@@ -0,0 +1,305 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.Catalog;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.forward.SendGate;
+import org.masticweir.id.ContentId;
+import org.masticweir.id.RouterId;
+import org.masticweir.metrics.MetricName;
+import org.masticweir.peer.PeerMessage;
+import org.masticweir.quarantine.CrashRecord;
+import org.masticweir.quarantine.Quarantine;
+import org.masticweir.quarantine.Quarantine.Change;
+import org.masticweir.quarantine.Quarantine.News;
+import org.masticweir.quarantine.SendRule;
+import org.masticweir.relay.RelayMessages.CrashNews;
+import org.masticweir.relay.ServerCheck.Fate;
+import org.masticweir.time.Clock;
+import org.xnio.XnioIoThread;
+
+/**
+ * Joins the quarantine with requests, servers, peers and the store; on the traffic thread.
+ *
+ * <p>A lost send speaks against its content only if its server is shown to have ended: it takes no
+ * connection right after it broke one, another life has its address, or its entry lapses.
+ */
+final class QuarantineControl implements PeerExchange.CrashListener {
+    private static final Logger LOG = LogManager.getLogger(QuarantineControl.class);
+
+    /** How long the entry of a silent server is watched, in ms: three heartbeats and more. */
+    private static final long LAPSE_MS = 10_000;
+
+    /** Servers at which losses wait for an entry to lapse. */
+    private static final int MOST_SILENT = 1_024;
+
+    private final Quarantine quarantine;
+    private final ServerCheck check;
+    private final Clock clock;
+    private final XnioIoThread thread;
+    private final Consumer<CrashRecord> keep;
+    private final Supplier<? extends Iterable<RouterId>> peers;
+    private final BiConsumer<RouterId, PeerMessage> send;
+    private final Set<Sender> underWay = new LinkedHashSet<>();
+    private final Map<ServerLife, SilentServer> silent = new HashMap<>();
+    private final Counter suspected;
+    private final Counter quarantined;
+    private final Counter cleared;
+
+    /** A request under way. */
+    interface Sender {
+        ContentId content();
+
+        /** The content was put into quarantine. */
+        void quarantined();
+    }
+
+    /** A server that fell silent, and the contents that it had begun to run. */
+    private static final class SilentServer {
+        private final Set<ContentId> contents = new HashSet<>();
+        private long untilMs;
+    }
+
+    /**
+     * Creates a control.
+     *
+     * @param keep keeps a record where it outlasts this router
+     * @param send may be called from the traffic thread
+     */
+    QuarantineControl(
+            Quarantine quarantine,
+            ServerCheck check,
+            Clock clock,
+            XnioIoThread thread,
+            MetricRegistry metrics,
+            Consumer<CrashRecord> keep,
+            Supplier<? extends Iterable<RouterId>> peers,
+            BiConsumer<RouterId, PeerMessage> send) {
+        this.quarantine = checkNotNull(quarantine, "quarantine");
+        this.check = checkNotNull(check, "check");
+        this.clock = checkNotNull(clock, "clock");
+        this.thread = checkNotNull(thread, "thread");
+        this.keep = checkNotNull(keep, "keep");
+        this.peers = checkNotNull(peers, "peers");
+        this.send = checkNotNull(send, "send");
+        suspected = metrics.counter(MetricName.of("contents_suspected_total"));
+        quarantined = metrics.counter(MetricName.of("contents_quarantined_total"));
+        cleared = metrics.counter(MetricName.of("contents_cleared_total"));
+    }
+
+    /**
+     * Returns the gate of a request; its content is worked out once something is held against any.
+     */
+    SendGate gate(Supplier<ContentId> content) {
+        return new SendGate() {
+            @Override
+            public SendRule rule(long nowMs) {
+                return quarantine.isEmpty() ? SendRule.FREE : quarantine.rule(content.get(), nowMs);
+            }
+
+            @Override
+            public OptionalLong holdLeftMs(long nowMs) {
+                return OptionalLong.of(quarantine.holdLeftMs(content.get(), nowMs));
+            }
+        };
+    }
+
+    void begins(Sender sender) {
+        underWay.add(sender);
+    }
+
+    void ended(Sender sender) {
+        underWay.remove(sender);
+    }
+
+    /** A request is sent; returns whether it is on trial. */
+    boolean trialBegins(Supplier<ContentId> content) {
+        boolean onTrial =
+                !quarantine.isEmpty() && quarantine.trialBegins(content.get(), clock.nowMs());
+        tell();
+        return onTrial;
+    }
+
+    void trialEnded(ContentId content) {
+        quarantine.trialEnded(content);
+        tell();
+    }
+
+    /** A request ran for longer than a trial lasts, or got its whole answer. */
+    void ranWell(Supplier<ContentId> content) {
+        if (!quarantine.isEmpty()) {
+            ContentId id = content.get();
+            changed(id, quarantine.ranWell(id, clock.nowMs()), "it ran without harm");
+        }
+    }
+
+    /**
+     * {@code server} was lost while it began to run a request.
+     *
+     * @param broke whether it broke the connection, so that it was reached a moment ago
+     */
+    void lost(ContentId content, BackendServer server, boolean broke, Optional<Catalog> catalog) {
+        if (server.leaving()) {
+            // A server that was to leave ends whatever it runs.
+            return;
+        }
+        quarantine.inquiryBegins(content, clock.nowMs());
+        check.ask(server, catalog, fate -> found(content, server.life(), broke, fate));
+    }
+
+    private void found(ContentId content, ServerLife life, boolean broke, Fate fate) {
+        long now = clock.nowMs();
+        boolean hasEnded = fate == Fate.ENDED || (broke && fate == Fate.UNREACHED);
+        LOG.info(
+                "quarantine: {} was lost under content {}, {}, {}",
+                life,
+                content,
+                broke ? "connection broken" : "silent",
+                fate);
+        Optional<ServerLife> against = hasEnded ? Optional.of(life) : Optional.empty();
+        changed(content, quarantine.inquiryEnded(content, against, now), life + " ended under it");
+        if (fate == Fate.LIVES) {
+            quarantine
+                    .heldFor(life)
+                    .forEach(c -> changed(c, quarantine.lives(c, life, now), life + " lives"));
+        } else if (!hasEnded) {
+            awaitLapse(content, life, now);
+        }
+    }
+
+    private void awaitLapse(ContentId content, ServerLife life, long nowMs) {
+        if (silent.size() < MOST_SILENT || silent.containsKey(life)) {
+            SilentServer server = silent.computeIfAbsent(life, l -> new SilentServer());
+            server.contents.add(content);
+            server.untilMs = nowMs + LAPSE_MS;
+        }
+    }
+
+    /** The list of servers has changed; those that fell silent and are not in it have ended. */
+    void listed(Set<ServerLife> present) {
+        long now = clock.nowMs();
+        Iterator<Map.Entry<ServerLife, SilentServer>> each = silent.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<ServerLife, SilentServer> entry = each.next();
+            boolean late = now >= entry.getValue().untilMs;
+            if (!late && present.contains(entry.getKey())) {
+                continue;
+            }
+            each.remove();
+            if (!late) {
+                ServerLife life = entry.getKey();
+                entry.getValue()
+                        .contents
+                        .forEach(
+                                c ->
+                                        changed(
+                                                c,
+                                                quarantine.ended(c, life, now),
+                                                life + " lapsed under it"));
+            }
+        }
+    }
+
+    /** A record that outlasted the routers was read. */
+    void recalled(CrashRecord record, long ageMs) {
+        ContentId content = record.content();
+        Change change = quarantine.recalled(record, ageMs, clock.nowMs());
+        log(content, change, "read from the store");
+        stopIfQuarantined(content, change);
+    }
+
+    @Override
+    public void crashes(RouterId peer, List<News> told) {
+        thread.execute(() -> told.forEach(n -> take(peer, n)));
+    }
+
+    private void take(RouterId peer, News told) {
+        ContentId content = told.record().content();
+        Change change = quarantine.told(peer, told, clock.nowMs());
+        log(content, change, "word of " + peer);
+        stopIfQuarantined(content, change);
+    }
+
+    @Override
+    public void forgetCrashes(RouterId peer) {
+        thread.execute(() -> quarantine.forget(peer));
+    }
+
+    @Override
+    public void tellCrashes(RouterId peer) {
+        thread.execute(
+                () -> {
+                    ImmutableList<News> all = quarantine.all(clock.nowMs());
+                    if (!all.isEmpty()) {
+                        send.accept(peer, new CrashNews(all));
+                    }
+                });
+    }
+
+    private void changed(ContentId content, Change change, String cause) {
+        log(content, change, cause);
+        tell();
+        if (change != Change.NONE) {
+            quarantine.record(content).ifPresent(keep);
+        }
+        stopIfQuarantined(content, change);
+    }
+
+    /** Copies of a quarantined request that its servers have just begun would end them too. */
+    private void stopIfQuarantined(ContentId content, Change change) {
+        if (change != Change.QUARANTINED) {
+            return;
+        }
+        ImmutableList.copyOf(underWay).stream()
+                .filter(s -> s.content().equals(content))
+                .forEach(Sender::quarantined);
+    }
+
+    private void tell() {
+        ImmutableList<News> news = quarantine.takeNews(clock.nowMs());
+        if (!news.isEmpty()) {
+            CrashNews message = new CrashNews(news);
+            peers.get().forEach(p -> send.accept(p, message));
+        }
+    }
+
+    private void log(ContentId content, Change change, String cause) {
+        if (change == Change.SUSPECTED) {
+            suspected.inc();
+            LOG.info("quarantine: content {} is suspect, {}", content, evidence(content, cause));
+        } else if (change == Change.QUARANTINED) {
+            quarantined.inc();
+            LOG.warn(
+                    "quarantine: content {} is not sent for {} ms, {}",
+                    content,
+                    quarantine.holdLeftMs(content, clock.nowMs()),
+                    evidence(content, cause));
+        } else if (change == Change.CLEARED) {
+            cleared.inc();
+            LOG.info("quarantine: content {} is cleared, {}", content, cause);
+        }
+    }
+
+    private String evidence(ContentId content, String cause) {
+        return cause + "; ended under it: " + quarantine.held(content);
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
@@ -0,0 +1,187 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ObjLongConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.ContentId;
+import org.masticweir.id.EngineId;
+import org.masticweir.quarantine.CrashRecord;
+import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.RowKey;
+import org.masticweir.store.Transaction;
+import org.masticweir.store.TransactionOutcome;
+import org.masticweir.time.Clock;
+
+/**
+ * Keeps crash records in the platform's store, where they outlast all routers; owned by the control
+ * thread.
+ *
+ * <p>Failure guarded against: all routers are lost at once, and with them what a content has done.
+ * A record with one server is not kept: most of those are cleared at once, and without it two more
+ * servers end at most.
+ */
+final class QuarantineRows {
+    private static final Logger LOG = LogManager.getLogger(QuarantineRows.class);
+
+    private static final String TABLE = "quarantine";
+
+    /** Servers from which on a record is kept. */
+    private static final int LEAST_SERVERS = 2;
+
+    /** Time for one call, in ms. */
+    private static final long CALL_MS = 1_000;
+
+    /** Pause before a failed call is made again, in ms. */
+    private static final long AGAIN_MS = 500;
+
+    /** Records that wait for the store; the newest of a content replaces its others. */
+    private static final int MOST_WAITING = 4_096;
+
+    private static final char SEPARATOR = ' ';
+    private static final char START = '@';
+    private static final Splitter PARTS = Splitter.on(SEPARATOR);
+
+    private final PlatformPort.Store store;
+    private final ScheduledExecutorService control;
+    private final Clock clock;
+    private final long holdMs;
+    private final Map<ContentId, CrashRecord> waiting = new LinkedHashMap<>();
+    private boolean writing;
+
+    QuarantineRows(
+            PlatformPort.Store store, ScheduledExecutorService control, Clock clock, long holdMs) {
+        this.store = checkNotNull(store, "store");
+        this.control = checkNotNull(control, "control");
+        this.clock = checkNotNull(clock, "clock");
+        this.holdMs = holdMs;
+    }
+
+    /** Reads the records that there are, and gives each with its age to {@code found}. */
+    void read(ObjLongConsumer<CrashRecord> found) {
+        store.readAll(TABLE, CALL_MS)
+                .thenAccept(
+                        outcome -> {
+                            if (outcome instanceof FeedOutcome.Rows rows) {
+                                onControl(() -> rows.changes().forEach(r -> take(r, found)));
+                            } else {
+                                again(() -> read(found), "read");
+                            }
+                        });
+    }
+
+    /** Keeps a record, or removes what was kept of one that is cleared; may be called anywhere. */
+    void keep(CrashRecord record) {
+        onControl(
+                () -> {
+                    int held = record.held().size();
+                    boolean matters = held >= LEAST_SERVERS || record.ended().size() > held;
+                    if (matters && waiting.size() < MOST_WAITING) {
+                        waiting.put(record.content(), record);
+                        write();
+                    }
+                });
+    }
+
+    private void write() {
+        if (writing || waiting.isEmpty()) {
+            return;
+        }
+        writing = true;
+        CrashRecord record = waiting.values().iterator().next();
+        store.transact(transaction(record), CALL_MS)
+                .thenAccept(outcome -> onControl(() -> written(record, outcome)));
+    }
+
+    private void written(CrashRecord record, TransactionOutcome outcome) {
+        writing = false;
+        if (outcome instanceof TransactionOutcome.Committed) {
+            waiting.remove(record.content(), record);
+            write();
+        } else {
+            again(this::write, "write");
+        }
+    }
+
+    private Transaction transaction(CrashRecord record) {
+        RowKey key = RowKey.of(TABLE, record.content().value());
+        return record.held().isEmpty()
+                ? Transaction.builder().delete(key).build()
+                : Transaction.builder().put(key, text(record)).build();
+    }
+
+    private String text(CrashRecord record) {
+        StringBuilder text = new StringBuilder(Long.toString(clock.wallMs()));
+        for (ServerLife life : record.held()) {
+            text.append(SEPARATOR).append(life.id()).append(START).append(life.startedMs());
+        }
+        return text.toString();
+    }
+
+    private void take(FeedOutcome.Change row, ObjLongConsumer<CrashRecord> found) {
+        if (row.removed()) {
+            return;
+        }
+        try {
+            List<String> parts = PARTS.splitToList(row.value().orElse(""));
+            checkArgument(parts.size() >= 2, "no time and server");
+            long ageMs = Math.max(0, clock.wallMs() - Long.parseLong(parts.get(0)));
+            ImmutableSet<ServerLife> lives =
+                    parts.subList(1, parts.size()).stream()
+                            .limit(CrashRecord.MOST_LIVES)
+                            .map(QuarantineRows::life)
+                            .collect(ImmutableSet.toImmutableSet());
+            if (ageMs < holdMs) {
+                found.accept(
+                        new CrashRecord(ContentId.of(row.key().key()), lives, ImmutableSet.of()),
+                        ageMs);
+            } else {
+                remove(row.key());
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.warn("quarantine: row {} is not understood, {}", row.key(), e.getMessage());
+        }
+    }
+
+    /** Another router that starts removes it if this call is lost. */
+    private void remove(RowKey key) {
+        store.transact(Transaction.builder().delete(key).build(), CALL_MS)
+                .thenAccept(
+                        outcome -> LOG.info("quarantine: row {} has run out, {}", key, outcome));
+    }
+
+    private static ServerLife life(String text) {
+        int at = text.lastIndexOf(START);
+        checkArgument(at > 0, "%s is no server", text);
+        return ServerLife.of(
+                EngineId.of(text.substring(0, at)), Long.parseLong(text.substring(at + 1)));
+    }
+
+    private void again(Runnable step, String what) {
+        LOG.info("quarantine: the store could not be reached to {}, it is tried again", what);
+        try {
+            control.schedule(step, AGAIN_MS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("quarantine: the router has stopped");
+        }
+    }
+
+    private void onControl(Runnable step) {
+        try {
+            control.execute(step);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("quarantine: the router has stopped");
+        }
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -32,6 +32,7 @@
         ServerHealth health,
         Placement placement,
         RepeatGate repeats,
+        QuarantineControl quarantine,
         WaitingLine line,
         SilenceBounds silence,
         StreamPace pace,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -1,13 +1,16 @@
 package org.masticweir.relay;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Set;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.forward.ServerUse;
 import org.masticweir.http.IpAddress;
+import org.masticweir.id.ContentId;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
@@ -15,6 +18,8 @@
 import org.masticweir.peer.FieldsCodec;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.peer.PeerMessage;
+import org.masticweir.quarantine.CrashRecord;
+import org.masticweir.quarantine.Quarantine;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -28,9 +33,13 @@
     private static final int USE_NEWS = 101;
     private static final int FAILURE_NEWS = 102;
     private static final int SERVERS_ASK = 103;
+    private static final int CRASH_NEWS = 104;
 
     private static final int MAX_ID_BYTES = 256;
     private static final int USE_FIELDS = 6;
+    private static final int CRASH_FIELDS = 5;
+    private static final int LIFE_FIELDS = 2;
+    private static final int MAX_CONTENTS = 16_384;
     private static final int MAX_SERVERS = 16_384;
     private static final int MAX_CATALOG_BYTES = 4 << 20;
 
@@ -95,6 +104,13 @@
     /** A server failed at the sender, or is gone for good. */
     record FailureNews(ServerLife server, boolean gone) implements PeerMessage {}
 
+    /** Which servers ended under which contents, as the sender knows. */
+    record CrashNews(List<Quarantine.News> contents) implements PeerMessage {
+        CrashNews {
+            contents = ImmutableList.copyOf(contents);
+        }
+    }
+
     static List<MessageCodec<?>> codecs() {
         return ImmutableList.<MessageCodec<?>>builder()
                 .addAll(ofRoutersAndUse())
@@ -165,7 +181,13 @@
                         FailureNews.class,
                         3,
                         (m, out) -> encodeLife(m.server(), out).packBoolean(m.gone()),
-                        f -> new FailureNews(life(f), f.bool())));
+                        f -> new FailureNews(life(f), f.bool())),
+                FieldsCodec.of(
+                        CRASH_NEWS,
+                        CrashNews.class,
+                        1,
+                        RelayMessages::encodeCrashes,
+                        f -> new CrashNews(f.list(MAX_CONTENTS, RelayMessages::crashes))));
     }
 
     private static void encodeRouter(RouterAt router, MessagePacker out) throws IOException {
@@ -217,4 +239,40 @@
                     life(f), new ServerUse(f.int32(), f.int32(), f.int64(), f.int64()));
         }
     }
+
+    private static void encodeCrashes(CrashNews news, MessagePacker out) throws IOException {
+        out.packArrayHeader(news.contents().size());
+        for (Quarantine.News content : news.contents()) {
+            CrashRecord record = content.record();
+            out.packArrayHeader(CRASH_FIELDS).packString(record.content().value());
+            encodeLives(record.ended(), out);
+            encodeLives(record.withdrawn(), out);
+            out.packBoolean(content.onTrial()).packLong(content.ageMs());
+        }
+    }
+
+    private static void encodeLives(Set<ServerLife> lives, MessagePacker out) throws IOException {
+        out.packArrayHeader(lives.size());
+        for (ServerLife life : lives) {
+            encodeLife(life, out.packArrayHeader(LIFE_FIELDS));
+        }
+    }
+
+    private static Quarantine.News crashes(MessageUnpacker in) throws IOException {
+        try (Fields f = Fields.open(in, CRASH_FIELDS)) {
+            CrashRecord record =
+                    new CrashRecord(ContentId.of(f.text(MAX_ID_BYTES)), lives(f), lives(f));
+            return new Quarantine.News(record, f.bool(), Math.max(0, f.int64()));
+        }
+    }
+
+    private static ImmutableSet<ServerLife> lives(Fields f) throws IOException {
+        return ImmutableSet.copyOf(f.list(CrashRecord.MOST_LIVES, RelayMessages::listedLife));
+    }
+
+    private static ServerLife listedLife(MessageUnpacker in) throws IOException {
+        try (Fields f = Fields.open(in, LIFE_FIELDS)) {
+            return life(f);
+        }
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -49,7 +49,9 @@
         REFUSED,
         BROKE_OFF,
         SILENT,
-        NOT_REACHED
+        NOT_REACHED,
+        /** This router left it, as its content went into quarantine. */
+        STOPPED
     }
 
     /** Returns the counts of one request. */
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -37,6 +37,7 @@
 import org.masticweir.peer.LinkSettings;
 import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
+import org.masticweir.quarantine.Quarantine;
 import org.masticweir.relay.RelayMessages.RouterAt;
 import org.masticweir.time.Clock;
 import org.xnio.OptionMap;
@@ -98,6 +99,8 @@
     private final StoreSharing sharing;
     private final TableFollower catalogFollower;
     private final TableFollower serverFollower;
+    private final QuarantineRows quarantineRows;
+    private final QuarantineControl quarantine;
     private final PeerExchange peers;
     private final RelayShutdown shutdown;
     private final RelayPorts ports;
@@ -131,15 +134,9 @@
         sharing = new StoreSharing(links, routers, deployment, reading, this::toldUpTo, control);
         catalogFollower = catalogFollower();
         serverFollower = serverFollower();
-        UseSharing uses =
-                new UseSharing(
-                        thread,
-                        loads,
-                        health,
-                        life -> view.server(life),
-                        clock,
-                        directory::known,
-                        links::send);
+        UseSharing uses = useSharing();
+        quarantineRows = new QuarantineRows(store, control, clock, settings.quarantineMs());
+        quarantine = quarantineControl();
         peers =
                 new PeerExchange(
                         links,
@@ -148,6 +145,7 @@
                         control,
                         directory,
                         uses,
+                        quarantine,
                         sharing,
                         reading,
                         metrics.counter(MetricName.of("peer_links_up")));
@@ -192,6 +190,8 @@
         links.start();
         control.execute(() -> reading.follow(catalogFollower, serverFollower));
         directory.join(peers::learn);
+        quarantineRows.read(
+                (record, ageMs) -> thread.execute(() -> quarantine.recalled(record, ageMs)));
         control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         callersPort.openWhenReady();
         LOG.info("router: {} in {} has started", settings.router(), settings.domain());
@@ -229,6 +229,29 @@
                 clock);
     }
 
+    private UseSharing useSharing() {
+        return new UseSharing(
+                thread,
+                loads,
+                health,
+                life -> view.server(life),
+                clock,
+                directory::known,
+                links::send);
+    }
+
+    private QuarantineControl quarantineControl() {
+        return new QuarantineControl(
+                Quarantine.create(settings.router(), settings.quarantineMs()),
+                new ServerCheck(calls, platform.dialect()),
+                clock,
+                thread,
+                metrics,
+                quarantineRows::keep,
+                directory::known,
+                links::send);
+    }
+
     private void toldUpTo(long revision) {
         reading.told(serverFollower, revision);
     }
@@ -243,6 +266,7 @@
                 () -> {
                     loads.retain(present);
                     health.listed(present, clock.nowMs());
+                    quarantine.listed(present);
                 });
     }
 
@@ -260,6 +284,7 @@
                 health,
                 Placement.create(loads, health, settings.domain(), random),
                 repeats,
+                quarantine,
                 WaitingLine.create(),
                 SilenceBounds.create(),
                 StreamPace.create(),
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -18,6 +18,7 @@
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpHead;
 import org.masticweir.id.ContentId;
+import org.masticweir.quarantine.Quarantine;
 import org.masticweir.relay.RelayMetrics.SendEnd;
 import org.xnio.XnioExecutor;
 
@@ -27,7 +28,7 @@
  * <p>It carries out what its {@link Course} decides, and owns the request's timers, its connection
  * to a server and its entry on the load board.
  */
-final class RelayRun {
+final class RelayRun implements QuarantineControl.Sender {
     private final RelayContext context;
     private final RequestPlan plan;
     private final RelayRequest request;
@@ -47,6 +48,9 @@
     private long firstEventMs;
     private long lastEventMs;
     private int eventsOfSend;
+    private long sendBeganMs;
+    private boolean onTrial;
+    private boolean ranWell;
     private boolean resuming;
     private boolean over;
 
@@ -74,6 +78,7 @@
                         context.placement(),
                         context.health(),
                         context.repeats(),
+                        context.quarantine().gate(content),
                         context.line(),
                         context.random());
         answer = new CallerAnswer(exchange, this::callerLeft);
@@ -81,6 +86,7 @@
     }
 
     void start() {
+        context.quarantine().begins(this);
         take(course.next(now()));
     }
 
@@ -115,6 +121,8 @@
     private void send(Step.Send next) {
         sendNumber++;
         eventsOfSend = 0;
+        ranWell = false;
+        onTrial = context.quarantine().trialBegins(content);
         int number = sendNumber;
         log.goes(next, number);
         context.metrics().sent(next.server(), sendNumber);
@@ -197,6 +205,7 @@
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
         sendLost(server, SendEnd.SILENT, reason, silence.sentMs());
+        holdAgainstContent(server, false);
         resuming = answer.isStreaming();
         leaveServer();
         take(course.lost(server, now()));
@@ -220,6 +229,30 @@
         context.metrics().sendEnded(server, end);
     }
 
+    /** A server that ends long after a request began did not end because of it. */
+    private void holdAgainstContent(BackendServer server, boolean broke) {
+        if (justBegun()) {
+            context.quarantine().lost(content.get(), server, broke, context.view().get().catalog());
+        }
+    }
+
+    private boolean justBegun() {
+        return eventsOfSend == 0 || now() - sendBeganMs < Quarantine.TRIAL_MS;
+    }
+
+    @Override
+    public ContentId content() {
+        return content.get();
+    }
+
+    @Override
+    public void quarantined() {
+        if (!over && silence != null && justBegun()) {
+            sendEnded(silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
+            end(course.quarantined(now()));
+        }
+    }
+
     /** A send ended that has not run. */
     private void sendEnded(BackendServer server, SendEnd end, String what, long sentMs) {
         log.at(server, what, sentMs);
@@ -227,6 +260,10 @@
     }
 
     private void leaveServer() {
+        if (onTrial) {
+            onTrial = false;
+            context.quarantine().trialEnded(content.get());
+        }
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
         silence = null;
@@ -263,6 +300,7 @@
     private void finish() {
         over = true;
         course.close();
+        context.quarantine().ended(this);
         leaveServer();
         watch.stop();
         ended.run();
@@ -313,7 +351,14 @@
                             && id.getAsLong() <= course.lastEvent().getAsLong();
             long now = now();
             context.health().answered(sent.server().life(), now);
+            if (eventsOfSend == 0) {
+                sendBeganMs = now;
+            }
             eventsOfSend++;
+            if (!ranWell && !justBegun()) {
+                ranWell = true;
+                context.quarantine().ranWell(content);
+            }
             if (silence.heard(now)) {
                 ticket.ifPresent(LoadTicket::read);
                 context.loadsChanged().run();
@@ -342,6 +387,7 @@
             }
             metrics.answered(now() - plan.receivedMs());
             context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
+            context.quarantine().ranWell(content);
             log.answered("last event " + RequestLog.text(course.lastEvent()), course.sends());
             if (answer.isStreaming()) {
                 context.pace()
@@ -363,6 +409,7 @@
                 return;
             }
             heardOf(word);
+            context.quarantine().ranWell(content);
             context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
             boolean failed = head.status() >= 500;
             leaveServer();
@@ -417,6 +464,7 @@
             resuming = answer.isStreaming();
             leaveServer();
             sendLost(sent.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
+            holdAgainstContent(sent.server(), true);
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -32,6 +32,7 @@
  * @param retryShare repeats allowed for a request over all routers
  * @param retryAllowance repeats allowed beyond that in ten seconds over all routers; the platform
  *     scales it with the deployment, so it may have a fraction
+ * @param quarantineMs how long a request that ends its servers is not sent after the last of them
  * @param graceMs time between the order to leave and the end of the process
  */
 public record RelaySettings(
@@ -44,6 +45,7 @@
         InetSocketAddress store,
         double retryShare,
         double retryAllowance,
+        long quarantineMs,
         long graceMs,
         LogLevel logLevel) {
     /** The longest file read, in characters. */
@@ -53,6 +55,9 @@
     private static final double MAX_SHARE = 10;
     private static final double MAX_ALLOWANCE = 1_000_000;
     private static final int MAX_GRACE_S = 600;
+    private static final int MIN_QUARANTINE_S = 60;
+    private static final int MAX_QUARANTINE_S = 604_800;
+    private static final int QUARANTINE_S = 3_600;
     private static final double MS_A_SECOND = 1_000;
 
     private static final ImmutableSet<String> SECTIONS =
@@ -64,6 +69,7 @@
                     "metrics",
                     "store",
                     "retries",
+                    "quarantine",
                     "shutdown",
                     "log");
 
@@ -134,6 +140,12 @@
             double graceS =
                     section("shutdown", "grace_s")
                             .required("grace_s", ValueRule.decimal(0, MAX_GRACE_S));
+            double holdS =
+                    section("quarantine", "hold_s")
+                            .optional(
+                                    "hold_s",
+                                    ValueRule.decimal(MIN_QUARANTINE_S, MAX_QUARANTINE_S),
+                                    (double) QUARANTINE_S);
             return new RelaySettings(
                     router.required("id", ValueRule.id(RouterId::of)),
                     router.required("domain", ValueRule.id(DomainId::of)),
@@ -144,6 +156,7 @@
                     section("store", "address").required("address", ADDRESS),
                     retries.required("share", ValueRule.decimal(0, MAX_SHARE)),
                     retries.required("allowance", ValueRule.decimal(0, MAX_ALLOWANCE)),
+                    Math.round(holdS * MS_A_SECOND),
                     Math.round(graceS * MS_A_SECOND),
                     section("log", "level")
                             .optional("level", ValueRule.enumOf(LogLevel.class), LogLevel.INFO));
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -73,12 +73,17 @@
     }
 
     Course course(RequestPlan plan) {
+        return course(plan, SendGate.open());
+    }
+
+    Course course(RequestPlan plan, SendGate gate) {
         return Course.of(
                 plan,
                 () -> ImmutableList.copyOf(servers),
                 placement,
                 health,
                 repeats,
+                gate,
                 line,
                 new SplittableRandom(3));
     }
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineTest.java
@@ -0,0 +1,229 @@
+package org.masticweir.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.ContentId;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.RouterId;
+import org.masticweir.quarantine.Quarantine.Change;
+import org.masticweir.quarantine.Quarantine.News;
+
+/** When a content is not sent any more, and what clears it. */
+class QuarantineTest {
+    private static final long HOLD_MS = 3_600_000;
+    private static final ContentId LETTER = ContentId.of("letter");
+    private static final RouterId PEER = RouterId.of("r2");
+
+    private final Quarantine quarantine = Quarantine.create(RouterId.of("r1"), HOLD_MS);
+
+    private static ServerLife life(int number) {
+        return ServerLife.of(EngineId.of("i-" + number), 1_000 + number);
+    }
+
+    private void endThree(long nowMs) {
+        for (int i = 0; i < Quarantine.LIMIT; i++) {
+            quarantine.ended(LETTER, life(i), nowMs);
+        }
+    }
+
+    private SendRule rule(long nowMs) {
+        return quarantine.rule(LETTER, nowMs);
+    }
+
+    /** Evidence and the limit. */
+    @Nested
+    class Evidence {
+        @Test
+        void contentIsNotSentAfterTheLimit() {
+            assertEquals(SendRule.FREE, rule(0));
+            assertEquals(Change.SUSPECTED, quarantine.ended(LETTER, life(1), 0));
+            assertEquals(SendRule.APART, rule(0));
+            assertEquals(Change.SUSPECTED, quarantine.ended(LETTER, life(2), 0));
+            assertEquals(Change.QUARANTINED, quarantine.ended(LETTER, life(3), 0));
+            assertEquals(SendRule.NEVER, rule(0));
+        }
+
+        /** Two routers had the same letter at one engine, and each lost it there. */
+        @Test
+        void serverCountsOnceWhoeverLostIt() {
+            quarantine.ended(LETTER, life(1), 0);
+            News sameServer = new News(CrashRecord.of(LETTER).with(life(1)), false, 0);
+            assertEquals(Change.NONE, quarantine.told(PEER, sameServer, 0));
+            assertEquals(Change.NONE, quarantine.ended(LETTER, life(1), 0));
+            assertEquals(1, quarantine.held(LETTER).size());
+        }
+
+        /** A server that starts again under its id and ends again has ended twice. */
+        @Test
+        void eachLifeOfAServerCounts() {
+            for (int start = 1; start <= Quarantine.LIMIT; start++) {
+                quarantine.ended(LETTER, ServerLife.of(EngineId.of("i-1"), start), 0);
+            }
+            assertEquals(SendRule.NEVER, rule(0));
+        }
+
+        /** A fourth server ends while it is still being found out that the third one did. */
+        @Test
+        void lossThatMayDecideIsWaitedFor() {
+            quarantine.ended(LETTER, life(1), 0);
+            quarantine.ended(LETTER, life(2), 0);
+            quarantine.inquiryBegins(LETTER, 0);
+            assertEquals(SendRule.WAIT, rule(0));
+            quarantine.inquiryEnded(LETTER, Optional.of(life(3)), 1);
+            assertEquals(SendRule.NEVER, rule(1));
+        }
+
+        @Test
+        void lossWithoutAnEndLeavesNothingBehind() {
+            quarantine.inquiryBegins(LETTER, 0);
+            quarantine.inquiryEnded(LETTER, Optional.empty(), 1);
+            assertTrue(quarantine.isEmpty());
+        }
+    }
+
+    /** A household's letter was unlucky three times; its caller must get it all the same. */
+    @Nested
+    class Clearing {
+        @Test
+        void runWithoutHarmClearsWhatWasBefore() {
+            quarantine.ended(LETTER, life(1), 0);
+            quarantine.ended(LETTER, life(2), 0);
+            assertEquals(Change.CLEARED, quarantine.ranWell(LETTER, 10));
+            assertEquals(SendRule.FREE, rule(10));
+            assertEquals(Change.SUSPECTED, quarantine.ended(LETTER, life(3), 20));
+            assertEquals(1, quarantine.held(LETTER).size());
+        }
+
+        /** Word of an old loss comes after the word that cleared it. */
+        @Test
+        void lateWordDoesNotUndoIt() {
+            quarantine.ended(LETTER, life(1), 0);
+            quarantine.ranWell(LETTER, 10);
+            News late = new News(CrashRecord.of(LETTER).with(life(1)), false, 20);
+            quarantine.told(PEER, late, 30);
+            assertEquals(SendRule.FREE, rule(30));
+        }
+
+        /** A connection limit was taken for the end of a server, which then answered. */
+        @Test
+        void serverThatAnswersIsNotHeldAgainstAnyContent() {
+            quarantine.ended(LETTER, life(1), 0);
+            assertEquals(ImmutableList.of(LETTER), quarantine.heldFor(life(1)));
+            assertEquals(Change.CLEARED, quarantine.lives(LETTER, life(1), 5));
+        }
+
+        @Test
+        void quarantineEndsWithItsHold() {
+            endThree(0);
+            assertEquals(HOLD_MS - 1_000, quarantine.holdLeftMs(LETTER, 1_000));
+            assertEquals(SendRule.NEVER, rule(HOLD_MS - 1));
+            assertEquals(SendRule.FREE, rule(HOLD_MS));
+        }
+
+        /** Routers told each other of an old content for ever. */
+        @Test
+        void wordOfAnotherRouterDoesNotProlongTheHold() {
+            endThree(0);
+            News same = quarantine.all(1_800_000).get(0);
+            Quarantine other = Quarantine.create(PEER, HOLD_MS);
+            other.told(RouterId.of("r1"), same, 1_800_000);
+            assertEquals(1_800_000, other.holdLeftMs(LETTER, 1_800_000));
+        }
+    }
+
+    /** Twenty copies of one letter, sent at one moment. */
+    @Nested
+    class Trials {
+        @Test
+        void oneCopyRunsAtATime() {
+            quarantine.ended(LETTER, life(1), 0);
+            assertTrue(quarantine.trialBegins(LETTER, 1));
+            assertEquals(SendRule.WAIT, rule(2));
+            quarantine.trialEnded(LETTER);
+            assertEquals(SendRule.APART, rule(3));
+        }
+
+        @Test
+        void trialOfAnotherRouterIsWaitedForUntilItIsLost() {
+            CrashRecord record = CrashRecord.of(LETTER).with(life(1));
+            quarantine.told(PEER, new News(record, true, 0), 0);
+            assertEquals(SendRule.WAIT, rule(1));
+            assertEquals(SendRule.APART, rule(Quarantine.TRIAL_LOST_MS));
+            quarantine.told(PEER, new News(record, true, 0), 20_000);
+            quarantine.forget(PEER);
+            assertEquals(SendRule.APART, rule(20_001));
+        }
+
+        @Test
+        void contentThatNothingIsHeldAgainstIsNotOnTrial() {
+            assertFalse(quarantine.trialBegins(LETTER, 0));
+        }
+    }
+
+    /** What routers tell each other. */
+    @Nested
+    class Words {
+        @Test
+        void areTakenOnceAndNotToldOn() {
+            quarantine.ended(LETTER, life(1), 0);
+            assertEquals(1, quarantine.takeNews(0).size());
+            assertEquals(0, quarantine.takeNews(0).size());
+            CrashRecord told = CrashRecord.of(LETTER).with(life(2));
+            assertEquals(Change.SUSPECTED, quarantine.told(PEER, new News(told, false, 0), 0));
+            assertEquals(0, quarantine.takeNews(0).size());
+        }
+
+        /** Words are lost, doubled and come in any order: all routers still agree in the end. */
+        @Test
+        void leadToTheSameInAnyOrder() {
+            for (int seed = 0; seed < 200; seed++) {
+                Random random = new Random(seed);
+                List<News> words = new ArrayList<>();
+                CrashRecord record = CrashRecord.of(LETTER);
+                for (int i = 0; i < 6; i++) {
+                    record = random.nextInt(4) == 0 ? record.withdrawAll() : record.with(life(i));
+                    words.add(new News(record, false, 0));
+                    words.add(new News(CrashRecord.of(LETTER).with(life(i)), false, 0));
+                }
+                Quarantine one = quarantineOf(words, random);
+                Quarantine other = quarantineOf(words, random);
+                assertEquals(one.record(LETTER), other.record(LETTER), "seed " + seed);
+            }
+        }
+
+        private Quarantine quarantineOf(List<News> words, Random random) {
+            List<News> shuffled = new ArrayList<>(words);
+            shuffled.addAll(words.subList(0, random.nextInt(words.size())));
+            Collections.shuffle(shuffled, random);
+            Quarantine heard = Quarantine.create(RouterId.of("r3"), HOLD_MS);
+            shuffled.forEach(w -> heard.told(PEER, w, 0));
+            return heard;
+        }
+    }
+
+    /** A caller makes thousands of contents that each end a server. */
+    @Nested
+    class Bounds {
+        @Test
+        void oldestBelowTheLimitAreForgottenFirst() {
+            endThree(0);
+            for (int i = 0; i < Quarantine.MOST_CONTENTS; i++) {
+                quarantine.ended(ContentId.of("c" + i), life(i), 1);
+            }
+            assertEquals(SendRule.NEVER, rule(2));
+            assertEquals(SendRule.FREE, quarantine.rule(ContentId.of("c0"), 2));
+            assertEquals(Quarantine.MOST_CONTENTS, quarantine.all(2).size());
+        }
+    }
+}
