--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -240,6 +240,11 @@
         return Optional.ofNullable(entries.get(content)).map(e -> e.record);
     }
 
+    /** Returns whether there is something to tell. */
+    public boolean hasNews() {
+        return !news.isEmpty();
+    }
+
     /** Returns what changed here since the last call. */
     public ImmutableList<News> takeNews(long nowMs) {
         ImmutableList<News> taken =
--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -52,6 +53,9 @@
     /** Servers at which losses wait for an entry to lapse. */
     private static final int MOST_SILENT = 1_024;
 
+    /** How long changes are gathered, in ms; short beside the start of a run. */
+    private static final long GATHER_MS = 5;
+
     private final Quarantine quarantine;
     private final ServerCheck check;
     private final Clock clock;
@@ -64,6 +68,7 @@
     private final Counter suspected;
     private final Counter quarantined;
     private final Counter cleared;
+    private boolean gathering;
 
     /** A request under way. */
     interface Sender {
@@ -235,7 +240,12 @@
     private void take(RouterId peer, News told) {
         ContentId content = told.record().content();
         Change change = quarantine.told(peer, told, clock.nowMs());
-        log(content, change, "word of " + peer);
+        if (change == Change.QUARANTINED) {
+            log(content, change, "word of " + peer);
+        } else if (change != Change.NONE) {
+            // The router that found it out has written it at a higher level.
+            LOG.debug("quarantine: content {} is {}, word of {}", content, change, peer);
+        }
         stopIfQuarantined(content, change);
     }
 
@@ -274,7 +284,16 @@
                 .forEach(Sender::quarantined);
     }
 
+    /** What changes within a few milliseconds goes out together: a server ends under several. */
     private void tell() {
+        if (!gathering && quarantine.hasNews()) {
+            gathering = true;
+            thread.executeAfter(this::tellNow, GATHER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void tellNow() {
+        gathering = false;
         ImmutableList<News> news = quarantine.takeNews(clock.nowMs());
         if (!news.isEmpty()) {
             CrashNews message = new CrashNews(news);
