quarantine: servers that end together count once, and copies that run on speak for their content

Cause: many callers may have one content. A domain that loses its servers at one moment would have put it into quarantine for all. Change: a loss carries when its request was sent and when its server ended; it counts if it was sent after the last one that counts had ended. A peer's word no longer takes away news that are still to be told.

--- a/masticweir/src/main/java/org/masticweir/quarantine/CrashRecord.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/CrashRecord.java
@@ -3,60 +3,113 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.ContentId;
 
 /**
  * Which servers ended under requests with one content, as far as is known; immutable.
  *
- * <p>Both sets only ever grow, so records of several routers can be merged in any order and as
+ * <p>Lives are only ever added, so records of several routers can be merged in any order and as
  * often as they come, and a server counts once whoever lost it.
  *
- * @param ended lives that ended while they began to run the content
- * @param withdrawn those of them that are not held against it any more
+ * @param losses one for each life that ended while it began to run the content
+ * @param withdrawn lives that are not held against it any more
  */
 public record CrashRecord(
-        ContentId content, ImmutableSet<ServerLife> ended, ImmutableSet<ServerLife> withdrawn) {
-    /** Lives kept in each set; more than are ever counted. */
+        ContentId content, ImmutableList<Loss> losses, ImmutableSet<ServerLife> withdrawn) {
+    /** Lives kept in each list; more than are ever counted. */
     public static final int MOST_LIVES = 32;
 
     public CrashRecord {
         checkNotNull(content, "content");
-        checkArgument(ended.size() <= MOST_LIVES, "%s lives", ended.size());
+        checkArgument(losses.size() <= MOST_LIVES, "%s losses", losses.size());
         checkArgument(withdrawn.size() <= MOST_LIVES, "%s withdrawn lives", withdrawn.size());
     }
 
     /** Returns the record of a content under which no server has ended. */
     public static CrashRecord of(ContentId content) {
-        return new CrashRecord(content, ImmutableSet.of(), ImmutableSet.of());
+        return new CrashRecord(content, ImmutableList.of(), ImmutableSet.of());
     }
 
-    /** Returns the lives that are held against the content. */
-    public ImmutableSet<ServerLife> held() {
-        return Sets.difference(ended, withdrawn).immutableCopy();
+    /** Returns the losses that are held against the content, in their order. */
+    public ImmutableList<Loss> held() {
+        return losses.stream()
+                .filter(l -> !withdrawn.contains(l.life()))
+                .sorted(Comparator.comparingLong(Loss::endedMs))
+                .collect(ImmutableList.toImmutableList());
     }
 
-    CrashRecord with(ServerLife life) {
-        return new CrashRecord(content, union(ended, ImmutableSet.of(life)), withdrawn);
+    /**
+     * Returns how often the content has ended a server.
+     *
+     * <p>Failure guarded against: many callers have one content, a domain loses its servers, and
+     * all of those that had begun to run it end at one moment. Of servers to which it was sent
+     * before the first of them ended only one counts, as they may have had another cause in common.
+     */
+    public int ends() {
+        int ends = 0;
+        Optional<Loss> last = Optional.empty();
+        for (Loss loss : held()) {
+            if (last.isEmpty() || loss.follows(last.get())) {
+                ends++;
+                last = Optional.of(loss);
+            }
+        }
+        return ends;
+    }
+
+    boolean isBlank() {
+        return losses.isEmpty();
+    }
+
+    Optional<Loss> last() {
+        return losses.stream().max(Comparator.comparingLong(Loss::endedMs));
+    }
+
+    CrashRecord with(Loss loss) {
+        return new CrashRecord(content, union(losses, ImmutableList.of(loss)), withdrawn);
     }
 
     CrashRecord withdraw(ServerLife life) {
-        return new CrashRecord(content, ended, union(withdrawn, ImmutableSet.of(life)));
+        return new CrashRecord(content, losses, union(withdrawn, ImmutableSet.of(life)));
     }
 
     CrashRecord withdrawAll() {
-        return new CrashRecord(content, ended, union(withdrawn, ended));
+        Set<ServerLife> all =
+                losses.stream().map(Loss::life).collect(ImmutableSet.toImmutableSet());
+        return new CrashRecord(content, losses, union(withdrawn, all));
     }
 
     CrashRecord merge(CrashRecord other) {
         return new CrashRecord(
-                content, union(ended, other.ended), union(withdrawn, other.withdrawn));
+                content, union(losses, other.losses), union(withdrawn, other.withdrawn));
+    }
+
+    /** Returns the same record by a clock that is {@code ms} ahead. */
+    public CrashRecord shifted(long ms) {
+        return new CrashRecord(
+                content,
+                losses.stream().map(l -> l.shifted(ms)).collect(ImmutableList.toImmutableList()),
+                withdrawn);
+    }
+
+    private static ImmutableList<Loss> union(List<Loss> some, List<Loss> others) {
+        Map<ServerLife, Loss> byLife = new LinkedHashMap<>();
+        some.forEach(l -> byLife.put(l.life(), l));
+        others.forEach(l -> byLife.merge(l.life(), l, Loss::or));
+        return byLife.values().stream().limit(MOST_LIVES).collect(ImmutableList.toImmutableList());
     }
 
-    private static ImmutableSet<ServerLife> union(
-            ImmutableSet<ServerLife> some, ImmutableSet<ServerLife> others) {
+    private static ImmutableSet<ServerLife> union(Set<ServerLife> some, Set<ServerLife> others) {
         return Sets.union(some, others).stream()
                 .limit(MOST_LIVES)
                 .collect(ImmutableSet.toImmutableSet());
--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -4,7 +4,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -28,7 +27,7 @@
  * routers.
  */
 public final class Quarantine {
-    /** Servers that may end under one content. */
+    /** How often a content may end a server. */
     public static final int LIMIT = 3;
 
     /**
@@ -58,7 +57,7 @@
     private static final class Entry {
         private final Map<RouterId, Long> trialsUntilMs = new HashMap<>();
         private CrashRecord record;
-        private long changedMs;
+        private long sinceMs;
         private int ownTrials;
         private int inquiries;
 
@@ -66,8 +65,13 @@
             this.record = record;
         }
 
+        /** Returns when the last evidence was had. */
+        long evidenceMs() {
+            return record.last().map(Loss::endedMs).orElse(sinceMs);
+        }
+
         int count() {
-            return record.held().size();
+            return record.ends();
         }
     }
 
@@ -82,10 +86,10 @@
     /**
      * What other routers are told of one content.
      *
-     * @param onTrial whether a request with it runs at the teller's word
-     * @param ageMs age of the last evidence
+     * @param record with times as they lie from the moment of telling, which is 0
+     * @param onTrial whether the teller has a request with it on trial
      */
-    public record News(CrashRecord record, boolean onTrial, long ageMs) {
+    public record News(CrashRecord record, boolean onTrial) {
         public News {
             checkNotNull(record, "record");
         }
@@ -127,16 +131,16 @@
         return count > 0 ? SendRule.APART : SendRule.FREE;
     }
 
-    /** Returns the servers that are held against {@code content}. */
-    public ImmutableSet<ServerLife> held(ContentId content) {
+    /** Returns what is held against {@code content}. */
+    public ImmutableList<Loss> held(ContentId content) {
         Entry entry = entries.get(content);
-        return entry == null ? ImmutableSet.of() : entry.record.held();
+        return entry == null ? ImmutableList.of() : entry.record.held();
     }
 
     /** Returns how long a quarantined content is held from now on, in ms. */
     public long holdLeftMs(ContentId content, long nowMs) {
         Entry entry = entries.get(content);
-        return entry == null ? 0 : Math.max(0, entry.changedMs + holdMs - nowMs);
+        return entry == null ? 0 : Math.max(0, entry.evidenceMs() + holdMs - nowMs);
     }
 
     /**
@@ -172,21 +176,21 @@
         entry(content, nowMs).inquiries++;
     }
 
-    /** The cause of a loss was found; the server did not end if {@code life} is empty. */
-    public Change inquiryEnded(ContentId content, Optional<ServerLife> life, long nowMs) {
+    /** The cause of a loss was found; the server did not end if {@code loss} is empty. */
+    public Change inquiryEnded(ContentId content, Optional<Loss> loss, long nowMs) {
         Entry entry = entry(content, nowMs);
         entry.inquiries = Math.max(0, entry.inquiries - 1);
-        if (life.isPresent()) {
-            return ended(content, life.get(), nowMs);
+        if (loss.isPresent()) {
+            return ended(content, loss.get(), nowMs);
         }
         dropIfBlank(content, entry);
         return Change.NONE;
     }
 
-    /** {@code life} ended while it began to run a request with {@code content}. */
-    public Change ended(ContentId content, ServerLife life, long nowMs) {
+    /** A server ended that had begun to run a request with {@code content}. */
+    public Change ended(ContentId content, Loss loss, long nowMs) {
         Entry entry = entry(content, nowMs);
-        return change(entry, entry.record.with(life), nowMs);
+        return change(entry, entry.record.with(loss));
     }
 
     /** A request with {@code content} was run without harm. */
@@ -194,14 +198,14 @@
         Entry entry = current(content, nowMs);
         return entry == null || entry.count() == 0
                 ? Change.NONE
-                : change(entry, entry.record.withdrawAll(), nowMs);
+                : change(entry, entry.record.withdrawAll());
     }
 
     /** Returns the contents against which the end of {@code life} is held. */
     public ImmutableList<ContentId> heldFor(ServerLife life) {
         return entries.values().stream()
                 .map(e -> e.record)
-                .filter(r -> r.held().contains(life))
+                .filter(r -> r.held().stream().anyMatch(l -> l.life().equals(life)))
                 .map(CrashRecord::content)
                 .collect(ImmutableList.toImmutableList());
     }
@@ -209,7 +213,7 @@
     /** {@code life} was believed to have ended under {@code content}, and answers. */
     public Change lives(ContentId content, ServerLife life, long nowMs) {
         Entry entry = current(content, nowMs);
-        return entry == null ? Change.NONE : change(entry, entry.record.withdraw(life), nowMs);
+        return entry == null ? Change.NONE : change(entry, entry.record.withdraw(life));
     }
 
     /** Takes what a router told; its words may come twice, late and in any order. */
@@ -220,14 +224,14 @@
         } else {
             entry.trialsUntilMs.remove(peer);
         }
-        Change change = merge(entry, told.record(), nowMs - told.ageMs());
+        Change change = merge(entry, told.record().shifted(nowMs));
         dropIfBlank(told.record().content(), entry);
         return change;
     }
 
-    /** Takes a record that outlasted the routers, whose last evidence is of {@code ageMs} ago. */
-    public Change recalled(CrashRecord record, long ageMs, long nowMs) {
-        return merge(entry(record.content(), nowMs), record, nowMs - ageMs);
+    /** Takes a record that outlasted the routers. */
+    public Change recalled(CrashRecord record, long nowMs) {
+        return merge(entry(record.content(), nowMs), record);
     }
 
     /** Forgets the trials of a router that is lost. */
@@ -259,28 +263,30 @@
     /** Returns all that a router is told which knows nothing. */
     public ImmutableList<News> all(long nowMs) {
         return entries.values().stream()
-                .filter(e -> !e.record.ended().isEmpty())
+                .filter(e -> !e.record.isBlank())
                 .map(e -> newsOf(e, nowMs))
                 .collect(ImmutableList.toImmutableList());
     }
 
     private static News newsOf(Entry entry, long nowMs) {
-        return new News(entry.record, entry.ownTrials > 0, Math.max(0, nowMs - entry.changedMs));
+        return new News(entry.record.shifted(-nowMs), entry.ownTrials > 0);
     }
 
-    /** What others told is not told to others again. */
-    private Change merge(Entry entry, CrashRecord record, long atMs) {
-        Change change = change(entry, entry.record.merge(record), atMs);
-        news.remove(record.content());
+    /** What others told is not told on; what is still to be told of this router's own is. */
+    private Change merge(Entry entry, CrashRecord record) {
+        boolean ownNews = news.contains(record.content());
+        Change change = change(entry, entry.record.merge(record));
+        if (!ownNews) {
+            news.remove(record.content());
+        }
         return change;
     }
 
-    private Change change(Entry entry, CrashRecord record, long atMs) {
+    private Change change(Entry entry, CrashRecord record) {
         int before = entry.count();
         if (record.equals(entry.record)) {
             return Change.NONE;
         }
-        entry.changedMs = entry.record.ended().isEmpty() ? atMs : Math.max(entry.changedMs, atMs);
         entry.record = record;
         entries.remove(record.content());
         entries.put(record.content(), entry);
@@ -302,7 +308,7 @@
         }
         makeRoom(nowMs);
         Entry fresh = new Entry(CrashRecord.of(content));
-        fresh.changedMs = nowMs;
+        fresh.sinceMs = nowMs;
         entries.put(content, fresh);
         return fresh;
     }
@@ -318,7 +324,7 @@
 
     private boolean isOver(Entry entry, long nowMs) {
         long keptMs = entry.count() >= LIMIT ? holdMs : Math.min(holdMs, SUSPECT_MS);
-        return entry.inquiries == 0 && nowMs - entry.changedMs >= keptMs;
+        return entry.inquiries == 0 && nowMs - entry.evidenceMs() >= keptMs;
     }
 
     /**
@@ -344,7 +350,7 @@
     }
 
     private void dropIfBlank(ContentId content, Entry entry) {
-        if (entry.record.ended().isEmpty() && entry.inquiries == 0) {
+        if (entry.record.isBlank() && entry.inquiries == 0) {
             entries.remove(content);
         }
     }
--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
@@ -6,7 +6,6 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -29,6 +28,7 @@
 import org.masticweir.metrics.MetricName;
 import org.masticweir.peer.PeerMessage;
 import org.masticweir.quarantine.CrashRecord;
+import org.masticweir.quarantine.Loss;
 import org.masticweir.quarantine.Quarantine;
 import org.masticweir.quarantine.Quarantine.Change;
 import org.masticweir.quarantine.Quarantine.News;
@@ -74,13 +74,16 @@
     interface Sender {
         ContentId content();
 
+        /** Returns whether its server has run it for longer than a trial lasts. */
+        boolean runsWell();
+
         /** The content was put into quarantine. */
         void quarantined();
     }
 
-    /** A server that fell silent, and the contents that it had begun to run. */
+    /** A server that fell silent, and the losses of the contents that it had begun to run. */
     private static final class SilentServer {
-        private final Set<ContentId> contents = new HashSet<>();
+        private final Map<ContentId, Loss> losses = new HashMap<>();
         private long untilMs;
     }
 
@@ -158,21 +161,29 @@
     }
 
     /**
-     * {@code server} was lost while it began to run a request.
+     * {@code server} was lost while it began to run a request that was sent at {@code sentMs}.
      *
      * @param broke whether it broke the connection, so that it was reached a moment ago
      */
-    void lost(ContentId content, BackendServer server, boolean broke, Optional<Catalog> catalog) {
+    void lost(
+            ContentId content,
+            BackendServer server,
+            long sentMs,
+            boolean broke,
+            Optional<Catalog> catalog) {
         if (server.leaving()) {
             // A server that was to leave ends whatever it runs.
             return;
         }
-        quarantine.inquiryBegins(content, clock.nowMs());
-        check.ask(server, catalog, fate -> found(content, server.life(), broke, fate));
+        long now = clock.nowMs();
+        Loss loss = new Loss(server.life(), sentMs, now);
+        quarantine.inquiryBegins(content, now);
+        check.ask(server, catalog, fate -> found(content, loss, broke, fate));
     }
 
-    private void found(ContentId content, ServerLife life, boolean broke, Fate fate) {
+    private void found(ContentId content, Loss loss, boolean broke, Fate fate) {
         long now = clock.nowMs();
+        ServerLife life = loss.life();
         boolean hasEnded = fate == Fate.ENDED || (broke && fate == Fate.UNREACHED);
         LOG.info(
                 "quarantine: {} was lost under content {}, {}, {}",
@@ -180,21 +191,22 @@
                 content,
                 broke ? "connection broken" : "silent",
                 fate);
-        Optional<ServerLife> against = hasEnded ? Optional.of(life) : Optional.empty();
+        Optional<Loss> against = hasEnded ? Optional.of(loss) : Optional.empty();
         changed(content, quarantine.inquiryEnded(content, against, now), life + " ended under it");
         if (fate == Fate.LIVES) {
             quarantine
                     .heldFor(life)
                     .forEach(c -> changed(c, quarantine.lives(c, life, now), life + " lives"));
         } else if (!hasEnded) {
-            awaitLapse(content, life, now);
+            awaitLapse(content, loss, now);
         }
     }
 
-    private void awaitLapse(ContentId content, ServerLife life, long nowMs) {
+    private void awaitLapse(ContentId content, Loss loss, long nowMs) {
+        ServerLife life = loss.life();
         if (silent.size() < MOST_SILENT || silent.containsKey(life)) {
             SilentServer server = silent.computeIfAbsent(life, l -> new SilentServer());
-            server.contents.add(content);
+            server.losses.put(content, loss);
             server.untilMs = nowMs + LAPSE_MS;
         }
     }
@@ -211,25 +223,20 @@
             }
             each.remove();
             if (!late) {
-                ServerLife life = entry.getKey();
+                String cause = entry.getKey() + " lapsed under it";
                 entry.getValue()
-                        .contents
-                        .forEach(
-                                c ->
-                                        changed(
-                                                c,
-                                                quarantine.ended(c, life, now),
-                                                life + " lapsed under it"));
+                        .losses
+                        .forEach((c, loss) -> changed(c, quarantine.ended(c, loss, now), cause));
             }
         }
     }
 
     /** A record that outlasted the routers was read. */
-    void recalled(CrashRecord record, long ageMs) {
+    void recalled(CrashRecord record) {
         ContentId content = record.content();
-        Change change = quarantine.recalled(record, ageMs, clock.nowMs());
+        Change change = quarantine.recalled(record, clock.nowMs());
         log(content, change, "read from the store");
-        stopIfQuarantined(content, change);
+        weighUnderWay(content, change);
     }
 
     @Override
@@ -246,7 +253,7 @@
             // The router that found it out has written it at a higher level.
             LOG.debug("quarantine: content {} is {}, word of {}", content, change, peer);
         }
-        stopIfQuarantined(content, change);
+        weighUnderWay(content, change);
     }
 
     @Override
@@ -271,17 +278,26 @@
         if (change != Change.NONE) {
             quarantine.record(content).ifPresent(keep);
         }
-        stopIfQuarantined(content, change);
+        weighUnderWay(content, change);
     }
 
-    /** Copies of a quarantined request that its servers have just begun would end them too. */
-    private void stopIfQuarantined(ContentId content, Change change) {
-        if (change != Change.QUARANTINED) {
+    /**
+     * Copies of a suspect content that run on speak for it. Copies of a quarantined one that have
+     * just begun would end their servers too.
+     */
+    private void weighUnderWay(ContentId content, Change change) {
+        if (change != Change.SUSPECTED && change != Change.QUARANTINED) {
             return;
         }
-        ImmutableList.copyOf(underWay).stream()
-                .filter(s -> s.content().equals(content))
-                .forEach(Sender::quarantined);
+        ImmutableList<Sender> copies =
+                underWay.stream()
+                        .filter(s -> s.content().equals(content))
+                        .collect(ImmutableList.toImmutableList());
+        if (copies.stream().anyMatch(Sender::runsWell)) {
+            ranWell(() -> content);
+        } else if (change == Change.QUARANTINED) {
+            copies.forEach(Sender::quarantined);
+        }
     }
 
     /** What changes within a few milliseconds goes out together: a server ends under several. */
@@ -319,6 +335,10 @@
     }
 
     private String evidence(ContentId content, String cause) {
-        return cause + "; ended under it: " + quarantine.held(content);
+        return cause
+                + "; "
+                + quarantine.record(content).map(CrashRecord::ends).orElse(0)
+                + " ends counted of "
+                + quarantine.held(content);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Joiner;
 import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,13 +13,14 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.ObjLongConsumer;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
 import org.masticweir.quarantine.CrashRecord;
+import org.masticweir.quarantine.Loss;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.store.RowKey;
 import org.masticweir.store.Transaction;
@@ -50,8 +53,10 @@
     private static final int MOST_WAITING = 4_096;
 
     private static final char SEPARATOR = ' ';
-    private static final char START = '@';
+    private static final char FIELD = ',';
     private static final Splitter PARTS = Splitter.on(SEPARATOR);
+    private static final Splitter FIELDS = Splitter.on(FIELD);
+    private static final int LOSS_FIELDS = 4;
 
     private final PlatformPort.Store store;
     private final ScheduledExecutorService control;
@@ -68,8 +73,8 @@
         this.holdMs = holdMs;
     }
 
-    /** Reads the records that there are, and gives each with its age to {@code found}. */
-    void read(ObjLongConsumer<CrashRecord> found) {
+    /** Reads the records that there are, with times by this router's clock. */
+    void read(Consumer<CrashRecord> found) {
         store.readAll(TABLE, CALL_MS)
                 .thenAccept(
                         outcome -> {
@@ -86,7 +91,7 @@
         onControl(
                 () -> {
                     int held = record.held().size();
-                    boolean matters = held >= LEAST_SERVERS || record.ended().size() > held;
+                    boolean matters = held >= LEAST_SERVERS || record.losses().size() > held;
                     if (matters && waiting.size() < MOST_WAITING) {
                         waiting.put(record.content(), record);
                         write();
@@ -121,15 +126,19 @@
                 : Transaction.builder().put(key, text(record)).build();
     }
 
+    /** Times are kept as they lie from the moment of writing. */
     private String text(CrashRecord record) {
         StringBuilder text = new StringBuilder(Long.toString(clock.wallMs()));
-        for (ServerLife life : record.held()) {
-            text.append(SEPARATOR).append(life.id()).append(START).append(life.startedMs());
+        for (Loss loss : record.shifted(-clock.nowMs()).held()) {
+            ServerLife life = loss.life();
+            text.append(SEPARATOR);
+            Joiner.on(FIELD)
+                    .appendTo(text, life.id(), life.startedMs(), loss.sentMs(), loss.endedMs());
         }
         return text.toString();
     }
 
-    private void take(FeedOutcome.Change row, ObjLongConsumer<CrashRecord> found) {
+    private void take(FeedOutcome.Change row, Consumer<CrashRecord> found) {
         if (row.removed()) {
             return;
         }
@@ -137,18 +146,18 @@
             List<String> parts = PARTS.splitToList(row.value().orElse(""));
             checkArgument(parts.size() >= 2, "no time and server");
             long ageMs = Math.max(0, clock.wallMs() - Long.parseLong(parts.get(0)));
-            ImmutableSet<ServerLife> lives =
-                    parts.subList(1, parts.size()).stream()
-                            .limit(CrashRecord.MOST_LIVES)
-                            .map(QuarantineRows::life)
-                            .collect(ImmutableSet.toImmutableSet());
-            if (ageMs < holdMs) {
-                found.accept(
-                        new CrashRecord(ContentId.of(row.key().key()), lives, ImmutableSet.of()),
-                        ageMs);
-            } else {
+            if (ageMs >= holdMs) {
                 remove(row.key());
+                return;
             }
+            ImmutableList<Loss> losses =
+                    parts.subList(1, parts.size()).stream()
+                            .limit(CrashRecord.MOST_LIVES)
+                            .map(QuarantineRows::loss)
+                            .collect(ImmutableList.toImmutableList());
+            CrashRecord record =
+                    new CrashRecord(ContentId.of(row.key().key()), losses, ImmutableSet.of());
+            found.accept(record.shifted(clock.nowMs() - ageMs));
         } catch (IllegalArgumentException e) {
             LOG.warn("quarantine: row {} is not understood, {}", row.key(), e.getMessage());
         }
@@ -161,11 +170,11 @@
                         outcome -> LOG.info("quarantine: row {} has run out, {}", key, outcome));
     }
 
-    private static ServerLife life(String text) {
-        int at = text.lastIndexOf(START);
-        checkArgument(at > 0, "%s is no server", text);
-        return ServerLife.of(
-                EngineId.of(text.substring(0, at)), Long.parseLong(text.substring(at + 1)));
+    private static Loss loss(String text) {
+        List<String> fields = FIELDS.splitToList(text);
+        checkArgument(fields.size() == LOSS_FIELDS, "%s is no loss", text);
+        ServerLife life = ServerLife.of(EngineId.of(fields.get(0)), Long.parseLong(fields.get(1)));
+        return new Loss(life, Long.parseLong(fields.get(2)), Long.parseLong(fields.get(3)));
     }
 
     private void again(Runnable step, String what) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -19,6 +19,7 @@
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.peer.PeerMessage;
 import org.masticweir.quarantine.CrashRecord;
+import org.masticweir.quarantine.Loss;
 import org.masticweir.quarantine.Quarantine;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -37,7 +38,8 @@
 
     private static final int MAX_ID_BYTES = 256;
     private static final int USE_FIELDS = 6;
-    private static final int CRASH_FIELDS = 5;
+    private static final int CRASH_FIELDS = 4;
+    private static final int LOSS_FIELDS = 4;
     private static final int LIFE_FIELDS = 2;
     private static final int MAX_CONTENTS = 16_384;
     private static final int MAX_SERVERS = 16_384;
@@ -245,9 +247,13 @@
         for (Quarantine.News content : news.contents()) {
             CrashRecord record = content.record();
             out.packArrayHeader(CRASH_FIELDS).packString(record.content().value());
-            encodeLives(record.ended(), out);
+            out.packArrayHeader(record.losses().size());
+            for (Loss loss : record.losses()) {
+                encodeLife(loss.life(), out.packArrayHeader(LOSS_FIELDS));
+                out.packLong(loss.sentMs()).packLong(loss.endedMs());
+            }
             encodeLives(record.withdrawn(), out);
-            out.packBoolean(content.onTrial()).packLong(content.ageMs());
+            out.packBoolean(content.onTrial());
         }
     }
 
@@ -261,8 +267,17 @@
     private static Quarantine.News crashes(MessageUnpacker in) throws IOException {
         try (Fields f = Fields.open(in, CRASH_FIELDS)) {
             CrashRecord record =
-                    new CrashRecord(ContentId.of(f.text(MAX_ID_BYTES)), lives(f), lives(f));
-            return new Quarantine.News(record, f.bool(), Math.max(0, f.int64()));
+                    new CrashRecord(
+                            ContentId.of(f.text(MAX_ID_BYTES)),
+                            f.list(CrashRecord.MOST_LIVES, RelayMessages::loss),
+                            lives(f));
+            return new Quarantine.News(record, f.bool());
+        }
+    }
+
+    private static Loss loss(MessageUnpacker in) throws IOException {
+        try (Fields f = Fields.open(in, LOSS_FIELDS)) {
+            return new Loss(life(f), f.int64(), f.int64());
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -190,8 +190,7 @@
         links.start();
         control.execute(() -> reading.follow(catalogFollower, serverFollower));
         directory.join(peers::learn);
-        quarantineRows.read(
-                (record, ageMs) -> thread.execute(() -> quarantine.recalled(record, ageMs)));
+        quarantineRows.read(record -> thread.execute(() -> quarantine.recalled(record)));
         control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         callersPort.openWhenReady();
         LOG.info("router: {} in {} has started", settings.router(), settings.domain());
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -205,7 +205,7 @@
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
         sendLost(server, SendEnd.SILENT, reason, silence.sentMs());
-        holdAgainstContent(server, false);
+        holdAgainstContent(server, silence.sentMs(), false);
         resuming = answer.isStreaming();
         leaveServer();
         take(course.lost(server, now()));
@@ -230,9 +230,10 @@
     }
 
     /** A server that ends long after a request began did not end because of it. */
-    private void holdAgainstContent(BackendServer server, boolean broke) {
+    private void holdAgainstContent(BackendServer server, long sentMs, boolean broke) {
         if (justBegun()) {
-            context.quarantine().lost(content.get(), server, broke, context.view().get().catalog());
+            context.quarantine()
+                    .lost(content.get(), server, sentMs, broke, context.view().get().catalog());
         }
     }
 
@@ -245,6 +246,11 @@
         return content.get();
     }
 
+    @Override
+    public boolean runsWell() {
+        return !over && silence != null && !justBegun();
+    }
+
     @Override
     public void quarantined() {
         if (!over && silence != null && justBegun()) {
@@ -464,7 +470,7 @@
             resuming = answer.isStreaming();
             leaveServer();
             sendLost(sent.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
-            holdAgainstContent(sent.server(), true);
+            holdAgainstContent(sent.server(), sentMs, true);
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
