--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
@@ -90,8 +90,8 @@
     void keep(CrashRecord record) {
         onControl(
                 () -> {
-                    int held = record.held().size();
-                    boolean matters = held >= LEAST_SERVERS || record.losses().size() > held;
+                    // A record that never had two servers was not kept, so there is no row of it.
+                    boolean matters = record.losses().size() >= LEAST_SERVERS;
                     if (matters && waiting.size() < MOST_WAITING) {
                         waiting.put(record.content(), record);
                         write();
