quarantine: contents with one end are placed like any other

Cause: most of them only stood beside the request that ended the server, and were sent out of their domain.

--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -30,6 +30,12 @@
     /** How often a content may end a server. */
     public static final int LIMIT = 3;
 
+    /**
+     * Ends from which on a content goes where least runs. Most of those with one end were only
+     * beside the request that caused it, and are served best where any other goes.
+     */
+    static final int APART_FROM = 2;
+
     /**
      * Time from a run's first event within which the end of its server speaks against it, in ms. A
      * run that lasts longer at one server is cleared.
@@ -128,7 +134,7 @@
         if (count + entry.inquiries >= LIMIT || (count > 0 && isOnTrial(entry, nowMs))) {
             return SendRule.WAIT;
         }
-        return count > 0 ? SendRule.APART : SendRule.FREE;
+        return count >= APART_FROM ? SendRule.APART : SendRule.FREE;
     }
 
     /** Returns what is held against {@code content}. */
--- a/masticweir/src/main/java/org/masticweir/quarantine/SendRule.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SendRule.java
@@ -2,9 +2,9 @@
 
 /** Whether a request with a given content may be sent to a server now. */
 public enum SendRule {
-    /** Nothing is held against it. */
+    /** Too little is held against it to matter. */
     FREE,
-    /** Servers ended under it; it goes where it can do the least harm. */
+    /** Several servers ended under it; it goes where it can do the least harm. */
     APART,
     /** Another request with its content is on trial, or the cause of a loss is being found out. */
     WAIT,
