--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
@@ -64,6 +64,7 @@
     private final long holdMs;
     private final Map<ContentId, CrashRecord> waiting = new LinkedHashMap<>();
     private boolean writing;
+    private boolean read;
 
     QuarantineRows(
             PlatformPort.Store store, ScheduledExecutorService control, Clock clock, long holdMs) {
@@ -79,13 +80,22 @@
                 .thenAccept(
                         outcome -> {
                             if (outcome instanceof FeedOutcome.Rows rows) {
-                                onControl(() -> rows.changes().forEach(r -> take(r, found)));
+                                onControl(
+                                        () -> {
+                                            rows.changes().forEach(r -> take(r, found));
+                                            read = true;
+                                        });
                             } else {
                                 again(() -> read(found), "read");
                             }
                         });
     }
 
+    /** Returns whether all records were read. */
+    boolean isRead() {
+        return read;
+    }
+
     /** Keeps a record, or removes what was kept of one that is cleared; may be called anywhere. */
     void keep(CrashRecord record) {
         onControl(
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -160,7 +160,7 @@
                         metrics);
         callersPort =
                 new CallersPort(
-                        listener, ports, settings.callers(), deployment::isReady, control, clock);
+                        listener, ports, settings.callers(), this::knowsEnough, control, clock);
     }
 
     /**
@@ -196,6 +196,11 @@
         LOG.info("router: {} in {} has started", settings.router(), settings.domain());
     }
 
+    /** Without the records, what ended servers before the start would be sent to more of them. */
+    private boolean knowsEnough() {
+        return deployment.isReady() && quarantineRows.isRead();
+    }
+
     private void tick() {
         deployment.tick();
         reading.tick();
