quarantine: a content is held for a minute first and tried again, then eight times as long after each further server

Cause: sound work that lost three servers by bad luck would have been refused for an hour. Change: as a circuit breaker with a growing hold; one copy in the fleet is tried when a hold is over, where least runs.

--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -21,7 +21,7 @@
  * <p>Failure that it answers: a request ends each server that begins to run it, and is submitted
  * again and again, at any router and under new ids. What one submission has learnt is lost with it,
  * so each of them would end as many servers as its route allows, with all that they run. Here the
- * evidence outlives the submission. After {@link #LIMIT} servers its content is not sent any more.
+ * evidence outlives the submission. After {@link #LIMIT} servers its content is held.
  *
  * <p>Whoever shares it takes what {@link #takeNews} returns after each command and tells the other
  * routers.
@@ -42,6 +42,12 @@
      */
     public static final long TRIAL_MS = 2_000;
 
+    /** How long a content is held when it reaches the limit, in ms. */
+    static final long FIRST_HOLD_MS = 60_000;
+
+    /** How many times as long it is held after each further end. */
+    private static final int HOLD_GROWTH = 8;
+
     /** How long a trial of a router that is not heard of any more holds up the others, in ms. */
     static final long TRIAL_LOST_MS = 10_000;
 
@@ -52,7 +58,7 @@
     static final int MOST_CONTENTS = 4_096;
 
     private final RouterId self;
-    private final long holdMs;
+    private final long longestHoldMs;
 
     /** Least recently changed first. */
     private final Map<ContentId, Entry> entries = new LinkedHashMap<>();
@@ -101,19 +107,20 @@
         }
     }
 
-    private Quarantine(RouterId self, long holdMs) {
+    private Quarantine(RouterId self, long longestHoldMs) {
         this.self = checkNotNull(self, "self");
-        this.holdMs = holdMs;
+        this.longestHoldMs = longestHoldMs;
     }
 
     /**
      * Returns an empty quarantine.
      *
-     * @param holdMs time after the last evidence for which a content is not sent
+     * @param longestHoldMs longest time for which a content is not sent; as long after the last
+     *     evidence against it is forgotten
      */
-    public static Quarantine create(RouterId self, long holdMs) {
-        checkArgument(holdMs > 0, "hold of %s ms", holdMs);
-        return new Quarantine(self, holdMs);
+    public static Quarantine create(RouterId self, long longestHoldMs) {
+        checkArgument(longestHoldMs > 0, "hold of %s ms", longestHoldMs);
+        return new Quarantine(self, longestHoldMs);
     }
 
     /** Returns whether nothing is held against any content, so that no content id is needed. */
@@ -128,15 +135,30 @@
             return SendRule.FREE;
         }
         int count = entry.count();
-        if (count >= LIMIT) {
+        if (count >= LIMIT && nowMs < entry.evidenceMs() + holdMs(count)) {
             return SendRule.NEVER;
         }
-        if (count + entry.inquiries >= LIMIT || (count > 0 && isOnTrial(entry, nowMs))) {
+        boolean mayDecide = entry.inquiries > 0 && count + entry.inquiries >= LIMIT;
+        if (mayDecide || (count > 0 && isOnTrial(entry, nowMs))) {
             return SendRule.WAIT;
         }
         return count >= APART_FROM ? SendRule.APART : SendRule.FREE;
     }
 
+    /**
+     * Returns how long a content is held after its last end.
+     *
+     * <p>It is tried again in the end, so that sound work which was unlucky is not refused for
+     * good, and less often each time.
+     */
+    private long holdMs(int ends) {
+        long holdMs = FIRST_HOLD_MS;
+        for (int i = LIMIT; i < ends && holdMs < longestHoldMs; i++) {
+            holdMs *= HOLD_GROWTH;
+        }
+        return Math.min(holdMs, longestHoldMs);
+    }
+
     /** Returns what is held against {@code content}. */
     public ImmutableList<Loss> held(ContentId content) {
         Entry entry = entries.get(content);
@@ -146,7 +168,7 @@
     /** Returns how long a quarantined content is held from now on, in ms. */
     public long holdLeftMs(ContentId content, long nowMs) {
         Entry entry = entries.get(content);
-        return entry == null ? 0 : Math.max(0, entry.evidenceMs() + holdMs - nowMs);
+        return entry == null ? 0 : Math.max(0, entry.evidenceMs() + holdMs(entry.count()) - nowMs);
     }
 
     /**
@@ -298,11 +320,8 @@
         entries.put(record.content(), entry);
         news.add(record.content());
         int after = entry.count();
-        if (after >= LIMIT) {
-            return before < LIMIT ? Change.QUARANTINED : Change.NONE;
-        }
         if (after > before) {
-            return Change.SUSPECTED;
+            return after >= LIMIT ? Change.QUARANTINED : Change.SUSPECTED;
         }
         return after == 0 && before > 0 ? Change.CLEARED : Change.NONE;
     }
@@ -329,7 +348,8 @@
     }
 
     private boolean isOver(Entry entry, long nowMs) {
-        long keptMs = entry.count() >= LIMIT ? holdMs : Math.min(holdMs, SUSPECT_MS);
+        boolean quarantined = entry.count() >= LIMIT;
+        long keptMs = quarantined ? longestHoldMs : Math.min(longestHoldMs, SUSPECT_MS);
         return entry.inquiries == 0 && nowMs - entry.evidenceMs() >= keptMs;
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -32,7 +32,7 @@
  * @param retryShare repeats allowed for a request over all routers
  * @param retryAllowance repeats allowed beyond that in ten seconds over all routers; the platform
  *     scales it with the deployment, so it may have a fraction
- * @param quarantineMs how long a request that ends its servers is not sent after the last of them
+ * @param quarantineMs longest time for which a request that ends its servers is not sent
  * @param graceMs time between the order to leave and the end of the process
  */
 public record RelaySettings(
