--- a/masticweir/src/main/java/org/masticweir/quarantine/Loss.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Loss.java
@@ -15,14 +15,27 @@
     /** How far two routers may be apart on one moment that they told each other, in ms. */
     private static final long JITTER_MS = 100;
 
+    /** Servers that end no further apart may have one cause, in ms. */
+    private static final long TOGETHER_MS = 250;
+
+    /** A server that was reached later than this before its end has hardly begun, in ms. */
+    private static final long SHORT_MS = 50;
+
     public Loss {
         checkNotNull(life, "life");
         checkArgument(sentMs <= endedMs, "sent at %s, ended at %s", sentMs, endedMs);
     }
 
-    /** Returns whether the request was sent after {@code earlier}, and so ended another server. */
+    /**
+     * Returns whether this shows more than {@code earlier} does.
+     *
+     * <p>Failure guarded against: a domain loses its servers within some milliseconds, and a
+     * request that one of them broke off is sent to the next just before that ends too.
+     */
     boolean follows(Loss earlier) {
-        return sentMs >= earlier.endedMs - JITTER_MS;
+        boolean sentAfter = sentMs >= earlier.endedMs - JITTER_MS;
+        boolean apart = endedMs - earlier.endedMs > TOGETHER_MS;
+        return sentAfter && (apart || endedMs - sentMs >= SHORT_MS);
     }
 
     /** Returns which of two losses of one life is kept: the one whose request came last. */
--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -138,8 +138,7 @@
         if (count >= LIMIT && nowMs < entry.evidenceMs() + holdMs(count)) {
             return SendRule.NEVER;
         }
-        boolean mayDecide = entry.inquiries > 0 && count + entry.inquiries >= LIMIT;
-        if (mayDecide || (count > 0 && isOnTrial(entry, nowMs))) {
+        if (entry.inquiries > 0 || (count > 0 && isOnTrial(entry, nowMs))) {
             return SendRule.WAIT;
         }
         return count >= APART_FROM ? SendRule.APART : SendRule.FREE;
@@ -199,20 +198,18 @@
         }
     }
 
-    /** A loss under {@code content} is looked into, until {@link #inquiryEnded}. */
+    /** A loss under {@code content} is looked into, and waited for until {@link #inquiryEnded}. */
     public void inquiryBegins(ContentId content, long nowMs) {
         entry(content, nowMs).inquiries++;
     }
 
-    /** The cause of a loss was found; the server did not end if {@code loss} is empty. */
-    public Change inquiryEnded(ContentId content, Optional<Loss> loss, long nowMs) {
-        Entry entry = entry(content, nowMs);
-        entry.inquiries = Math.max(0, entry.inquiries - 1);
-        if (loss.isPresent()) {
-            return ended(content, loss.get(), nowMs);
+    /** The cause of a loss was found. */
+    public void inquiryEnded(ContentId content) {
+        Entry entry = entries.get(content);
+        if (entry != null) {
+            entry.inquiries = Math.max(0, entry.inquiries - 1);
+            dropIfBlank(content, entry);
         }
-        dropIfBlank(content, entry);
-        return Change.NONE;
     }
 
     /** A server ended that had begun to run a request with {@code content}. */
--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
@@ -177,7 +177,10 @@
         }
         long now = clock.nowMs();
         Loss loss = new Loss(server.life(), sentMs, now);
-        quarantine.inquiryBegins(content, now);
+        if (broke) {
+            // The answer comes within milliseconds; a silent server would hold the request up.
+            quarantine.inquiryBegins(content, now);
+        }
         check.ask(server, catalog, fate -> found(content, loss, broke, fate));
     }
 
@@ -191,8 +194,12 @@
                 content,
                 broke ? "connection broken" : "silent",
                 fate);
-        Optional<Loss> against = hasEnded ? Optional.of(loss) : Optional.empty();
-        changed(content, quarantine.inquiryEnded(content, against, now), life + " ended under it");
+        if (broke) {
+            quarantine.inquiryEnded(content);
+        }
+        if (hasEnded) {
+            changed(content, quarantine.ended(content, loss, now), life + " ended under it");
+        }
         if (fate == Fate.LIVES) {
             quarantine
                     .heldFor(life)
