--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/ControlRequest.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/ControlRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /** The faults that one call of the control interface asks for; absent ones stay as they are. */
@@ -38,6 +39,10 @@
         return Optional.ofNullable(fields.ignoreFencing);
     }
 
+    OptionalInt endOnToken() {
+        return fields.endOnToken == null ? OptionalInt.empty() : OptionalInt.of(fields.endOnToken);
+    }
+
     boolean dropStreams() {
         return Boolean.TRUE.equals(fields.dropStreams);
     }
@@ -53,5 +58,6 @@
             WrongResume wrongResume,
             Boolean ignoreFencing,
             Long refuseMs,
+            Integer endOnToken,
             Boolean dropStreams) {}
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -24,6 +24,10 @@
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
     private static final long RETRY_AFTER_MS = 500;
+
+    /** Exit code of a process that a request has ended. */
+    private static final int ENDED_UNDER_A_REQUEST = 139;
+
     private static final int MAX_FRAME_TOKENS = 256;
 
     /** What a reader has not seen yet, and whether the sequence ends with it. */
@@ -223,6 +227,10 @@
         if (faults.pause().active()) {
             return false;
         }
+        if (step.decodes().stream().anyMatch(s -> faults.endsOn(s.request().prompt()))) {
+            LOG.error("engine: ends under a request");
+            Runtime.getRuntime().halt(ENDED_UNDER_A_REQUEST);
+        }
         long now = clock.nowMs();
         batch.finish(step, now);
         recordLoad(now);
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Faults.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Faults.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.List;
+import java.util.OptionalInt;
 import org.masticweir.standins.http.Pause;
 import org.masticweir.time.Clock;
 
@@ -14,6 +16,7 @@
     private volatile WrongResume wrongResume = WrongResume.NONE;
     private volatile boolean ignoreFencing;
     private volatile long refuseEndMs;
+    private volatile OptionalInt endOnToken = OptionalInt.empty();
 
     private Faults(Clock clock) {
         this.clock = checkNotNull(clock, "clock");
@@ -31,6 +34,7 @@
         control.wrongResume().ifPresent(value -> wrongResume = value);
         control.ignoreFencing().ifPresent(value -> ignoreFencing = value);
         control.refuseMs().ifPresent(ms -> refuseEndMs = clock.nowMs() + ms);
+        control.endOnToken().ifPresent(token -> endOnToken = OptionalInt.of(token));
         control.pauseMs().ifPresent(pause::begin);
     }
 
@@ -55,6 +59,11 @@
         return ignoreFencing;
     }
 
+    /** Returns whether the process ends as soon as it runs a request with {@code prompt}. */
+    boolean endsOn(List<Integer> prompt) {
+        return endOnToken.isPresent() && prompt.contains(endOnToken.getAsInt());
+    }
+
     /** Returns how long the engine goes on refusing work, 0 when it takes work. */
     long refusingForMs() {
         return Math.max(0, refuseEndMs - clock.nowMs());
