--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
@@ -0,0 +1,90 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.base.Supplier;
+import com.google.common.base.Suppliers;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.forward.SendGate;
+import org.masticweir.id.ContentId;
+import org.masticweir.quarantine.Quarantine;
+
+/**
+ * What the sends of one request show of its content; on the traffic thread.
+ *
+ * <p>Its content id is worked out when it is first needed, which for most requests is never.
+ */
+final class ContentTrial {
+    private final RelayContext context;
+    private final Supplier<ContentId> content;
+    private int events;
+    private long beganMs;
+    private boolean onTrial;
+    private boolean ranWell;
+
+    ContentTrial(RelayContext context, RelayRequest request) {
+        this.context = checkNotNull(context, "context");
+        content = Suppliers.memoize(() -> ContentDigest.of(request));
+    }
+
+    ContentId content() {
+        return content.get();
+    }
+
+    /** Returns the gate that each send of the request passes. */
+    SendGate gate() {
+        return context.quarantine().gate(content);
+    }
+
+    /** Returns how many events the send under way has brought, or the last one did. */
+    int events() {
+        return events;
+    }
+
+    void sendBegins() {
+        events = 0;
+        ranWell = false;
+        onTrial = context.quarantine().trialBegins(content);
+    }
+
+    void event(long nowMs) {
+        if (events == 0) {
+            beganMs = nowMs;
+        }
+        events++;
+        if (!ranWell && !hasJustBegun(nowMs)) {
+            ranWell = true;
+            context.quarantine().ranWell(content);
+        }
+    }
+
+    /** The whole answer came. */
+    void answered() {
+        context.quarantine().ranWell(content);
+    }
+
+    void sendEnds() {
+        if (onTrial) {
+            onTrial = false;
+            context.quarantine().trialEnded(content.get());
+        }
+    }
+
+    /**
+     * The server of a send was lost. One that ends long after a request began did not end because
+     * of it.
+     *
+     * @param broke whether it broke the connection
+     */
+    void lost(BackendServer server, long sentMs, boolean broke, long nowMs) {
+        if (hasJustBegun(nowMs)) {
+            context.quarantine()
+                    .lost(content.get(), server, sentMs, broke, context.view().get().catalog());
+        }
+    }
+
+    /** Returns whether the server of the send has run the request for less than a trial lasts. */
+    boolean hasJustBegun(long nowMs) {
+        return events == 0 || nowMs - beganMs < Quarantine.TRIAL_MS;
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -2,8 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.base.Supplier;
-import com.google.common.base.Suppliers;
 import io.undertow.server.HttpServerExchange;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -18,7 +16,6 @@
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpHead;
 import org.masticweir.id.ContentId;
-import org.masticweir.quarantine.Quarantine;
 import org.masticweir.relay.RelayMetrics.SendEnd;
 import org.xnio.XnioExecutor;
 
@@ -38,7 +35,7 @@
     private final CallerAnswer answer;
     private final CallerWatch watch;
     private final Runnable ended;
-    private final Supplier<ContentId> content;
+    private final ContentTrial trial;
 
     private Optional<ServerSend> send = Optional.empty();
     private Optional<LoadTicket> ticket = Optional.empty();
@@ -47,10 +44,6 @@
     private int sendNumber;
     private long firstEventMs;
     private long lastEventMs;
-    private int eventsOfSend;
-    private long sendBeganMs;
-    private boolean onTrial;
-    private boolean ranWell;
     private boolean resuming;
     private boolean over;
 
@@ -68,7 +61,7 @@
         this.request = checkNotNull(request, "request");
         this.ended = checkNotNull(ended, "ended");
         plan = request.plan();
-        content = Suppliers.memoize(() -> ContentDigest.of(request));
+        trial = new ContentTrial(context, request);
         log = new RequestLog(context, request);
         metrics = context.metrics().request(plan.route().name(), request.team());
         course =
@@ -78,7 +71,7 @@
                         context.placement(),
                         context.health(),
                         context.repeats(),
-                        context.quarantine().gate(content),
+                        trial.gate(),
                         context.line(),
                         context.random());
         answer = new CallerAnswer(exchange, this::callerLeft);
@@ -120,9 +113,7 @@
 
     private void send(Step.Send next) {
         sendNumber++;
-        eventsOfSend = 0;
-        ranWell = false;
-        onTrial = context.quarantine().trialBegins(content);
+        trial.sendBegins();
         int number = sendNumber;
         log.goes(next, number);
         context.metrics().sent(next.server(), sendNumber);
@@ -205,7 +196,7 @@
     private void serverIsLost(String reason) {
         BackendServer server = silence.server();
         sendLost(server, SendEnd.SILENT, reason, silence.sentMs());
-        holdAgainstContent(server, silence.sentMs(), false);
+        trial.lost(server, silence.sentMs(), false, now());
         resuming = answer.isStreaming();
         leaveServer();
         take(course.lost(server, now()));
@@ -225,35 +216,23 @@
 
     /** A send ended that may have run, without a whole answer. */
     private void sendLost(BackendServer server, SendEnd end, String what, long sentMs) {
-        log.lost(server, what, sentMs, eventsOfSend, content.get());
+        log.lost(server, what, sentMs, trial.events(), trial.content());
         context.metrics().sendEnded(server, end);
     }
 
-    /** A server that ends long after a request began did not end because of it. */
-    private void holdAgainstContent(BackendServer server, long sentMs, boolean broke) {
-        if (justBegun()) {
-            context.quarantine()
-                    .lost(content.get(), server, sentMs, broke, context.view().get().catalog());
-        }
-    }
-
-    private boolean justBegun() {
-        return eventsOfSend == 0 || now() - sendBeganMs < Quarantine.TRIAL_MS;
-    }
-
     @Override
     public ContentId content() {
-        return content.get();
+        return trial.content();
     }
 
     @Override
     public boolean runsWell() {
-        return !over && silence != null && !justBegun();
+        return !over && silence != null && !trial.hasJustBegun(now());
     }
 
     @Override
     public void quarantined() {
-        if (!over && silence != null && justBegun()) {
+        if (!over && silence != null && trial.hasJustBegun(now())) {
             sendEnded(silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
             end(course.quarantined(now()));
         }
@@ -266,10 +245,7 @@
     }
 
     private void leaveServer() {
-        if (onTrial) {
-            onTrial = false;
-            context.quarantine().trialEnded(content.get());
-        }
+        trial.sendEnds();
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
         silence = null;
@@ -357,14 +333,7 @@
                             && id.getAsLong() <= course.lastEvent().getAsLong();
             long now = now();
             context.health().answered(sent.server().life(), now);
-            if (eventsOfSend == 0) {
-                sendBeganMs = now;
-            }
-            eventsOfSend++;
-            if (!ranWell && !justBegun()) {
-                ranWell = true;
-                context.quarantine().ranWell(content);
-            }
+            trial.event(now);
             if (silence.heard(now)) {
                 ticket.ifPresent(LoadTicket::read);
                 context.loadsChanged().run();
@@ -393,7 +362,7 @@
             }
             metrics.answered(now() - plan.receivedMs());
             context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
-            context.quarantine().ranWell(content);
+            trial.answered();
             log.answered("last event " + RequestLog.text(course.lastEvent()), course.sends());
             if (answer.isStreaming()) {
                 context.pace()
@@ -415,7 +384,7 @@
                 return;
             }
             heardOf(word);
-            context.quarantine().ranWell(content);
+            trial.answered();
             context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
             boolean failed = head.status() >= 500;
             leaveServer();
@@ -470,7 +439,7 @@
             resuming = answer.isStreaming();
             leaveServer();
             sendLost(sent.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
-            holdAgainstContent(sent.server(), sentMs, true);
+            trial.lost(sent.server(), sentMs, true, now());
             take(course.lost(sent.server(), now()));
             context.loadsChanged().run();
         }
