quarantine: a server that was to leave when it ended is not held against what it had begun

Cause: a send remembered the server as it was when it left; one that was told to drain since, and ended, counted. Change: the list of servers at the moment of the loss decides; a server that is leaving or not listed any more doesn't count.

--- a/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
@@ -72,14 +72,15 @@
 
     /**
      * The server of a send was lost. One that ends long after a request began did not end because
-     * of it.
+     * of it, nor did one that was to leave, or that had left the list before.
      *
      * @param broke whether it broke the connection
      */
     void lost(BackendServer server, long sentMs, boolean broke, long nowMs) {
-        if (hasJustBegun(nowMs)) {
-            context.quarantine()
-                    .lost(content.get(), server, sentMs, broke, context.view().get().catalog());
+        RelayView view = context.view().get();
+        boolean stays = view.server(server.life()).filter(s -> !s.leaving()).isPresent();
+        if (stays && hasJustBegun(nowMs)) {
+            context.quarantine().lost(content.get(), server, sentMs, broke, view.catalog());
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
+++ b/masticweir/src/main/java/org/masticweir/relay/QuarantineControl.java
@@ -171,10 +171,6 @@
             long sentMs,
             boolean broke,
             Optional<Catalog> catalog) {
-        if (server.leaving()) {
-            // A server that was to leave ends whatever it runs.
-            return;
-        }
         long now = clock.nowMs();
         Loss loss = new Loss(server.life(), sentMs, now);
         if (broke) {
