membership: a member whose link comes up is asked at once, and is not declared dead just then

Cause: by the logs of both routers the link came up at 57:07.272. At 57:07.355, with no heartbeat due in between, each declared the other dead and dropped its link; the next try of a dead member was due 8 s later. Change: a link that comes up is an event. A suspect member gets the time from suspect to dead anew and is asked at once; a dead one is tried at once. It stays suspect until it is heard. Why it holds: any order of link and verdict now leads to a heartbeat at once; a process that only greets still counts as dead later.

--- a/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
@@ -131,6 +131,16 @@
         linkLost = true;
     }
 
+    /**
+     * Takes a greeting. It shows that the process lives, not that it decides: the member stays
+     * suspect until it is heard, but has the time from there to its death anew.
+     */
+    void linkUp(long nowMs) {
+        if (judged != MemberState.DEAD) {
+            heardMs = Math.max(heardMs, nowMs - suspectMs());
+        }
+    }
+
     /** Makes a silent member that no heartbeats go to a mere proposal again, as if just listed. */
     void reset(long nowMs) {
         firstHeardMs = DomainView.NEVER;
--- a/masticweir/src/main/java/org/masticweir/membership/MembershipEvent.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MembershipEvent.java
@@ -37,6 +37,13 @@
         }
     }
 
+    /** A link to or from a peer has come up: it has answered a greeting. */
+    record LinkUp(RouterId peer) implements MembershipEvent {
+        public LinkUp {
+            checkNotNull(peer, "peer");
+        }
+    }
+
     /** This router's own state, revision or load is now this. */
     record OwnState(MemberState state, long configRevision, LoadDigest load)
             implements MembershipEvent {
--- a/masticweir/src/main/java/org/masticweir/membership/MembershipState.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MembershipState.java
@@ -58,6 +58,8 @@
             listed(e, nowMs);
         } else if (event instanceof MembershipEvent.LinkLost e) {
             members.get(e.peer()).ifPresent(m -> linkLost(m, nowMs));
+        } else if (event instanceof MembershipEvent.LinkUp e) {
+            members.get(e.peer()).ifPresent(m -> linkUp(m, nowMs));
         } else if (event instanceof MembershipEvent.OwnState e) {
             ownState(e, nowMs);
         }
@@ -186,6 +188,17 @@
         e.beatNextAt(nowMs + intervalMs(e) / 4);
     }
 
+    /**
+     * Asks a member at once whose link has come up.
+     *
+     * <p>Failure guarded against: two domains meet again just before their silence counts as death.
+     * Both sides drop the new link, and dial again as seldom as they do for dead members.
+     */
+    private void linkUp(MemberEntry e, long nowMs) {
+        e.linkUp(nowMs);
+        e.beatNextAt(nowMs);
+    }
+
     private void judgeAll(long nowMs) {
         Set<MemberEntry> peers = ImmutableSet.copyOf(members.peers());
         for (MemberEntry e : ImmutableList.copyOf(members.all())) {
--- a/masticweir/src/main/java/org/masticweir/router/PeerControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/PeerControl.java
@@ -67,7 +67,7 @@
     void attach() {
         links.on(Heartbeat.class, (from, beat, reply) -> control.execute(() -> heard(beat, reply)));
         links.on(ConfigAsk.class, (from, ask, reply) -> control.execute(() -> asked(ask, reply)));
-        links.listen(new Losses());
+        links.listen(new Links());
     }
 
     /** Has {@code listener} told of each router that is found dead. */
@@ -175,10 +175,12 @@
         return member.state() == MemberState.DEAD;
     }
 
-    /** Tells the control thread of links that broke. */
-    private final class Losses implements LinkListener {
+    /** Tells the control thread of links that came up or broke. */
+    private final class Links implements LinkListener {
         @Override
-        public void linkUp(Hello peer, LinkDirection direction) {}
+        public void linkUp(Hello peer, LinkDirection direction) {
+            control.execute(() -> apply(new MembershipEvent.LinkUp(peer.router())));
+        }
 
         @Override
         public void linkDown(RouterId peer, LinkDirection direction) {
--- a/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
@@ -95,6 +95,35 @@
             assertEquals(MemberState.SERVING, fleet.stateOf(a, b));
         }
 
+        /**
+         * Two routers meet again just before each counts as dead for the other: a change of the
+         * configuration came eleven seconds later than it could.
+         */
+        @Test
+        void memberWhoseLinkComesUpIsAskedBeforeItCountsAsDead() {
+            long beatMs = MembershipSettings.DEFAULT.heartbeatMs();
+            long deadMs = MembershipSettings.DEFAULT.deadMs(beatMs);
+            fleet.cut = (p, q) -> p.equals(b) || q.equals(b);
+            fleet.runMs(deadMs - beatMs - 100);
+            fleet.feed(a, new MembershipEvent.LinkUp(b));
+            fleet.runMs(beatMs + 200);
+            assertEquals(MemberState.SUSPECT, fleet.stateOf(a, b));
+            assertEquals(MemberState.DEAD, fleet.stateOf(c, b));
+            fleet.runMs(deadMs);
+            assertEquals(MemberState.DEAD, fleet.stateOf(a, b));
+        }
+
+        @Test
+        void deadMemberWhoseLinkComesUpIsTriedAtOnce() {
+            fleet.cut = (p, q) -> p.equals(b) || q.equals(b);
+            fleet.runMs(300_000);
+            assertEquals(MemberState.DEAD, fleet.stateOf(a, b));
+            fleet.cut = (p, q) -> false;
+            fleet.feed(a, new MembershipEvent.LinkUp(b));
+            fleet.runMs(100);
+            assertEquals(MemberState.SERVING, fleet.stateOf(a, b));
+        }
+
         /** A dead member costs little: tries of it grow rare, down to one a minute. */
         @Test
         void deadListedMemberIsTriedWithBackoff() {
