quarantine: what belongs to each change of it stands in one thread-safe class; losses and requests under way in one each

Change: SharedQuarantine (log line, count, word, record), LossInquiry (did the server end), RequestsUnderWay (copies of a content); CrashNews and QuarantineRows move beside them, rows are read by pages. Nothing is decided otherwise. A link that comes up is told only if there is something to tell; a lost link no longer fails a step of a router that has stopped.

--- a/masticweir/src/main/java/org/masticweir/relay/QuarantineRows.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/QuarantineRows.java
@@ -1,4 +1,4 @@
-package org.masticweir.relay;
+package org.masticweir.quarantine;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
@@ -7,6 +7,7 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Iterables;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,10 +20,10 @@
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
-import org.masticweir.quarantine.CrashRecord;
-import org.masticweir.quarantine.Loss;
-import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.ReadOutcome;
+import org.masticweir.store.Row;
 import org.masticweir.store.RowKey;
+import org.masticweir.store.TableService;
 import org.masticweir.store.Transaction;
 import org.masticweir.store.TransactionOutcome;
 import org.masticweir.time.Clock;
@@ -35,7 +36,7 @@
  * A record with one server is not kept: most of those are cleared at once, and without it two more
  * servers end at most.
  */
-final class QuarantineRows {
+public final class QuarantineRows {
     private static final Logger LOG = LogManager.getLogger(QuarantineRows.class);
 
     private static final String TABLE = "quarantine";
@@ -52,13 +53,14 @@
     /** Records that wait for the store; the newest of a content replaces its others. */
     private static final int MOST_WAITING = 4_096;
 
+    private static final int PAGE_ROWS = 500;
     private static final char SEPARATOR = ' ';
     private static final char FIELD = ',';
     private static final Splitter PARTS = Splitter.on(SEPARATOR);
     private static final Splitter FIELDS = Splitter.on(FIELD);
     private static final int LOSS_FIELDS = 4;
 
-    private final PlatformPort.Store store;
+    private final TableService store;
     private final ScheduledExecutorService control;
     private final Clock clock;
     private final long holdMs;
@@ -66,8 +68,8 @@
     private boolean writing;
     private boolean read;
 
-    QuarantineRows(
-            PlatformPort.Store store, ScheduledExecutorService control, Clock clock, long holdMs) {
+    public QuarantineRows(
+            TableService store, ScheduledExecutorService control, Clock clock, long holdMs) {
         this.store = checkNotNull(store, "store");
         this.control = checkNotNull(control, "control");
         this.clock = checkNotNull(clock, "clock");
@@ -75,29 +77,37 @@
     }
 
     /** Reads the records that there are, with times by this router's clock. */
-    void read(Consumer<CrashRecord> found) {
-        store.readAll(TABLE, CALL_MS)
-                .thenAccept(
-                        outcome -> {
-                            if (outcome instanceof FeedOutcome.Rows rows) {
-                                onControl(
-                                        () -> {
-                                            rows.changes().forEach(r -> take(r, found));
-                                            read = true;
-                                        });
-                            } else {
-                                again(() -> read(found), "read");
-                            }
-                        });
+    public void read(Consumer<CrashRecord> found) {
+        readAfter("", found);
+    }
+
+    private void readAfter(String key, Consumer<CrashRecord> found) {
+        store.list(TABLE, key, PAGE_ROWS, CALL_MS)
+                .thenAccept(outcome -> onControl(() -> readEnded(key, outcome, found)));
+    }
+
+    private void readEnded(
+            String key, ReadOutcome<List<Row>> outcome, Consumer<CrashRecord> found) {
+        if (!(outcome instanceof ReadOutcome.Done<List<Row>> done)) {
+            again(() -> readAfter(key, found), "read");
+            return;
+        }
+        List<Row> rows = done.value();
+        rows.forEach(r -> take(r, found));
+        if (rows.size() < PAGE_ROWS) {
+            read = true;
+        } else {
+            readAfter(Iterables.getLast(rows).key().key(), found);
+        }
     }
 
     /** Returns whether all records were read. */
-    boolean isRead() {
+    public boolean isRead() {
         return read;
     }
 
     /** Keeps a record, or removes what was kept of one that is cleared; may be called anywhere. */
-    void keep(CrashRecord record) {
+    public void keep(CrashRecord record) {
         onControl(
                 () -> {
                     // A record that never had two servers was not kept, so there is no row of it.
@@ -148,12 +158,9 @@
         return text.toString();
     }
 
-    private void take(FeedOutcome.Change row, Consumer<CrashRecord> found) {
-        if (row.removed()) {
-            return;
-        }
+    private void take(Row row, Consumer<CrashRecord> found) {
         try {
-            List<String> parts = PARTS.splitToList(row.value().orElse(""));
+            List<String> parts = PARTS.splitToList(row.value());
             checkArgument(parts.size() >= 2, "no time and server");
             long ageMs = Math.max(0, clock.wallMs() - Long.parseLong(parts.get(0)));
             if (ageMs >= holdMs) {
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -0,0 +1,271 @@
+package org.masticweir.quarantine;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.ContentId;
+import org.masticweir.id.RouterId;
+import org.masticweir.metrics.MetricName;
+import org.masticweir.quarantine.Quarantine.Change;
+import org.masticweir.quarantine.Quarantine.News;
+import org.masticweir.time.Clock;
+
+/**
+ * A router's quarantine with what belongs to each change of it: a log line, a count, the word to
+ * the other routers and the record that outlasts them.
+ *
+ * <p>Thread-safe: one lock guards the quarantine, and nothing is done under it but to decide.
+ */
+public final class SharedQuarantine {
+    private static final Logger LOG = LogManager.getLogger(SharedQuarantine.class);
+
+    /** How long changes are gathered, in ms; short beside the start of a run. */
+    private static final long GATHER_MS = 5;
+
+    private final Quarantine quarantine;
+    private final Clock clock;
+    private final ScheduledExecutorService control;
+    private final Consumer<CrashNews> tell;
+    private final Consumer<CrashRecord> keep;
+    private final Counter suspected;
+    private final Counter quarantined;
+    private final Counter cleared;
+    private volatile BiConsumer<ContentId, Change> listener = (content, change) -> {};
+    private volatile boolean empty = true;
+    private boolean gathering;
+
+    /**
+     * Creates the quarantine of one router.
+     *
+     * @param tell tells all other routers; called on the control thread
+     * @param keep keeps a record where it outlasts the routers; called on any thread
+     */
+    public SharedQuarantine(
+            Quarantine quarantine,
+            Clock clock,
+            MetricRegistry metrics,
+            ScheduledExecutorService control,
+            Consumer<CrashNews> tell,
+            Consumer<CrashRecord> keep) {
+        this.quarantine = checkNotNull(quarantine, "quarantine");
+        this.clock = checkNotNull(clock, "clock");
+        this.control = checkNotNull(control, "control");
+        this.tell = checkNotNull(tell, "tell");
+        this.keep = checkNotNull(keep, "keep");
+        suspected = metrics.counter(MetricName.of("contents_suspected_total"));
+        quarantined = metrics.counter(MetricName.of("contents_quarantined_total"));
+        cleared = metrics.counter(MetricName.of("contents_cleared_total"));
+    }
+
+    /**
+     * Has {@code next} told when a content becomes suspect or is put into quarantine, on the thread
+     * that made the change and outside of any lock.
+     */
+    public void onChange(BiConsumer<ContentId, Change> next) {
+        listener = checkNotNull(next, "next");
+    }
+
+    /**
+     * Returns whether a request may be sent now.
+     *
+     * @param content asked for only while something is held against any content
+     */
+    public SendRule rule(Supplier<ContentId> content, long nowMs) {
+        if (empty) {
+            return SendRule.FREE;
+        }
+        ContentId id = content.get();
+        synchronized (this) {
+            return quarantine.rule(id, nowMs);
+        }
+    }
+
+    /** Returns how long a quarantined content is held from now on, in ms. */
+    public synchronized long holdLeftMs(ContentId content, long nowMs) {
+        return quarantine.holdLeftMs(content, nowMs);
+    }
+
+    /** A request is sent; returns whether it is on trial, until {@link #trialEnded}. */
+    public boolean trialBegins(Supplier<ContentId> content) {
+        if (empty) {
+            return false;
+        }
+        ContentId id = content.get();
+        synchronized (this) {
+            boolean onTrial = quarantine.trialBegins(id, clock.nowMs());
+            gather();
+            return onTrial;
+        }
+    }
+
+    /** A send that was on trial is over. */
+    public synchronized void trialEnded(ContentId content) {
+        quarantine.trialEnded(content);
+        gather();
+    }
+
+    /** A loss is looked into, and waited for until {@link #inquiryEnded}. */
+    public synchronized void inquiryBegins(ContentId content) {
+        quarantine.inquiryBegins(content, clock.nowMs());
+        empty = false;
+    }
+
+    /** The cause of a loss was found. */
+    public synchronized void inquiryEnded(ContentId content) {
+        quarantine.inquiryEnded(content);
+        empty = quarantine.isEmpty();
+    }
+
+    /** A server ended that had begun to run a request with {@code content}. */
+    public void ended(ContentId content, Loss loss, String cause) {
+        apply(content, cause, now -> quarantine.ended(content, loss, now));
+    }
+
+    /** A request ran for longer than a trial lasts, or got its whole answer. */
+    public void ranWell(Supplier<ContentId> content) {
+        if (!empty) {
+            ContentId id = content.get();
+            apply(id, "it ran without harm", now -> quarantine.ranWell(id, now));
+        }
+    }
+
+    /** A life that was believed to have ended answers. */
+    public void lives(ServerLife life) {
+        List<ContentId> held;
+        synchronized (this) {
+            held = quarantine.heldFor(life);
+        }
+        held.forEach(c -> apply(c, life + " lives", now -> quarantine.lives(c, life, now)));
+    }
+
+    /** Takes what another router told. */
+    public void told(RouterId peer, CrashNews news) {
+        news.contents().forEach(n -> told(peer, n));
+    }
+
+    private void told(RouterId peer, News news) {
+        ContentId content = news.record().content();
+        Change change;
+        synchronized (this) {
+            change = quarantine.told(peer, news, clock.nowMs());
+            empty = quarantine.isEmpty();
+        }
+        if (change == Change.QUARANTINED) {
+            log(content, change, "word of " + peer);
+        } else if (change != Change.NONE) {
+            // The router that found it out has written it at a higher level.
+            LOG.debug("quarantine: content {} is {}, word of {}", content, change, peer);
+        }
+        report(content, change);
+    }
+
+    /** Takes a record that outlasted the routers. */
+    public void recalled(CrashRecord record) {
+        Change change;
+        synchronized (this) {
+            change = quarantine.recalled(record, clock.nowMs());
+            empty = false;
+        }
+        log(record.content(), change, "read from the store");
+        report(record.content(), change);
+    }
+
+    /** Forgets the trials of a router that is lost. */
+    public synchronized void forget(RouterId peer) {
+        quarantine.forget(peer);
+    }
+
+    /** Returns all that a router is told which knows nothing; empty if there is nothing to tell. */
+    public synchronized Optional<CrashNews> all() {
+        List<News> all = quarantine.all(clock.nowMs());
+        return all.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(all));
+    }
+
+    /** One change of a content at a time. */
+    private interface Command {
+        Change at(long nowMs);
+    }
+
+    private void apply(ContentId content, String cause, Command command) {
+        Change change;
+        synchronized (this) {
+            change = command.at(clock.nowMs());
+            empty = quarantine.isEmpty();
+            gather();
+        }
+        log(content, change, cause);
+        if (change != Change.NONE) {
+            record(content).ifPresent(keep);
+        }
+        report(content, change);
+    }
+
+    private void report(ContentId content, Change change) {
+        if (change == Change.SUSPECTED || change == Change.QUARANTINED) {
+            listener.accept(content, change);
+        }
+    }
+
+    private synchronized Optional<CrashRecord> record(ContentId content) {
+        return quarantine.record(content);
+    }
+
+    /** What changes within a few milliseconds goes out together: a server ends under several. */
+    private void gather() {
+        if (gathering || !quarantine.hasNews()) {
+            return;
+        }
+        gathering = true;
+        try {
+            control.schedule(this::tellNow, GATHER_MS, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            LOG.debug("quarantine: the router has stopped");
+        }
+    }
+
+    private void tellNow() {
+        CrashNews news;
+        synchronized (this) {
+            gathering = false;
+            news = new CrashNews(quarantine.takeNews(clock.nowMs()));
+        }
+        if (!news.contents().isEmpty()) {
+            tell.accept(news);
+        }
+    }
+
+    private void log(ContentId content, Change change, String cause) {
+        if (change == Change.SUSPECTED) {
+            suspected.inc();
+            LOG.info("quarantine: content {} is suspect, {}", content, evidence(content, cause));
+        } else if (change == Change.QUARANTINED) {
+            quarantined.inc();
+            LOG.warn(
+                    "quarantine: content {} is not sent for {} ms, {}",
+                    content,
+                    holdLeftMs(content, clock.nowMs()),
+                    evidence(content, cause));
+        } else if (change == Change.CLEARED) {
+            cleared.inc();
+            LOG.info("quarantine: content {} is cleared, {}", content, cause);
+        }
+    }
+
+    private String evidence(ContentId content, String cause) {
+        return record(content)
+                .map(r -> cause + "; " + r.ends() + " ends counted of " + r.held())
+                .orElse(cause);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
@@ -4,10 +4,12 @@
 
 import com.google.common.base.Supplier;
 import com.google.common.base.Suppliers;
+import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.SendGate;
 import org.masticweir.id.ContentId;
 import org.masticweir.quarantine.Quarantine;
+import org.masticweir.quarantine.SendRule;
 
 /**
  * What the sends of one request show of its content; on the traffic thread.
@@ -33,7 +35,17 @@
 
     /** Returns the gate that each send of the request passes. */
     SendGate gate() {
-        return context.quarantine().gate(content);
+        return new SendGate() {
+            @Override
+            public SendRule rule(long nowMs) {
+                return context.quarantine().rule(content, nowMs);
+            }
+
+            @Override
+            public OptionalLong holdLeftMs(long nowMs) {
+                return OptionalLong.of(context.quarantine().holdLeftMs(content.get(), nowMs));
+            }
+        };
     }
 
     /** Returns how many events the send under way has brought, or the last one did. */
@@ -80,7 +92,7 @@
         RelayView view = context.view().get();
         boolean stays = view.server(server.life()).filter(s -> !s.leaving()).isPresent();
         if (stays && hasJustBegun(nowMs)) {
-            context.quarantine().lost(content.get(), server, sentMs, broke, view.catalog());
+            context.losses().lost(content.get(), server, sentMs, broke, view.catalog());
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -17,9 +17,9 @@
 import org.masticweir.peer.LinkDirection;
 import org.masticweir.peer.LinkListener;
 import org.masticweir.peer.PeerLinks;
-import org.masticweir.quarantine.Quarantine;
+import org.masticweir.quarantine.CrashNews;
+import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.relay.RelayMessages.CatalogAsk;
-import org.masticweir.relay.RelayMessages.CrashNews;
 import org.masticweir.relay.RelayMessages.EngineUse;
 import org.masticweir.relay.RelayMessages.FailureNews;
 import org.masticweir.relay.RelayMessages.Introduction;
@@ -51,7 +51,7 @@
     private final ScheduledExecutorService control;
     private final PeerDirectory directory;
     private final UseListener uses;
-    private final CrashListener crashes;
+    private final SharedQuarantine quarantine;
     private final StoreSharing sharing;
     private final StoreReading reading;
     private final Counter linksUp;
@@ -69,16 +69,6 @@
         void tellAll(RouterId peer);
     }
 
-    /** Hears which servers ended under which contents; called on the control thread. */
-    interface CrashListener {
-        void crashes(RouterId peer, List<Quarantine.News> told);
-
-        void forgetCrashes(RouterId peer);
-
-        /** Tells the peer all that this router knows. */
-        void tellCrashes(RouterId peer);
-    }
-
     PeerExchange(
             PeerLinks links,
             RouterAt self,
@@ -86,7 +76,7 @@
             ScheduledExecutorService control,
             PeerDirectory directory,
             UseListener uses,
-            CrashListener crashes,
+            SharedQuarantine quarantine,
             StoreSharing sharing,
             StoreReading reading,
             Counter linksUp) {
@@ -96,7 +86,7 @@
         this.control = checkNotNull(control, "control");
         this.directory = checkNotNull(directory, "directory");
         this.uses = checkNotNull(uses, "uses");
-        this.crashes = checkNotNull(crashes, "crashes");
+        this.quarantine = checkNotNull(quarantine, "quarantine");
         this.sharing = checkNotNull(sharing, "sharing");
         this.reading = checkNotNull(reading, "reading");
         this.linksUp = checkNotNull(linksUp, "linksUp");
@@ -109,9 +99,7 @@
         links.on(
                 FailureNews.class,
                 (from, m, reply) -> onControl(() -> uses.failure(m.server(), m.gone())));
-        links.on(
-                CrashNews.class,
-                (from, m, reply) -> onControl(() -> crashes.crashes(from, m.contents())));
+        links.on(CrashNews.class, (from, m, reply) -> quarantine.told(from, m));
         links.on(Pulse.class, (from, m, reply) -> onControl(() -> sharing.pulse(from, m, reply)));
         links.on(ServerNews.class, (from, m, reply) -> onControl(() -> sharing.words(from, m)));
         links.on(ServersAsk.class, (from, m, reply) -> onControl(() -> sharing.answer(m, reply)));
@@ -168,7 +156,7 @@
                         links.send(peer.router(), new Introduction(self));
                         sharing.linkUp(peer.router());
                         uses.tellAll(peer.router());
-                        crashes.tellCrashes(peer.router());
+                        quarantine.all().ifPresent(m -> links.send(peer.router(), m));
                     });
         }
 
@@ -183,7 +171,7 @@
                         reading.closed(peer);
                         if (direction == LinkDirection.INCOMING) {
                             uses.forget(peer);
-                            crashes.forgetCrashes(peer);
+                            quarantine.forget(peer);
                         }
                     });
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.masticweir.forward.StreamPace;
 import org.masticweir.forward.WaitingLine;
 import org.masticweir.http.HttpCaller;
+import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.time.Clock;
 import org.xnio.XnioIoThread;
 
@@ -32,7 +33,9 @@
         ServerHealth health,
         Placement placement,
         RepeatGate repeats,
-        QuarantineControl quarantine,
+        SharedQuarantine quarantine,
+        LossInquiry losses,
+        RequestsUnderWay underWay,
         WaitingLine line,
         SilenceBounds silence,
         StreamPace pace,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -1,16 +1,13 @@
 package org.masticweir.relay;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Set;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.forward.ServerUse;
 import org.masticweir.http.IpAddress;
-import org.masticweir.id.ContentId;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
@@ -18,9 +15,7 @@
 import org.masticweir.peer.FieldsCodec;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.peer.PeerMessage;
-import org.masticweir.quarantine.CrashRecord;
-import org.masticweir.quarantine.Loss;
-import org.masticweir.quarantine.Quarantine;
+import org.masticweir.quarantine.CrashNews;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -38,10 +33,6 @@
 
     private static final int MAX_ID_BYTES = 256;
     private static final int USE_FIELDS = 6;
-    private static final int CRASH_FIELDS = 4;
-    private static final int LOSS_FIELDS = 4;
-    private static final int LIFE_FIELDS = 2;
-    private static final int MAX_CONTENTS = 16_384;
     private static final int MAX_SERVERS = 16_384;
     private static final int MAX_CATALOG_BYTES = 4 << 20;
 
@@ -106,13 +97,6 @@
     /** A server failed at the sender, or is gone for good. */
     record FailureNews(ServerLife server, boolean gone) implements PeerMessage {}
 
-    /** Which servers ended under which contents, as the sender knows. */
-    record CrashNews(List<Quarantine.News> contents) implements PeerMessage {
-        CrashNews {
-            contents = ImmutableList.copyOf(contents);
-        }
-    }
-
     static List<MessageCodec<?>> codecs() {
         return ImmutableList.<MessageCodec<?>>builder()
                 .addAll(ofRoutersAndUse())
@@ -184,12 +168,7 @@
                         3,
                         (m, out) -> encodeLife(m.server(), out).packBoolean(m.gone()),
                         f -> new FailureNews(life(f), f.bool())),
-                FieldsCodec.of(
-                        CRASH_NEWS,
-                        CrashNews.class,
-                        1,
-                        RelayMessages::encodeCrashes,
-                        f -> new CrashNews(f.list(MAX_CONTENTS, RelayMessages::crashes))));
+                CrashNews.codec(CRASH_NEWS));
     }
 
     private static void encodeRouter(RouterAt router, MessagePacker out) throws IOException {
@@ -241,53 +220,4 @@
                     life(f), new ServerUse(f.int32(), f.int32(), f.int64(), f.int64()));
         }
     }
-
-    private static void encodeCrashes(CrashNews news, MessagePacker out) throws IOException {
-        out.packArrayHeader(news.contents().size());
-        for (Quarantine.News content : news.contents()) {
-            CrashRecord record = content.record();
-            out.packArrayHeader(CRASH_FIELDS).packString(record.content().value());
-            out.packArrayHeader(record.losses().size());
-            for (Loss loss : record.losses()) {
-                encodeLife(loss.life(), out.packArrayHeader(LOSS_FIELDS));
-                out.packLong(loss.sentMs()).packLong(loss.endedMs());
-            }
-            encodeLives(record.withdrawn(), out);
-            out.packBoolean(content.onTrial());
-        }
-    }
-
-    private static void encodeLives(Set<ServerLife> lives, MessagePacker out) throws IOException {
-        out.packArrayHeader(lives.size());
-        for (ServerLife life : lives) {
-            encodeLife(life, out.packArrayHeader(LIFE_FIELDS));
-        }
-    }
-
-    private static Quarantine.News crashes(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, CRASH_FIELDS)) {
-            CrashRecord record =
-                    new CrashRecord(
-                            ContentId.of(f.text(MAX_ID_BYTES)),
-                            f.list(CrashRecord.MOST_LIVES, RelayMessages::loss),
-                            lives(f));
-            return new Quarantine.News(record, f.bool());
-        }
-    }
-
-    private static Loss loss(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, LOSS_FIELDS)) {
-            return new Loss(life(f), f.int64(), f.int64());
-        }
-    }
-
-    private static ImmutableSet<ServerLife> lives(Fields f) throws IOException {
-        return ImmutableSet.copyOf(f.list(CrashRecord.MOST_LIVES, RelayMessages::listedLife));
-    }
-
-    private static ServerLife listedLife(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, LIFE_FIELDS)) {
-            return life(f);
-        }
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -38,6 +38,8 @@
 import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
 import org.masticweir.quarantine.Quarantine;
+import org.masticweir.quarantine.QuarantineRows;
+import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.relay.RelayMessages.RouterAt;
 import org.masticweir.time.Clock;
 import org.xnio.OptionMap;
@@ -100,7 +102,9 @@
     private final TableFollower catalogFollower;
     private final TableFollower serverFollower;
     private final QuarantineRows quarantineRows;
-    private final QuarantineControl quarantine;
+    private final SharedQuarantine quarantine;
+    private final LossInquiry losses;
+    private final RequestsUnderWay underWay;
     private final PeerExchange peers;
     private final RelayShutdown shutdown;
     private final RelayPorts ports;
@@ -136,7 +140,10 @@
         serverFollower = serverFollower();
         UseSharing uses = useSharing();
         quarantineRows = new QuarantineRows(store, control, clock, settings.quarantineMs());
-        quarantine = quarantineControl();
+        quarantine = sharedQuarantine();
+        losses = new LossInquiry(quarantine, new ServerCheck(calls, platform.dialect()), clock);
+        underWay = new RequestsUnderWay(quarantine);
+        quarantine.onChange((c, change) -> thread.execute(() -> underWay.changed(c, change)));
         peers =
                 new PeerExchange(
                         links,
@@ -190,7 +197,7 @@
         links.start();
         control.execute(() -> reading.follow(catalogFollower, serverFollower));
         directory.join(peers::learn);
-        quarantineRows.read(record -> thread.execute(() -> quarantine.recalled(record)));
+        quarantineRows.read(quarantine::recalled);
         control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         callersPort.openWhenReady();
         LOG.info("router: {} in {} has started", settings.router(), settings.domain());
@@ -244,16 +251,14 @@
                 links::send);
     }
 
-    private QuarantineControl quarantineControl() {
-        return new QuarantineControl(
+    private SharedQuarantine sharedQuarantine() {
+        return new SharedQuarantine(
                 Quarantine.create(settings.router(), settings.quarantineMs()),
-                new ServerCheck(calls, platform.dialect()),
                 clock,
-                thread,
                 metrics,
-                quarantineRows::keep,
-                directory::known,
-                links::send);
+                control,
+                news -> directory.known().forEach(p -> links.send(p, news)),
+                quarantineRows::keep);
     }
 
     private void toldUpTo(long revision) {
@@ -270,7 +275,7 @@
                 () -> {
                     loads.retain(present);
                     health.listed(present, clock.nowMs());
-                    quarantine.listed(present);
+                    losses.listed(present);
                 });
     }
 
@@ -289,6 +294,8 @@
                 Placement.create(loads, health, settings.domain(), random),
                 repeats,
                 quarantine,
+                losses,
+                underWay,
                 WaitingLine.create(),
                 SilenceBounds.create(),
                 StreamPace.create(),
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -25,7 +25,7 @@
  * <p>It carries out what its {@link Course} decides, and owns the request's timers, its connection
  * to a server and its entry on the load board.
  */
-final class RelayRun implements QuarantineControl.Sender {
+final class RelayRun implements RequestsUnderWay.Request {
     private final RelayContext context;
     private final RequestPlan plan;
     private final RelayRequest request;
@@ -79,7 +79,7 @@
     }
 
     void start() {
-        context.quarantine().begins(this);
+        context.underWay().add(this);
         take(course.next(now()));
     }
 
@@ -282,7 +282,7 @@
     private void finish() {
         over = true;
         course.close();
-        context.quarantine().ended(this);
+        context.underWay().remove(this);
         leaveServer();
         watch.stop();
         ended.run();
