relay: a send that is left as its content goes into quarantine is logged as one that may have run

Cause: reading the change again: the line named no content, and the method's words said that the send had not run.

--- a/masticweir/src/main/java/org/masticweir/quarantine/package-info.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
  * Which requests end the servers that run them: the evidence of all routers, and what follows from
- * it. No I/O.
+ * it. {@link org.masticweir.quarantine.Quarantine} decides and has no I/O.
  */
 package org.masticweir.quarantine;
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -233,7 +233,7 @@
     @Override
     public void quarantined() {
         if (!over && silence != null && trial.hasJustBegun(now())) {
-            sendEnded(silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
+            sendLost(silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
             end(course.quarantined(now()));
         }
     }
