membership: a member that counts as dead is tried again from one heartbeat on, not from the time of its death

What callers saw: a domain that met the others again within six seconds of a cut took a change of the configuration nine to eleven seconds later; ConfigReachTest.StalePeer failed once more in a whole run, with the mend of links that come up just then in it. Cause: a dial's backoff reaches five seconds, so a domain may be met again without a dial before its silence counts as death. The link is dropped then, and the first try of a dead member was due a whole time to death later (8 s between domains). Change: the waits between tries of a dead member grow from one heartbeat, doubled up to the same longest wait as before. Conclusion: the wait for a domain that returns is set by how long it was away.

--- a/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
+++ b/masticweir/src/main/java/org/masticweir/membership/MemberEntry.java
@@ -185,9 +185,14 @@
         return before;
     }
 
-    /** Starts the waits between tries of a member that was just found dead. */
+    /**
+     * Starts the waits between tries of a member that was just found dead.
+     *
+     * <p>They grow from one heartbeat, so that a member that comes back is heard again after a time
+     * that its absence sets.
+     */
     void startRetries(long nowMs) {
-        retryMs = deadMs();
+        retryMs = factor * pace.intervalMs();
         nextBeatMs = nowMs + retryMs;
     }
 
--- a/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/membership/MembershipStateTest.java
@@ -113,6 +113,27 @@
             assertEquals(MemberState.DEAD, fleet.stateOf(a, b));
         }
 
+        /**
+         * Two domains meet again as each counts as dead for the other: the link's next dial was not
+         * due before, and a change of the configuration came eleven seconds later than it could.
+         */
+        @Test
+        void domainThatReturnsAsItCountsAsDeadIsHeardAfterTwoHeartbeats() {
+            Fleet pair = new Fleet();
+            RouterId here = pair.add(Fleet.router(1, 1, 1));
+            RouterId there = pair.add(Fleet.router(2, 1, 1));
+            pair.listAll(5);
+            pair.runMs(7000);
+            pair.cut = (p, q) -> true;
+            int farFactor = MembershipSettings.DEFAULT.farFactor();
+            pair.runMs(farFactor * MembershipSettings.DEFAULT.deadMs());
+            assertEquals(MemberState.DEAD, pair.stateOf(here, there));
+            pair.cut = (p, q) -> false;
+            pair.runMs(2 * farFactor * MembershipSettings.DEFAULT.heartbeatMs());
+            assertEquals(MemberState.SERVING, pair.stateOf(here, there));
+            assertEquals(MemberState.SERVING, pair.stateOf(there, here));
+        }
+
         @Test
         void deadMemberWhoseLinkComesUpIsTriedAtOnce() {
             fleet.cut = (p, q) -> p.equals(b) || q.equals(b);
