recovery: a letter is followed for as long when probes overtake it as when none is answered; leaving an engine is logged

Cause: a probe that the engine answers before it has read the attempt counts as ahead of it, and the third such answer left the engine. Elsewhere a request that may repeat goes on; a letter fails. Where no probe is answered, letters already had three seconds. How sure: by elimination. Change: the same patience in both cases, counted from the send. One log line says why an engine is left: silence, its bound, probes failed, without progress, ahead of the attempt.

--- a/masticweir/src/main/java/org/masticweir/recovery/ProbeJudge.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/ProbeJudge.java
@@ -28,7 +28,7 @@
             return answered(answered.next(), standing, nowMs);
         }
         if (probed instanceof RecoveryEvent.ProbeUnknown) {
-            return standing.onItsWay() ? silence.notArrived(nowMs) : ProbeVerdict.LEAVE;
+            return standing.onItsWay() ? silence.notArrived(plan, nowMs) : ProbeVerdict.LEAVE;
         }
         if (probed instanceof RecoveryEvent.ProbeWithheld) {
             silence.withheld();
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
@@ -27,6 +29,8 @@
     /** Pause between two probes of a silent engine. */
     static final long PROBE_AGAIN_MS = 50;
 
+    private static final Logger LOG = LogManager.getLogger(RecoveryMachine.class);
+
     private enum Phase {
         CHOOSING,
         STARTING,
@@ -337,6 +341,12 @@
                 break;
             case LEAVE:
             default:
+                LOG.info(
+                        "recovery: {} leaves engine {}, {}, bound {} ms",
+                        assembler.current(),
+                        engine,
+                        silence.told(nowMs),
+                        bound());
                 noteLoss(nowMs);
                 move(nowMs);
                 break;
--- a/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/SilenceWatch.java
@@ -5,7 +5,7 @@
     /** Probes answered without progress after which a live but stuck engine is left. */
     static final int STUCK_PROBES = 20;
 
-    /** How long a non-idempotent request follows an engine that answers no probe. */
+    /** How long a non-idempotent request follows an engine that tells nothing of it. */
     static final long NON_IDEMPOTENT_PATIENCE_MS = 3_000;
 
     /** How late a wake-up must be for this router, not the engine, to be what paused. */
@@ -17,6 +17,7 @@
     /** Probes answered ahead of an attempt after which it is taken for lost on its way. */
     static final int PROBES_AHEAD = 2;
 
+    private long begunMs;
     private long quietSinceMs;
     private boolean probing;
     private boolean listenedAgain;
@@ -30,6 +31,7 @@
         firstTokenSeen = false;
         endProbes();
         listenedAgain = false;
+        begunMs = nowMs;
         quietSinceMs = nowMs;
     }
 
@@ -112,11 +114,14 @@
      * <p>Failure guarded against: many requests come at once, and an engine answers the probe of
      * one, on a connection of its own, before it has read the attempt. Left at once, the attempt is
      * computed there all the same, as the word to stop comes before it too, and again elsewhere.
+     *
+     * <p>A non-idempotent request that is left goes nowhere else: its caller gets an error while
+     * the engine computes the answer.
      */
-    ProbeVerdict notArrived(long nowMs) {
+    ProbeVerdict notArrived(RecoveryPlan plan, long nowMs) {
         answered();
         ahead++;
-        if (ahead > PROBES_AHEAD) {
+        if (ahead > PROBES_AHEAD && !patient(plan, nowMs - begunMs)) {
             return ProbeVerdict.LEAVE;
         }
         quietSinceMs = nowMs;
@@ -133,11 +138,26 @@
             failed = 0;
             return ProbeVerdict.LISTEN;
         }
-        boolean patient = !plan.idempotent() && silentMs < NON_IDEMPOTENT_PATIENCE_MS;
-        boolean again = patient || failed < plan.preset().probesBeforeMove();
+        boolean again = patient(plan, silentMs) || failed < plan.preset().probesBeforeMove();
         return again ? ProbeVerdict.PROBE_AGAIN : ProbeVerdict.LEAVE;
     }
 
+    private static boolean patient(RecoveryPlan plan, long silentMs) {
+        return !plan.idempotent() && silentMs < NON_IDEMPOTENT_PATIENCE_MS;
+    }
+
+    /** Returns what a decision at {@code nowMs} goes by, for its log line. */
+    String told(long nowMs) {
+        return "silent "
+                + (nowMs - quietSinceMs)
+                + " ms, probes failed "
+                + failed
+                + ", without progress "
+                + stuck
+                + ", before it arrived "
+                + ahead;
+    }
+
     /** Ends the probes of an attempt that is left. */
     void endProbes() {
         probing = false;
--- a/masticweir/src/test/java/org/masticweir/recovery/FalseSilenceTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/FalseSilenceTest.java
@@ -27,7 +27,7 @@
             new RecoveryPlan(
                     GENERATION, true, false, RecoveryPreset.PROMPT, 60_000, MAX_ATTEMPTS, 1_000);
 
-    private final RecoveryMachine machine = RecoveryMachine.of(PLAN, (e, first) -> BOUND_MS);
+    private RecoveryMachine machine = RecoveryMachine.of(PLAN, (e, first) -> BOUND_MS);
     private long nowMs;
 
     private static AttemptId attempt(int number) {
@@ -163,6 +163,47 @@
                     on(new RecoveryEvent.ProbeUnknown(attempt(1))));
         }
 
+        /**
+         * A letter ends in doubt though its engine computes it: one of hundreds that come at once,
+         * it is read a second after the probes of it were answered.
+         */
+        @Test
+        void letterIsFollowedThoughSeveralProbesOvertakeIt() {
+            sendLetter();
+            while (nowMs + BOUND_MS < SilenceWatch.NON_IDEMPOTENT_PATIENCE_MS) {
+                assertHas(new RecoveryAction.Probe(attempt(1), E1), tickAt(nowMs + BOUND_MS));
+                assertHasNo(
+                        RecoveryAction.Fail.class, on(new RecoveryEvent.ProbeUnknown(attempt(1))));
+            }
+            streamTwoTokens();
+            assertEquals(2, machine.accepted());
+        }
+
+        /** The letter was swallowed on its way: its caller hears of it within a bound. */
+        @Test
+        void letterThatNeverArrivesFailsOnceThePatienceIsOver() {
+            sendLetter();
+            while (!machine.done()) {
+                tickAt(nowMs + BOUND_MS);
+                on(new RecoveryEvent.ProbeUnknown(attempt(1)));
+            }
+            assertEquals(SilenceWatch.NON_IDEMPOTENT_PATIENCE_MS, nowMs);
+        }
+
+        private void sendLetter() {
+            RecoveryPlan letter =
+                    new RecoveryPlan(
+                            GENERATION,
+                            false,
+                            false,
+                            RecoveryPreset.PROMPT,
+                            60_000,
+                            MAX_ATTEMPTS,
+                            1_000);
+            machine = RecoveryMachine.of(letter, (e, first) -> BOUND_MS);
+            sendToOneEngine();
+        }
+
         /** An engine that came back without its generations is left at once. */
         @Test
         void engineThatForgotARunningGenerationIsLeft() {
