relay, feed, quarantine: a step for a control thread that has stopped is dropped in one place

Cause: seven methods gave a step to the control thread and caught its refusal alike, three of them added with the quarantine; the next part that needs it would have been the eighth, and one that forgot it would throw into the links' thread. Change: concurrent.ControlThread.execute and executeAfter, with the name of the part for the debug line, whose words are now one. No decision, bound, level or order changes. Looked at and left: the log and report of a change in SharedQuarantine differ by their source; the retries of PeerDirectory and QuarantineRows share only this; the pairs of constructors that a search names are field by field alike and decide nothing. Checks: formatter and linter; 81 unit tests of quarantine, feed and peers and 31 of the platform's path (among them CrashingRequestTest and RelayPathTest), 0 failures.

--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/concurrent/package-info.java
@@ -0,0 +1,2 @@
+/** What the threads of a router share. */
+package org.masticweir.concurrent;
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -4,12 +4,12 @@
 
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.concurrent.ControlThread;
 import org.masticweir.store.ChangeFeed;
 import org.masticweir.store.FeedOutcome;
 import org.masticweir.time.Clock;
@@ -106,11 +106,7 @@
     }
 
     private void handOver(FeedOutcome outcome, OptionalLong since) {
-        try {
-            control.execute(() -> ended(outcome, since));
-        } catch (RejectedExecutionException e) {
-            LOG.debug("feed: {} is no longer followed, the router has stopped", table);
-        }
+        ControlThread.execute(control, () -> ended(outcome, since), "feed");
     }
 
     private void ended(FeedOutcome outcome, OptionalLong since) {
--- a/masticweir/src/main/java/org/masticweir/quarantine/QuarantineRows.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/QuarantineRows.java
@@ -11,13 +11,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerLife;
+import org.masticweir.concurrent.ControlThread;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
 import org.masticweir.store.ReadOutcome;
@@ -196,18 +195,10 @@
 
     private void again(Runnable step, String what) {
         LOG.info("quarantine: the store could not be reached to {}, it is tried again", what);
-        try {
-            control.schedule(step, AGAIN_MS, TimeUnit.MILLISECONDS);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("quarantine: the router has stopped");
-        }
+        ControlThread.executeAfter(control, step, AGAIN_MS, "quarantine");
     }
 
     private void onControl(Runnable step) {
-        try {
-            control.execute(step);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("quarantine: the router has stopped");
-        }
+        ControlThread.execute(control, step, "quarantine");
     }
 }
--- a/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -6,15 +6,14 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerLife;
+import org.masticweir.concurrent.ControlThread;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.RouterId;
 import org.masticweir.metrics.MetricName;
@@ -228,11 +227,7 @@
             return;
         }
         gathering = true;
-        try {
-            control.schedule(this::tellNow, GATHER_MS, TimeUnit.MILLISECONDS);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("quarantine: the router has stopped");
-        }
+        ControlThread.executeAfter(control, this::tellNow, GATHER_MS, "quarantine");
     }
 
     private void tellNow() {
--- a/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
@@ -6,12 +6,11 @@
 import com.google.common.base.Splitter;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.concurrent.ControlThread;
 import org.masticweir.http.IpAddress;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
@@ -113,10 +112,6 @@
 
     private void again(Runnable step, String what) {
         LOG.info("peers: {} could not {}, it is tried again", self.id(), what);
-        try {
-            control.schedule(step, AGAIN_MS, TimeUnit.MILLISECONDS);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("peers: the router has stopped");
-        }
+        ControlThread.executeAfter(control, step, AGAIN_MS, "peers");
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -6,12 +6,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerLife;
+import org.masticweir.concurrent.ControlThread;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.Hello;
 import org.masticweir.peer.LinkDirection;
@@ -135,11 +135,7 @@
     }
 
     private void onControl(Runnable step) {
-        try {
-            control.execute(step);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("peers: a message came after the router had stopped");
-        }
+        ControlThread.execute(control, step, "peers");
     }
 
     /** Greets peers whose link has come up, and forgets the load of those that are lost. */
--- a/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
@@ -4,12 +4,12 @@
 
 import java.util.Collection;
 import java.util.Optional;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.concurrent.ControlThread;
 import org.masticweir.feed.ReadingShare;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.id.RouterId;
@@ -226,10 +226,6 @@
     }
 
     private void onControl(Runnable step) {
-        try {
-            control.execute(step);
-        } catch (RejectedExecutionException e) {
-            LOG.debug("peers: a message came after the router had stopped");
-        }
+        ControlThread.execute(control, step, "peers");
     }
 }
