relay, platform: a line says which limit a server's answer names

Cause: of the three hypotheses on servers that get more than they name, none could be told by logs: no line said what an answer names. RelayRun hears the head of each answer to its own request, from the server that was meant, and RequestLog writes the limit. No decision goes by it yet.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -322,6 +322,13 @@
             return over || number != sendNumber;
         }
 
+        @Override
+        public void head(ServerWord word) {
+            if (!isStale()) {
+                log.limit(sent.server(), word.limit());
+            }
+        }
+
         @Override
         public void event(HttpHead head, ByteBuffer bytes, OptionalLong id) {
             if (isStale()) {
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -12,6 +12,7 @@
 import org.masticweir.forward.ServerUse;
 import org.masticweir.forward.Step;
 import org.masticweir.id.ContentId;
+import org.masticweir.permits.LimitWord;
 
 /**
  * Writes one line for each decision on one request, with the request's id and what decided it; on
@@ -89,6 +90,13 @@
         at(server, "reports " + report.map(EngineReport::toString).orElse("nothing"), sentMs);
     }
 
+    /** A server says how many requests it takes. */
+    void limit(BackendServer server, LimitWord word) {
+        if (word.kind() != LimitWord.Kind.NONE) {
+            LOG.info("relay: request {}: {} names a limit, {}", id, server.life(), word);
+        }
+    }
+
     /** A stream goes on after a pause. */
     void goesOn(BackendServer server, long pauseMs) {
         LOG.info("relay: request {} goes on at {} after {} ms", id, server.id(), pauseMs);
--- a/masticweir/src/main/java/org/masticweir/relay/SendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendListener.java
@@ -6,6 +6,9 @@
 
 /** Hears how one send to a server goes; the last call is one of the ends. */
 interface SendListener {
+    /** The head of an answer to this request came, from the server that was meant. */
+    void head(ServerWord word);
+
     /** An event of a series came whole. */
     void event(HttpHead head, ByteBuffer bytes, OptionalLong id);
 
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -100,12 +100,17 @@
             head = received;
             word = dialect.serverWord(received);
             if (word.notRun()) {
+                if (!word.wrongServer()) {
+                    listener.head(word);
+                }
                 return;
             }
             if (word.request().isPresent() && !word.request().get().equals(request)) {
                 unusable("the answer is to another request");
             } else if (received.isSuccess() && !word.signed()) {
                 unusable("the answer bears no signature");
+            } else {
+                listener.head(word);
             }
         }
 
--- a/masticweir/src/main/java/org/masticweir/relay/ServerWord.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerWord.java
@@ -4,6 +4,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.masticweir.permits.LimitWord;
 
 /**
  * What the head of a server's answer says of the request and the server; immutable.
@@ -13,15 +14,18 @@
  * @param request which request it answers
  * @param signed whether it bears the server's signature
  * @param present requests that the server runs and keeps waiting
+ * @param limit how many requests it takes
  */
 public record ServerWord(
         boolean notRun,
         boolean wrongServer,
         Optional<String> request,
         boolean signed,
-        OptionalInt present) {
+        OptionalInt present,
+        LimitWord limit) {
     public ServerWord {
         checkNotNull(request, "request");
         checkNotNull(present, "present");
+        checkNotNull(limit, "limit");
     }
 }
