permits, relay: a server's limit is kept by all routers together, one permit for each request

What callers and servers saw: servers that named a limit of 4.7 requests a second got 12 a second, 51 in 4 s where 33 are allowed. Cause: nothing read the limit. A limit kept by each router alone would not have been enough: eight routers multiply it by eight, 95 by 95, and a part of 0.05 a second at each can't be rounded to whole requests. Class: a limit on all routers that each of them keeps, or does not keep, by itself; as the allowance of repeats is divided today. Change: ServerLimits holds what servers name, by their answers and the words of other routers; an answer ends a limit only if its request left after the limit was last heard of. Placement passes over servers whose permits are spent for as long as the issuer says, prefers others, and a request that only lacks a permit is refused at once when none will be there in time. A router that hears fewer than half of those it knows grants its side's part only. Ruled out: parts for each router (at 95 routers one saved-up request each is 95 at a moment, where 32 are allowed), a counter in the platform's store (a call on the way of each request, nothing while it is away).

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -67,6 +67,9 @@
     private Optional<BackendServer> keeper = Optional.empty();
     private boolean asked;
 
+    /** The server that this request may be sent to once, though it limits what it takes. */
+    private Optional<BackendServer> permitted = Optional.empty();
+
     /** Whether servers ended under the same content. */
     private boolean apart;
 
@@ -142,10 +145,17 @@
         }
         Optional<BackendServer> copy = usableHolder(nowMs);
         Optional<BackendServer> server =
-                copy.or(() -> usableKeeper(nowMs)).or(() -> anyServer(nowMs));
+                permitted
+                        .filter(s -> canTake(s, nowMs))
+                        .or(() -> copy)
+                        .or(() -> usableKeeper(nowMs))
+                        .or(() -> anyServer(nowMs));
         if (server.isEmpty() || wait.mustWait(sends, nowMs)) {
             return holdOrEnd(nowMs);
         }
+        if (placement.needsPermit(server.get()) && !permitted.equals(server)) {
+            return new Step.Permit(server.get());
+        }
         countedMs = OptionalLong.empty();
         if (arrivals > 0) {
             if (!repeats.tryRepeat(plan.service(), nowMs)) {
@@ -153,7 +163,13 @@
             }
             countedMs = OptionalLong.of(nowMs);
         }
-        return send(server.get(), copy.isPresent(), nowMs);
+        return send(server.get(), copy.equals(server), nowMs);
+    }
+
+    /** Takes the decision on a {@link Step.Permit}, and returns the next step. */
+    public Step permitted(BackendServer server, boolean granted, long nowMs) {
+        permitted = granted ? Optional.of(server) : Optional.empty();
+        return next(nowMs);
     }
 
     /** Takes the engine that keeps the prompt, if one said so, and returns the next step. */
@@ -246,7 +262,7 @@
         return new Step.End(
                 known.safeToSendAgain() ? ErrorCode.OVERLOADED : ErrorCode.DEADLINE_EXCEEDED,
                 known,
-                returnMs(),
+                returnMs(0),
                 "its time is over");
     }
 
@@ -284,6 +300,7 @@
 
     private Step send(BackendServer server, boolean fromCopy, long nowMs) {
         wait.close();
+        permitted = Optional.empty();
         if (!counted) {
             counted = true;
             repeats.requested(plan.service(), nowMs);
@@ -314,10 +331,11 @@
     }
 
     private Optional<BackendServer> usableKeeper(long nowMs) {
-        return keeper.filter(
-                k ->
-                        !tried.contains(k.life())
-                                && placement.canTake(k, plan.size(), plan.engine(), nowMs));
+        return keeper.filter(k -> !tried.contains(k.life()) && canTake(k, nowMs));
+    }
+
+    private boolean canTake(BackendServer server, long nowMs) {
+        return placement.canTake(server, plan.size(), plan.engine(), nowMs);
     }
 
     /**
@@ -372,6 +390,13 @@
             return new Step.End(
                     ErrorCode.NO_ENGINE, verdict, OptionalLong.empty(), "larger than any engine");
         }
+        OptionalLong permitInMs = placement.permitInMs(servers.get(), tried, nowMs);
+        if (permitInMs.isPresent() && wait.isOver(nowMs + permitInMs.getAsLong())) {
+            return end(
+                    ErrorCode.OVERLOADED,
+                    "servers take no more requests now",
+                    permitInMs.getAsLong());
+        }
         int running = placement.ownRunning(servers.get());
         Optional<String> refusal = wait.refusal(sends, running, nowMs);
         return refusal.isPresent()
@@ -395,13 +420,19 @@
     }
 
     private Step.End end(ErrorCode code, String reason) {
+        return end(code, reason, 0);
+    }
+
+    /** Ends the request with an error; its caller may come back after {@code leastMs} at best. */
+    private Step.End end(ErrorCode code, String reason, long leastMs) {
         ErrorCode told = verdict.safeToSendAgain() ? ErrorCode.OVERLOADED : code;
         boolean unsure = !verdict.safeToSendAgain() && told.httpStatus() == 503;
-        return new Step.End(unsure ? ErrorCode.ENGINE_LOST : told, verdict, returnMs(), reason);
+        return new Step.End(
+                unsure ? ErrorCode.ENGINE_LOST : told, verdict, returnMs(leastMs), reason);
     }
 
-    private OptionalLong returnMs() {
-        long least = Math.max(1, plan.route().goalMs() / RETURN_PART);
-        return OptionalLong.of(least + random.nextLong(least));
+    private OptionalLong returnMs(long leastMs) {
+        long part = Math.max(1, plan.route().goalMs() / RETURN_PART);
+        return OptionalLong.of(Math.max(part, leastMs) + random.nextLong(part));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -12,6 +13,7 @@
 import org.masticweir.catalog.EngineSpec;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.id.DomainId;
+import org.masticweir.permits.ServerLimits;
 
 /**
  * Chooses the server of a request and the holder of its copy; owned by the traffic thread.
@@ -52,6 +54,12 @@
     /** What doubt weighs for plain requests, in requests present a slot. */
     private static final double SLOTS_A_DOUBT = 1;
 
+    /** What a limit weighs, in the same unit: others that idle are to take the request. */
+    private static final long TOKENS_A_LIMIT = 10_000;
+
+    /** What a limit weighs for plain requests, in requests present a slot. */
+    private static final double SLOTS_A_LIMIT = 0.5;
+
     /**
      * Prompts that an engine reads at once. It reads a part of each between two steps, so that two
      * make the pauses of all its streams six tenths of the longest that is on time (430 of 700 ms),
@@ -72,19 +80,30 @@
 
     private final LoadBoard loads;
     private final ServerHealth health;
+    private final ServerLimits limits;
     private final DomainId home;
     private final RandomGenerator random;
 
-    private Placement(LoadBoard loads, ServerHealth health, DomainId home, RandomGenerator random) {
-        this.health = checkNotNull(health, "health");
+    private Placement(
+            LoadBoard loads,
+            ServerHealth health,
+            ServerLimits limits,
+            DomainId home,
+            RandomGenerator random) {
         this.loads = checkNotNull(loads, "loads");
+        this.health = checkNotNull(health, "health");
+        this.limits = checkNotNull(limits, "limits");
         this.home = checkNotNull(home, "home");
         this.random = checkNotNull(random, "random");
     }
 
     public static Placement create(
-            LoadBoard loads, ServerHealth health, DomainId home, RandomGenerator random) {
-        return new Placement(loads, health, home, random);
+            LoadBoard loads,
+            ServerHealth health,
+            ServerLimits limits,
+            DomainId home,
+            RandomGenerator random) {
+        return new Placement(loads, health, limits, home, random);
     }
 
     /** Returns the best server for a request, if one of {@code servers} can take it. */
@@ -146,7 +165,7 @@
             ImmutableList<BackendServer> servers, RequestSize size, EngineSpec engine, long nowMs) {
         Optional<EngineSpec> spec = Optional.of(engine);
         return servers.stream()
-                .filter(s -> canTake(s, size, spec, nowMs))
+                .filter(s -> canTake(s, size, spec, nowMs) && !needsPermit(s))
                 .sorted(Comparator.comparingDouble(s -> rank(s, spec, nowMs)))
                 .limit(MOST_ASKED)
                 .collect(ImmutableList.toImmutableList());
@@ -155,7 +174,34 @@
     /** Returns whether {@code server} can take a request now. */
     boolean canTake(
             BackendServer server, RequestSize size, Optional<EngineSpec> engine, long nowMs) {
-        return !health.isDown(server, nowMs) && fits(server, size, engine);
+        return !health.isDown(server, nowMs)
+                && limits.closedForMs(server.life(), nowMs) == 0
+                && fits(server, size, engine);
+    }
+
+    /** Returns whether a server is sent a request only with a permit for it. */
+    boolean needsPermit(BackendServer server) {
+        return limits.isLimited(server.life());
+    }
+
+    /**
+     * Returns how long it takes until a permit may be had, in ms, if every one of {@code servers}
+     * that lives lacks nothing but that; empty if another one may do before.
+     */
+    OptionalLong permitInMs(
+            ImmutableList<BackendServer> servers, Set<ServerLife> tried, long nowMs) {
+        long soonestMs = Long.MAX_VALUE;
+        for (BackendServer server : servers) {
+            if (server.leaving() || tried.contains(server.life())) {
+                continue;
+            }
+            long closedMs = limits.closedForMs(server.life(), nowMs);
+            if (closedMs == 0) {
+                return OptionalLong.empty();
+            }
+            soonestMs = Math.min(soonestMs, closedMs);
+        }
+        return soonestMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(soonestMs);
     }
 
     /** Returns how many requests this router has at {@code servers}. */
@@ -215,13 +261,20 @@
     private double rank(BackendServer server, Optional<EngineSpec> engine, long nowMs) {
         boolean far = !server.domain().equals(home);
         boolean doubtful = health.isDoubtful(server, nowMs);
+        boolean limited = needsPermit(server);
         if (engine.isEmpty()) {
             double present = (double) loads.present(server.life(), nowMs) / server.slots();
-            return present + (far ? SLOTS_A_DOMAIN : 0) + (doubtful ? SLOTS_A_DOUBT : 0);
+            return present
+                    + (far ? SLOTS_A_DOMAIN : 0)
+                    + (doubtful ? SLOTS_A_DOUBT : 0)
+                    + (limited ? SLOTS_A_LIMIT : 0);
         }
         ServerUse use = loads.use(server.life());
         long tokens = use.readingTokens() + TOKENS_A_REQUEST * use.running();
-        return tokens + (far ? TOKENS_A_DOMAIN : 0) + (doubtful ? TOKENS_A_DOUBT : 0);
+        return tokens
+                + (far ? TOKENS_A_DOMAIN : 0)
+                + (doubtful ? TOKENS_A_DOUBT : 0)
+                + (limited ? TOKENS_A_LIMIT : 0);
     }
 
     private double memoryShare(BackendServer server, EngineSpec engine) {
--- a/masticweir/src/main/java/org/masticweir/forward/Step.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Step.java
@@ -42,6 +42,16 @@
         }
     }
 
+    /**
+     * {@code server} limits what it takes, and a permit for one request is to be had first; the
+     * decision goes to {@link Course#permitted}.
+     */
+    record Permit(BackendServer server) implements Step {
+        public Permit {
+            checkNotNull(server, "server");
+        }
+    }
+
     /** Nothing can take the request now; ask again after {@code ms}. */
     record Hold(long ms) implements Step {
         public Hold {
--- a/masticweir/src/main/java/org/masticweir/peer/Fields.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Fields.java
@@ -44,6 +44,11 @@
         return in.unpackLong();
     }
 
+    public double float64() throws IOException {
+        take();
+        return in.unpackDouble();
+    }
+
     public boolean bool() throws IOException {
         take();
         return in.unpackBoolean();
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/IssuerChoice.java
@@ -0,0 +1,79 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.masticweir.id.RouterId;
+import org.masticweir.membership.Rendezvous;
+
+/**
+ * Which router issues the permits of a shared rate, as this router knows the others. Thread-safe.
+ *
+ * <p>All routers that are linked with each other choose the same one. A router that hears fewer
+ * than half of those it knows may be cut off, with others issuing the same permits on the far side:
+ * it then grants only the part of the rate that its side makes up.
+ */
+final class IssuerChoice {
+    /** How long a router that is not heard of is reckoned with, in ms: longer than most cuts. */
+    private static final long RECKONED_MS = 60_000;
+
+    /** Keys whose issuer is remembered. */
+    private static final int MOST_KEYS = 4_096;
+
+    private final RouterId self;
+    private final Set<RouterId> linked = new HashSet<>();
+    private final Map<RouterId, Long> lastHeardMs = new HashMap<>();
+    private final Map<PermitKey, RouterId> issuers = new HashMap<>();
+
+    IssuerChoice(RouterId self) {
+        this.self = checkNotNull(self, "self");
+    }
+
+    /** There is a router, linked or not. */
+    synchronized void learn(RouterId router, long nowMs) {
+        if (!router.equals(self)) {
+            lastHeardMs.put(router, nowMs);
+        }
+    }
+
+    synchronized void linkUp(RouterId router, long nowMs) {
+        learn(router, nowMs);
+        if (linked.add(router)) {
+            issuers.clear();
+        }
+    }
+
+    synchronized void linkDown(RouterId router, long nowMs) {
+        learn(router, nowMs);
+        if (linked.remove(router)) {
+            issuers.clear();
+        }
+    }
+
+    /** Returns the router that issues the permits of {@code key}; may be this one. */
+    synchronized RouterId issuer(PermitKey key) {
+        if (issuers.size() >= MOST_KEYS) {
+            issuers.clear();
+        }
+        return issuers.computeIfAbsent(key, this::choose);
+    }
+
+    private RouterId choose(PermitKey key) {
+        Set<RouterId> candidates = new HashSet<>(linked);
+        candidates.add(self);
+        return Rendezvous.first(key.value(), candidates, 1).get(0);
+    }
+
+    /** Returns the part of a rate that this router's side may grant; 1 if it is most of them. */
+    synchronized double part(long nowMs) {
+        lastHeardMs
+                .entrySet()
+                .removeIf(e -> !linked.contains(e.getKey()) && nowMs - e.getValue() > RECKONED_MS);
+        int heard = linked.size() + 1;
+        int known = lastHeardMs.size() + 1;
+        return 2 * heard > known ? 1 : (double) heard / known;
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/LimitNews.java
@@ -0,0 +1,79 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.util.List;
+import java.util.OptionalDouble;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.EngineId;
+import org.masticweir.peer.Fields;
+import org.masticweir.peer.FieldsCodec;
+import org.masticweir.peer.MessageCodec;
+import org.masticweir.peer.PeerMessage;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Tells another router which limits servers have named, or named no more; immutable. */
+public record LimitNews(List<Word> words) implements PeerMessage {
+    private static final int WORD_FIELDS = 5;
+    private static final int MAX_WORDS = 16_384;
+    private static final int MAX_ID_BYTES = 256;
+
+    public LimitNews {
+        words = ImmutableList.copyOf(words);
+    }
+
+    /**
+     * What is known of one server.
+     *
+     * @param perSecond requests a second; empty if it names no limit any more
+     * @param ageMs how long ago its answer came
+     */
+    record Word(ServerLife server, OptionalDouble perSecond, long ageMs) {
+        Word {
+            checkNotNull(server, "server");
+            checkNotNull(perSecond, "perSecond");
+            checkArgument(ageMs >= 0, "age of %s ms", ageMs);
+            perSecond.ifPresent(LimitNews::checkRate);
+        }
+    }
+
+    private static void checkRate(double perSecond) {
+        checkArgument(perSecond >= 0 && Double.isFinite(perSecond), "%s a second", perSecond);
+    }
+
+    /** Returns the codec of these messages under the number {@code type}. */
+    public static MessageCodec<LimitNews> codec(int type) {
+        return FieldsCodec.of(
+                type,
+                LimitNews.class,
+                1,
+                LimitNews::encode,
+                f -> new LimitNews(f.list(MAX_WORDS, LimitNews::word)));
+    }
+
+    private static void encode(LimitNews news, MessagePacker out) throws IOException {
+        out.packArrayHeader(news.words.size());
+        for (Word word : news.words) {
+            out.packArrayHeader(WORD_FIELDS);
+            out.packString(word.server().id().value()).packLong(word.server().startedMs());
+            out.packBoolean(word.perSecond().isPresent());
+            out.packDouble(word.perSecond().orElse(0)).packLong(word.ageMs());
+        }
+    }
+
+    private static Word word(MessageUnpacker in) throws IOException {
+        try (Fields f = Fields.open(in, WORD_FIELDS)) {
+            ServerLife server = ServerLife.of(EngineId.of(f.text(MAX_ID_BYTES)), f.int64());
+            boolean limited = f.bool();
+            double perSecond = f.float64();
+            return new Word(
+                    server,
+                    limited ? OptionalDouble.of(perSecond) : OptionalDouble.empty(),
+                    f.int64());
+        }
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitAsk.java
@@ -0,0 +1,43 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.io.IOException;
+import org.masticweir.peer.Fields;
+import org.masticweir.peer.FieldsCodec;
+import org.masticweir.peer.MessageCodec;
+import org.masticweir.peer.PeerMessage;
+import org.msgpack.core.MessagePacker;
+
+/**
+ * Asks for one use of a shared rate; the reply is a {@link PermitReply}.
+ *
+ * @param rate the whole rate, as the asker knows it
+ * @param passedOn whether a router has passed it on, as it holds another one for the issuer
+ */
+public record PermitAsk(PermitKey key, SharedRate rate, boolean passedOn) implements PeerMessage {
+    private static final int FIELDS = 4;
+    private static final int MAX_KEY_BYTES = 4 * PermitKey.MAX_CHARS;
+
+    public PermitAsk {
+        checkNotNull(key, "key");
+        checkNotNull(rate, "rate");
+    }
+
+    /** Returns the codec of these messages under the number {@code type}. */
+    public static MessageCodec<PermitAsk> codec(int type) {
+        return FieldsCodec.of(type, PermitAsk.class, FIELDS, PermitAsk::encode, PermitAsk::decode);
+    }
+
+    private static void encode(PermitAsk ask, MessagePacker out) throws IOException {
+        out.packString(ask.key.value());
+        out.packDouble(ask.rate.perSecond()).packDouble(ask.rate.burst());
+        out.packBoolean(ask.passedOn);
+    }
+
+    private static PermitAsk decode(Fields f) throws IOException {
+        PermitKey key = new PermitKey(f.text(MAX_KEY_BYTES));
+        SharedRate rate = new SharedRate(f.float64(), f.float64());
+        return new PermitAsk(key, rate, f.bool());
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
@@ -0,0 +1,26 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.masticweir.catalog.ServerLife;
+
+/** Names one rate that all routers share; immutable. */
+public record PermitKey(String value) {
+    static final int MAX_CHARS = 300;
+
+    public PermitKey {
+        checkNotNull(value, "value");
+        checkArgument(!value.isEmpty() && value.length() <= MAX_CHARS, "key %s", value);
+    }
+
+    /** Returns the key of the limit that a server names. */
+    public static PermitKey ofServer(ServerLife server) {
+        return new PermitKey("server/" + server);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitReply.java
@@ -0,0 +1,26 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import org.masticweir.peer.FieldsCodec;
+import org.masticweir.peer.MessageCodec;
+import org.masticweir.peer.PeerMessage;
+
+/** Answers a {@link PermitAsk}; immutable. */
+public record PermitReply(PermitDecision decision) implements PeerMessage {
+    private static final int FIELDS = 2;
+
+    public PermitReply {
+        checkNotNull(decision, "decision");
+    }
+
+    /** Returns the codec of these messages under the number {@code type}. */
+    public static MessageCodec<PermitReply> codec(int type) {
+        return FieldsCodec.of(
+                type,
+                PermitReply.class,
+                FIELDS,
+                (m, out) -> out.packBoolean(m.decision.granted()).packLong(m.decision.againMs()),
+                f -> new PermitReply(new PermitDecision(f.bool(), f.int64())));
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/ServerLimits.java
@@ -0,0 +1,111 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.permits.LimitNews.Word;
+
+/**
+ * Which servers limit the requests that they take, by their own answers and the words of other
+ * routers; owned by the traffic thread.
+ */
+public final class ServerLimits {
+    private final Map<ServerLife, Limit> limits = new HashMap<>();
+
+    /** What is known of one server. */
+    private static final class Limit {
+        private OptionalDouble perSecond = OptionalDouble.empty();
+        private long asOfMs = Long.MIN_VALUE;
+        private long closedUntilMs = Long.MIN_VALUE;
+    }
+
+    private ServerLimits() {}
+
+    public static ServerLimits create() {
+        return new ServerLimits();
+    }
+
+    /**
+     * Takes what an answer says; returns whether what is known has changed.
+     *
+     * <p>Answers overtake each other: one without a limit ends it only if its request left after
+     * the limit was last heard of.
+     *
+     * @param sentMs when the answered request left
+     */
+    public boolean answered(ServerLife server, LimitWord word, long sentMs, long nowMs) {
+        Limit known = limits.get(server);
+        if (word.kind() == LimitWord.Kind.NAMED) {
+            return set(server, OptionalDouble.of(word.perSecond()), nowMs);
+        }
+        boolean ends =
+                word.kind() == LimitWord.Kind.NONE
+                        && known != null
+                        && known.perSecond.isPresent()
+                        && sentMs > known.asOfMs;
+        return ends && set(server, OptionalDouble.empty(), nowMs);
+    }
+
+    /** Takes the word of another router unless a newer one is known; returns whether it is news. */
+    boolean told(Word word, long nowMs) {
+        Limit known = limits.get(word.server());
+        long asOfMs = nowMs - word.ageMs();
+        return (known == null || asOfMs > known.asOfMs)
+                && set(word.server(), word.perSecond(), asOfMs);
+    }
+
+    private boolean set(ServerLife server, OptionalDouble perSecond, long asOfMs) {
+        Limit limit = limits.computeIfAbsent(checkNotNull(server, "server"), s -> new Limit());
+        boolean changed = !limit.perSecond.equals(perSecond);
+        limit.perSecond = perSecond;
+        limit.asOfMs = asOfMs;
+        return changed;
+    }
+
+    /** Returns the requests a second that a server takes of all routers; empty if it named none. */
+    public OptionalDouble perSecond(ServerLife server) {
+        Limit limit = limits.get(server);
+        return limit == null ? OptionalDouble.empty() : limit.perSecond;
+    }
+
+    public boolean isLimited(ServerLife server) {
+        return perSecond(server).isPresent();
+    }
+
+    /** Returns how long ago a server's limit was last heard of, in ms. */
+    long ageMs(ServerLife server, long nowMs) {
+        return nowMs - limits.get(server).asOfMs;
+    }
+
+    /** No permit for a server is to be had before {@code untilMs}. */
+    void close(ServerLife server, long untilMs) {
+        Limit limit = limits.get(server);
+        if (limit != null) {
+            limit.closedUntilMs = untilMs;
+        }
+    }
+
+    /** Returns how long no permit for a server is to be had, in ms; 0 if one may be. */
+    public long closedForMs(ServerLife server, long nowMs) {
+        Limit limit = limits.get(server);
+        boolean limited = limit != null && limit.perSecond.isPresent();
+        return limited && limit.closedUntilMs > nowMs ? limit.closedUntilMs - nowMs : 0;
+    }
+
+    /** Forgets servers that are gone. */
+    public void retain(Set<ServerLife> present) {
+        limits.keySet().retainAll(present);
+    }
+
+    /** Returns what a router is told that knows nothing. */
+    ImmutableList<Word> all(long nowMs) {
+        return limits.entrySet().stream()
+                .map(e -> new Word(e.getKey(), e.getValue().perSecond, nowMs - e.getValue().asOfMs))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
@@ -0,0 +1,136 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.RouterId;
+import org.masticweir.metrics.MetricName;
+import org.masticweir.permits.LimitNews.Word;
+import org.masticweir.time.Clock;
+
+/**
+ * The limits that servers name, with what belongs to each change of one: a log line, a count and
+ * the word to the other routers; owned by the traffic thread.
+ */
+public final class SharedLimits {
+    private static final Logger LOG = LogManager.getLogger(SharedLimits.class);
+
+    private final ServerLimits limits;
+    private final SharedPermits permits;
+    private final Clock clock;
+    private final Consumer<LimitNews> tell;
+    private final Counter named;
+    private final Counter unreadable;
+
+    /**
+     * Creates the limits of one router.
+     *
+     * @param tell tells all other routers
+     */
+    public SharedLimits(
+            ServerLimits limits,
+            SharedPermits permits,
+            Clock clock,
+            MetricRegistry metrics,
+            Consumer<LimitNews> tell) {
+        this.limits = checkNotNull(limits, "limits");
+        this.permits = checkNotNull(permits, "permits");
+        this.clock = checkNotNull(clock, "clock");
+        this.tell = checkNotNull(tell, "tell");
+        named = metrics.counter(MetricName.of("server_limits_changed_total"));
+        unreadable = metrics.counter(MetricName.of("server_limits_unreadable_total"));
+    }
+
+    /**
+     * A server answered.
+     *
+     * @param request the request it answered, for the log
+     * @param sentMs when that request left
+     */
+    public void answered(ServerLife server, LimitWord word, String request, long sentMs) {
+        long now = clock.nowMs();
+        if (word.kind() == LimitWord.Kind.UNREADABLE) {
+            unreadable.inc();
+            LOG.info("limits: {} names one that cannot be read, answer to {}", server, request);
+            return;
+        }
+        OptionalDouble before = limits.perSecond(server);
+        if (limits.answered(server, word, sentMs, now)) {
+            OptionalDouble after = limits.perSecond(server);
+            changed(server, before, after, "answer to " + request);
+            tell.accept(new LimitNews(ImmutableList.of(new Word(server, after, 0))));
+        }
+    }
+
+    /** Another router told what it knows. */
+    public void told(RouterId peer, LimitNews news) {
+        long now = clock.nowMs();
+        for (Word word : news.words()) {
+            OptionalDouble before = limits.perSecond(word.server());
+            if (limits.told(word, now)) {
+                changed(word.server(), before, word.perSecond(), "word of " + peer);
+            }
+        }
+    }
+
+    /** Returns all that a router is told which knows nothing; empty if there is nothing to tell. */
+    public Optional<LimitNews> all() {
+        ImmutableList<Word> all = limits.all(clock.nowMs());
+        return all.isEmpty() ? Optional.empty() : Optional.of(new LimitNews(all));
+    }
+
+    /**
+     * Asks for a permit to send one request to a server; a denial closes the server here for as
+     * long as it says.
+     */
+    public void ask(ServerLife server, Consumer<PermitDecision> then) {
+        OptionalDouble perSecond = limits.perSecond(server);
+        if (perSecond.isEmpty()) {
+            then.accept(PermitDecision.ofGrant());
+            return;
+        }
+        permits.ask(
+                PermitKey.ofServer(server),
+                SharedRate.ofServer(perSecond.getAsDouble()),
+                decision -> {
+                    if (!decision.granted()) {
+                        limits.close(server, clock.nowMs() + decision.againMs());
+                    }
+                    then.accept(decision);
+                });
+    }
+
+    /** Returns what is known of a server's limit and how old it is, for the log. */
+    public String text(ServerLife server) {
+        OptionalDouble perSecond = limits.perSecond(server);
+        return perSecond.isEmpty()
+                ? "no limit"
+                : perSecond.getAsDouble()
+                        + " a second as of "
+                        + limits.ageMs(server, clock.nowMs())
+                        + " ms ago";
+    }
+
+    private void changed(
+            ServerLife server, OptionalDouble before, OptionalDouble after, String source) {
+        named.inc();
+        LOG.info(
+                "limits: {} takes {}, {} before, {}",
+                server,
+                perSecond(after),
+                perSecond(before),
+                source);
+    }
+
+    private static String perSecond(OptionalDouble limit) {
+        return limit.isPresent() ? limit.getAsDouble() + " a second" : "any number";
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/LimitExchange.java
@@ -0,0 +1,61 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.concurrent.Executor;
+import org.masticweir.id.RouterId;
+import org.masticweir.peer.Hello;
+import org.masticweir.peer.LinkDirection;
+import org.masticweir.peer.LinkListener;
+import org.masticweir.peer.PeerLinks;
+import org.masticweir.permits.LimitNews;
+import org.masticweir.permits.PermitAsk;
+import org.masticweir.permits.SharedLimits;
+import org.masticweir.permits.SharedPermits;
+
+/** What routers tell each other of servers' limits, and the permits that they ask for. */
+final class LimitExchange implements LinkListener {
+    private final SharedLimits limits;
+    private final SharedPermits permits;
+    private final Executor traffic;
+    private final PeerLinks links;
+
+    /**
+     * Creates an exchange that hears nothing before {@link #start}.
+     *
+     * @param traffic runs what concerns {@code limits}
+     */
+    LimitExchange(SharedLimits limits, SharedPermits permits, Executor traffic, PeerLinks links) {
+        this.limits = checkNotNull(limits, "limits");
+        this.permits = checkNotNull(permits, "permits");
+        this.traffic = checkNotNull(traffic, "traffic");
+        this.links = checkNotNull(links, "links");
+    }
+
+    /** Registers the handlers; call before the links start. */
+    void start() {
+        links.on(LimitNews.class, (from, m, reply) -> traffic.execute(() -> limits.told(from, m)));
+        links.on(PermitAsk.class, permits::asked);
+        links.listen(this);
+    }
+
+    /** There is a router, linked or not. */
+    void learn(RouterId router) {
+        permits.learn(router);
+    }
+
+    @Override
+    public void linkUp(Hello peer, LinkDirection direction) {
+        if (direction == LinkDirection.OUTGOING) {
+            permits.linkUp(peer.router());
+            traffic.execute(() -> limits.all().ifPresent(m -> links.send(peer.router(), m)));
+        }
+    }
+
+    @Override
+    public void linkDown(RouterId peer, LinkDirection direction) {
+        if (direction == LinkDirection.OUTGOING) {
+            permits.linkDown(peer);
+        }
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -52,6 +52,7 @@
     private final PeerDirectory directory;
     private final UseListener uses;
     private final SharedQuarantine quarantine;
+    private final LimitExchange limits;
     private final StoreSharing sharing;
     private final StoreReading reading;
     private final Counter linksUp;
@@ -77,6 +78,7 @@
             PeerDirectory directory,
             UseListener uses,
             SharedQuarantine quarantine,
+            LimitExchange limits,
             StoreSharing sharing,
             StoreReading reading,
             Counter linksUp) {
@@ -87,6 +89,7 @@
         this.directory = checkNotNull(directory, "directory");
         this.uses = checkNotNull(uses, "uses");
         this.quarantine = checkNotNull(quarantine, "quarantine");
+        this.limits = checkNotNull(limits, "limits");
         this.sharing = checkNotNull(sharing, "sharing");
         this.reading = checkNotNull(reading, "reading");
         this.linksUp = checkNotNull(linksUp, "linksUp");
@@ -104,6 +107,7 @@
         links.on(ServerNews.class, (from, m, reply) -> onControl(() -> sharing.words(from, m)));
         links.on(ServersAsk.class, (from, m, reply) -> onControl(() -> sharing.answer(m, reply)));
         links.on(CatalogAsk.class, (from, m, reply) -> onControl(() -> sharing.offer(m, reply)));
+        limits.start();
         links.listen(new Links());
         sharing.start();
     }
@@ -113,6 +117,7 @@
         if (!routers.learn(router)) {
             return;
         }
+        limits.learn(router.id());
         LOG.info("peers: {} of {} is at {}", router.id(), router.domain(), router.address());
         links.learn(router.id(), router.address());
         if (routers.isHome(router.id())) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.masticweir.forward.StreamPace;
 import org.masticweir.forward.WaitingLine;
 import org.masticweir.http.HttpCaller;
+import org.masticweir.permits.SharedLimits;
 import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.time.Clock;
 import org.xnio.XnioIoThread;
@@ -18,6 +19,7 @@
 /**
  * What all requests of a router share; all of it belongs to the traffic thread.
  *
+ * @param limits what servers limit, and permits for it
  * @param connectTimeoutMs time for a connection to a server
  * @param loadsChanged runs after this router's use of servers has changed
  */
@@ -33,6 +35,7 @@
         ServerHealth health,
         Placement placement,
         RepeatGate repeats,
+        SharedLimits limits,
         SharedQuarantine quarantine,
         LossInquiry losses,
         RequestsUnderWay underWay,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -15,6 +15,9 @@
 import org.masticweir.peer.FieldsCodec;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.peer.PeerMessage;
+import org.masticweir.permits.LimitNews;
+import org.masticweir.permits.PermitAsk;
+import org.masticweir.permits.PermitReply;
 import org.masticweir.quarantine.CrashNews;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -30,6 +33,9 @@
     private static final int FAILURE_NEWS = 102;
     private static final int SERVERS_ASK = 103;
     private static final int CRASH_NEWS = 104;
+    private static final int LIMIT_NEWS = 105;
+    private static final int PERMIT_ASK = 106;
+    private static final int PERMIT_REPLY = 107;
 
     private static final int MAX_ID_BYTES = 256;
     private static final int USE_FIELDS = 6;
@@ -101,6 +107,9 @@
         return ImmutableList.<MessageCodec<?>>builder()
                 .addAll(ofRoutersAndUse())
                 .addAll(ofTheStore())
+                .add(LimitNews.codec(LIMIT_NEWS))
+                .add(PermitAsk.codec(PERMIT_ASK))
+                .add(PermitReply.codec(PERMIT_REPLY))
                 .build();
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -37,6 +37,9 @@
 import org.masticweir.peer.LinkSettings;
 import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
+import org.masticweir.permits.ServerLimits;
+import org.masticweir.permits.SharedLimits;
+import org.masticweir.permits.SharedPermits;
 import org.masticweir.quarantine.Quarantine;
 import org.masticweir.quarantine.QuarantineRows;
 import org.masticweir.quarantine.SharedQuarantine;
@@ -103,6 +106,9 @@
     private final TableFollower serverFollower;
     private final QuarantineRows quarantineRows;
     private final SharedQuarantine quarantine;
+    private final ServerLimits serverLimits = ServerLimits.create();
+    private final SharedPermits permits;
+    private final SharedLimits limits;
     private final LossInquiry losses;
     private final RequestsUnderWay underWay;
     private final PeerExchange peers;
@@ -141,6 +147,8 @@
         UseSharing uses = useSharing();
         quarantineRows = new QuarantineRows(store, control, clock, settings.quarantineMs());
         quarantine = sharedQuarantine();
+        permits = new SharedPermits(settings.router(), links, clock, thread, metrics);
+        limits = sharedLimits();
         losses = new LossInquiry(quarantine, new ServerCheck(calls, platform.dialect()), clock);
         underWay = new RequestsUnderWay(quarantine);
         quarantine.onChange((c, change) -> thread.execute(() -> underWay.changed(c, change)));
@@ -153,6 +161,7 @@
                         directory,
                         uses,
                         quarantine,
+                        new LimitExchange(limits, permits, thread, links),
                         sharing,
                         reading,
                         metrics.counter(MetricName.of("peer_links_up")));
@@ -261,6 +270,15 @@
                 quarantineRows::keep);
     }
 
+    private SharedLimits sharedLimits() {
+        return new SharedLimits(
+                serverLimits,
+                permits,
+                clock,
+                metrics,
+                news -> directory.known().forEach(p -> links.send(p, news)));
+    }
+
     private void toldUpTo(long revision) {
         reading.told(serverFollower, revision);
     }
@@ -276,6 +294,7 @@
                     loads.retain(present);
                     health.listed(present, clock.nowMs());
                     losses.listed(present);
+                    serverLimits.retain(present);
                 });
     }
 
@@ -291,8 +310,9 @@
                 () -> view,
                 loads,
                 health,
-                Placement.create(loads, health, settings.domain(), random),
+                Placement.create(loads, health, serverLimits, settings.domain(), random),
                 repeats,
+                limits,
                 quarantine,
                 losses,
                 underWay,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -91,6 +91,8 @@
             send(next);
         } else if (step instanceof Step.Ask ask) {
             search(ask);
+        } else if (step instanceof Step.Permit permit) {
+            askPermit(permit.server());
         } else if (step instanceof Step.Hold hold) {
             timer(hold.ms(), () -> take(course.next(now())));
         } else {
@@ -111,6 +113,19 @@
                 });
     }
 
+    private void askPermit(BackendServer server) {
+        long askedMs = now();
+        context.limits()
+                .ask(
+                        server.life(),
+                        decision -> {
+                            if (!over) {
+                                log.permit(server, decision, askedMs);
+                                take(course.permitted(server, decision.granted(), now()));
+                            }
+                        });
+    }
+
     private void send(Step.Send next) {
         sendNumber++;
         trial.sendBegins();
@@ -325,7 +340,7 @@
         @Override
         public void head(ServerWord word) {
             if (!isStale()) {
-                log.limit(sent.server(), word.limit());
+                context.limits().answered(sent.server().life(), word.limit(), request.id(), sentMs);
             }
         }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -12,7 +12,7 @@
 import org.masticweir.forward.ServerUse;
 import org.masticweir.forward.Step;
 import org.masticweir.id.ContentId;
-import org.masticweir.permits.LimitWord;
+import org.masticweir.permits.PermitDecision;
 
 /**
  * Writes one line for each decision on one request, with the request's id and what decided it; on
@@ -90,11 +90,17 @@
         at(server, "reports " + report.map(EngineReport::toString).orElse("nothing"), sentMs);
     }
 
-    /** A server says how many requests it takes. */
-    void limit(BackendServer server, LimitWord word) {
-        if (word.kind() != LimitWord.Kind.NONE) {
-            LOG.info("relay: request {}: {} names a limit, {}", id, server.life(), word);
-        }
+    /** A permit was asked for at {@code askedMs}. */
+    void permit(BackendServer server, PermitDecision decision, long askedMs) {
+        LOG.info(
+                "relay: request {}: permit for {} {} after {} ms, it takes {}",
+                id,
+                server.id(),
+                decision.granted()
+                        ? "granted"
+                        : "denied for the next " + decision.againMs() + " ms",
+                context.clock().nowMs() - askedMs,
+                context.limits().text(server.life()));
     }
 
     /** A stream goes on after a pause. */
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -17,6 +17,7 @@
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.PromptId;
+import org.masticweir.permits.ServerLimits;
 
 /** Servers of one service and what a router knows of them. */
 final class ForwardWorld {
@@ -28,8 +29,9 @@
     final List<BackendServer> servers = new ArrayList<>();
     final LoadBoard loads = LoadBoard.create();
     final ServerHealth health = ServerHealth.create();
+    final ServerLimits limits = ServerLimits.create();
     final Placement placement =
-            Placement.create(loads, health, DomainId.of("a"), new SplittableRandom(7));
+            Placement.create(loads, health, limits, DomainId.of("a"), new SplittableRandom(7));
     final WaitingLine line = WaitingLine.create();
     final ServiceRepeats repeats = ServiceRepeats.partOf(0.8, 150, 8);
 
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -259,7 +259,11 @@
     class PlainServers {
         private BackendServer plain() {
             return Placement.create(
-                            world.loads, world.health, DomainId.of("a"), new SplittableRandom(1))
+                            world.loads,
+                            world.health,
+                            world.limits,
+                            DomainId.of("a"),
+                            new SplittableRandom(1))
                     .server(
                             ImmutableList.copyOf(world.servers),
                             RequestSize.none(),
