--- a/masticweir/src/main/java/org/masticweir/permits/IssuerChoice.java
+++ b/masticweir/src/main/java/org/masticweir/permits/IssuerChoice.java
@@ -12,9 +12,10 @@
 /**
  * Which router issues the permits of a shared rate, as this router knows the others. Thread-safe.
  *
- * <p>All routers that are linked with each other choose the same one. A router that hears fewer
- * than half of those it knows may be cut off, with others issuing the same permits on the far side:
- * it then grants only the part of the rate that its side makes up.
+ * <p>All routers that are linked with each other choose the same one. Those that are not heard of
+ * may be cut off, with one of them issuing the same permits on the far side: this side then grants
+ * only the part of the rate that its routers make up, and a router that hears nobody the part of
+ * one.
  */
 final class IssuerChoice {
     /** How long a router that is not heard of is reckoned with, in ms: longer than most cuts. */
@@ -67,13 +68,12 @@
         return Rendezvous.first(key.value(), candidates, 1).get(0);
     }
 
-    /** Returns the part of a rate that this router's side may grant; 1 if it is most of them. */
+    /** Returns the part of a rate that this router's side may grant, above 0 and at most 1. */
     synchronized double part(long nowMs) {
         lastHeardMs
                 .entrySet()
                 .removeIf(e -> !linked.contains(e.getKey()) && nowMs - e.getValue() > RECKONED_MS);
-        int heard = linked.size() + 1;
-        int known = lastHeardMs.size() + 1;
-        return 2 * heard > known ? 1 : (double) heard / known;
+        double heard = linked.size() + 1;
+        return heard / (lastHeardMs.size() + 1);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/permits/PermitIssuer.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitIssuer.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.masticweir.id.RouterId;
 
 /**
  * Grants permits for the shared rates whose issuer this router is. Thread-safe: each call holds one
@@ -22,6 +24,9 @@
     /** Longest time after which a router may ask again, in ms: its callers may be the only ones. */
     private static final long MOST_AGAIN_MS = 2_000;
 
+    /** How long a router that asked counts as one that has callers for the rate, in ms. */
+    private static final long ASKER_MS = MOST_AGAIN_MS + 1_000;
+
     private static final double MS_A_SECOND = 1_000;
 
     private final Map<PermitKey, Rate> rates =
@@ -32,22 +37,26 @@
                 }
             };
 
-    /** One rate and how often it is asked for. */
+    /** One rate and the routers that ask for it, by when they last did. */
     private static final class Rate {
         private final TokenBucket bucket;
-        private double asksPerSecond;
-        private long askedMs;
+        private final Map<RouterId, Long> askers = new LinkedHashMap<>(16, 0.75f, true);
 
         Rate(SharedRate rate, long nowMs) {
             bucket = new TokenBucket(rate, nowMs);
-            askedMs = nowMs;
         }
 
-        /** Counts an ask; older ones fade within a second. */
-        void asked(long nowMs) {
-            double faded = Math.exp(-Math.max(0, nowMs - askedMs) / MS_A_SECOND);
-            asksPerSecond = asksPerSecond * faded + 1;
-            askedMs = nowMs;
+        void asked(RouterId asker, long nowMs) {
+            askers.put(asker, nowMs);
+            Iterator<Long> oldest = askers.values().iterator();
+            while (nowMs - oldest.next() > ASKER_MS) {
+                oldest.remove();
+            }
+        }
+
+        /** Returns the pause at which all askers together ask often enough, in ms. */
+        long pauseMs(SharedRate rate) {
+            return (long) (askers.size() * MS_A_SECOND / (ASKS_A_PERMIT * rate.perSecond()));
         }
     }
 
@@ -56,16 +65,15 @@
      *
      * @param rate what this router may grant of the shared rate
      */
-    synchronized PermitDecision ask(PermitKey key, SharedRate rate, long nowMs) {
+    synchronized PermitDecision ask(RouterId asker, PermitKey key, SharedRate rate, long nowMs) {
         checkNotNull(rate, "rate");
         Rate asked = rates.computeIfAbsent(key, k -> new Rate(rate, nowMs));
         asked.bucket.changeTo(rate, nowMs);
-        asked.asked(nowMs);
+        asked.asked(asker, nowMs);
         if (asked.bucket.tryTake(nowMs)) {
             return PermitDecision.ofGrant();
         }
-        double crowd = asked.asksPerSecond / (ASKS_A_PERMIT * rate.perSecond());
-        long againMs = (long) (asked.bucket.nextMs(nowMs) * Math.max(1, crowd));
+        long againMs = Math.max(asked.bucket.nextMs(nowMs), asked.pauseMs(rate));
         return PermitDecision.denied(Math.min(MOST_AGAIN_MS, againMs));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
@@ -86,7 +86,7 @@
     void ask(PermitKey key, SharedRate rate, Consumer<PermitDecision> then) {
         RouterId from = choice.issuer(key);
         if (from.equals(self)) {
-            then.accept(issue(key, rate));
+            then.accept(issue(self, key, rate));
             return;
         }
         links.ask(from, new PermitAsk(key, rate, false), ASK_MS)
@@ -101,7 +101,7 @@
     public void asked(RouterId asker, PermitAsk ask, Reply reply) {
         RouterId from = choice.issuer(ask.key());
         if (ask.passedOn() || from.equals(self)) {
-            reply.send(new PermitReply(issue(ask.key(), ask.rate())));
+            reply.send(new PermitReply(issue(asker, ask.key(), ask.rate())));
             return;
         }
         LOG.debug("permits: {} asks for {}, which {} issues", asker, ask.key(), from);
@@ -112,9 +112,9 @@
                                         new PermitReply(decision(from, ask.key(), answer, error))));
     }
 
-    private PermitDecision issue(PermitKey key, SharedRate rate) {
+    private PermitDecision issue(RouterId asker, PermitKey key, SharedRate rate) {
         long now = clock.nowMs();
-        PermitDecision decision = issuer.ask(key, rate.part(choice.part(now)), now);
+        PermitDecision decision = issuer.ask(asker, key, rate.part(choice.part(now)), now);
         (decision.granted() ? issued : denied).inc();
         return decision;
     }
--- a/masticweir/src/main/java/org/masticweir/permits/SharedRate.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedRate.java
@@ -12,6 +12,9 @@
     /** Time for which a server's unused requests are saved up, in seconds. */
     private static final double SAVED_S = 0.25;
 
+    /** Requests saved up in any case: the next ask comes some time after there is one. */
+    private static final double LEAST_SAVED = 2;
+
     /**
      * Least rate of a server, in requests a second: its answers are all that tells when it takes
      * more.
@@ -26,7 +29,7 @@
     /** Returns the rate of a server that limits its requests. */
     public static SharedRate ofServer(double perSecond) {
         double rate = Math.max(LEAST_PER_SECOND, perSecond);
-        return new SharedRate(rate, Math.max(1, rate * SAVED_S));
+        return new SharedRate(rate, Math.max(LEAST_SAVED, rate * SAVED_S));
     }
 
     /** Returns what {@code part} of the routers may use without the others. */
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/permits/PermitFleet.java
@@ -0,0 +1,435 @@
+package org.masticweir.permits;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.error.ErrorCode;
+import org.masticweir.error.MasticweirException;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.RouterId;
+import org.masticweir.peer.PeerMessage;
+import org.masticweir.peer.PeerSender;
+import org.masticweir.peer.Reply;
+import org.masticweir.time.Clock;
+
+/**
+ * Routers before one server that names a limit, on a clock of their own. Words between them take
+ * their time and may be lost, and routers are ended, stopped and cut off.
+ */
+final class PermitFleet {
+    static final ServerLife SERVER = ServerLife.ofUnknownStart(EngineId.of("i-limited"));
+
+    /** Time after which a link without a sign of life is given up, in ms. */
+    private static final long SILENCE_MS = 2_000;
+
+    /** Longest time until a link that may come up again does, in ms. */
+    private static final int LINK_AGAIN_MS = 500;
+
+    private static final int MOST_DELAY_MS = 20;
+    private static final int WAY_TO_SERVER_MS = 2;
+    private static final int ANSWER_MS = 60;
+
+    /** How long a router restarts for, in ms. */
+    private static final long RESTART_MS = 1_000;
+
+    /** Most asks of one request: the servers that it would try. */
+    private static final int MOST_ASKS = 2;
+
+    private final Random random;
+    private final double lost;
+    private final List<Node> nodes = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final FleetClock clock = new FleetClock();
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private OptionalDouble limit = OptionalDouble.empty();
+    private long nowMs;
+    private int number;
+    private int asksSent;
+
+    /** A request that came to the server. */
+    record Arrival(long atMs, int router, boolean told) {}
+
+    private record Due(long atMs, int number, Runnable what) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            return atMs == other.atMs
+                    ? Integer.compare(number, other.number)
+                    : Long.compare(atMs, other.atMs);
+        }
+    }
+
+    private final class FleetClock implements Clock {
+        @Override
+        public long nowMs() {
+            return nowMs;
+        }
+
+        @Override
+        public long wallMs() {
+            return nowMs;
+        }
+    }
+
+    /** One router. */
+    private final class Node implements PeerSender {
+        private final int index;
+        private final RouterId id;
+        private final Set<Integer> linked = new HashSet<>();
+        private final List<Runnable> held = new ArrayList<>();
+        private ServerLimits limits;
+        private SharedPermits permits;
+        private SharedLimits shared;
+        private int life;
+        private int side;
+        private boolean up = true;
+        private boolean stopped;
+        private long toldMs = Long.MAX_VALUE;
+
+        Node(int index) {
+            this.index = index;
+            id = RouterId.of("r" + index);
+            begin();
+        }
+
+        private void begin() {
+            limits = ServerLimits.create();
+            permits = new SharedPermits(id, this, clock, Runnable::run, new MetricRegistry());
+            shared = new SharedLimits(limits, permits, clock, new MetricRegistry(), this::tell);
+            toldMs = Long.MAX_VALUE;
+        }
+
+        private void tell(LimitNews news) {
+            linked.forEach(peer -> send(nodes.get(peer).id, news));
+        }
+
+        /** Runs {@code what} here, when the process next runs, unless it is another one then. */
+        private void here(Runnable what) {
+            int then = life;
+            run(
+                    () -> {
+                        if (life == then && up) {
+                            what.run();
+                        }
+                    });
+        }
+
+        private void run(Runnable what) {
+            if (stopped) {
+                held.add(what);
+            } else {
+                what.run();
+            }
+        }
+
+        @Override
+        public boolean send(RouterId to, PeerMessage message) {
+            Node peer = byId(to);
+            deliver(this, peer, () -> peer.shared.told(id, (LimitNews) message));
+            return true;
+        }
+
+        @Override
+        public CompletableFuture<PeerMessage> ask(
+                RouterId to, PeerMessage message, long timeoutMs) {
+            asksSent++;
+            CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+            Node peer = byId(to);
+            in(timeoutMs, () -> here(() -> fail(answer)));
+            deliver(
+                    this,
+                    peer,
+                    () -> peer.permits.asked(id, (PermitAsk) message, replyTo(peer, answer)));
+            return answer;
+        }
+
+        private void fail(CompletableFuture<PeerMessage> answer) {
+            answer.completeExceptionally(
+                    MasticweirException.notRun(ErrorCode.DEADLINE_EXCEEDED, "no reply"));
+        }
+
+        private Reply replyTo(Node peer, CompletableFuture<PeerMessage> answer) {
+            return new Reply() {
+                @Override
+                public boolean send(PeerMessage message) {
+                    deliver(peer, Node.this, () -> answer.complete(message));
+                    return true;
+                }
+
+                @Override
+                public boolean fail(MasticweirException error) {
+                    deliver(peer, Node.this, () -> answer.completeExceptionally(error));
+                    return true;
+                }
+            };
+        }
+
+        /** A request of a caller comes. */
+        private void request(int asksLeft) {
+            if (!limits.isLimited(SERVER)) {
+                sendToServer();
+            } else if (limits.closedForMs(SERVER, nowMs) == 0 && asksLeft > 0) {
+                shared.ask(
+                        SERVER,
+                        decision -> {
+                            if (decision.granted()) {
+                                sendToServer();
+                            } else {
+                                request(asksLeft - 1);
+                            }
+                        });
+            }
+        }
+
+        private void sendToServer() {
+            long sentMs = nowMs;
+            boolean told = nowMs >= toldMs;
+            in(WAY_TO_SERVER_MS, () -> arrivals.add(new Arrival(nowMs, index, told)));
+            in(
+                    WAY_TO_SERVER_MS + random.nextInt(ANSWER_MS),
+                    () -> {
+                        LimitWord word =
+                                limit.isPresent()
+                                        ? LimitWord.of(limit.getAsDouble())
+                                        : LimitWord.none();
+                        here(() -> answered(word, sentMs));
+                    });
+        }
+
+        private void answered(LimitWord word, long sentMs) {
+            if (word.kind() == LimitWord.Kind.NAMED) {
+                toldMs = Math.min(toldMs, nowMs + TOLD_MS);
+            }
+            shared.answered(SERVER, word, "request", sentMs);
+        }
+    }
+
+    /** Time in which a router that was told has to keep to a limit, in ms. */
+    static final long TOLD_MS = 500;
+
+    /**
+     * Creates routers that all know each other, with links that come up one after the other.
+     *
+     * @param lost part of the words between them that is lost
+     */
+    PermitFleet(int routers, double lost, long seed) {
+        random = new Random(seed);
+        this.lost = lost;
+        for (int i = 0; i < routers; i++) {
+            nodes.add(new Node(i));
+        }
+        nodes.forEach(n -> nodes.forEach(peer -> n.permits.learn(peer.id)));
+        nodes.forEach(this::linkSoon);
+    }
+
+    private Node byId(RouterId id) {
+        return nodes.get(Integer.parseInt(id.value().substring(1)));
+    }
+
+    void in(long ms, Runnable what) {
+        due.add(new Due(nowMs + ms, number++, what));
+    }
+
+    void runUntil(long untilMs) {
+        while (!due.isEmpty() && due.peek().atMs() <= untilMs) {
+            Due next = due.poll();
+            nowMs = next.atMs();
+            next.what().run();
+        }
+        nowMs = untilMs;
+    }
+
+    /** From now on the server names this limit in its answers; empty if it names none. */
+    void name(OptionalDouble perSecond) {
+        limit = perSecond;
+    }
+
+    /** Gives each router its share of {@code perSecond} requests until {@code untilMs}. */
+    void load(double[] shares, double perSecond, long untilMs) {
+        for (int i = 0; i < shares.length; i++) {
+            if (shares[i] > 0) {
+                nextRequest(nodes.get(i), 1_000 / (perSecond * shares[i]), untilMs);
+            }
+        }
+    }
+
+    private void nextRequest(Node node, double gapMs, long untilMs) {
+        long waitMs = Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * gapMs));
+        if (nowMs + waitMs > untilMs) {
+            return;
+        }
+        in(
+                waitMs,
+                () -> {
+                    if (node.up && !node.stopped) {
+                        node.request(MOST_ASKS);
+                    }
+                    nextRequest(node, gapMs, untilMs);
+                });
+    }
+
+    private boolean reach(Node from, Node to) {
+        return from.up && to.up && from.side == to.side;
+    }
+
+    private void deliver(Node from, Node to, Runnable what) {
+        boolean arrives = reach(from, to) && random.nextDouble() >= lost;
+        if (arrives) {
+            in(1 + random.nextInt(MOST_DELAY_MS), () -> to.here(what));
+        }
+    }
+
+    private void linkSoon(Node node) {
+        for (Node peer : nodes) {
+            if (peer != node) {
+                in(random.nextInt(LINK_AGAIN_MS), () -> linkUp(node, peer));
+                in(random.nextInt(LINK_AGAIN_MS), () -> linkUp(peer, node));
+            }
+        }
+    }
+
+    private void linkUp(Node node, Node peer) {
+        if (!reach(node, peer) || node.stopped || peer.stopped || !node.linked.add(peer.index)) {
+            return;
+        }
+        node.permits.linkUp(peer.id);
+        node.shared.all().ifPresent(news -> node.send(peer.id, news));
+    }
+
+    private void linkDown(Node node, Node peer) {
+        if (node.linked.remove(peer.index)) {
+            node.permits.linkDown(peer.id);
+        }
+    }
+
+    private void dropSilent(Node node, Node peer) {
+        in(
+                SILENCE_MS + random.nextInt(MOST_DELAY_MS),
+                () -> {
+                    if (!reach(node, peer) || peer.stopped) {
+                        node.here(() -> linkDown(node, peer));
+                    }
+                });
+    }
+
+    /** Ends a router's process; it starts again with nothing known. */
+    void kill(int router) {
+        Node node = nodes.get(router);
+        if (!node.up || node.stopped) {
+            return;
+        }
+        node.up = false;
+        node.life++;
+        node.linked.clear();
+        for (Node peer : nodes) {
+            in(1 + random.nextInt(MOST_DELAY_MS), () -> linkDown(peer, node));
+        }
+        in(
+                RESTART_MS,
+                () -> {
+                    node.up = true;
+                    node.begin();
+                    nodes.forEach(peer -> node.permits.learn(peer.id));
+                    linkSoon(node);
+                });
+    }
+
+    /** Stops a router's process for a time; what comes meanwhile is read when it goes on. */
+    void stop(int router, long forMs) {
+        Node node = nodes.get(router);
+        if (!node.up || node.stopped) {
+            return;
+        }
+        node.stopped = true;
+        nodes.forEach(peer -> dropSilent(peer, node));
+        in(
+                forMs,
+                () -> {
+                    node.stopped = false;
+                    List<Runnable> held = ImmutableList.copyOf(node.held);
+                    node.held.clear();
+                    held.forEach(Runnable::run);
+                    linkSoon(node);
+                });
+    }
+
+    /** Cuts the first {@code count} routers off from the others for a time. */
+    void cut(int count, long forMs) {
+        side(count, 1);
+        for (Node node : nodes) {
+            nodes.stream()
+                    .filter(peer -> peer.side != node.side)
+                    .forEach(peer -> dropSilent(node, peer));
+        }
+        in(
+                forMs,
+                () -> {
+                    side(count, 0);
+                    nodes.forEach(this::linkSoon);
+                });
+    }
+
+    private void side(int count, int side) {
+        nodes.subList(0, count).forEach(n -> n.side = side);
+    }
+
+    List<Arrival> arrivals() {
+        return arrivals;
+    }
+
+    int asksSent() {
+        return asksSent;
+    }
+
+    /** Returns the most requests in a window of {@code windowMs} from {@code fromMs} on. */
+    static int most(List<Arrival> arrivals, long windowMs, long fromMs) {
+        List<Long> times =
+                arrivals.stream()
+                        .filter(Arrival::told)
+                        .map(Arrival::atMs)
+                        .filter(t -> t >= fromMs)
+                        .sorted()
+                        .toList();
+        int most = 0;
+        int first = 0;
+        for (int i = 0; i < times.size(); i++) {
+            while (times.get(i) - times.get(first) >= windowMs) {
+                first++;
+            }
+            most = Math.max(most, i - first + 1);
+        }
+        return most;
+    }
+
+    /** Counts the requests of each router, for messages of tests. */
+    Map<Integer, Integer> byRouter() {
+        Map<Integer, Integer> counts = new HashMap<>();
+        arrivals.forEach(a -> counts.merge(a.router(), 1, Integer::sum));
+        return counts;
+    }
+
+    /** Runs {@code what} at {@code atMs}. */
+    void at(long atMs, Consumer<PermitFleet> what) {
+        in(atMs - nowMs, () -> what.accept(this));
+    }
+
+    /** Returns the limit that a router believes in. */
+    OptionalDouble believed(int router) {
+        return nodes.get(router).limits.perSecond(SERVER);
+    }
+
+    Optional<Integer> anyDown() {
+        return nodes.stream().filter(n -> !n.up).map(n -> n.index).findAny();
+    }
+}
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/permits/PermitFleetTest.java
@@ -0,0 +1,179 @@
+package org.masticweir.permits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.OptionalDouble;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A server's limit, kept by all routers together. */
+class PermitFleetTest {
+    private static final long WINDOW_MS = 4_000;
+    private static final long NAMED_MS = 2_000;
+    private static final long END_MS = 30_000;
+
+    /** Requests a second of all callers. */
+    private static final double DEMAND = 120;
+
+    private static double allowed(double limit) {
+        return 1.5 * limit * WINDOW_MS / 1_000 + 5;
+    }
+
+    private static double[] evenly(int routers) {
+        double[] shares = new double[routers];
+        Arrays.fill(shares, 1.0 / routers);
+        return shares;
+    }
+
+    private static void assertKept(PermitFleet fleet, double limit) {
+        int most = PermitFleet.most(fleet.arrivals(), WINDOW_MS, 0);
+        assertTrue(
+                most <= allowed(limit),
+                () -> most + " in a window, " + allowed(limit) + " allowed");
+    }
+
+    private static long arrived(PermitFleet fleet, long fromMs, long untilMs) {
+        return fleet.arrivals().stream()
+                .filter(a -> a.atMs() >= fromMs && a.atMs() < untilMs)
+                .count();
+    }
+
+    /** Nothing fails. */
+    @Nested
+    class Calm {
+        @ParameterizedTest
+        @ValueSource(ints = {1, 8, 61, 95, 390})
+        void isKeptAndUsed(int routers) {
+            double limit = 4.7;
+            PermitFleet fleet = new PermitFleet(routers, 0, routers);
+            fleet.load(evenly(routers), DEMAND, END_MS);
+            fleet.at(NAMED_MS, f -> f.name(OptionalDouble.of(limit)));
+            fleet.runUntil(END_MS);
+            assertKept(fleet, limit);
+            long usedFromMs = NAMED_MS + 3_000;
+            double used = arrived(fleet, usedFromMs, END_MS) * 1_000.0 / (END_MS - usedFromMs);
+            assertTrue(used >= 0.85 * limit, used + " a second used of " + limit);
+        }
+
+        /** Asks must not grow with the fleet: one server in need would load all issuers. */
+        @Test
+        void isAskedForAFewTimesAPermitAndRouter() {
+            double limit = 4.7;
+            PermitFleet fleet = new PermitFleet(95, 0, 5);
+            fleet.load(evenly(95), DEMAND, END_MS);
+            fleet.name(OptionalDouble.of(limit));
+            fleet.runUntil(END_MS);
+            double asks = fleet.asksSent() * 1_000.0 / END_MS;
+            assertTrue(asks <= 95 / 2.0 + 3 * limit, asks + " asks a second");
+        }
+
+        /** All callers are at one router: the others' parts must not lie unused. */
+        @Test
+        void goesToTheRouterThatHasTheCallers() {
+            double limit = 9;
+            double[] shares = new double[95];
+            shares[17] = 1;
+            PermitFleet fleet = new PermitFleet(95, 0, 3);
+            fleet.load(shares, DEMAND, END_MS);
+            fleet.name(OptionalDouble.of(limit));
+            fleet.runUntil(END_MS);
+            double used = arrived(fleet, 5_000, END_MS) * 1_000.0 / (END_MS - 5_000);
+            assertTrue(used >= 0.85 * limit, used + " a second used");
+            assertKept(fleet, limit);
+        }
+
+        @Test
+        void endsWhenTheServerNamesNoneAnyMore() {
+            PermitFleet fleet = new PermitFleet(8, 0, 4);
+            fleet.load(evenly(8), DEMAND, END_MS);
+            fleet.name(OptionalDouble.of(4.5));
+            fleet.at(10_000, f -> f.name(OptionalDouble.empty()));
+            fleet.runUntil(END_MS);
+            assertTrue(arrived(fleet, 12_000, END_MS) >= 0.85 * DEMAND * (END_MS - 12_000) / 1_000);
+            for (int i = 0; i < 8; i++) {
+                assertEquals(OptionalDouble.empty(), fleet.believed(i));
+            }
+        }
+
+        /** A server that takes nothing at all is still heard of, so that its limit can end. */
+        @Test
+        void ofNothingIsTriedNowAndThen() {
+            PermitFleet fleet = new PermitFleet(8, 0, 4);
+            fleet.load(evenly(8), DEMAND, END_MS);
+            fleet.name(OptionalDouble.of(0));
+            fleet.runUntil(END_MS);
+            assertKept(fleet, 0);
+            assertTrue(arrived(fleet, 10_000, END_MS) >= 1);
+        }
+    }
+
+    /** Routers end, stop and are cut off while words are lost. */
+    @Nested
+    class Troubled {
+        @Property(tries = 150, seed = "31")
+        void isKept(@ForAll @LongRange(min = 0, max = 1_000_000) long seed) {
+            Random random = new Random(seed);
+            int routers = 3 + random.nextInt(22);
+            double limit = 1 + 20 * random.nextDouble();
+            PermitFleet fleet = new PermitFleet(routers, 0.05 * random.nextDouble(), seed);
+            fleet.load(evenly(routers), DEMAND, END_MS);
+            fleet.at(NAMED_MS, f -> f.name(OptionalDouble.of(limit)));
+            for (int i = 0; i < 8; i++) {
+                trouble(fleet, routers, random);
+            }
+            fleet.runUntil(END_MS);
+            assertKept(fleet, limit);
+        }
+
+        private void trouble(PermitFleet fleet, int routers, Random random) {
+            long atMs = NAMED_MS + random.nextInt((int) (END_MS - NAMED_MS));
+            int router = random.nextInt(routers);
+            long forMs = 500 + random.nextInt(8_000);
+            switch (random.nextInt(3)) {
+                case 0 -> fleet.at(atMs, f -> f.kill(router));
+                case 1 -> fleet.at(atMs, f -> f.stop(router, forMs));
+                default -> fleet.at(atMs, f -> f.cut(1 + router / 2, forMs));
+            }
+        }
+
+        /** All routers end at one moment, and know of no limit until the server names it again. */
+        @Test
+        void isKeptAfterTheLossOfAll() {
+            double limit = 4.5;
+            PermitFleet fleet = new PermitFleet(24, 0, 6);
+            fleet.load(evenly(24), DEMAND, END_MS);
+            fleet.name(OptionalDouble.of(limit));
+            fleet.at(
+                    10_000,
+                    f -> {
+                        for (int i = 0; i < 24; i++) {
+                            f.kill(i);
+                        }
+                    });
+            fleet.runUntil(END_MS);
+            assertKept(fleet, limit);
+        }
+
+        /** Both sides of a cut reach the server. */
+        @Test
+        void isSharedByTheSidesOfACut() {
+            double limit = 9;
+            PermitFleet fleet = new PermitFleet(8, 0, 8);
+            fleet.load(evenly(8), DEMAND, END_MS);
+            fleet.name(OptionalDouble.of(limit));
+            fleet.at(5_000, f -> f.cut(3, 20_000));
+            fleet.runUntil(END_MS);
+            long inCut = arrived(fleet, 8_000, 25_000);
+            assertTrue(inCut <= limit * 17 + 5, inCut + " in 17 s of the cut");
+            assertTrue(inCut >= 0.85 * limit * 17, inCut + " in 17 s of the cut");
+        }
+    }
+}
