retry, relay: repeats beyond a router's own share need a permit of what all routers share

What was seen: with 24 to 95 routers and most servers of a service failing, 806 to 1,241 repeats in 10 s where 432 to 639 are allowed. Cause: each router had an eighth of the shared allowance whatever the number of routers, and at least one: 15 in a window each, 1,425 for 95. RepeatAllowanceTest: 378 of 24 routers, 265 allowed; 24 times 15 and the second sends that a change of slot lets in. Class: that of servers' limits; the same mechanism answers it. Change: ServiceRepeats keeps the share of what a router has received (0.8 of it, as before) without a word to anyone; each repeat beyond needs a permit from the issuer of the service's allowance: 0.88 of it steadily, 0.07 at once, the rest is left for words on their way. A permit whose send reached no server is used for the next one. A server's failure stands as the answer unless a permit comes, and a hedge leaves its server only with leave for the next send. Bucket: what was saved up before a link came up or was lost is dropped if the rate was not asked for since, as another router may have granted it; a router that is alone has its burst from its start on. Tests: RepeatAllowanceTest; PermitFleetTest.Repeats at 8, 61, 95 and 390 routers and 150 random schedules of kills, stops, cuts and lost words; ServiceRepeatsTest now states the own share and that rate and burst stay within the allowance in each window, in place of parts of an eighth. CourseTest's budget cases decide on permits themselves; their bounds stand.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -58,6 +58,11 @@
     /** When the send under way was counted as a repeat; empty if it was not. */
     private OptionalLong countedMs = OptionalLong.empty();
 
+    /** Whether there is a permit for a repeat, and whether the send under way has used one. */
+    private boolean repeatPermitted;
+
+    private boolean permitUsed;
+
     private boolean counted;
     private boolean underWay;
     private Verdict verdict = Verdict.NOT_RUN;
@@ -157,9 +162,11 @@
             return new Step.Permit(server.get());
         }
         countedMs = OptionalLong.empty();
-        if (arrivals > 0) {
+        if (arrivals > 0 && !repeatPermitted) {
             if (!repeats.tryRepeat(plan.service(), nowMs)) {
-                return holdForBudget(nowMs);
+                return repeats.mayAsk(plan.service(), nowMs)
+                        ? new Step.Repeat()
+                        : holdForBudget(nowMs);
             }
             countedMs = OptionalLong.of(nowMs);
         }
@@ -172,6 +179,12 @@
         return next(nowMs);
     }
 
+    /** Takes the decision on a {@link Step.Repeat}, and returns the next step. */
+    public Step repeatDecided(boolean granted, long nowMs) {
+        repeatPermitted = granted;
+        return granted ? next(nowMs) : holdForBudget(nowMs);
+    }
+
     /** Takes the engine that keeps the prompt, if one said so, and returns the next step. */
     public Step found(Optional<BackendServer> engine, long nowMs) {
         keeper = checkNotNull(engine, "engine");
@@ -185,6 +198,7 @@
         if (countedMs.isPresent()) {
             repeats.neverArrived(plan.service(), countedMs.getAsLong(), nowMs);
         }
+        repeatPermitted = permitUsed;
         didNotRun();
         health.failed(server, nowMs);
         return next(nowMs);
@@ -205,8 +219,10 @@
         return next(nowMs);
     }
 
-    /** Returns the next send if a server's failure need not be the answer. */
-    public Optional<Step.Send> failedAnswer(long nowMs) {
+    /**
+     * Returns the next step, a send or an ask for leave, if a server's failure may be made up for.
+     */
+    public Optional<Step> failedAnswer(long nowMs) {
         ended();
         boolean again =
                 plan.route().repeatability().mayRunAgain()
@@ -216,7 +232,7 @@
         if (!again) {
             return Optional.empty();
         }
-        return next(nowMs) instanceof Step.Send send ? Optional.of(send) : Optional.empty();
+        return Optional.of(next(nowMs)).filter(Step::leadsToSend);
     }
 
     /** Returns the wait for a whole answer after which {@link #slow} may find a better server. */
@@ -230,19 +246,21 @@
     }
 
     /**
-     * Returns a send in place of the one that is under way, which no answer has come to.
+     * Returns a send in place of the one that is under way, which no answer has come to, or the ask
+     * for leave to it. The one under way is to be left only for a send.
      *
      * <p>Failure guarded against: a server runs a request and its answer is lost without a sign, or
      * a server hangs. The caller would wait for its whole timeout. Only a server that has places
      * free is tried, so that in overload, where all are slow, nothing is sent twice.
      */
-    public Optional<Step.Send> slow(long nowMs) {
+    public Optional<Step> slow(long nowMs) {
         boolean free = anyServer(nowMs).filter(s -> placement.hasFreePlace(s, nowMs)).isPresent();
         if (!free || slowAfterMs().isEmpty() || nowMs >= plan.expiresMs()) {
             return Optional.empty();
         }
         ended();
-        return next(nowMs) instanceof Step.Send send ? Optional.of(send) : Optional.empty();
+        return Optional.of(next(nowMs))
+                .filter(s -> s instanceof Step.Send || s instanceof Step.Repeat);
     }
 
     /** The caller has got event {@code id}. */
@@ -301,6 +319,8 @@
     private Step send(BackendServer server, boolean fromCopy, long nowMs) {
         wait.close();
         permitted = Optional.empty();
+        permitUsed = repeatPermitted;
+        repeatPermitted = false;
         if (!counted) {
             counted = true;
             repeats.requested(plan.service(), nowMs);
--- a/masticweir/src/main/java/org/masticweir/forward/RepeatGate.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RepeatGate.java
@@ -7,9 +7,15 @@
     /** Counts a request of callers for {@code service}. */
     void requested(ServiceName service, long nowMs);
 
-    /** Counts one more send and returns true if the budget allows it, else changes nothing. */
+    /**
+     * Counts one more send and returns true if this router's own requests allow it, else changes
+     * nothing.
+     */
     boolean tryRepeat(ServiceName service, long nowMs);
 
+    /** Returns whether a permit of the allowance that all routers share may be had now. */
+    boolean mayAsk(ServiceName service, long nowMs);
+
     /** Takes back a send that was counted at {@code countedMs}, as it reached no server. */
     void neverArrived(ServiceName service, long countedMs, long nowMs);
 }
--- a/masticweir/src/main/java/org/masticweir/forward/ServiceRepeats.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServiceRepeats.java
@@ -4,67 +4,68 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.TeamId;
 import org.masticweir.id.WorkClassId;
+import org.masticweir.permits.SharedRate;
 import org.masticweir.retry.RetryBudget;
 
 /**
- * This router's part of the budget of second sends that all routers share; owned by the traffic
- * thread.
+ * The budget of second sends that all routers share, as this router goes by it; owned by the
+ * traffic thread.
  *
  * <p>Load that it answers: servers refuse or break, each refusal is sent again, and the repeats
- * make up the overload. The shared budget is a share of the requests and an allowance; each router
- * keeps to that share of what it has received itself and to an equal part of the allowance, so that
- * no word between routers is needed to hold it.
+ * make up the overload. The shared budget is a share of the requests and an allowance. The share of
+ * what a router has received itself is its own; of the allowance it needs a permit for each repeat.
  */
 public final class ServiceRepeats implements RepeatGate {
-    /** Part of the shared budget that is used: windows of routers don't begin together. */
+    /** Part of the share that is used: windows of routers don't begin together. */
     private static final double USED = 0.8;
 
     private static final TeamId ALL_TEAMS = TeamId.of("all");
 
-    private final int routers;
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
+    private final Map<ServiceName, Long> closedUntilMs = new HashMap<>();
     private double share;
-    private int floor;
+    private Optional<SharedRate> allowance = Optional.empty();
 
-    private ServiceRepeats(int routers) {
-        this.routers = routers;
-    }
+    private ServiceRepeats() {}
 
     /**
-     * Returns a part of the shared budget.
+     * Returns the budget of a router that has received nothing yet.
      *
      * @param share repeats allowed for a request, over all routers
      * @param allowance repeats allowed beyond that in a window, over all routers
-     * @param routers routers among which the allowance is divided
      */
-    public static ServiceRepeats partOf(double share, double allowance, int routers) {
-        checkArgument(routers >= 1, "%s routers", routers);
-        ServiceRepeats part = new ServiceRepeats(routers);
-        part.changeTo(share, allowance);
-        return part;
+    public static ServiceRepeats of(double share, double allowance) {
+        ServiceRepeats repeats = new ServiceRepeats();
+        repeats.changeTo(share, allowance);
+        return repeats;
     }
 
-    /** Takes another shared budget; what was sent in the last window is forgotten. */
-    public void changeTo(double sharedShare, double allowance) {
-        checkArgument(allowance >= 0, "allowance %s", allowance);
+    /** Takes another shared budget; with another share, what was sent is forgotten. */
+    public void changeTo(double sharedShare, double sharedAllowance) {
+        checkArgument(sharedAllowance >= 0, "allowance %s", sharedAllowance);
         double ownShare = sharedShare * USED;
-        int ownFloor = wholeRepeats(allowance * USED / routers);
-        if (ownShare != share || ownFloor != floor) {
+        if (ownShare != share) {
             budgets.clear();
         }
         share = ownShare;
-        floor = ownFloor;
+        allowance =
+                sharedAllowance > 0
+                        ? Optional.of(SharedRate.ofAllowance(sharedAllowance))
+                        : Optional.empty();
     }
 
-    /**
-     * Returns the whole repeats in {@code part}, at least one: rounded down, as the parts of all
-     * routers together must stay within what is shared.
-     */
-    private static int wholeRepeats(double part) {
-        return Math.max(1, (int) part);
+    /** Returns the rate of the permits for repeats; empty if there is no allowance. */
+    public Optional<SharedRate> allowance() {
+        return allowance;
+    }
+
+    /** No permit for {@code service} is to be had before {@code untilMs}. */
+    public void close(ServiceName service, long untilMs) {
+        closedUntilMs.put(service, untilMs);
     }
 
     @Override
@@ -77,13 +78,19 @@
         return budget(service).tryRetry(classOf(service), ALL_TEAMS, nowMs);
     }
 
+    @Override
+    public boolean mayAsk(ServiceName service, long nowMs) {
+        return allowance.isPresent()
+                && nowMs >= closedUntilMs.getOrDefault(service, Long.MIN_VALUE);
+    }
+
     @Override
     public void neverArrived(ServiceName service, long countedMs, long nowMs) {
         budget(service).neverSent(classOf(service), ALL_TEAMS, countedMs, nowMs);
     }
 
     private RetryBudget budget(ServiceName service) {
-        return budgets.computeIfAbsent(service, s -> RetryBudget.create(share, floor));
+        return budgets.computeIfAbsent(service, s -> RetryBudget.create(share, 0));
     }
 
     private static WorkClassId classOf(ServiceName service) {
--- a/masticweir/src/main/java/org/masticweir/forward/Step.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Step.java
@@ -12,6 +12,11 @@
 
 /** What a {@link Course} wants done next; immutable. */
 public sealed interface Step {
+    /** Returns whether the request goes to a server now, or may once it is asked for. */
+    default boolean leadsToSend() {
+        return this instanceof Send || this instanceof Permit || this instanceof Repeat;
+    }
+
     /**
      * The request goes to {@code server}.
      *
@@ -52,6 +57,12 @@
         }
     }
 
+    /**
+     * The request is to be sent again, and a permit for it is to be had first; the decision goes to
+     * {@link Course#repeatDecided}.
+     */
+    record Repeat() implements Step {}
+
     /** Nothing can take the request now; ask again after {@code ms}. */
     record Hold(long ms) implements Step {
         public Hold {
--- a/masticweir/src/main/java/org/masticweir/permits/IssuerChoice.java
+++ b/masticweir/src/main/java/org/masticweir/permits/IssuerChoice.java
@@ -28,9 +28,11 @@
     private final Set<RouterId> linked = new HashSet<>();
     private final Map<RouterId, Long> lastHeardMs = new HashMap<>();
     private final Map<PermitKey, RouterId> issuers = new HashMap<>();
+    private long changedMs;
 
-    IssuerChoice(RouterId self) {
+    IssuerChoice(RouterId self, long nowMs) {
         this.self = checkNotNull(self, "self");
+        changedMs = nowMs;
     }
 
     /** There is a router, linked or not. */
@@ -43,17 +45,27 @@
     synchronized void linkUp(RouterId router, long nowMs) {
         learn(router, nowMs);
         if (linked.add(router)) {
-            issuers.clear();
+            changed(nowMs);
         }
     }
 
     synchronized void linkDown(RouterId router, long nowMs) {
         learn(router, nowMs);
         if (linked.remove(router)) {
-            issuers.clear();
+            changed(nowMs);
         }
     }
 
+    private void changed(long nowMs) {
+        issuers.clear();
+        changedMs = nowMs;
+    }
+
+    /** Returns when a link came up or was lost last: issuers may be others since then. */
+    synchronized long changedMs() {
+        return changedMs;
+    }
+
     /** Returns the router that issues the permits of {@code key}; may be this one. */
     synchronized RouterId issuer(PermitKey key) {
         if (issuers.size() >= MOST_KEYS) {
--- a/masticweir/src/main/java/org/masticweir/permits/PermitIssuer.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitIssuer.java
@@ -19,7 +19,7 @@
     private static final int MOST_RATES = 16_384;
 
     /** Asks for one permit that are enough to have each of them used. */
-    private static final double ASKS_A_PERMIT = 3;
+    private static final double ASKS_A_PERMIT = 4;
 
     /** Longest time after which a router may ask again, in ms: its callers may be the only ones. */
     private static final long MOST_AGAIN_MS = 2_000;
@@ -41,12 +41,22 @@
     private static final class Rate {
         private final TokenBucket bucket;
         private final Map<RouterId, Long> askers = new LinkedHashMap<>(16, 0.75f, true);
+        private long askedMs;
 
-        Rate(SharedRate rate, long nowMs) {
-            bucket = new TokenBucket(rate, nowMs);
+        Rate(SharedRate rate, long sinceMs) {
+            bucket = new TokenBucket(rate, sinceMs);
+            askedMs = sinceMs;
+        }
+
+        /** Another router may have issued the permits before {@code sinceMs}. */
+        void issuedSince(long sinceMs) {
+            if (askedMs < sinceMs) {
+                bucket.emptyAt(sinceMs);
+            }
         }
 
         void asked(RouterId asker, long nowMs) {
+            askedMs = nowMs;
             askers.put(asker, nowMs);
             Iterator<Long> oldest = askers.values().iterator();
             while (nowMs - oldest.next() > ASKER_MS) {
@@ -64,10 +74,14 @@
      * Decides on one use.
      *
      * @param rate what this router may grant of the shared rate
+     * @param sinceMs when another router may have become or ceased to be the issuer at the latest:
+     *     what that one has granted is not granted again
      */
-    synchronized PermitDecision ask(RouterId asker, PermitKey key, SharedRate rate, long nowMs) {
+    synchronized PermitDecision ask(
+            RouterId asker, PermitKey key, SharedRate rate, long sinceMs, long nowMs) {
         checkNotNull(rate, "rate");
-        Rate asked = rates.computeIfAbsent(key, k -> new Rate(rate, nowMs));
+        Rate asked = rates.computeIfAbsent(key, k -> new Rate(rate, sinceMs));
+        asked.issuedSince(sinceMs);
         asked.bucket.changeTo(rate, nowMs);
         asked.asked(asker, nowMs);
         if (asked.bucket.tryTake(nowMs)) {
--- a/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.masticweir.catalog.ServerLife;
+import org.masticweir.catalog.ServiceName;
 
 /** Names one rate that all routers share; immutable. */
 public record PermitKey(String value) {
@@ -19,6 +20,11 @@
         return new PermitKey("server/" + server);
     }
 
+    /** Returns the key of the repeats for a service beyond the routers' own shares. */
+    public static PermitKey ofRepeats(ServiceName service) {
+        return new PermitKey("repeats/" + service.value());
+    }
+
     @Override
     public String toString() {
         return value;
--- a/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
@@ -59,7 +59,7 @@
         this.links = checkNotNull(links, "links");
         this.clock = checkNotNull(clock, "clock");
         this.traffic = checkNotNull(traffic, "traffic");
-        choice = new IssuerChoice(self);
+        choice = new IssuerChoice(self, clock.nowMs());
         issued = metrics.counter(MetricName.of("permits_issued_total"));
         denied = metrics.counter(MetricName.of("permits_denied_total"));
         unanswered = metrics.counter(MetricName.of("permit_asks_unanswered_total"));
@@ -83,7 +83,7 @@
      *
      * @param then hears the decision on the traffic thread, at once if this router issues it
      */
-    void ask(PermitKey key, SharedRate rate, Consumer<PermitDecision> then) {
+    public void ask(PermitKey key, SharedRate rate, Consumer<PermitDecision> then) {
         RouterId from = choice.issuer(key);
         if (from.equals(self)) {
             then.accept(issue(self, key, rate));
@@ -114,7 +114,8 @@
 
     private PermitDecision issue(RouterId asker, PermitKey key, SharedRate rate) {
         long now = clock.nowMs();
-        PermitDecision decision = issuer.ask(asker, key, rate.part(choice.part(now)), now);
+        PermitDecision decision =
+                issuer.ask(asker, key, rate.part(choice.part(now)), choice.changedMs(), now);
         (decision.granted() ? issued : denied).inc();
         return decision;
     }
--- a/masticweir/src/main/java/org/masticweir/permits/SharedRate.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedRate.java
@@ -21,6 +21,14 @@
      */
     private static final double LEAST_PER_SECOND = 0.25;
 
+    /** Span in which an allowance is counted, in seconds. */
+    private static final double ALLOWANCE_S = 10;
+
+    /** Parts of an allowance that are granted steadily and at once; the rest is on its way. */
+    private static final double STEADY_PART = 0.88;
+
+    private static final double AT_ONCE_PART = 0.07;
+
     public SharedRate {
         checkArgument(perSecond > 0 && Double.isFinite(perSecond), "%s a second", perSecond);
         checkArgument(burst >= 1 && Double.isFinite(burst), "burst of %s", burst);
@@ -32,6 +40,12 @@
         return new SharedRate(rate, Math.max(LEAST_SAVED, rate * SAVED_S));
     }
 
+    /** Returns the rate that stays within an allowance in each span in which it is counted. */
+    public static SharedRate ofAllowance(double allowance) {
+        double perSecond = allowance * STEADY_PART / ALLOWANCE_S;
+        return new SharedRate(perSecond, Math.max(1, allowance * AT_ONCE_PART));
+    }
+
     /** Returns what {@code part} of the routers may use without the others. */
     SharedRate part(double part) {
         checkArgument(part > 0 && part <= 1, "part %s", part);
--- a/masticweir/src/main/java/org/masticweir/permits/TokenBucket.java
+++ b/masticweir/src/main/java/org/masticweir/permits/TokenBucket.java
@@ -2,12 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-/**
- * Grants uses of one rate; not thread-safe.
- *
- * <p>It starts empty: an issuer that takes over from another one does not grant again what that one
- * has granted.
- */
+/** Grants uses of one rate; not thread-safe. */
 final class TokenBucket {
     private static final double MS_A_SECOND = 1_000;
 
@@ -15,9 +10,16 @@
     private double tokens;
     private long filledMs;
 
-    TokenBucket(SharedRate rate, long nowMs) {
+    /** Creates a bucket that was empty at {@code emptyMs}. */
+    TokenBucket(SharedRate rate, long emptyMs) {
         this.rate = checkNotNull(rate, "rate");
-        filledMs = nowMs;
+        filledMs = emptyMs;
+    }
+
+    /** Drops what was saved up before {@code ms}. */
+    void emptyAt(long ms) {
+        tokens = 0;
+        filledMs = ms;
     }
 
     /** Goes on with another rate; what was saved up at the former one stays, within its burst. */
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -19,6 +19,7 @@
 /**
  * What all requests of a router share; all of it belongs to the traffic thread.
  *
+ * @param sharedRepeats asks for what {@code repeats} does not allow by itself
  * @param limits what servers limit, and permits for it
  * @param connectTimeoutMs time for a connection to a server
  * @param loadsChanged runs after this router's use of servers has changed
@@ -35,6 +36,7 @@
         ServerHealth health,
         Placement placement,
         RepeatGate repeats,
+        SharedRepeats sharedRepeats,
         SharedLimits limits,
         SharedQuarantine quarantine,
         LossInquiry losses,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -72,9 +72,6 @@
 
     private static final long TICK_MS = 100;
 
-    /** Routers among which the allowance for repeats is divided where fewer are known. */
-    private static final int LEAST_ROUTERS = 8;
-
     private static final int MAX_QUEUED_BYTES = 4 << 20;
     private static final int LINK_CONNECT_MS = 500;
     private static final int LINK_BACKOFF_MIN_MS = 50;
@@ -123,9 +120,7 @@
         this.settings = checkNotNull(settings, "settings");
         this.clock = checkNotNull(clock, "clock");
         this.platform = checkNotNull(platform, "platform");
-        repeats =
-                ServiceRepeats.partOf(
-                        settings.retryShare(), settings.retryAllowance(), LEAST_ROUTERS);
+        repeats = ServiceRepeats.of(settings.retryShare(), settings.retryAllowance());
         worker = newWorker();
         thread = worker.getIoThread();
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
@@ -312,6 +307,7 @@
                 health,
                 Placement.create(loads, health, serverLimits, settings.domain(), random),
                 repeats,
+                new SharedRepeats(repeats, permits, clock),
                 limits,
                 quarantine,
                 losses,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -6,7 +6,6 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.Course;
@@ -17,7 +16,6 @@
 import org.masticweir.http.HttpHead;
 import org.masticweir.id.ContentId;
 import org.masticweir.relay.RelayMetrics.SendEnd;
-import org.xnio.XnioExecutor;
 
 /**
  * One request from its last byte to the last byte of its answer; runs on the traffic thread.
@@ -36,10 +34,11 @@
     private final CallerWatch watch;
     private final Runnable ended;
     private final ContentTrial trial;
+    private final RunTimer timer;
+    private final RequestPermits permits;
 
     private Optional<ServerSend> send = Optional.empty();
     private Optional<LoadTicket> ticket = Optional.empty();
-    private Optional<XnioExecutor.Key> timer = Optional.empty();
     private SendSilence silence;
     private int sendNumber;
     private long firstEventMs;
@@ -47,6 +46,9 @@
     private boolean resuming;
     private boolean over;
 
+    /** Delivers a server's failure unless the request goes to another one at once. */
+    private Optional<Runnable> failure = Optional.empty();
+
     /**
      * Creates the run of a request that was read whole.
      *
@@ -62,7 +64,9 @@
         this.ended = checkNotNull(ended, "ended");
         plan = request.plan();
         trial = new ContentTrial(context, request);
+        timer = new RunTimer(context.thread());
         log = new RequestLog(context, request);
+        permits = new RequestPermits(context, log);
         metrics = context.metrics().request(plan.route().name(), request.team());
         course =
                 Course.of(
@@ -87,19 +91,36 @@
         if (over) {
             return;
         }
-        if (step instanceof Step.Send next) {
+        if (failure.isPresent() && !step.leadsToSend()) {
+            failure.get().run();
+        } else if (step instanceof Step.Send next) {
+            failure = Optional.empty();
             send(next);
         } else if (step instanceof Step.Ask ask) {
             search(ask);
         } else if (step instanceof Step.Permit permit) {
-            askPermit(permit.server());
+            permits.toServer(permit.server(), granted -> permitDecided(permit, granted));
+        } else if (step instanceof Step.Repeat) {
+            permits.toRepeat(plan.service(), this::repeatDecided);
         } else if (step instanceof Step.Hold hold) {
-            timer(hold.ms(), () -> take(course.next(now())));
+            timer.set(hold.ms(), () -> take(course.next(now())));
         } else {
             end((Step.End) step);
         }
     }
 
+    private void permitDecided(Step.Permit permit, boolean granted) {
+        if (!over) {
+            take(course.permitted(permit.server(), granted, now()));
+        }
+    }
+
+    private void repeatDecided(boolean granted) {
+        if (!over) {
+            take(course.repeatDecided(granted, now()));
+        }
+    }
+
     private void search(Step.Ask ask) {
         PromptSearch.among(
                 ask.engines(),
@@ -113,19 +134,6 @@
                 });
     }
 
-    private void askPermit(BackendServer server) {
-        long askedMs = now();
-        context.limits()
-                .ask(
-                        server.life(),
-                        decision -> {
-                            if (!over) {
-                                log.permit(server, decision, askedMs);
-                                take(course.permitted(server, decision.granted(), now()));
-                            }
-                        });
-    }
-
     private void send(Step.Send next) {
         sendNumber++;
         trial.sendBegins();
@@ -160,7 +168,7 @@
         } else if (course.slowAfterMs().isPresent()) {
             dueMs = Math.min(dueMs, silence.sentMs() + course.slowAfterMs().getAsLong());
         }
-        timer(Math.max(1, dueMs - now()), this::timeIsUp);
+        timer.set(Math.max(1, dueMs - now()), this::timeIsUp);
     }
 
     private void timeIsUp() {
@@ -219,14 +227,26 @@
     }
 
     private void answerIsSlow(long now) {
-        Optional<Step.Send> instead = course.slow(now);
-        if (instead.isEmpty()) {
-            timer(Math.max(1, plan.expiresMs() - now), this::timeIsUp);
-            return;
+        timer.set(Math.max(1, plan.expiresMs() - now), this::timeIsUp);
+        course.slow(now).ifPresent(this::goElsewhere);
+    }
+
+    /** Leaves the send under way once there is leave to send the request again. */
+    private void goElsewhere(Step step) {
+        SendSilence left = silence;
+        if (step instanceof Step.Send) {
+            sendLost(left.server(), SendEnd.SILENT, "sent no answer", left.sentMs());
+            leaveServer();
+            take(step);
+        } else if (step instanceof Step.Repeat) {
+            permits.toRepeat(
+                    plan.service(),
+                    granted -> {
+                        if (!over && silence == left) {
+                            goElsewhere(course.repeatDecided(granted, now()));
+                        }
+                    });
         }
-        sendLost(silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
-        leaveServer();
-        take(instead.get());
     }
 
     /** A send ended that may have run, without a whole answer. */
@@ -264,8 +284,7 @@
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
         silence = null;
-        timer.ifPresent(XnioExecutor.Key::remove);
-        timer = Optional.empty();
+        timer.close();
         if (ticket.isPresent()) {
             ticket.get().close();
             ticket = Optional.empty();
@@ -303,21 +322,6 @@
         ended.run();
     }
 
-    private void timer(long ms, Runnable then) {
-        timer.ifPresent(XnioExecutor.Key::remove);
-        timer =
-                Optional.of(
-                        context.thread()
-                                .executeAfter(
-                                        () -> {
-                                            if (!over) {
-                                                then.run();
-                                            }
-                                        },
-                                        ms,
-                                        TimeUnit.MILLISECONDS));
-    }
-
     private long now() {
         return context.clock().nowMs();
     }
@@ -408,13 +412,19 @@
             heardOf(word);
             trial.answered();
             context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
-            boolean failed = head.status() >= 500;
             leaveServer();
-            Optional<Step.Send> again = failed ? course.failedAnswer(now()) : Optional.empty();
+            Optional<Step> again =
+                    head.status() >= 500 ? course.failedAnswer(now()) : Optional.empty();
             if (again.isPresent()) {
+                failure = Optional.of(() -> deliver(head, bytes));
                 take(again.get());
-                return;
+            } else {
+                deliver(head, bytes);
             }
+        }
+
+        private void deliver(HttpHead head, byte[] bytes) {
+            failure = Optional.empty();
             if (answer.isStreaming()) {
                 take(course.lost(sent.server(), now()));
                 return;
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
+import org.masticweir.catalog.ServiceName;
 import org.masticweir.forward.EngineReport;
 import org.masticweir.forward.ServerUse;
 import org.masticweir.forward.Step;
@@ -85,6 +86,20 @@
                 content);
     }
 
+    /** A permit to send the request again was asked for at {@code askedMs}. */
+    void repeat(ServiceName service, PermitDecision decision, long askedMs) {
+        LOG.info(
+                "relay: request {}: repeat for {} {} after {} ms",
+                id,
+                service,
+                text(decision),
+                context.clock().nowMs() - askedMs);
+    }
+
+    private static String text(PermitDecision decision) {
+        return decision.granted() ? "granted" : "denied for the next " + decision.againMs() + " ms";
+    }
+
     /** An engine that has not begun the request in time reports, or does not. */
     void reported(BackendServer server, Optional<EngineReport> report, long sentMs) {
         at(server, "reports " + report.map(EngineReport::toString).orElse("nothing"), sentMs);
@@ -96,9 +111,7 @@
                 "relay: request {}: permit for {} {} after {} ms, it takes {}",
                 id,
                 server.id(),
-                decision.granted()
-                        ? "granted"
-                        : "denied for the next " + decision.againMs() + " ms",
+                text(decision),
                 context.clock().nowMs() - askedMs,
                 context.limits().text(server.life()));
     }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestPermits.java
@@ -0,0 +1,42 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.function.Consumer;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.ServiceName;
+
+/** Asks for the permits that one request needs, and logs the decisions; on the traffic thread. */
+final class RequestPermits {
+    private final RelayContext context;
+    private final RequestLog log;
+
+    RequestPermits(RelayContext context, RequestLog log) {
+        this.context = checkNotNull(context, "context");
+        this.log = checkNotNull(log, "log");
+    }
+
+    /** Asks whether the request may go to a server that limits what it takes. */
+    void toServer(BackendServer server, Consumer<Boolean> then) {
+        long askedMs = context.clock().nowMs();
+        context.limits()
+                .ask(
+                        server.life(),
+                        decision -> {
+                            log.permit(server, decision, askedMs);
+                            then.accept(decision.granted());
+                        });
+    }
+
+    /** Asks whether the request may be sent again. */
+    void toRepeat(ServiceName service, Consumer<Boolean> then) {
+        long askedMs = context.clock().nowMs();
+        context.sharedRepeats()
+                .ask(
+                        service,
+                        decision -> {
+                            log.repeat(service, decision, askedMs);
+                            then.accept(decision.granted());
+                        });
+    }
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/RunTimer.java
@@ -0,0 +1,43 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** The one timer of a request: setting it anew drops the one before; on the traffic thread. */
+final class RunTimer implements AutoCloseable {
+    private final XnioIoThread thread;
+    private Optional<XnioExecutor.Key> key = Optional.empty();
+    private int number;
+
+    RunTimer(XnioIoThread thread) {
+        this.thread = checkNotNull(thread, "thread");
+    }
+
+    /** Runs {@code then} after {@code ms} unless the timer is set or closed before. */
+    void set(long ms, Runnable then) {
+        close();
+        int own = number;
+        key =
+                Optional.of(
+                        thread.executeAfter(
+                                () -> {
+                                    if (own == number) {
+                                        then.run();
+                                    }
+                                },
+                                ms,
+                                TimeUnit.MILLISECONDS));
+    }
+
+    /** Drops the timer; it may be set again. */
+    @Override
+    public void close() {
+        number++;
+        key.ifPresent(XnioExecutor.Key::remove);
+        key = Optional.empty();
+    }
+}
