permits: urgent asks first, probes count, servers that are limited are shown; limits are held to without the margin

Who gets the permits of a service whose servers are all limited was left to chance; a call that asks a server for its state is a request to it as well and was not counted; and the tests allowed the half more that callers of the platform are granted, which a limit kept together does not need. Change: an ask says how urgent it is (route, then a stream that goes on, what was not sent yet, repeats); while more urgent ones wait, a token is left to them, and what they leave is granted. Calls for a server's state don't wait, and take a token that then lacks others. servers_limited on the metrics page. Without any limit nothing is looked up for each server. Failed on the way: the count of limited servers as a gauge, which the text page does not show.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -42,6 +42,9 @@
     /** Part of the time goal after which a refused caller may come back, at the earliest. */
     private static final int RETURN_PART = 4;
 
+    /** Stages of a request that differ in urgency. */
+    private static final int STAGES = 3;
+
     private final RequestPlan plan;
     private final Supplier<ImmutableList<BackendServer>> servers;
     private final Placement placement;
@@ -159,13 +162,13 @@
             return holdOrEnd(nowMs);
         }
         if (placement.needsPermit(server.get()) && !permitted.equals(server)) {
-            return new Step.Permit(server.get());
+            return new Step.Permit(server.get(), urgency());
         }
         countedMs = OptionalLong.empty();
         if (arrivals > 0 && !repeatPermitted) {
             if (!repeats.tryRepeat(plan.service(), nowMs)) {
                 return repeats.mayAsk(plan.service(), nowMs)
-                        ? new Step.Repeat()
+                        ? new Step.Repeat(urgency())
                         : holdForBudget(nowMs);
             }
             countedMs = OptionalLong.of(nowMs);
@@ -377,6 +380,15 @@
                 : placement.server(servers.get(), plan.size(), plan.engine(), excluded, nowMs);
     }
 
+    /**
+     * Returns the rank of this request among those that need a permit: by its route, then what goes
+     * on with an answer, what was not sent yet, and repeats.
+     */
+    private int urgency() {
+        int stage = hasEvent ? 0 : sends == 0 ? 1 : 2;
+        return plan.route().priority() * STAGES + stage;
+    }
+
     /** Returns the end of a request whose content is not sent to servers any more. */
     public Step.End quarantined(long nowMs) {
         boolean notRun = verdict().safeToSendAgain();
--- a/masticweir/src/main/java/org/masticweir/forward/Step.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Step.java
@@ -50,8 +50,10 @@
     /**
      * {@code server} limits what it takes, and a permit for one request is to be had first; the
      * decision goes to {@link Course#permitted}.
+     *
+     * @param urgency 0 for the first to be served
      */
-    record Permit(BackendServer server) implements Step {
+    record Permit(BackendServer server, int urgency) implements Step {
         public Permit {
             checkNotNull(server, "server");
         }
@@ -60,8 +62,10 @@
     /**
      * The request is to be sent again, and a permit for it is to be had first; the decision goes to
      * {@link Course#repeatDecided}.
+     *
+     * @param urgency 0 for the first to be served
      */
-    record Repeat() implements Step {}
+    record Repeat(int urgency) implements Step {}
 
     /** Nothing can take the request now; ask again after {@code ms}. */
     record Hold(long ms) implements Step {
--- a/masticweir/src/main/java/org/masticweir/permits/PermitAsk.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitAsk.java
@@ -12,12 +12,14 @@
 /**
  * Asks for one use of a shared rate; the reply is a {@link PermitReply}.
  *
+ * @param urgency 0 for the first to be served
  * @param rate the whole rate, as the asker knows it
  * @param passedOn whether a router has passed it on, as it holds another one for the issuer
  */
-public record PermitAsk(PermitKey key, SharedRate rate, boolean passedOn) implements PeerMessage {
-    private static final int FIELDS = 4;
-    private static final int MAX_KEY_BYTES = 4 * PermitKey.MAX_CHARS;
+public record PermitAsk(PermitKey key, int urgency, SharedRate rate, boolean passedOn)
+        implements PeerMessage {
+    private static final int FIELDS = 5;
+    static final int MAX_KEY_BYTES = 4 * PermitKey.MAX_CHARS;
 
     public PermitAsk {
         checkNotNull(key, "key");
@@ -30,14 +32,15 @@
     }
 
     private static void encode(PermitAsk ask, MessagePacker out) throws IOException {
-        out.packString(ask.key.value());
+        out.packString(ask.key.value()).packInt(ask.urgency);
         out.packDouble(ask.rate.perSecond()).packDouble(ask.rate.burst());
         out.packBoolean(ask.passedOn);
     }
 
     private static PermitAsk decode(Fields f) throws IOException {
         PermitKey key = new PermitKey(f.text(MAX_KEY_BYTES));
+        int urgency = f.int32();
         SharedRate rate = new SharedRate(f.float64(), f.float64());
-        return new PermitAsk(key, rate, f.bool());
+        return new PermitAsk(key, urgency, rate, f.bool());
     }
 }
--- a/masticweir/src/main/java/org/masticweir/permits/PermitIssuer.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitIssuer.java
@@ -5,6 +5,8 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import org.masticweir.id.RouterId;
 
 /**
@@ -21,6 +23,9 @@
     /** Asks for one permit that are enough to have each of them used. */
     private static final double ASKS_A_PERMIT = 4;
 
+    /** Tokens that there must be for an ask while more urgent ones wait: one is left to those. */
+    private static final double LEAVES_ONE = 2;
+
     /** Longest time after which a router may ask again, in ms: its callers may be the only ones. */
     private static final long MOST_AGAIN_MS = 2_000;
 
@@ -41,6 +46,10 @@
     private static final class Rate {
         private final TokenBucket bucket;
         private final Map<RouterId, Long> askers = new LinkedHashMap<>(16, 0.75f, true);
+
+        /** By urgency, until when an ask that was denied is waited for. */
+        private final NavigableMap<Integer, Long> waitingMs = new TreeMap<>();
+
         private long askedMs;
 
         Rate(SharedRate rate, long sinceMs) {
@@ -64,6 +73,13 @@
             }
         }
 
+        /** Returns the tokens that there must be for an ask. */
+        double least(int urgency, SharedRate rate, long nowMs) {
+            boolean moreUrgentWait =
+                    waitingMs.headMap(urgency).values().stream().anyMatch(t -> t > nowMs);
+            return moreUrgentWait ? Math.min(LEAVES_ONE, rate.burst()) : 1;
+        }
+
         /** Returns the pause at which all askers together ask often enough, in ms. */
         long pauseMs(SharedRate rate) {
             return (long) (askers.size() * MS_A_SECOND / (ASKS_A_PERMIT * rate.perSecond()));
@@ -73,21 +89,35 @@
     /**
      * Decides on one use.
      *
+     * @param urgency 0 for the first to be served
      * @param rate what this router may grant of the shared rate
      * @param sinceMs when another router may have become or ceased to be the issuer at the latest:
      *     what that one has granted is not granted again
      */
     synchronized PermitDecision ask(
-            RouterId asker, PermitKey key, SharedRate rate, long sinceMs, long nowMs) {
-        checkNotNull(rate, "rate");
-        Rate asked = rates.computeIfAbsent(key, k -> new Rate(rate, sinceMs));
-        asked.issuedSince(sinceMs);
-        asked.bucket.changeTo(rate, nowMs);
+            RouterId asker, PermitKey key, int urgency, SharedRate rate, long sinceMs, long nowMs) {
+        Rate asked = rate(key, rate, sinceMs, nowMs);
         asked.asked(asker, nowMs);
-        if (asked.bucket.tryTake(nowMs)) {
+        double least = asked.least(urgency, rate, nowMs);
+        if (asked.bucket.tryTake(least, nowMs)) {
             return PermitDecision.ofGrant();
         }
-        long againMs = Math.max(asked.bucket.nextMs(nowMs), asked.pauseMs(rate));
-        return PermitDecision.denied(Math.min(MOST_AGAIN_MS, againMs));
+        long nextMs = Math.max(asked.bucket.nextMs(least, nowMs), asked.pauseMs(rate));
+        long againMs = Math.min(MOST_AGAIN_MS, nextMs);
+        asked.waitingMs.put(urgency, nowMs + 2 * againMs);
+        return PermitDecision.denied(againMs);
+    }
+
+    /** Counts a use that nobody asked for. */
+    synchronized void used(PermitKey key, SharedRate rate, long sinceMs, long nowMs) {
+        rate(key, rate, sinceMs, nowMs).bucket.takeAnyway(nowMs);
+    }
+
+    private Rate rate(PermitKey key, SharedRate rate, long sinceMs, long nowMs) {
+        checkNotNull(rate, "rate");
+        Rate known = rates.computeIfAbsent(key, k -> new Rate(rate, sinceMs));
+        known.issuedSince(sinceMs);
+        known.bucket.changeTo(rate, nowMs);
+        return known;
     }
 }
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitUse.java
@@ -0,0 +1,39 @@
+package org.masticweir.permits;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.io.IOException;
+import org.masticweir.peer.Fields;
+import org.masticweir.peer.FieldsCodec;
+import org.masticweir.peer.MessageCodec;
+import org.masticweir.peer.PeerMessage;
+import org.msgpack.core.MessagePacker;
+
+/**
+ * Tells of a use of a shared rate that could not wait for a permit.
+ *
+ * @param rate the whole rate, as the sender knows it
+ */
+public record PermitUse(PermitKey key, SharedRate rate) implements PeerMessage {
+    private static final int FIELDS = 3;
+
+    public PermitUse {
+        checkNotNull(key, "key");
+        checkNotNull(rate, "rate");
+    }
+
+    /** Returns the codec of these messages under the number {@code type}. */
+    public static MessageCodec<PermitUse> codec(int type) {
+        return FieldsCodec.of(type, PermitUse.class, FIELDS, PermitUse::encode, PermitUse::decode);
+    }
+
+    private static void encode(PermitUse use, MessagePacker out) throws IOException {
+        out.packString(use.key.value());
+        out.packDouble(use.rate.perSecond()).packDouble(use.rate.burst());
+    }
+
+    private static PermitUse decode(Fields f) throws IOException {
+        PermitKey key = new PermitKey(f.text(PermitAsk.MAX_KEY_BYTES));
+        return new PermitUse(key, new SharedRate(f.float64(), f.float64()));
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/permits/ServerLimits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/ServerLimits.java
@@ -69,10 +69,15 @@
 
     /** Returns the requests a second that a server takes of all routers; empty if it named none. */
     public OptionalDouble perSecond(ServerLife server) {
-        Limit limit = limits.get(server);
+        Limit limit = known(server);
         return limit == null ? OptionalDouble.empty() : limit.perSecond;
     }
 
+    /** Asked for each server before each send; mostly there are no limits at all. */
+    private Limit known(ServerLife server) {
+        return limits.isEmpty() ? null : limits.get(server);
+    }
+
     public boolean isLimited(ServerLife server) {
         return perSecond(server).isPresent();
     }
@@ -83,7 +88,7 @@
     }
 
     /** No permit for a server is to be had before {@code untilMs}. */
-    void close(ServerLife server, long untilMs) {
+    public void close(ServerLife server, long untilMs) {
         Limit limit = limits.get(server);
         if (limit != null) {
             limit.closedUntilMs = untilMs;
@@ -92,16 +97,21 @@
 
     /** Returns how long no permit for a server is to be had, in ms; 0 if one may be. */
     public long closedForMs(ServerLife server, long nowMs) {
-        Limit limit = limits.get(server);
+        Limit limit = known(server);
         boolean limited = limit != null && limit.perSecond.isPresent();
         return limited && limit.closedUntilMs > nowMs ? limit.closedUntilMs - nowMs : 0;
     }
 
     /** Forgets servers that are gone. */
-    public void retain(Set<ServerLife> present) {
+    void retain(Set<ServerLife> present) {
         limits.keySet().retainAll(present);
     }
 
+    /** Returns how many servers limit what they take. */
+    long count() {
+        return limits.values().stream().filter(l -> l.perSecond.isPresent()).count();
+    }
+
     /** Returns what a router is told that knows nothing. */
     ImmutableList<Word> all(long nowMs) {
         return limits.entrySet().stream()
--- a/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -29,6 +30,7 @@
     private final Consumer<LimitNews> tell;
     private final Counter named;
     private final Counter unreadable;
+    private final Counter limited;
 
     /**
      * Creates the limits of one router.
@@ -46,6 +48,7 @@
         this.clock = checkNotNull(clock, "clock");
         this.tell = checkNotNull(tell, "tell");
         named = metrics.counter(MetricName.of("server_limits_changed_total"));
+        limited = metrics.counter(MetricName.of("servers_limited"));
         unreadable = metrics.counter(MetricName.of("server_limits_unreadable_total"));
     }
 
@@ -70,6 +73,16 @@
         }
     }
 
+    /** Forgets servers that are gone. */
+    public void retain(Set<ServerLife> present) {
+        limits.retain(present);
+        count();
+    }
+
+    private void count() {
+        limited.inc(limits.count() - limited.getCount());
+    }
+
     /** Another router told what it knows. */
     public void told(RouterId peer, LimitNews news) {
         long now = clock.nowMs();
@@ -87,11 +100,23 @@
         return all.isEmpty() ? Optional.empty() : Optional.of(new LimitNews(all));
     }
 
+    /** A server is asked for its state, which may not wait and yet is a request to it. */
+    public void probed(ServerLife server) {
+        limits.perSecond(server)
+                .ifPresent(
+                        perSecond ->
+                                permits.use(
+                                        PermitKey.ofServer(server),
+                                        SharedRate.ofServer(perSecond)));
+    }
+
     /**
      * Asks for a permit to send one request to a server; a denial closes the server here for as
      * long as it says.
+     *
+     * @param urgency 0 for the first to be served
      */
-    public void ask(ServerLife server, Consumer<PermitDecision> then) {
+    public void ask(ServerLife server, int urgency, Consumer<PermitDecision> then) {
         OptionalDouble perSecond = limits.perSecond(server);
         if (perSecond.isEmpty()) {
             then.accept(PermitDecision.ofGrant());
@@ -99,6 +124,7 @@
         }
         permits.ask(
                 PermitKey.ofServer(server),
+                urgency,
                 SharedRate.ofServer(perSecond.getAsDouble()),
                 decision -> {
                     if (!decision.granted()) {
@@ -122,6 +148,7 @@
     private void changed(
             ServerLife server, OptionalDouble before, OptionalDouble after, String source) {
         named.inc();
+        count();
         LOG.info(
                 "limits: {} takes {}, {} before, {}",
                 server,
--- a/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
@@ -81,15 +81,17 @@
     /**
      * Asks for one use of a rate; called on the traffic thread.
      *
+     * @param urgency 0 for the first to be served
      * @param then hears the decision on the traffic thread, at once if this router issues it
      */
-    public void ask(PermitKey key, SharedRate rate, Consumer<PermitDecision> then) {
+    public void ask(PermitKey key, int urgency, SharedRate rate, Consumer<PermitDecision> then) {
         RouterId from = choice.issuer(key);
+        PermitAsk ask = new PermitAsk(key, urgency, rate, false);
         if (from.equals(self)) {
-            then.accept(issue(self, key, rate));
+            then.accept(issue(self, ask));
             return;
         }
-        links.ask(from, new PermitAsk(key, rate, false), ASK_MS)
+        links.ask(from, ask, ASK_MS)
                 .whenComplete(
                         (reply, error) -> {
                             PermitDecision decision = decision(from, key, reply, error);
@@ -101,21 +103,39 @@
     public void asked(RouterId asker, PermitAsk ask, Reply reply) {
         RouterId from = choice.issuer(ask.key());
         if (ask.passedOn() || from.equals(self)) {
-            reply.send(new PermitReply(issue(asker, ask.key(), ask.rate())));
+            reply.send(new PermitReply(issue(asker, ask)));
             return;
         }
         LOG.debug("permits: {} asks for {}, which {} issues", asker, ask.key(), from);
-        links.ask(from, new PermitAsk(ask.key(), ask.rate(), true), PASSED_ON_MS)
+        links.ask(from, new PermitAsk(ask.key(), ask.urgency(), ask.rate(), true), PASSED_ON_MS)
                 .whenComplete(
                         (answer, error) ->
                                 reply.send(
                                         new PermitReply(decision(from, ask.key(), answer, error))));
     }
 
-    private PermitDecision issue(RouterId asker, PermitKey key, SharedRate rate) {
+    /** Counts a use that could not wait for a permit: it leaves less to those who ask. */
+    void use(PermitKey key, SharedRate rate) {
+        RouterId to = choice.issuer(key);
+        if (to.equals(self)) {
+            used(new PermitUse(key, rate));
+        } else {
+            links.send(to, new PermitUse(key, rate));
+        }
+    }
+
+    /** Takes the word of a use, from this router or another. */
+    public void used(PermitUse use) {
+        long now = clock.nowMs();
+        SharedRate part = use.rate().part(choice.part(now));
+        issuer.used(use.key(), part, choice.changedMs(), now);
+    }
+
+    private PermitDecision issue(RouterId asker, PermitAsk ask) {
         long now = clock.nowMs();
+        SharedRate part = ask.rate().part(choice.part(now));
         PermitDecision decision =
-                issuer.ask(asker, key, rate.part(choice.part(now)), choice.changedMs(), now);
+                issuer.ask(asker, ask.key(), ask.urgency(), part, choice.changedMs(), now);
         (decision.granted() ? issued : denied).inc();
         return decision;
     }
--- a/masticweir/src/main/java/org/masticweir/permits/TokenBucket.java
+++ b/masticweir/src/main/java/org/masticweir/permits/TokenBucket.java
@@ -29,19 +29,26 @@
         tokens = Math.min(tokens, rate.burst());
     }
 
-    boolean tryTake(long nowMs) {
+    /** Takes a token if there are {@code least} of them. */
+    boolean tryTake(double least, long nowMs) {
         fill(nowMs);
-        if (tokens < 1) {
+        if (tokens < least) {
             return false;
         }
         tokens--;
         return true;
     }
 
-    /** Returns the time until there is a whole token, in ms. */
-    long nextMs(long nowMs) {
+    /** Takes a token for a use that is over: if there is none, the next one is not granted. */
+    void takeAnyway(long nowMs) {
         fill(nowMs);
-        return (long) Math.ceil(Math.max(0, 1 - tokens) * MS_A_SECOND / rate.perSecond());
+        tokens = Math.max(-rate.burst(), tokens - 1);
+    }
+
+    /** Returns the time until there are {@code least} tokens, in ms. */
+    long nextMs(double least, long nowMs) {
+        fill(nowMs);
+        return (long) Math.ceil(Math.max(0, least - tokens) * MS_A_SECOND / rate.perSecond());
     }
 
     private void fill(long nowMs) {
--- a/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
@@ -26,6 +26,7 @@
     /** Tells {@code then}, once, what {@code engine} says; nothing if it is gone or silent. */
     static void ask(
             RelayContext context, BackendServer engine, Consumer<Optional<EngineReport>> then) {
+        context.limits().probed(engine.life());
         context.calls()
                 .call(context.dialect().aliveCheck(engine), ANSWER_MS)
                 .thenAccept(outcome -> then.accept(report(context.dialect(), outcome)));
--- a/masticweir/src/main/java/org/masticweir/relay/LimitExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LimitExchange.java
@@ -10,6 +10,7 @@
 import org.masticweir.peer.PeerLinks;
 import org.masticweir.permits.LimitNews;
 import org.masticweir.permits.PermitAsk;
+import org.masticweir.permits.PermitUse;
 import org.masticweir.permits.SharedLimits;
 import org.masticweir.permits.SharedPermits;
 
@@ -36,6 +37,7 @@
     void start() {
         links.on(LimitNews.class, (from, m, reply) -> traffic.execute(() -> limits.told(from, m)));
         links.on(PermitAsk.class, permits::asked);
+        links.on(PermitUse.class, (from, m, reply) -> permits.used(m));
         links.listen(this);
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -18,6 +18,7 @@
 import org.masticweir.permits.LimitNews;
 import org.masticweir.permits.PermitAsk;
 import org.masticweir.permits.PermitReply;
+import org.masticweir.permits.PermitUse;
 import org.masticweir.quarantine.CrashNews;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -36,6 +37,7 @@
     private static final int LIMIT_NEWS = 105;
     private static final int PERMIT_ASK = 106;
     private static final int PERMIT_REPLY = 107;
+    private static final int PERMIT_USE = 108;
 
     private static final int MAX_ID_BYTES = 256;
     private static final int USE_FIELDS = 6;
@@ -110,6 +112,7 @@
                 .add(LimitNews.codec(LIMIT_NEWS))
                 .add(PermitAsk.codec(PERMIT_ASK))
                 .add(PermitReply.codec(PERMIT_REPLY))
+                .add(PermitUse.codec(PERMIT_USE))
                 .build();
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -144,7 +144,9 @@
         quarantine = sharedQuarantine();
         permits = new SharedPermits(settings.router(), links, clock, thread, metrics);
         limits = sharedLimits();
-        losses = new LossInquiry(quarantine, new ServerCheck(calls, platform.dialect()), clock);
+        losses =
+                new LossInquiry(
+                        quarantine, new ServerCheck(calls, platform.dialect(), limits), clock);
         underWay = new RequestsUnderWay(quarantine);
         quarantine.onChange((c, change) -> thread.execute(() -> underWay.changed(c, change)));
         peers =
@@ -289,7 +291,7 @@
                     loads.retain(present);
                     health.listed(present, clock.nowMs());
                     losses.listed(present);
-                    serverLimits.retain(present);
+                    limits.retain(present);
                 });
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -99,9 +99,10 @@
         } else if (step instanceof Step.Ask ask) {
             search(ask);
         } else if (step instanceof Step.Permit permit) {
-            permits.toServer(permit.server(), granted -> permitDecided(permit, granted));
-        } else if (step instanceof Step.Repeat) {
-            permits.toRepeat(plan.service(), this::repeatDecided);
+            permits.toServer(
+                    permit.server(), permit.urgency(), granted -> permitDecided(permit, granted));
+        } else if (step instanceof Step.Repeat repeat) {
+            permits.toRepeat(plan.service(), repeat.urgency(), this::repeatDecided);
         } else if (step instanceof Step.Hold hold) {
             timer.set(hold.ms(), () -> take(course.next(now())));
         } else {
@@ -238,9 +239,10 @@
             sendLost(left.server(), SendEnd.SILENT, "sent no answer", left.sentMs());
             leaveServer();
             take(step);
-        } else if (step instanceof Step.Repeat) {
+        } else if (step instanceof Step.Repeat repeat) {
             permits.toRepeat(
                     plan.service(),
+                    repeat.urgency(),
                     granted -> {
                         if (!over && silence == left) {
                             goElsewhere(course.repeatDecided(granted, now()));
--- a/masticweir/src/main/java/org/masticweir/relay/RequestPermits.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestPermits.java
@@ -17,11 +17,12 @@
     }
 
     /** Asks whether the request may go to a server that limits what it takes. */
-    void toServer(BackendServer server, Consumer<Boolean> then) {
+    void toServer(BackendServer server, int urgency, Consumer<Boolean> then) {
         long askedMs = context.clock().nowMs();
         context.limits()
                 .ask(
                         server.life(),
+                        urgency,
                         decision -> {
                             log.permit(server, decision, askedMs);
                             then.accept(decision.granted());
@@ -29,11 +30,12 @@
     }
 
     /** Asks whether the request may be sent again. */
-    void toRepeat(ServiceName service, Consumer<Boolean> then) {
+    void toRepeat(ServiceName service, int urgency, Consumer<Boolean> then) {
         long askedMs = context.clock().nowMs();
         context.sharedRepeats()
                 .ask(
                         service,
+                        urgency,
                         decision -> {
                             log.repeat(service, decision, askedMs);
                             then.accept(decision.granted());
--- a/masticweir/src/main/java/org/masticweir/relay/ServerCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerCheck.java
@@ -16,6 +16,7 @@
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
+import org.masticweir.permits.SharedLimits;
 
 /**
  * Finds out whether a server ended or only a connection to it; owned by the traffic thread.
@@ -33,6 +34,7 @@
 
     private final HttpCaller calls;
     private final Dialect dialect;
+    private final SharedLimits limits;
     private final Map<ServerLife, List<Consumer<Fate>>> asking = new HashMap<>();
 
     /** What became of a server. */
@@ -45,9 +47,10 @@
         UNKNOWN
     }
 
-    ServerCheck(HttpCaller calls, Dialect dialect) {
+    ServerCheck(HttpCaller calls, Dialect dialect, SharedLimits limits) {
         this.calls = checkNotNull(calls, "calls");
         this.dialect = checkNotNull(dialect, "dialect");
+        this.limits = checkNotNull(limits, "limits");
     }
 
     /** Tells {@code then}, once, what became of {@code server}. */
@@ -69,6 +72,7 @@
     }
 
     private void call(BackendServer server, HttpCall call, boolean reports, int number) {
+        limits.probed(server.life());
         CompletableFuture<HttpOutcome> answer = calls.call(call, ANSWER_MS);
         answer.thenAccept(
                 outcome -> {
--- a/masticweir/src/main/java/org/masticweir/relay/SharedRepeats.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SharedRepeats.java
@@ -25,11 +25,13 @@
     /**
      * Asks for a permit to send one request again.
      *
+     * @param urgency 0 for the first to be served
      * @param then hears the decision on the traffic thread
      */
-    void ask(ServiceName service, Consumer<PermitDecision> then) {
+    void ask(ServiceName service, int urgency, Consumer<PermitDecision> then) {
         permits.ask(
                 PermitKey.ofRepeats(service),
+                urgency,
                 repeats.allowance().orElseThrow(),
                 decision -> {
                     if (!decision.granted()) {
--- a/masticweir/src/test/java/org/masticweir/permits/PermitFleet.java
+++ b/masticweir/src/test/java/org/masticweir/permits/PermitFleet.java
@@ -189,6 +189,7 @@
             } else if (limits.closedForMs(SERVER, nowMs) == 0 && asksLeft > 0) {
                 shared.ask(
                         SERVER,
+                        0,
                         decision -> {
                             if (decision.granted()) {
                                 sendToServer();
@@ -206,6 +207,7 @@
             }
             permits.ask(
                     REPEATS,
+                    0,
                     ALLOWANCE,
                     decision -> {
                         if (decision.granted()) {
--- a/masticweir/src/test/java/org/masticweir/permits/PermitFleetTest.java
+++ b/masticweir/src/test/java/org/masticweir/permits/PermitFleetTest.java
@@ -24,7 +24,7 @@
     private static final double DEMAND = 120;
 
     private static double allowed(double limit) {
-        return 1.5 * limit * WINDOW_MS / 1_000 + 5;
+        return limit * WINDOW_MS / 1_000 + 5;
     }
 
     private static double[] evenly(int routers) {
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/permits/PermitIssuerTest.java
@@ -0,0 +1,95 @@
+package org.masticweir.permits;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.id.EngineId;
+import org.masticweir.id.RouterId;
+
+/** Who gets the permits of one rate, and how many there are. */
+class PermitIssuerTest {
+    private static final PermitKey KEY =
+            PermitKey.ofServer(ServerLife.ofUnknownStart(EngineId.of("i-1")));
+
+    private static final SharedRate EIGHT = SharedRate.ofServer(8);
+    private static final int URGENT = 0;
+    private static final int LATER = 3;
+
+    private final PermitIssuer issuer = new PermitIssuer();
+
+    private PermitDecision ask(int urgency, long nowMs) {
+        return ask("r1", urgency, 0, nowMs);
+    }
+
+    private PermitDecision ask(String router, int urgency, long sinceMs, long nowMs) {
+        return issuer.ask(RouterId.of(router), KEY, urgency, EIGHT, sinceMs, nowMs);
+    }
+
+    private int grantedAtOnce(long sinceMs, long nowMs) {
+        int granted = 0;
+        while (ask("r1", URGENT, sinceMs, nowMs).granted()) {
+            granted++;
+        }
+        return granted;
+    }
+
+    @Test
+    void savesUpAQuarterOfASecondAndNoMore() {
+        assertEquals(2, grantedAtOnce(0, 60_000));
+        assertEquals(0, grantedAtOnce(0, 60_050));
+        assertEquals(1, grantedAtOnce(0, 60_125));
+    }
+
+    /** What another issuer granted a moment ago would be granted once more. */
+    @Test
+    void grantsNothingOfTheTimeBeforeItBecameTheIssuer() {
+        assertEquals(0, grantedAtOnce(10_000, 10_050));
+        assertEquals(1, grantedAtOnce(10_000, 10_130));
+    }
+
+    @Test
+    void dropsWhatItSavedUpWhileAnotherRouterMayHaveIssued() {
+        grantedAtOnce(0, 1_000);
+        assertEquals(0, grantedAtOnce(20_000, 20_050));
+    }
+
+    /** Lookups would take what bookings wait for. */
+    @Test
+    void leavesATokenToMoreUrgentAsksThatWait() {
+        grantedAtOnce(0, 1_000);
+        assertFalse(ask(URGENT, 1_050).granted());
+        assertFalse(ask("r2", LATER, 0, 1_130).granted(), "one token, for the urgent ask");
+        assertTrue(ask(URGENT, 1_140).granted());
+    }
+
+    /** What more urgent callers leave must not lie unused. */
+    @Test
+    void grantsLessUrgentAsksWhatIsLeft() {
+        grantedAtOnce(0, 1_000);
+        assertFalse(ask(URGENT, 1_050).granted());
+        assertTrue(ask("r2", LATER, 0, 1_260).granted(), "two tokens, one for each");
+        assertTrue(ask(URGENT, 1_270).granted());
+    }
+
+    @Test
+    void countsUsesThatDidNotWaitForAPermit() {
+        grantedAtOnce(0, 1_000);
+        issuer.used(KEY, EIGHT, 0, 1_010);
+        assertFalse(ask(URGENT, 1_130).granted());
+        assertTrue(ask(URGENT, 1_260).granted());
+    }
+
+    @Test
+    void spacesTheAsksOfManyRouters() {
+        for (int i = 0; i < 95; i++) {
+            ask("r" + i, URGENT, 0, 1_000);
+        }
+        assertTrue(ask("r1", URGENT, 0, 1_001).againMs() >= 1_000);
+        assertTrue(ask("r1", URGENT, 0, 20_000).granted(), "the others have no callers any more");
+        assertTrue(ask("r1", URGENT, 0, 20_001).granted());
+        assertTrue(ask("r1", URGENT, 0, 20_002).againMs() <= 125);
+    }
+}
