--- a/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
@@ -73,16 +73,6 @@
         }
     }
 
-    /** Forgets servers that are gone. */
-    public void retain(Set<ServerLife> present) {
-        limits.retain(present);
-        count();
-    }
-
-    private void count() {
-        limited.inc(limits.count() - limited.getCount());
-    }
-
     /** Another router told what it knows. */
     public void told(RouterId peer, LimitNews news) {
         long now = clock.nowMs();
@@ -145,6 +135,16 @@
                         + " ms ago";
     }
 
+    /** Forgets servers that are gone. */
+    public void retain(Set<ServerLife> present) {
+        limits.retain(present);
+        count();
+    }
+
+    private void count() {
+        limited.inc(limits.count() - limited.getCount());
+    }
+
     private void changed(
             ServerLife server, OptionalDouble before, OptionalDouble after, String source) {
         named.inc();
