recovery: a probe's answer that is older than the attempt's first frame is no loss; each leave of an engine has its line

Cause: an engine answers a probe before it has read the attempt, and says that it does not know it; the attempt begins; then the answer is read. An answer that names tokens and one that failed were weighed against what had come meanwhile, this one was not, and the engine was left 1 ms after it was heard. Evidence: lines for the five other ways in which an engine is left were missing and come with this. Test: FalseSilenceTest.Probes, failed before with Abandon; a second one holds that an engine which is silent and does not know what it began is left as before.

--- a/masticweir/src/main/java/org/masticweir/recovery/ProbeJudge.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/ProbeJudge.java
@@ -28,7 +28,7 @@
             return answered(answered.next(), standing, nowMs);
         }
         if (probed instanceof RecoveryEvent.ProbeUnknown) {
-            return standing.onItsWay() ? silence.notArrived(plan, nowMs) : ProbeVerdict.LEAVE;
+            return unknown(standing, nowMs);
         }
         if (probed instanceof RecoveryEvent.ProbeWithheld) {
             silence.withheld();
@@ -37,6 +37,18 @@
         return silence.probeFailed(plan, standing.boundMs(), nowMs);
     }
 
+    private ProbeVerdict unknown(Standing standing, long nowMs) {
+        if (standing.onItsWay()) {
+            return silence.notArrived(plan, nowMs);
+        }
+        if (nowMs < silence.dueAtMs(standing.boundMs())) {
+            // The engine answered before it had read the attempt, and has begun it meanwhile.
+            silence.answered();
+            return ProbeVerdict.LISTEN;
+        }
+        return ProbeVerdict.LEAVE;
+    }
+
     private ProbeVerdict answered(int next, Standing standing, long nowMs) {
         silence.answered();
         if (gap.asksHead()) {
--- a/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/RecoveryMachine.java
@@ -219,6 +219,7 @@
             return;
         }
         advisedRetryMs = Math.max(refused.retryAfterMs(), CHOOSE_AGAIN_MS);
+        leaves(rereading ? "which refuses to be read again" : "which refuses");
         if (rereading) {
             // A read was refused, not a send: the generation may run on at the engine, and what
             // callers saw of it may not be sent elsewhere as if nothing had run.
@@ -235,12 +236,14 @@
             return;
         }
         if (!lost.sent() && !rereading) {
+            leaves("which was not reached");
             doubt.refused();
             chooseAgain(nowMs);
             return;
         }
         noteLoss(nowMs);
         if (rereading && phase == Phase.STARTING) {
+            leaves("which was lost and cannot be read again");
             move(nowMs);
         } else {
             rereadSameEngine(nowMs);
@@ -249,11 +252,16 @@
 
     private void onUnknown(AttemptId attempt, long nowMs) {
         if (isUnderWay(attempt)) {
+            leaves("which does not know it");
             noteLoss(nowMs);
             move(nowMs);
         }
     }
 
+    private void leaves(String reason) {
+        LOG.info("recovery: {} leaves engine {}, {}", assembler.current(), engine, reason);
+    }
+
     private void onReceived(RecoveryEvent.Received received, long nowMs) {
         if (!isUnderWay(received.stream())) {
             // A superseded engine woke up and still sends: its stream no longer counts.
@@ -275,6 +283,7 @@
             noteLoss(nowMs);
             rereadSameEngine(nowMs);
         } else if (acceptance instanceof Acceptance.WrongEcho) {
+            leaves("which answers with another generation");
             noteLoss(nowMs);
             move(nowMs);
         }
--- a/masticweir/src/test/java/org/masticweir/recovery/FalseSilenceTest.java
+++ b/masticweir/src/test/java/org/masticweir/recovery/FalseSilenceTest.java
@@ -133,6 +133,27 @@
                     tickAt(nowMs + RecoveryMachine.PROBE_AGAIN_MS));
         }
 
+        /** Guards against a second computation after a probe that the attempt overtook. */
+        @Test
+        void probeAnsweredBeforeTheAttemptArrivedIsNoLossOnceItHasBegun() {
+            assertHas(new RecoveryAction.Probe(attempt(1), E1), tickAt(BOUND_MS));
+            streamTwoTokens();
+            assertHasNo(
+                    RecoveryAction.Abandon.class, on(new RecoveryEvent.ProbeUnknown(attempt(1))));
+            assertHasNo(RecoveryAction.Abandon.class, receive(1, 2, 7));
+            assertEquals(3, machine.accepted());
+        }
+
+        /** Guards against an engine that started again being followed for ever. */
+        @Test
+        void engineThatDoesNotKnowWhatItBeganIsLeftOnceItIsSilent() {
+            streamTwoTokens();
+            assertHas(new RecoveryAction.Probe(attempt(1), E1), tickAt(BOUND_MS));
+            assertHas(
+                    new RecoveryAction.Abandon(attempt(1), E1),
+                    on(new RecoveryEvent.ProbeUnknown(attempt(1))));
+        }
+
         /**
          * A request is computed twice, or a letter ends in doubt, though no engine failed. A
          * thousand requests come at once, and an engine answers a probe before it has read the
