test: one series of troubles for the properties of limits and of repeats

Cause: both properties of PermitFleetTest drew eight troubles and ran the fleet to its end in the same lines. Change: runTroubled does, with the number named. Order of draws, seeds, bounds and assertions are as they were.

--- a/masticweir/src/test/java/org/masticweir/permits/PermitFleetTest.java
+++ b/masticweir/src/test/java/org/masticweir/permits/PermitFleetTest.java
@@ -19,6 +19,7 @@
     private static final long WINDOW_MS = 4_000;
     private static final long NAMED_MS = 2_000;
     private static final long END_MS = 30_000;
+    private static final int TROUBLES = 8;
 
     /** Requests a second of all callers. */
     private static final double DEMAND = 120;
@@ -160,14 +161,18 @@
             int routers = 3 + random.nextInt(40);
             PermitFleet fleet = new PermitFleet(routers, 0.05 * random.nextDouble(), seed);
             fleet.repeatLoad(evenly(routers), FAILING, END_MS);
-            for (int i = 0; i < 8; i++) {
-                trouble(fleet, routers, random);
-            }
-            fleet.runUntil(END_MS);
+            runTroubled(fleet, routers, random);
             assertWithin(fleet);
         }
     }
 
+    private static void runTroubled(PermitFleet fleet, int routers, Random random) {
+        for (int i = 0; i < TROUBLES; i++) {
+            trouble(fleet, routers, random);
+        }
+        fleet.runUntil(END_MS);
+    }
+
     private static void trouble(PermitFleet fleet, int routers, Random random) {
         long atMs = NAMED_MS + random.nextInt((int) (END_MS - NAMED_MS));
         int router = random.nextInt(routers);
@@ -190,10 +195,7 @@
             PermitFleet fleet = new PermitFleet(routers, 0.05 * random.nextDouble(), seed);
             fleet.load(evenly(routers), DEMAND, END_MS);
             fleet.at(NAMED_MS, f -> f.name(OptionalDouble.of(limit)));
-            for (int i = 0; i < 8; i++) {
-                trouble(fleet, routers, random);
-            }
-            fleet.runUntil(END_MS);
+            runTroubled(fleet, routers, random);
             assertKept(fleet, limit);
         }
 
