--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
@@ -0,0 +1,57 @@
+package org.masticweir.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.masticweir.catalog.ServerLife;
+import org.masticweir.forward.ServerNotices;
+import org.masticweir.metrics.MetricName;
+import org.masticweir.permits.SharedLimits;
+import org.masticweir.time.Clock;
+
+/**
+ * Takes what servers say of themselves in the heads of their answers, with a log line and a count
+ * for what is new; owned by the traffic thread.
+ */
+final class AnswerNotices {
+    private static final Logger LOG = LogManager.getLogger(AnswerNotices.class);
+
+    private final ServerNotices notices;
+    private final SharedLimits limits;
+    private final Clock clock;
+    private final Counter leaving;
+    private final Counter pauses;
+
+    AnswerNotices(ServerNotices notices, SharedLimits limits, Clock clock, MetricRegistry metrics) {
+        this.notices = checkNotNull(notices, "notices");
+        this.limits = checkNotNull(limits, "limits");
+        this.clock = checkNotNull(clock, "clock");
+        leaving = metrics.counter(MetricName.of("servers_said_leaving_total"));
+        pauses = metrics.counter(MetricName.of("server_pauses_total"));
+    }
+
+    /**
+     * A server answered.
+     *
+     * @param request the request it answered, for the log
+     * @param sentMs when that request left
+     */
+    void heard(ServerLife server, ServerWord word, String request, long sentMs) {
+        limits.answered(server, word.limit(), request, sentMs);
+        if (word.leaving() && notices.leaves(server)) {
+            leaving.inc();
+            LOG.info("notices: {} leaves, answer to {}", server, request);
+        }
+        word.pauseMs().ifPresent(ms -> pause(server, ms, request));
+    }
+
+    private void pause(ServerLife server, long ms, String request) {
+        if (notices.pauses(server, ms, clock.nowMs())) {
+            pauses.inc();
+            LOG.info("notices: {} takes nothing for {} ms, answer to {}", server, ms, request);
+        }
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -21,6 +21,7 @@
  *
  * @param sharedRepeats asks for what {@code repeats} does not allow by itself
  * @param limits what servers limit, and permits for it
+ * @param notices takes what servers say in their answers
  * @param connectTimeoutMs time for a connection to a server
  * @param loadsChanged runs after this router's use of servers has changed
  */
@@ -38,6 +39,7 @@
         RepeatGate repeats,
         SharedRepeats sharedRepeats,
         SharedLimits limits,
+        AnswerNotices notices,
         SharedQuarantine quarantine,
         LossInquiry losses,
         RequestsUnderWay underWay,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -25,6 +25,7 @@
 import org.masticweir.forward.LoadBoard;
 import org.masticweir.forward.Placement;
 import org.masticweir.forward.ServerHealth;
+import org.masticweir.forward.ServerNotices;
 import org.masticweir.forward.ServiceRepeats;
 import org.masticweir.forward.SilenceBounds;
 import org.masticweir.forward.StreamPace;
@@ -91,6 +92,7 @@
     private final PlatformPort.Store store;
     private final LoadBoard loads = LoadBoard.create();
     private final ServerHealth health = ServerHealth.create();
+    private final ServerNotices notices = ServerNotices.create();
     private final MetricRegistry metrics = new MetricRegistry();
     private final RelayIntake intake = new RelayIntake();
     private final ServiceRepeats repeats;
@@ -311,6 +313,7 @@
                 repeats,
                 new SharedRepeats(repeats, permits, clock),
                 limits,
+                new AnswerNotices(notices, limits, clock, metrics),
                 quarantine,
                 losses,
                 underWay,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -346,7 +346,7 @@
         @Override
         public void head(ServerWord word) {
             if (!isStale()) {
-                context.limits().answered(sent.server().life(), word.limit(), request.id(), sentMs);
+                context.notices().heard(sent.server().life(), word, request.id(), sentMs);
             }
         }
 
--- a/masticweir/src/main/java/org/masticweir/relay/ServerWord.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerWord.java
@@ -4,6 +4,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.masticweir.permits.LimitWord;
 
 /**
@@ -15,6 +16,8 @@
  * @param signed whether it bears the server's signature
  * @param present requests that the server runs and keeps waiting
  * @param limit how many requests it takes
+ * @param leaving whether it ends soon and wants no more requests
+ * @param pauseMs how long it wants no requests of this router
  */
 public record ServerWord(
         boolean notRun,
@@ -22,10 +25,13 @@
         Optional<String> request,
         boolean signed,
         OptionalInt present,
-        LimitWord limit) {
+        LimitWord limit,
+        boolean leaving,
+        OptionalLong pauseMs) {
     public ServerWord {
         checkNotNull(request, "request");
         checkNotNull(present, "present");
         checkNotNull(limit, "limit");
+        checkNotNull(pauseMs, "pauseMs");
     }
 }
