placement: a server that says in an answer that it leaves gets no more requests of this router

Callers' bookings went to a server for 13 s after its answers had said that it leaves, up to 2.6 s too late by each router's own knowledge, until the store came back and listed it as leaving.

Cause: whether a server leaves was known from its entry in the store only, and its own word in each answer was dropped by the adapter. Ruled out: an older entry that replaced the word (none came while the store was away), requests that were long under way (each was a first send within 4 ms).

ServerNotices keeps the word for the rest of the server's life; Placement counts it like an entry, for sends, copies, searches for kept prompts and the refusal of what no server takes. The word does not lapse with the entry: a held-up write may list the server as ready once more. Answers to calls for a server's state count too. Routers don't tell each other: a leaving server serves on until the store has its word, so that the first answer to each router comes in time.

The same cause elsewhere: an engine that left by its own word and ended was held against the request it had begun; ContentTrial asks Placement now (isNotHeldAgainstTheRequestThatItEndsUnder failed with the entry alone: one content suspected).

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -415,7 +415,7 @@
         if (hasEvent) {
             return new Step.Hold(HOLD_MS);
         }
-        if (servers.get().stream().allMatch(BackendServer::leaving)) {
+        if (servers.get().stream().allMatch(placement::isLeaving)) {
             return end(ErrorCode.NO_ENGINE, "no server");
         }
         if (plan.engine().isPresent() && !plan.engine().get().holds(plan.size().total())) {
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -80,6 +80,7 @@
 
     private final LoadBoard loads;
     private final ServerHealth health;
+    private final ServerNotices notices;
     private final ServerLimits limits;
     private final DomainId home;
     private final RandomGenerator random;
@@ -87,11 +88,13 @@
     private Placement(
             LoadBoard loads,
             ServerHealth health,
+            ServerNotices notices,
             ServerLimits limits,
             DomainId home,
             RandomGenerator random) {
         this.loads = checkNotNull(loads, "loads");
         this.health = checkNotNull(health, "health");
+        this.notices = checkNotNull(notices, "notices");
         this.limits = checkNotNull(limits, "limits");
         this.home = checkNotNull(home, "home");
         this.random = checkNotNull(random, "random");
@@ -100,10 +103,11 @@
     public static Placement create(
             LoadBoard loads,
             ServerHealth health,
+            ServerNotices notices,
             ServerLimits limits,
             DomainId home,
             RandomGenerator random) {
-        return new Placement(loads, health, limits, home, random);
+        return new Placement(loads, health, notices, limits, home, random);
     }
 
     /** Returns the best server for a request, if one of {@code servers} can take it. */
@@ -179,6 +183,11 @@
                 && fits(server, size, engine);
     }
 
+    /** Returns whether a server leaves, by its entry or by an answer of its own. */
+    public boolean isLeaving(BackendServer server) {
+        return server.leaving() || notices.isLeaving(server.life());
+    }
+
     /** Returns whether a server is sent a request only with a permit for it. */
     boolean needsPermit(BackendServer server) {
         return limits.isLimited(server.life());
@@ -192,7 +201,7 @@
             ImmutableList<BackendServer> servers, Set<ServerLife> tried, long nowMs) {
         long soonestMs = Long.MAX_VALUE;
         for (BackendServer server : servers) {
-            if (server.leaving() || tried.contains(server.life())) {
+            if (isLeaving(server) || tried.contains(server.life())) {
                 continue;
             }
             long closedMs = limits.closedForMs(server.life(), nowMs);
@@ -243,7 +252,7 @@
     }
 
     private boolean fits(BackendServer server, RequestSize size, Optional<EngineSpec> engine) {
-        if (server.leaving()) {
+        if (isLeaving(server)) {
             return false;
         }
         if (engine.isEmpty()) {
--- a/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AliveCheck.java
@@ -29,7 +29,11 @@
         context.limits().probed(engine.life());
         context.calls()
                 .call(context.dialect().aliveCheck(engine), ANSWER_MS)
-                .thenAccept(outcome -> then.accept(report(context.dialect(), outcome)));
+                .thenAccept(
+                        outcome -> {
+                            context.notices().called(engine.life(), outcome);
+                            then.accept(report(context.dialect(), outcome));
+                        });
     }
 
     static Optional<EngineReport> report(Dialect dialect, HttpOutcome outcome) {
--- a/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
@@ -8,6 +8,10 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.forward.ServerNotices;
+import org.masticweir.http.HttpAnswer;
+import org.masticweir.http.HttpHead;
+import org.masticweir.http.HttpHeaders;
+import org.masticweir.http.HttpOutcome;
 import org.masticweir.metrics.MetricName;
 import org.masticweir.permits.SharedLimits;
 import org.masticweir.time.Clock;
@@ -21,26 +25,49 @@
 
     private final ServerNotices notices;
     private final SharedLimits limits;
+    private final Dialect dialect;
     private final Clock clock;
     private final Counter leaving;
     private final Counter pauses;
 
-    AnswerNotices(ServerNotices notices, SharedLimits limits, Clock clock, MetricRegistry metrics) {
+    AnswerNotices(
+            ServerNotices notices,
+            SharedLimits limits,
+            Dialect dialect,
+            Clock clock,
+            MetricRegistry metrics) {
         this.notices = checkNotNull(notices, "notices");
         this.limits = checkNotNull(limits, "limits");
+        this.dialect = checkNotNull(dialect, "dialect");
         this.clock = checkNotNull(clock, "clock");
         leaving = metrics.counter(MetricName.of("servers_said_leaving_total"));
         pauses = metrics.counter(MetricName.of("server_pauses_total"));
     }
 
     /**
-     * A server answered.
+     * A server answered a request.
      *
      * @param request the request it answered, for the log
      * @param sentMs when that request left
      */
     void heard(ServerLife server, ServerWord word, String request, long sentMs) {
         limits.answered(server, word.limit(), request, sentMs);
+        take(server, word, request);
+    }
+
+    /** A server was called for its state, or for what it keeps. */
+    void called(ServerLife server, HttpOutcome outcome) {
+        if (outcome instanceof HttpOutcome.Answered answered) {
+            HttpAnswer answer = answered.answer();
+            HttpHead head = new HttpHead(answer.status(), HttpHeaders.copyOf(answer.headers()));
+            ServerWord word = dialect.serverWord(head);
+            if (!word.wrongServer()) {
+                take(server, word, "a call for its state");
+            }
+        }
+    }
+
+    private void take(ServerLife server, ServerWord word, String request) {
         if (word.leaving() && notices.leaves(server)) {
             leaving.inc();
             LOG.info("notices: {} leaves, answer to {}", server, request);
--- a/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentTrial.java
@@ -90,7 +90,10 @@
      */
     void lost(BackendServer server, long sentMs, boolean broke, long nowMs) {
         RelayView view = context.view().get();
-        boolean stays = view.server(server.life()).filter(s -> !s.leaving()).isPresent();
+        boolean stays =
+                view.server(server.life())
+                        .filter(s -> !context.placement().isLeaving(s))
+                        .isPresent();
         if (stays && hasJustBegun(nowMs)) {
             context.losses().lost(content.get(), server, sentMs, broke, view.catalog());
         }
--- a/masticweir/src/main/java/org/masticweir/relay/KeptPrompts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/KeptPrompts.java
@@ -35,15 +35,17 @@
 
     private final HttpCaller calls;
     private final Dialect dialect;
+    private final AnswerNotices notices;
     private final Clock clock;
     private final Map<ServerLife, Asked> asked = new HashMap<>();
 
     /** One question to an engine. */
     private record Asked(long atMs, CompletableFuture<ImmutableSet<PromptId>> answer) {}
 
-    KeptPrompts(HttpCaller calls, Dialect dialect, Clock clock) {
+    KeptPrompts(HttpCaller calls, Dialect dialect, AnswerNotices notices, Clock clock) {
         this.calls = checkNotNull(calls, "calls");
         this.dialect = checkNotNull(dialect, "dialect");
+        this.notices = checkNotNull(notices, "notices");
         this.clock = checkNotNull(clock, "clock");
     }
 
@@ -55,7 +57,12 @@
     }
 
     private CompletableFuture<ImmutableSet<PromptId>> ask(BackendServer engine) {
-        return calls.call(dialect.promptsCall(engine), ANSWER_MS).thenApply(this::read);
+        return calls.call(dialect.promptsCall(engine), ANSWER_MS)
+                .thenApply(
+                        outcome -> {
+                            notices.called(engine.life(), outcome);
+                            return read(outcome);
+                        });
     }
 
     private ImmutableSet<PromptId> read(HttpOutcome outcome) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -108,6 +108,7 @@
     private final ServerLimits serverLimits = ServerLimits.create();
     private final SharedPermits permits;
     private final SharedLimits limits;
+    private final AnswerNotices answerNotices;
     private final LossInquiry losses;
     private final RequestsUnderWay underWay;
     private final PeerExchange peers;
@@ -146,9 +147,8 @@
         quarantine = sharedQuarantine();
         permits = new SharedPermits(settings.router(), links, clock, thread, metrics);
         limits = sharedLimits();
-        losses =
-                new LossInquiry(
-                        quarantine, new ServerCheck(calls, platform.dialect(), limits), clock);
+        answerNotices = new AnswerNotices(notices, limits, platform.dialect(), clock, metrics);
+        losses = lossInquiry();
         underWay = new RequestsUnderWay(quarantine);
         quarantine.onChange((c, change) -> thread.execute(() -> underWay.changed(c, change)));
         peers =
@@ -278,6 +278,11 @@
                 news -> directory.known().forEach(p -> links.send(p, news)));
     }
 
+    private LossInquiry lossInquiry() {
+        ServerCheck check = new ServerCheck(calls, platform.dialect(), limits, answerNotices);
+        return new LossInquiry(quarantine, check, clock);
+    }
+
     private void toldUpTo(long revision) {
         reading.told(serverFollower, revision);
     }
@@ -305,15 +310,15 @@
                 platform.dialect(),
                 new DefaultByteBufferPool(true, BUFFER_BYTES),
                 calls,
-                new KeptPrompts(calls, platform.dialect(), clock),
+                new KeptPrompts(calls, platform.dialect(), answerNotices, clock),
                 () -> view,
                 loads,
                 health,
-                Placement.create(loads, health, serverLimits, settings.domain(), random),
+                Placement.create(loads, health, notices, serverLimits, settings.domain(), random),
                 repeats,
                 new SharedRepeats(repeats, permits, clock),
                 limits,
-                new AnswerNotices(notices, limits, clock, metrics),
+                answerNotices,
                 quarantine,
                 losses,
                 underWay,
--- a/masticweir/src/main/java/org/masticweir/relay/ServerCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerCheck.java
@@ -35,6 +35,7 @@
     private final HttpCaller calls;
     private final Dialect dialect;
     private final SharedLimits limits;
+    private final AnswerNotices notices;
     private final Map<ServerLife, List<Consumer<Fate>>> asking = new HashMap<>();
 
     /** What became of a server. */
@@ -47,10 +48,11 @@
         UNKNOWN
     }
 
-    ServerCheck(HttpCaller calls, Dialect dialect, SharedLimits limits) {
+    ServerCheck(HttpCaller calls, Dialect dialect, SharedLimits limits, AnswerNotices notices) {
         this.calls = checkNotNull(calls, "calls");
         this.dialect = checkNotNull(dialect, "dialect");
         this.limits = checkNotNull(limits, "limits");
+        this.notices = checkNotNull(notices, "notices");
     }
 
     /** Tells {@code then}, once, what became of {@code server}. */
@@ -76,6 +78,7 @@
         CompletableFuture<HttpOutcome> answer = calls.call(call, ANSWER_MS);
         answer.thenAccept(
                 outcome -> {
+                    notices.called(server.life(), outcome);
                     if (outcome instanceof HttpOutcome.MayHaveBeenSent && number < MOST_CALLS) {
                         call(server, call, reports, number + 1);
                     } else {
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -29,9 +29,11 @@
     final List<BackendServer> servers = new ArrayList<>();
     final LoadBoard loads = LoadBoard.create();
     final ServerHealth health = ServerHealth.create();
+    final ServerNotices notices = ServerNotices.create();
     final ServerLimits limits = ServerLimits.create();
     final Placement placement =
-            Placement.create(loads, health, limits, DomainId.of("a"), new SplittableRandom(7));
+            Placement.create(
+                    loads, health, notices, limits, DomainId.of("a"), new SplittableRandom(7));
     final WaitingLine line = WaitingLine.create();
     final ServiceRepeats repeats = repeatsOfABusyRouter();
 
--- a/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PlacementTest.java
@@ -261,6 +261,7 @@
             return Placement.create(
                             world.loads,
                             world.health,
+                            world.notices,
                             world.limits,
                             DomainId.of("a"),
                             new SplittableRandom(1))
