placement: a server that asks for a pause in a refusal gets no requests of this router meanwhile

Callers' bookings were refused while three of four servers had places free. The fourth refused each request within 1 ms and asked for 3 s without any; it got 12 to 38 requests a second, twice as many as before, 29 of them from one router in such a time, where two may come.

Cause: the adapter dropped what a 503 says beside "not run". By what routers knew the server was idle and near, so it came first in every choice, and a booking, which may be sent to one server only, was lost to it. Ruled out: repeats of requests that failed elsewhere (nearly all are first sends).

It holds no copies, is not asked for kept prompts, and a stream whose copy it holds goes on elsewhere. Silent servers in a pause are not called either: they are believed to live unless other sends fail (SilenceInquiry, taken out of RelayRun). Where all servers of a service pause or leave for longer than a request waits, it is refused at once and told to return when the first of them takes requests again.

--- a/masticweir/src/main/java/org/masticweir/forward/Course.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Course.java
@@ -346,6 +346,7 @@
             return Optional.empty();
         }
         return holder.filter(h -> !tried.contains(h.life()) && !health.isDown(h, nowMs))
+                .filter(h -> placement.closedForMs(h, nowMs) == 0)
                 .flatMap(
                         h ->
                                 servers.get().stream()
@@ -422,12 +423,12 @@
             return new Step.End(
                     ErrorCode.NO_ENGINE, verdict, OptionalLong.empty(), "larger than any engine");
         }
-        OptionalLong permitInMs = placement.permitInMs(servers.get(), tried, nowMs);
-        if (permitInMs.isPresent() && wait.isOver(nowMs + permitInMs.getAsLong())) {
+        OptionalLong opensInMs = placement.opensInMs(servers.get(), tried, nowMs);
+        if (opensInMs.isPresent() && wait.isOver(nowMs + opensInMs.getAsLong())) {
             return end(
                     ErrorCode.OVERLOADED,
                     "servers take no more requests now",
-                    permitInMs.getAsLong());
+                    opensInMs.getAsLong());
         }
         int running = placement.ownRunning(servers.get());
         Optional<String> refusal = wait.refusal(sends, running, nowMs);
--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -179,10 +179,17 @@
     boolean canTake(
             BackendServer server, RequestSize size, Optional<EngineSpec> engine, long nowMs) {
         return !health.isDown(server, nowMs)
-                && limits.closedForMs(server.life(), nowMs) == 0
+                && closedForMs(server, nowMs) == 0
                 && fits(server, size, engine);
     }
 
+    /** Returns for how long a server takes nothing of this router, in ms; 0 if it may. */
+    long closedForMs(BackendServer server, long nowMs) {
+        return Math.max(
+                notices.pausedForMs(server.life(), nowMs),
+                limits.closedForMs(server.life(), nowMs));
+    }
+
     /** Returns whether a server leaves, by its entry or by an answer of its own. */
     public boolean isLeaving(BackendServer server) {
         return server.leaving() || notices.isLeaving(server.life());
@@ -194,17 +201,17 @@
     }
 
     /**
-     * Returns how long it takes until a permit may be had, in ms, if every one of {@code servers}
-     * that lives lacks nothing but that; empty if another one may do before.
+     * Returns how long it takes until the first of {@code servers} may take a request, in ms, if
+     * each that stays and was not tried is closed for some time; empty if one is open.
      */
-    OptionalLong permitInMs(
+    OptionalLong opensInMs(
             ImmutableList<BackendServer> servers, Set<ServerLife> tried, long nowMs) {
         long soonestMs = Long.MAX_VALUE;
         for (BackendServer server : servers) {
             if (isLeaving(server) || tried.contains(server.life())) {
                 continue;
             }
-            long closedMs = limits.closedForMs(server.life(), nowMs);
+            long closedMs = closedForMs(server, nowMs);
             if (closedMs == 0) {
                 return OptionalLong.empty();
             }
@@ -241,6 +248,7 @@
         for (BackendServer server : servers) {
             boolean apart = !server.domain().equals(runner.domain());
             if (apart
+                    && notices.pausedForMs(server.life(), nowMs) == 0
                     && !health.isDown(server, nowMs)
                     && !health.isDoubtful(server, nowMs)
                     && fits(server, size, Optional.of(engine))) {
--- a/masticweir/src/main/java/org/masticweir/forward/SendSilence.java
+++ b/masticweir/src/main/java/org/masticweir/forward/SendSilence.java
@@ -65,6 +65,11 @@
         return nowMs - sentMs < REPORT_AGE_MS || report.mayHold(request);
     }
 
+    /** The server can't be asked now, and gets the same time again. */
+    public void postpone(long nowMs) {
+        lastMs = nowMs;
+    }
+
     /** Returns when the server has been silent for too long. */
     public long dueMs() {
         return lastMs + allowedMs;
--- a/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Returns whether a server wants no calls now. */
+    boolean isPausing(ServerLife server) {
+        return notices.pausedForMs(server, clock.nowMs()) > 0;
+    }
+
     private void take(ServerLife server, ServerWord word, String request) {
         if (word.leaving() && notices.leaves(server)) {
             leaving.inc();
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -190,31 +190,12 @@
     }
 
     private void silenceIsTooLong(long now) {
-        if (silence.provesLoss()) {
-            serverIsLost("silent for " + silence.silentMs(now) + " ms");
-            return;
-        }
         SendSilence asked = silence;
-        AliveCheck.ask(
-                context,
-                asked.server(),
-                report -> {
-                    if (over || silence != asked) {
-                        return;
-                    }
-                    log.reported(asked.server(), report, asked.sentMs());
-                    if (report.isEmpty()) {
-                        serverIsLost("no sign of life");
-                    } else if (!report.get().isOf(asked.server().life())) {
-                        context.health().gone(asked.server());
-                        serverIsLost("has started again");
-                    } else if (asked.reported(report.get(), request.id(), now())) {
-                        context.health().answered(asked.server().life(), now());
-                        watchTime();
-                    } else {
-                        serverIsLost("does not have the request any more");
-                    }
-                });
+        new SilenceInquiry(context, log, request.id(), asked)
+                .start(
+                        now,
+                        () -> !over && silence == asked,
+                        loss -> loss.ifPresentOrElse(this::serverIsLost, this::watchTime));
     }
 
     private void serverIsLost(String reason) {
--- a/masticweir/src/main/java/org/masticweir/relay/ServerCheck.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerCheck.java
@@ -64,7 +64,7 @@
         }
         Optional<ServiceSpec> spec = catalog.flatMap(c -> c.service(server.service()));
         Optional<HttpCall> call = spec.flatMap(s -> callTo(server, s));
-        if (call.isEmpty()) {
+        if (call.isEmpty() || notices.isPausing(server.life())) {
             then.accept(Fate.UNKNOWN);
             return;
         }
