forward: servers that have left are forgotten a minute after the list lacks them

Each choice asks of every server whether it has said that it leaves. A minute is longer than entries that lapse with the store stay away.

--- a/masticweir/src/main/java/org/masticweir/forward/ServerNotices.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerNotices.java
@@ -3,9 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.Collections;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import org.masticweir.catalog.ServerLife;
@@ -18,21 +16,14 @@
     /** Longest pause that is kept to, in ms. */
     static final long MAX_PAUSE_MS = 3_600_000;
 
-    /** Leaving servers remembered; the longest known go first. */
-    private static final int MAX_LEAVING = 4_096;
-
     /**
-     * Kept also for lives that the list lacks: an entry that lapses while its server leaves may
-     * come back as it was.
+     * How long a server that leaves is remembered while the list lacks it, in ms: its entry may
+     * lapse with the store away and come back as it was.
      */
-    private final Set<ServerLife> leaving =
-            Collections.newSetFromMap(
-                    new LinkedHashMap<>() {
-                        @Override
-                        protected boolean removeEldestEntry(Map.Entry<ServerLife, Boolean> eldest) {
-                            return size() > MAX_LEAVING;
-                        }
-                    });
+    static final long ABSENT_MS = 60_000;
+
+    /** When each leaving server was last listed. */
+    private final Map<ServerLife, Long> leaving = new HashMap<>();
 
     private final Map<ServerLife, Long> pausedUntilMs = new HashMap<>();
 
@@ -43,8 +34,8 @@
     }
 
     /** A server said that it leaves, which holds for the rest of its life; returns whether new. */
-    public boolean leaves(ServerLife server) {
-        return leaving.add(checkNotNull(server, "server"));
+    public boolean leaves(ServerLife server, long nowMs) {
+        return leaving.put(checkNotNull(server, "server"), nowMs) == null;
     }
 
     /**
@@ -60,13 +51,22 @@
         return begins;
     }
 
-    /** Returns whether a server has said that it leaves. */
+    /** Takes the servers of the list, and forgets those that it has lacked for long. */
+    public void listed(Set<ServerLife> present, long nowMs) {
+        leaving.replaceAll((server, seenMs) -> present.contains(server) ? nowMs : seenMs);
+        leaving.values().removeIf(seenMs -> nowMs - seenMs > ABSENT_MS);
+    }
+
+    /** Returns whether a server has said that it leaves; mostly none has. */
     public boolean isLeaving(ServerLife server) {
-        return leaving.contains(server);
+        return !leaving.isEmpty() && leaving.containsKey(server);
     }
 
-    /** Returns for how long a server wants no requests, in ms; 0 if it takes some. */
+    /** Returns for how long a server wants no requests, in ms; mostly none pauses, and it is 0. */
     public long pausedForMs(ServerLife server, long nowMs) {
+        if (pausedUntilMs.isEmpty()) {
+            return 0;
+        }
         return Math.max(0, pausedUntilMs.getOrDefault(server, nowMs) - nowMs);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerNotices.java
@@ -73,7 +73,7 @@
     }
 
     private void take(ServerLife server, ServerWord word, String request) {
-        if (word.leaving() && notices.leaves(server)) {
+        if (word.leaving() && notices.leaves(server, clock.nowMs())) {
             leaving.inc();
             LOG.info("notices: {} leaves, answer to {}", server, request);
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -297,6 +297,7 @@
                 () -> {
                     loads.retain(present);
                     health.listed(present, clock.nowMs());
+                    notices.listed(present, clock.nowMs());
                     losses.listed(present);
                     limits.retain(present);
                 });
--- a/masticweir/src/test/java/org/masticweir/forward/PausingServersTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/PausingServersTest.java
@@ -55,7 +55,7 @@
     @Test
     void itIsRefusedAtOnceWhereSomePauseAndTheOthersLeave() {
         pause(world.servers.get(0), PAUSE_MS);
-        world.notices.leaves(world.servers.get(1).life());
+        world.notices.leaves(world.servers.get(1).life(), 0);
         assertInstanceOf(Step.End.class, world.course(Repeatability.MUTATING, 1).next(0));
     }
 
--- a/masticweir/src/test/java/org/masticweir/forward/ServerNoticesTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerNoticesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.catalog.ServerLife;
@@ -21,23 +22,32 @@
     class Leaving {
         @Test
         void isNewOnce() {
-            assertTrue(notices.leaves(FIRST));
-            assertFalse(notices.leaves(FIRST));
+            assertTrue(notices.leaves(FIRST, 0));
+            assertFalse(notices.leaves(FIRST, 0));
             assertTrue(notices.isLeaving(FIRST));
         }
 
         @Test
         void holdsForOneLife() {
-            notices.leaves(FIRST);
+            notices.leaves(FIRST, 0);
             assertFalse(notices.isLeaving(SECOND));
         }
 
+        /** Its entry lapses while the store is away, and comes back as it was. */
         @Test
-        void isForgottenOfTheLongestKnownFirst() {
-            notices.leaves(FIRST);
-            for (int i = 0; i < 4_096; i++) {
-                notices.leaves(ServerLife.ofUnknownStart(EngineId.of("other-" + i)));
-            }
+        void outlastsALapseOfItsEntry() {
+            notices.leaves(FIRST, 0);
+            notices.listed(Set.of(FIRST), 5_000);
+            notices.listed(Set.of(), 5_000 + ServerNotices.ABSENT_MS);
+            assertTrue(notices.isLeaving(FIRST));
+            notices.listed(Set.of(FIRST), 6_000 + ServerNotices.ABSENT_MS);
+            assertTrue(notices.isLeaving(FIRST));
+        }
+
+        @Test
+        void isForgottenOnceTheListHasLackedItForLong() {
+            notices.leaves(FIRST, 0);
+            notices.listed(Set.of(), ServerNotices.ABSENT_MS + 1);
             assertFalse(notices.isLeaving(FIRST));
         }
     }
