forward: a server that refuses requests is the last choice for a while

A refusal makes its server the last choice, not an excluded one, for 300 ms, doubled up to 4.8 s while refusals follow each other; an answer ends it. Where all servers refuse, all are equal again, so that overload is placed as before.

--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -43,6 +43,11 @@
      */
     static final long DOUBT_MS = 5_000;
 
+    /** How long a server is the last choice after its first refusal in a row, in ms. */
+    static final long FIRST_REFUSED_MS = 300;
+
+    private static final int MAX_REFUSED_DOUBLINGS = 4;
+
     private final Map<ServerLife, State> states = new HashMap<>();
     private final Map<Place, Accusation> places = new HashMap<>();
     private Map<ServerLife, Boolean> news = new LinkedHashMap<>();
@@ -68,9 +73,15 @@
         private int failures;
         private long failedMs = Long.MIN_VALUE / 2;
         private long downUntilMs = Long.MIN_VALUE;
+        private int refusals;
+        private long refusedUntilMs = Long.MIN_VALUE;
         private long answeredMs = Long.MIN_VALUE / 2;
         private long listedMs = Long.MIN_VALUE / 2;
         private boolean gone;
+
+        boolean isDoubtful(long nowMs) {
+            return nowMs - failedMs < DOUBT_MS || nowMs < refusedUntilMs;
+        }
     }
 
     private ServerHealth() {}
@@ -101,9 +112,32 @@
         }
     }
 
+    /**
+     * A server refused a request; returns how long it is the last choice, in ms.
+     *
+     * <p>Load that it answers: a server refuses what comes, each request at once. It is idle, so
+     * whoever goes by load alone sends it more than any other.
+     */
+    public long refused(ServerLife id, long nowMs) {
+        State state = state(id);
+        lives(state, nowMs);
+        long lastMs = FIRST_REFUSED_MS << Math.min(state.refusals, MAX_REFUSED_DOUBLINGS);
+        if (nowMs >= state.refusedUntilMs) {
+            state.refusals++;
+            state.refusedUntilMs = nowMs + lastMs;
+        }
+        return state.refusedUntilMs - nowMs;
+    }
+
     /** A server answered, or went on with an answer. */
     public void answered(ServerLife id, long nowMs) {
         State state = state(id);
+        lives(state, nowMs);
+        state.refusals = 0;
+        state.refusedUntilMs = Long.MIN_VALUE;
+    }
+
+    private static void lives(State state, long nowMs) {
         state.failures = 0;
         state.failedMs = Long.MIN_VALUE / 2;
         state.downUntilMs = Long.MIN_VALUE;
@@ -125,7 +159,7 @@
     /** Returns whether a server should be the last choice, and hold no copies. */
     public boolean isDoubtful(BackendServer server, long nowMs) {
         State state = states.get(server.life());
-        if (state != null && (state.gone || nowMs - state.failedMs < DOUBT_MS)) {
+        if (state != null && (state.gone || state.isDoubtful(nowMs))) {
             return true;
         }
         Accusation accusation = places.get(Place.of(server));
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -392,7 +392,8 @@
             if (isStale()) {
                 return;
             }
-            heardOf(word);
+            context.health().answered(sent.server().life(), now());
+            loadOf(word);
             trial.answered();
             context.metrics().sendEnded(sent.server(), SendEnd.ANSWERED);
             leaveServer();
@@ -425,13 +426,17 @@
                 return;
             }
             leaveServer();
-            sendEnded(sent.server(), SendEnd.REFUSED, "refused with " + head.status(), sentMs);
+            String what = "refused with " + head.status();
             if (word.wrongServer()) {
+                sendEnded(sent.server(), SendEnd.REFUSED, what, sentMs);
                 take(course.wrongServer(sent.server(), now()));
                 context.loadsChanged().run();
                 return;
             }
-            heardOf(word);
+            loadOf(word);
+            long lastMs = context.health().refused(sent.server().life(), now());
+            what += " and is the last choice for " + lastMs + " ms,";
+            sendEnded(sent.server(), SendEnd.REFUSED, what, sentMs);
             take(course.refused(now()));
         }
 
@@ -464,9 +469,8 @@
                     new HttpHead(head.status(), context.dialect().toCaller(head.headers())));
         }
 
-        private void heardOf(ServerWord word) {
+        private void loadOf(ServerWord word) {
             ServerLife life = sent.server().life();
-            context.health().answered(life, now());
             word.present().ifPresent(n -> context.loads().reported(life, n, now()));
         }
     }
--- a/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
@@ -6,6 +6,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticweir.catalog.ServerLife;
 
 /** Which servers are passed over, and for how long. */
 class ServerHealthTest {
@@ -50,6 +51,57 @@
         }
     }
 
+    /** A server refuses what comes, and looks idle. */
+    @Nested
+    class Refusals {
+        private final ServerLife life = world.byId("a-1").life();
+
+        private boolean isLastChoice(long nowMs) {
+            return health.isDoubtful(world.byId("a-1"), nowMs);
+        }
+
+        @Test
+        void makeItTheLastChoiceAndNoMore() {
+            assertEquals(ServerHealth.FIRST_REFUSED_MS, health.refused(life, 1_000));
+            assertTrue(isLastChoice(1_299));
+            assertFalse(isLastChoice(1_300));
+            assertFalse(health.isDown(world.byId("a-1"), 1_000));
+        }
+
+        @Test
+        void inARowDoSoForLonger() {
+            health.refused(life, 1_000);
+            assertEquals(600, health.refused(life, 1_300));
+            assertEquals(1_200, health.refused(life, 1_900));
+            for (long ms = 4_000; ms < 60_000; ms += 10_000) {
+                health.refused(life, ms);
+            }
+            assertEquals(4_800, health.refused(life, 70_000));
+        }
+
+        @Test
+        void ofRequestsSentTogetherCountOnce() {
+            health.refused(life, 1_000);
+            assertEquals(290, health.refused(life, 1_010));
+            assertEquals(600, health.refused(life, 1_300));
+        }
+
+        @Test
+        void endWithAnAnswer() {
+            health.refused(life, 1_000);
+            health.answered(life, 1_010);
+            assertFalse(isLastChoice(1_020));
+            assertEquals(ServerHealth.FIRST_REFUSED_MS, health.refused(life, 1_030));
+        }
+
+        @Test
+        void ofASecondServerAccuseNotItsDomain() {
+            health.refused(life, 1_000);
+            health.refused(world.byId("a-2").life(), 1_005);
+            assertFalse(health.isDoubtful(world.byId("a-3"), 1_010));
+        }
+    }
+
     /** One server fails alone. */
     @Nested
     class SingleFailure {
