peer: a peer that is heard is dialled before the backoff is over

A key was computed in both domains after a cut: the router of one heard the other domain's router again and counted it as serving, while its own link to it waited out a backoff of up to 5 s, so the question for the key's owner failed at once and the request ran alone. Ruled out as the only remedy: a bed that waits for links, as the same gap meets callers.

A peer heard on the link that it dialled lives, so the link to it is dialled at once, 50 ms after the last try at the soonest; what is asked meanwhile waits in the queue. The new test of PeerLinks fails without it: no link within 10 s.

--- a/masticweir/src/main/java/org/masticweir/peer/Incoming.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Incoming.java
@@ -63,6 +63,7 @@
             return;
         }
         RouterId peer = hello.get().router();
+        listening.heard(peer);
         Reply reply = new FrameReply(peer, f.correlation());
         if (f.message().isEmpty()) {
             context.counting().unknown();
@@ -89,6 +90,7 @@
         outbox.offer(context.frames().encode(Frame.ONE_WAY, context.self()));
         link.flush();
         context.events().linkUp(h, LinkDirection.INCOMING);
+        listening.heard(h.router());
     }
 
     void close(String reason) {
--- a/masticweir/src/main/java/org/masticweir/peer/Listening.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Listening.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.id.RouterId;
@@ -18,25 +19,35 @@
 
     private final LinkContext context;
     private final Handlers handlers;
+    private final Consumer<RouterId> heard;
     private final ServerSocketChannel server;
     private final InetSocketAddress address;
     private final Map<RouterId, Admitted> admitted = new HashMap<>();
 
-    private Listening(LinkContext context, Handlers handlers, ServerSocketChannel server)
+    private Listening(
+            LinkContext context,
+            Handlers handlers,
+            Consumer<RouterId> heard,
+            ServerSocketChannel server)
             throws IOException {
         this.context = context;
         this.handlers = handlers;
+        this.heard = heard;
         this.server = server;
         address = (InetSocketAddress) server.getLocalAddress();
     }
 
-    /** Binds the listening socket; failure to do so is the caller's to hear. */
-    static Listening open(LinkContext context, Handlers handlers) {
+    /**
+     * Binds the listening socket; failure to do so is the caller's to hear.
+     *
+     * @param heard runs whenever a peer is heard on its link
+     */
+    static Listening open(LinkContext context, Handlers handlers, Consumer<RouterId> heard) {
         try {
             ServerSocketChannel server = ServerSocketChannel.open();
             server.configureBlocking(false);
             server.bind(context.settings().listen());
-            Listening l = new Listening(context, handlers, server);
+            Listening l = new Listening(context, handlers, heard, server);
             context.loop().register(server, SelectionKey.OP_ACCEPT, l);
             return l;
         } catch (IOException e) {
@@ -48,6 +59,10 @@
         return address;
     }
 
+    void heard(RouterId peer) {
+        heard.accept(peer);
+    }
+
     Handlers handlers() {
         return handlers;
     }
--- a/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Outgoing.java
@@ -25,6 +25,9 @@
 final class Outgoing implements Link.Owner {
     private static final Logger LOG = LogManager.getLogger(Outgoing.class);
 
+    /** Shortest time between two tries to reach a peer that is heard, in ms. */
+    private static final long REDIAL_MS = 50;
+
     private final RouterId peer;
     private final LinkContext context;
     private final Outbox outbox;
@@ -36,6 +39,7 @@
     private final SilenceWatch silence = new SilenceWatch();
     private volatile boolean replyDue;
     private Phase phase = Phase.IDLE;
+    private long dialledMs;
     private Link link;
 
     Outgoing(RouterId peer, InetSocketAddress address, LinkContext context) {
@@ -111,6 +115,7 @@
 
     private void dial() {
         enter(Phase.DIALLING);
+        dialledMs = context.loop().nowMs();
         Outbox greeting = new Outbox(FrameCodec.MAX_FRAME_BYTES);
         greeting.offer(context.frames().encode(Frame.ONE_WAY, context.self()));
         try {
@@ -235,6 +240,18 @@
         }
     }
 
+    /**
+     * Dials at once, as the peer lives.
+     *
+     * <p>Failure guarded against: a peer that stood still is heard again and counts as serving,
+     * while the backoff of the link to it runs on for seconds and everything asked of it fails.
+     */
+    void peerHeard() {
+        if (phase == Phase.BACKOFF && context.loop().nowMs() - dialledMs >= REDIAL_MS) {
+            dial();
+        }
+    }
+
     private void dialAgain() {
         if (phase == Phase.BACKOFF) {
             dial();
--- a/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
+++ b/masticweir/src/main/java/org/masticweir/peer/PeerLinks.java
@@ -46,7 +46,7 @@
         tls = keys.map(k -> new LinkTls(k, loop, "peer-handshakes-" + self.router()));
         FrameCodec frames = new FrameCodec(registry);
         context = new LinkContext(loop, settings, self, frames, counting, tls, new Listeners());
-        listening = Listening.open(context, handlers);
+        listening = Listening.open(context, handlers, this::heard);
         thread = new Thread(loop, "peer-links-" + self.router());
         thread.setDaemon(true);
     }
@@ -134,6 +134,13 @@
         return o.ask(message, timeoutMs);
     }
 
+    private void heard(RouterId peer) {
+        Outgoing o = outgoing.get(peer);
+        if (o != null) {
+            o.peerHeard();
+        }
+    }
+
     /** Runs {@code task} on the links' thread once {@code delayMs} have passed. */
     public void executeAfter(Runnable task, long delayMs) {
         loop.executeAfter(task, delayMs);
--- a/masticweir/src/test/java/org/masticweir/peer/PeerLinksTest.java
+++ b/masticweir/src/test/java/org/masticweir/peer/PeerLinksTest.java
@@ -48,7 +48,15 @@
     }
 
     private PeerLinks links(RouterId id, long incarnation, int port, MessageCodec<?> codec) {
-        LinkSettings settings = new LinkSettings(loopback(port), 2000, 1 << 20, 1, 20, 2000, 42);
+        return links(
+                id,
+                incarnation,
+                new LinkSettings(loopback(port), 2000, 1 << 20, 1, 20, 2000, 42),
+                codec);
+    }
+
+    private PeerLinks links(
+            RouterId id, long incarnation, LinkSettings settings, MessageCodec<?> codec) {
         PeerLinks l =
                 PeerLinks.open(
                         settings,
@@ -207,6 +215,29 @@
          * An instance is replaced and its address given to another router. A router with the old
          * entry would hand one peer's messages to another; the greeting shows who answers.
          */
+        /** A router that comes back is heard, and what is asked of it fails for seconds. */
+        @Test
+        void peerThatIsHeardIsDialledBeforeTheBackoffIsOver() throws Exception {
+            PeerLinks gone = links(B, 1, 0);
+            int port = gone.address().getPort();
+            gone.close();
+            int longMs = (int) LONG_MS;
+            LinkSettings patient =
+                    new LinkSettings(loopback(0), 2000, 1 << 20, longMs, longMs, 2000, 42);
+            PeerLinks a = echoing(links(A, 1, patient, Note.Codec.plain()));
+            LinkedBlockingQueue<String> seen = events(a);
+            a.learn(B, loopback(port));
+            failureOf(a.ask(B, new Note(1, ""), LONG_MS));
+            PeerLinks b = echoing(links(B, 2, port));
+            b.learn(A, a.address());
+            long untilMs = Clock.system().nowMs() + TimeUnit.SECONDS.toMillis(WAIT_S);
+            while (!seen.contains("up OUTGOING b 2")) {
+                assertTrue(Clock.system().nowMs() < untilMs, seen::toString);
+                get(b.ask(A, new Note(2, ""), LONG_MS));
+            }
+            get(a.ask(B, new Note(3, ""), LONG_MS));
+        }
+
         @Test
         void addressOfAnotherRouterIsNotUsed() {
             PeerLinks a = echoing(links(A, 1, 0));
