--- a/masticweir-it/src/test/java/org/masticweir/it/KeyAcrossDomainsTest.java
+++ b/masticweir-it/src/test/java/org/masticweir/it/KeyAcrossDomainsTest.java
@@ -49,7 +49,7 @@
         }
 
         private void assertGeneratedOnce(Function<Integer, CallRequest> requests) {
-            List<CallRequest> doubled = new ArrayList<>();
+            List<String> doubled = new ArrayList<>();
             for (int round = 0; round < ROUNDS; round++) {
                 CallRequest request = requests.apply(TOKENS);
                 List<RunningCall> both = submitInBoth(request, round);
@@ -57,12 +57,12 @@
                 if (runs.begun(request).size() == 1) {
                     both.forEach(bed.check()::whole);
                 } else {
-                    doubled.add(request);
+                    doubled.add(request.key() + " began " + runs.begun(request));
                 }
             }
             System.out.println(
                     "one key in two domains: " + doubled.size() + " of " + ROUNDS + " ran twice");
-            assertEquals(0, doubled.size(), () -> "keys run twice of " + ROUNDS);
+            assertEquals(0, doubled.size(), () -> "of " + ROUNDS + ": " + doubled);
         }
     }
 
