--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -120,7 +120,7 @@
      */
     public long refused(ServerLife id, long nowMs) {
         State state = state(id);
-        lives(state, nowMs);
+        forgetFailures(state, nowMs);
         long lastMs = FIRST_REFUSED_MS << Math.min(state.refusals, MAX_REFUSED_DOUBLINGS);
         if (nowMs >= state.refusedUntilMs) {
             state.refusals++;
@@ -132,12 +132,12 @@
     /** A server answered, or went on with an answer. */
     public void answered(ServerLife id, long nowMs) {
         State state = state(id);
-        lives(state, nowMs);
+        forgetFailures(state, nowMs);
         state.refusals = 0;
         state.refusedUntilMs = Long.MIN_VALUE;
     }
 
-    private static void lives(State state, long nowMs) {
+    private static void forgetFailures(State state, long nowMs) {
         state.failures = 0;
         state.failedMs = Long.MIN_VALUE / 2;
         state.downUntilMs = Long.MIN_VALUE;
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -92,7 +92,7 @@
     private final PlatformPort.Store store;
     private final LoadBoard loads = LoadBoard.create();
     private final ServerHealth health = ServerHealth.create();
-    private final ServerNotices notices = ServerNotices.create();
+    private final ServerNotices serverNotices = ServerNotices.create();
     private final MetricRegistry metrics = new MetricRegistry();
     private final RelayIntake intake = new RelayIntake();
     private final ServiceRepeats repeats;
@@ -108,7 +108,7 @@
     private final ServerLimits serverLimits = ServerLimits.create();
     private final SharedPermits permits;
     private final SharedLimits limits;
-    private final AnswerNotices answerNotices;
+    private final AnswerNotices notices;
     private final LossInquiry losses;
     private final RequestsUnderWay underWay;
     private final PeerExchange peers;
@@ -147,7 +147,7 @@
         quarantine = sharedQuarantine();
         permits = new SharedPermits(settings.router(), links, clock, thread, metrics);
         limits = sharedLimits();
-        answerNotices = new AnswerNotices(notices, limits, platform.dialect(), clock, metrics);
+        notices = new AnswerNotices(serverNotices, limits, platform.dialect(), clock, metrics);
         losses = lossInquiry();
         underWay = new RequestsUnderWay(quarantine);
         quarantine.onChange((c, change) -> thread.execute(() -> underWay.changed(c, change)));
@@ -279,7 +279,7 @@
     }
 
     private LossInquiry lossInquiry() {
-        ServerCheck check = new ServerCheck(calls, platform.dialect(), limits, answerNotices);
+        ServerCheck check = new ServerCheck(calls, platform.dialect(), limits, notices);
         return new LossInquiry(quarantine, check, clock);
     }
 
@@ -297,7 +297,7 @@
                 () -> {
                     loads.retain(present);
                     health.listed(present, clock.nowMs());
-                    notices.listed(present, clock.nowMs());
+                    serverNotices.listed(present, clock.nowMs());
                     losses.listed(present);
                     limits.retain(present);
                 });
@@ -311,15 +311,16 @@
                 platform.dialect(),
                 new DefaultByteBufferPool(true, BUFFER_BYTES),
                 calls,
-                new KeptPrompts(calls, platform.dialect(), answerNotices, clock),
+                new KeptPrompts(calls, platform.dialect(), notices, clock),
                 () -> view,
                 loads,
                 health,
-                Placement.create(loads, health, notices, serverLimits, settings.domain(), random),
+                Placement.create(
+                        loads, health, serverNotices, serverLimits, settings.domain(), random),
                 repeats,
                 new SharedRepeats(repeats, permits, clock),
                 limits,
-                answerNotices,
+                notices,
                 quarantine,
                 losses,
                 underWay,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRun.java
@@ -435,8 +435,11 @@
             }
             loadOf(word);
             long lastMs = context.health().refused(sent.server().life(), now());
-            what += " and is the last choice for " + lastMs + " ms,";
-            sendEnded(sent.server(), SendEnd.REFUSED, what, sentMs);
+            sendEnded(
+                    sent.server(),
+                    SendEnd.REFUSED,
+                    what + " and is the last choice for " + lastMs + " ms,",
+                    sentMs);
             take(course.refused(now()));
         }
 
