forward: a refusal makes a server the last choice for requests, and not for copies

Servers that refuse were doubtful like those that failed, so that in overload, where all engines refuse now and then, none would hold copies, and a lost domain's reports would be read anew. Found by reading. The last choice and the doubt that a server has ended are asked for apart now (leaveItsCopiesAlone).

--- a/masticweir/src/main/java/org/masticweir/forward/Placement.java
+++ b/masticweir/src/main/java/org/masticweir/forward/Placement.java
@@ -277,20 +277,20 @@
 
     private double rank(BackendServer server, Optional<EngineSpec> engine, long nowMs) {
         boolean far = !server.domain().equals(home);
-        boolean doubtful = health.isDoubtful(server, nowMs);
+        boolean lastChoice = health.isLastChoice(server, nowMs);
         boolean limited = needsPermit(server);
         if (engine.isEmpty()) {
             double present = (double) loads.present(server.life(), nowMs) / server.slots();
             return present
                     + (far ? SLOTS_A_DOMAIN : 0)
-                    + (doubtful ? SLOTS_A_DOUBT : 0)
+                    + (lastChoice ? SLOTS_A_DOUBT : 0)
                     + (limited ? SLOTS_A_LIMIT : 0);
         }
         ServerUse use = loads.use(server.life());
         long tokens = use.readingTokens() + TOKENS_A_REQUEST * use.running();
         return tokens
                 + (far ? TOKENS_A_DOMAIN : 0)
-                + (doubtful ? TOKENS_A_DOUBT : 0)
+                + (lastChoice ? TOKENS_A_DOUBT : 0)
                 + (limited ? TOKENS_A_LIMIT : 0);
     }
 
--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -78,10 +78,6 @@
         private long answeredMs = Long.MIN_VALUE / 2;
         private long listedMs = Long.MIN_VALUE / 2;
         private boolean gone;
-
-        boolean isDoubtful(long nowMs) {
-            return nowMs - failedMs < DOUBT_MS || nowMs < refusedUntilMs;
-        }
     }
 
     private ServerHealth() {}
@@ -156,10 +152,16 @@
                 && isAccused(state, accusation);
     }
 
-    /** Returns whether a server should be the last choice, and hold no copies. */
+    /** Returns whether other servers should take requests first. */
+    public boolean isLastChoice(BackendServer server, long nowMs) {
+        State state = states.get(server.life());
+        return (state != null && nowMs < state.refusedUntilMs) || isDoubtful(server, nowMs);
+    }
+
+    /** Returns whether a server may have ended, and should hold no copies. */
     public boolean isDoubtful(BackendServer server, long nowMs) {
         State state = states.get(server.life());
-        if (state != null && (state.gone || state.isDoubtful(nowMs))) {
+        if (state != null && (state.gone || nowMs - state.failedMs < DOUBT_MS)) {
             return true;
         }
         Accusation accusation = places.get(Place.of(server));
--- a/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
@@ -57,7 +57,7 @@
         private final ServerLife life = world.byId("a-1").life();
 
         private boolean isLastChoice(long nowMs) {
-            return health.isDoubtful(world.byId("a-1"), nowMs);
+            return health.isLastChoice(world.byId("a-1"), nowMs);
         }
 
         @Test
@@ -68,6 +68,13 @@
             assertFalse(health.isDown(world.byId("a-1"), 1_000));
         }
 
+        /** In overload all engines refuse now and then, and all copies would be given up. */
+        @Test
+        void leaveItsCopiesAlone() {
+            health.refused(life, 1_000);
+            assertFalse(health.isDoubtful(world.byId("a-1"), 1_010));
+        }
+
         @Test
         void inARowDoSoForLonger() {
             health.refused(life, 1_000);
@@ -98,7 +105,7 @@
         void ofASecondServerAccuseNotItsDomain() {
             health.refused(life, 1_000);
             health.refused(world.byId("a-2").life(), 1_005);
-            assertFalse(health.isDoubtful(world.byId("a-3"), 1_010));
+            assertFalse(health.isLastChoice(world.byId("a-3"), 1_010));
         }
     }
 
