--- a/masticweir/src/test/java/org/masticweir/forward/EngineOverloadTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/EngineOverloadTest.java
@@ -62,15 +62,7 @@
 
     private RequestPlan planAt(long nowMs) {
         RequestPlan plan = ForwardWorld.planOfSize(ForwardWorld.PROMPT);
-        return new RequestPlan(
-                plan.route(),
-                plan.service(),
-                plan.engine(),
-                plan.size(),
-                plan.prompt(),
-                plan.callersEvent(),
-                nowMs,
-                nowMs + 25_000);
+        return ForwardWorld.at(plan, nowMs, nowMs + 25_000);
     }
 
     private Outcome replay(Policy policy) {
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardWorld.java
@@ -115,6 +115,19 @@
                 first.expiresMs());
     }
 
+    /** Returns {@code plan} of a request that is received and expires at other times. */
+    static RequestPlan at(RequestPlan plan, long receivedMs, long expiresMs) {
+        return new RequestPlan(
+                plan.route(),
+                plan.service(),
+                plan.engine(),
+                plan.size(),
+                plan.prompt(),
+                plan.callersEvent(),
+                receivedMs,
+                expiresMs);
+    }
+
     /** Returns the plan of a stream of {@code size}. */
     static RequestPlan planOfSize(RequestSize size) {
         RequestPlan usual = plan(Repeatability.RESUMABLE, 5);
--- a/masticweir/src/test/java/org/masticweir/forward/ServerNoticesPropertyTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerNoticesPropertyTest.java
@@ -146,15 +146,7 @@
 
         private RequestPlan planNow() {
             RequestPlan plan = ForwardWorld.plan(Repeatability.MUTATING, 1);
-            return new RequestPlan(
-                    plan.route(),
-                    plan.service(),
-                    plan.engine(),
-                    plan.size(),
-                    plan.prompt(),
-                    plan.callersEvent(),
-                    nowMs,
-                    nowMs + 1_500);
+            return ForwardWorld.at(plan, nowMs, nowMs + 1_500);
         }
 
         private void judge(ServerLife server) {
