relay: lines and metrics of a catalog that peers hold and this router awaits

Nothing told for how long a router had known of a version that it lacked, what was sent for it or which asks failed. The line of a version in force names its wait and length; a line says once of a version that it is late; counters of offers, their characters and unanswered asks, a histogram of the wait. What routers give each other of the catalog leaves StoreSharing for CatalogSharing; the logic is unchanged.

--- a/masticweir/src/main/java/org/masticweir/relay/Deployment.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Deployment.java
@@ -46,6 +46,7 @@
     private Optional<CatalogText> catalogText = Optional.empty();
     private Optional<Catalog> catalog = Optional.empty();
     private long confirmedMs = Long.MIN_VALUE / 2;
+    private final AwaitedCatalog awaited = new AwaitedCatalog();
     private final WordsKnown words = new WordsKnown();
     private long doubtUntilMs = Long.MIN_VALUE / 2;
     private boolean wasSure;
@@ -102,16 +103,38 @@
             return false;
         }
         LOG.info(
-                "config: version {} from {} is in force, after {}",
+                "config: version {} from {} is in force, after {}, awaited for {} ms, {} characters",
                 read.version(),
                 source,
-                catalog.map(Catalog::version).orElse(0L));
+                catalogVersion(),
+                awaited.waitedMs(catalogVersion(), clock.nowMs()),
+                text.length());
         catalog = Optional.of(read);
         catalogText = Optional.of(new CatalogText(read.version(), text));
         publishView();
         return true;
     }
 
+    /** Takes note that a peer holds {@code version} of the catalog. */
+    void heardOf(long version) {
+        awaited.heardOf(version, clock.nowMs());
+    }
+
+    /** Returns for how long a version that peers hold has been awaited, in ms; 0 if none is. */
+    long catalogAwaitedMs() {
+        return awaited.waitedMs(catalogVersion(), clock.nowMs());
+    }
+
+    /** Returns the newest version of the catalog that peers have named; 0 if none. */
+    long awaitedVersion() {
+        return awaited.version();
+    }
+
+    /** Returns the version of the catalog that is in force; 0 before the first. */
+    long catalogVersion() {
+        return catalog.map(Catalog::version).orElse(0L);
+    }
+
     /** Someone who hears the store has no newer catalog. */
     void confirmed() {
         confirmedMs = clock.nowMs();
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -54,6 +54,7 @@
     private final SharedQuarantine quarantine;
     private final LimitExchange limits;
     private final StoreSharing sharing;
+    private final CatalogSharing catalogs;
     private final StoreReading reading;
     private final Counter linksUp;
     private final Set<RouterId> farToMeet = new HashSet<>();
@@ -80,6 +81,7 @@
             SharedQuarantine quarantine,
             LimitExchange limits,
             StoreSharing sharing,
+            CatalogSharing catalogs,
             StoreReading reading,
             Counter linksUp) {
         this.links = checkNotNull(links, "links");
@@ -91,6 +93,7 @@
         this.quarantine = checkNotNull(quarantine, "quarantine");
         this.limits = checkNotNull(limits, "limits");
         this.sharing = checkNotNull(sharing, "sharing");
+        this.catalogs = checkNotNull(catalogs, "catalogs");
         this.reading = checkNotNull(reading, "reading");
         this.linksUp = checkNotNull(linksUp, "linksUp");
     }
@@ -106,7 +109,7 @@
         links.on(Pulse.class, (from, m, reply) -> onControl(() -> sharing.pulse(from, m, reply)));
         links.on(ServerNews.class, (from, m, reply) -> onControl(() -> sharing.words(from, m)));
         links.on(ServersAsk.class, (from, m, reply) -> onControl(() -> sharing.answer(m, reply)));
-        links.on(CatalogAsk.class, (from, m, reply) -> onControl(() -> sharing.offer(m, reply)));
+        links.on(CatalogAsk.class, (from, m, reply) -> onControl(() -> catalogs.offer(m, reply)));
         limits.start();
         links.listen(new Links());
         sharing.start();
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -100,6 +100,7 @@
     private final PeerDirectory directory;
     private final Deployment deployment;
     private final StoreReading reading;
+    private final CatalogSharing catalogs;
     private final StoreSharing sharing;
     private final TableFollower catalogFollower;
     private final TableFollower serverFollower;
@@ -129,17 +130,15 @@
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
         store = platform.store(settings.store(), calls);
         links = openLinks();
-        deployment =
-                new Deployment(
-                        platform.deploymentForm(),
-                        clock,
-                        new UnreadableRows(metrics.counter(MetricName.of("rows_unreadable_total"))),
-                        this::publish);
+        deployment = newDeployment();
         RouterAt self = new RouterAt(settings.router(), settings.domain(), settings.peers());
         directory = new PeerDirectory(store, self, control);
         reading = new StoreReading(ReadingShare.of(settings.router()), clock);
         KnownRouters routers = new KnownRouters(self);
-        sharing = new StoreSharing(links, routers, deployment, reading, this::toldUpTo, control);
+        catalogs = new CatalogSharing(links, deployment, control, clock, metrics);
+        sharing =
+                new StoreSharing(
+                        links, routers, deployment, catalogs, reading, this::toldUpTo, control);
         catalogFollower = catalogFollower();
         serverFollower = serverFollower();
         UseSharing uses = useSharing();
@@ -162,6 +161,7 @@
                         quarantine,
                         new LimitExchange(limits, permits, thread, links),
                         sharing,
+                        catalogs,
                         reading,
                         metrics.counter(MetricName.of("peer_links_up")));
         shutdown = new RelayShutdown(intake, control, clock, settings.graceMs());
@@ -219,6 +219,15 @@
     private void tick() {
         deployment.tick();
         reading.tick();
+        catalogs.tick();
+    }
+
+    private Deployment newDeployment() {
+        return new Deployment(
+                platform.deploymentForm(),
+                clock,
+                new UnreadableRows(metrics.counter(MetricName.of("rows_unreadable_total"))),
+                this::publish);
     }
 
     private TableFollower catalogFollower() {
--- a/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
@@ -16,8 +16,6 @@
 import org.masticweir.peer.PeerMessage;
 import org.masticweir.peer.PeerSender;
 import org.masticweir.peer.Reply;
-import org.masticweir.relay.RelayMessages.CatalogAsk;
-import org.masticweir.relay.RelayMessages.CatalogOffer;
 import org.masticweir.relay.RelayMessages.Pulse;
 import org.masticweir.relay.RelayMessages.ServerNews;
 import org.masticweir.relay.RelayMessages.ServersAsk;
@@ -42,11 +40,11 @@
     private final PeerSender links;
     private final KnownRouters routers;
     private final Deployment deployment;
+    private final CatalogSharing catalogs;
     private final StoreReading reading;
     private final LongConsumer toldUpTo;
     private final ScheduledExecutorService control;
     private long turn;
-    private boolean askingCatalog;
     private boolean askingServers;
 
     /**
@@ -58,15 +56,18 @@
             PeerSender links,
             KnownRouters routers,
             Deployment deployment,
+            CatalogSharing catalogs,
             StoreReading reading,
             LongConsumer toldUpTo,
             ScheduledExecutorService control) {
         this.links = checkNotNull(links, "links");
         this.routers = checkNotNull(routers, "routers");
         this.deployment = checkNotNull(deployment, "deployment");
+        this.catalogs = checkNotNull(catalogs, "catalogs");
         this.reading = checkNotNull(reading, "reading");
         this.toldUpTo = checkNotNull(toldUpTo, "toldUpTo");
         this.control = checkNotNull(control, "control");
+        catalogs.onNewer(this::catalogTold);
     }
 
     /** Begins to tell peers what this router knows. */
@@ -86,11 +87,18 @@
         }
     }
 
-    /** Tells that the catalog has changed. */
+    /** Tells that the catalog has changed by the store's word. */
     void catalogChanged() {
         send(routers.told(), ownPulse());
     }
 
+    /** Tells that the catalog has changed by a peer's word. */
+    private void catalogTold(RouterId by) {
+        if (!routers.isHome(by)) {
+            send(routers.home(), ownPulse());
+        }
+    }
+
     /** Tells what the store said of servers. */
     void serversChanged(Optional<ServerNews> news) {
         news.ifPresent(n -> send(routers.told(), n));
@@ -102,11 +110,10 @@
 
     private Pulse ownPulse() {
         return new Pulse(
-                version(), reading.contact(), deployment.newestWord(), deployment.completeTo());
-    }
-
-    private long version() {
-        return deployment.catalogText().map(Deployment.CatalogText::version).orElse(0L);
+                deployment.catalogVersion(),
+                reading.contact(),
+                deployment.newestWord(),
+                deployment.completeTo());
     }
 
     /** Says more often than the pulse that this router reads: others stand in without it. */
@@ -141,8 +148,8 @@
             reading.heard(from, theirs.contact());
         }
         boolean hearsStore = theirs.contact() == StoreContact.HEARD;
-        if (theirs.catalogVersion() > version()) {
-            askCatalog(from);
+        if (theirs.catalogVersion() > deployment.catalogVersion()) {
+            catalogs.heardOf(from, theirs.catalogVersion());
         } else if (hearsStore) {
             deployment.confirmed();
         }
@@ -187,44 +194,11 @@
         deployment.peerWords((ServerNews) answer.get(), from.value());
     }
 
-    private void askCatalog(RouterId from) {
-        if (askingCatalog) {
-            return;
-        }
-        askingCatalog = true;
-        links.ask(from, new CatalogAsk(version()), ASK_MS)
-                .whenComplete((m, e) -> onControl(() -> offered(from, Optional.ofNullable(m))));
-    }
-
-    private void offered(RouterId from, Optional<PeerMessage> offer) {
-        askingCatalog = false;
-        if (offer.isEmpty()) {
-            LOG.info("config: {} did not give its newer version", from);
-            return;
-        }
-        String text = ((CatalogOffer) offer.get()).text();
-        boolean newer = !text.isEmpty() && deployment.catalogText(text, from.value());
-        if (newer && !routers.isHome(from)) {
-            send(routers.home(), ownPulse());
-        }
-    }
-
     /** Gives a peer what it lacks of the words on servers. */
     void answer(ServersAsk ask, Reply reply) {
         reply.send(deployment.answer(ask));
     }
 
-    /** Gives a peer the catalog if it is newer than the peer's. */
-    void offer(CatalogAsk ask, Reply reply) {
-        String text =
-                deployment
-                        .catalogText()
-                        .filter(c -> c.version() > ask.newerThan())
-                        .map(Deployment.CatalogText::text)
-                        .orElse("");
-        reply.send(new CatalogOffer(text));
-    }
-
     private void onControl(Runnable step) {
         ControlThread.execute(control, step, "peers");
     }
--- a/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
@@ -1,6 +1,7 @@
 package org.masticweir.relay;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -124,6 +125,7 @@
         StoreFault fault = StoreFault.NONE;
         RelayView view = RelayView.empty();
         private final StoreReading reading;
+        private final CatalogSharing catalogs;
         private final StoreSharing sharing;
         private final TableFollower servers;
         private final TableFollower catalog;
@@ -138,7 +140,12 @@
                             new UnreadableRows(new Counter()),
                             v -> view = v);
             reading = new StoreReading(ReadingShare.of(at.id()), scheduler.clock());
-            sharing = new StoreSharing(this, known, deployment, reading, this::toldUpTo, scheduler);
+            catalogs =
+                    new CatalogSharing(
+                            this, deployment, scheduler, scheduler.clock(), new MetricRegistry());
+            sharing =
+                    new StoreSharing(
+                            this, known, deployment, catalogs, reading, this::toldUpTo, scheduler);
             FeedPace pace = FeedPace.of(WAIT_MS, GRACE_MS, 700);
             servers =
                     follower(
@@ -253,7 +260,7 @@
             } else if (message instanceof ServersAsk ask) {
                 sharing.answer(ask, reply);
             } else if (message instanceof CatalogAsk ask) {
-                sharing.offer(ask, reply);
+                catalogs.offer(ask, reply);
             }
         }
     }
