--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSpreadTest.java
@@ -0,0 +1,139 @@
+package org.masticweir.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A catalog of many routes spreads over 95 routers in six domains, each on a link of 14 Mbit/s.
+ *
+ * <p>The bound of a change is two seconds from the store's word, the shortest that deployments ask.
+ */
+class CatalogSpreadTest {
+    private static final int ROUTERS = 95;
+    private static final int DOMAINS = 6;
+    private static final int ROUTES = 1_600;
+    private static final long BOUND_MS = 2_000;
+    private static final double BYTES_PER_MS = 1_750;
+
+    /** Long enough for pulses to have settled who reads. */
+    private static final long SETTLED_MS = 8_000;
+
+    /** What control may cost a router, in bytes a second. */
+    private static final long CONTROL_BYTES_PER_S = 12_000;
+
+    /**
+     * Returns a catalog as routers are given it: one entry a route, names that nobody can guess,
+     * the version before them and the limits after them.
+     */
+    private static String catalog(long version, int routes) {
+        Random random = new Random(39);
+        StringBuilder text = new StringBuilder().append(version).append("\n{\"routes\":[");
+        for (int i = 0; i < routes; i++) {
+            text.append(i == 0 ? "" : ",").append("{\"name\":\"r-").append(name(random));
+            text.append("\",\"host\":\"wuba67.example\",\"prefix\":\"/").append(name(random));
+            text.append("/\",\"type\":\"idempotent\",\"timeoutMs\":800,\"goalMs\":300,");
+            text.append("\"priority\":2,\"service\":\"huvo11a\",\"attempts\":2,\"public\":false,");
+            text.append("\"sticky\":false,\"resumable\":false}");
+        }
+        return text.append("],\"limits\":{\"idleTimeoutMs\":")
+                .append(15_000 + version)
+                .append("}}")
+                .toString();
+    }
+
+    private static String name(Random random) {
+        return Long.toString(random.nextLong() >>> 24, Character.MAX_RADIX);
+    }
+
+    private static StoreFleet settled(String catalog) {
+        StoreFleet fleet = new StoreFleet(ROUTERS, DOMAINS, BYTES_PER_MS, catalog);
+        fleet.runFor(SETTLED_MS);
+        assertEquals(ROUTERS, fleet.holdersAfter(1, 0), "routers that have settled");
+        return fleet;
+    }
+
+    private static void assertInForceInTime(StoreFleet fleet, long version) {
+        assertEquals(ROUTERS, fleet.holdersAfter(version, BOUND_MS), "routers that hold it");
+    }
+
+    /**
+     * A change was sent whole to each peer, later than the peers waited, and so again and again.
+     */
+    @Nested
+    class AChange {
+        private final StoreFleet fleet = settled(catalog(1, ROUTES));
+
+        @Test
+        void ofOneLimitIsInForceEverywhereInTime() {
+            fleet.store.catalog(catalog(2, ROUTES));
+            assertInForceInTime(fleet, 2);
+        }
+
+        @Test
+        void ofManyRoutesIsInForceEverywhereInTime() {
+            fleet.store.catalog(catalog(2, 2 * ROUTES));
+            assertInForceInTime(fleet, 2);
+        }
+
+        @Test
+        void afterWhichAnotherFollowsAtOnceIsInForceEverywhereInTime() {
+            for (int version = 2; version <= 6; version++) {
+                fleet.store.catalog(catalog(version, ROUTES));
+                fleet.runFor(100);
+            }
+            assertInForceInTime(fleet, 6);
+        }
+
+        @Test
+        void costsWhatControlMayCostForASecond() {
+            fleet.runFor(1_000);
+            long before = fleet.sentBytes();
+            fleet.runFor(1_000);
+            long quiet = fleet.sentBytes();
+            fleet.store.catalog(catalog(2, ROUTES));
+            fleet.runFor(1_000);
+            long extra = (fleet.sentBytes() - quiet - (quiet - before)) / ROUTERS;
+            assertTrue(extra <= CONTROL_BYTES_PER_S, extra + " bytes a router");
+        }
+    }
+
+    /** What is longer than a frame between routers may be was never given to anybody. */
+    @Nested
+    class ACatalogLongerThanAFrame {
+        private static final int MANY_ROUTES = 6_000;
+
+        @Test
+        void isInForceEverywhereInTime() {
+            StoreFleet fleet = settled(catalog(1, MANY_ROUTES));
+            fleet.store.catalog(catalog(2, MANY_ROUTES));
+            assertInForceInTime(fleet, 2);
+        }
+    }
+
+    /**
+     * A router that was cut off while versions came and went knows none that its peers remember.
+     */
+    @Nested
+    class ARouterThatWasAway {
+        @Test
+        void getsTheNewestInTime() {
+            StoreFleet fleet = settled(catalog(1, ROUTES));
+            List<StoreFleet.Router> home = fleet.ranked("d0");
+            StoreFleet.Router away = home.get(home.size() - 1);
+            away.fault = StoreFleet.StoreFault.SILENT;
+            fleet.cut = (from, to) -> from.equals(away.at.id()) || to.equals(away.at.id());
+            for (int version = 2; version <= 9; version++) {
+                fleet.store.catalog(catalog(version, ROUTES));
+                fleet.runFor(BOUND_MS);
+            }
+            assertEquals(1, away.catalogVersion());
+            fleet.cut = (from, to) -> false;
+            assertInForceInTime(fleet, 9);
+        }
+    }
+}
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentTest.java
@@ -1,6 +1,8 @@
 package org.masticweir.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.Counter;
 import com.google.common.collect.ImmutableList;
@@ -27,7 +29,10 @@
 class DeploymentTest {
     static final String TABLE = "instances";
 
-    /** An entry is {@code PORT}, or {@code PORT@START}; a catalog is its version. */
+    /**
+     * An entry is {@code PORT}, or {@code PORT@START}; a catalog is its version, and more lines
+     * that nobody reads.
+     */
     static final class Form implements DeploymentForm {
         @Override
         public RowKey catalogRow() {
@@ -42,7 +47,7 @@
         @Override
         public Catalog catalog(String text) {
             return Catalog.of(
-                    Long.parseLong(text),
+                    Long.parseLong(text.lines().findFirst().orElse("")),
                     new RequestLimits(1_000),
                     ImmutableList.of(),
                     ImmutableList.of(),
@@ -108,6 +113,50 @@
                 .collect(Collectors.joining(" "));
     }
 
+    /** A route or key was denied by a router that its peers had told of a newer catalog. */
+    @Nested
+    class ANewerCatalogThatPeersHold {
+        private static final long SPAN_MS = Deployment.SURE_MS;
+
+        private void inForce(long version) {
+            deployment.catalogText(Long.toString(version), "store");
+            deployment.confirmed();
+            deployment.tick();
+        }
+
+        private void heardOf(long version) {
+            deployment.heardOf(version);
+            deployment.tick();
+        }
+
+        @Test
+        void leavesTheRouterUnsureUntilItHoldsIt() {
+            inForce(1);
+            assertTrue(view.sure());
+            heardOf(2);
+            assertFalse(view.sure());
+            inForce(2);
+            assertTrue(view.sure());
+        }
+
+        @Test
+        void countsNoMoreOnceNobodySpeaksOfIt() {
+            inForce(1);
+            heardOf(2);
+            clock.advanceMs(SPAN_MS + 1);
+            inForce(1);
+            assertTrue(view.sure());
+        }
+
+        @Test
+        void isNoneThatIsHeldOrOlder() {
+            inForce(2);
+            heardOf(2);
+            heardOf(1);
+            assertTrue(view.sure());
+        }
+    }
+
     /**
      * A caller's request waits for an address where nothing listens, or a router stops hearing of
      * servers: another writer put a row into the table, or over a server's own row.
--- a/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
@@ -47,6 +47,9 @@
     private static final long WAIT_MS = 3_000;
     private static final long GRACE_MS = 700;
 
+    /** Longest message that a link carries. */
+    private static final long MAX_FRAME_BYTES = 1 << 20;
+
     /** What a call of a router to the store meets. */
     enum StoreFault {
         NONE,
@@ -63,9 +66,22 @@
 
     long messages;
 
+    private final double bytesPerMs;
+
     StoreFleet(int count, int domains) {
+        this(count, domains, Double.POSITIVE_INFINITY, "1");
+    }
+
+    /**
+     * Creates a fleet that has just started.
+     *
+     * @param bytesPerMs what the link of each router carries to its peers
+     * @param catalog the first catalog's text
+     */
+    StoreFleet(int count, int domains, double bytesPerMs, String catalog) {
+        this.bytesPerMs = bytesPerMs;
         store.put("e1", "81");
-        store.catalog(1);
+        store.catalog(catalog);
         for (int i = 0; i < count; i++) {
             RouterId id = RouterId.of("r" + i);
             RouterAt at =
@@ -104,6 +120,17 @@
         return Rendezvous.weight(ReadingShare.DUTY, router.at.id());
     }
 
+    /** Returns what all routers have sent to their peers, in bytes. */
+    long sentBytes() {
+        return routers.values().stream().mapToLong(r -> r.uplink.sentBytes()).sum();
+    }
+
+    /** Returns how many routers hold {@code version} of the catalog in {@code ms} from now. */
+    long holdersAfter(long version, long ms) {
+        runFor(ms);
+        return routers.values().stream().filter(r -> r.catalogVersion() == version).count();
+    }
+
     /** Runs until all of {@code waiting} see {@code port} of server e1; returns how long, in ms. */
     long untilAllSee(List<Router> waiting, String port, long mostMs) {
         long startMs = nowMs();
@@ -129,6 +156,7 @@
         private final StoreSharing sharing;
         private final TableFollower servers;
         private final TableFollower catalog;
+        private final Uplink uplink = new Uplink(scheduler, bytesPerMs);
 
         Router(RouterAt at) {
             this.at = at;
@@ -246,7 +274,7 @@
                     this,
                     other,
                     message,
-                    reply -> carry(other, this, () -> answer.complete(reply)));
+                    reply -> carry(other, this, reply, () -> answer.complete(reply)));
             scheduler.at(nowMs() + timeoutMs, () -> answer.completeExceptionally(silent()));
             return answer;
         }
@@ -271,13 +299,18 @@
 
     private void deliver(Router from, Router to, PeerMessage message, Consumer<PeerMessage> back) {
         messages++;
-        carry(from, to, () -> to.take(from.at.id(), message, back));
+        carry(from, to, message, () -> to.take(from.at.id(), message, back));
     }
 
-    private void carry(Router from, Router to, Runnable step) {
-        if (cut.test(from.at.id(), to.at.id())) {
+    private void carry(Router from, Router to, PeerMessage message, Runnable step) {
+        long bytes = MessageSize.bytesOf(message);
+        if (cut.test(from.at.id(), to.at.id()) || bytes > MAX_FRAME_BYTES) {
             return;
         }
+        from.uplink.send(to.at.id(), bytes, () -> arrive(to, step));
+    }
+
+    private void arrive(Router to, Runnable step) {
         scheduler.at(
                 nowMs() + LINK_MS,
                 () -> {
@@ -324,7 +357,11 @@
         }
 
         void catalog(long version) {
-            change(new DeploymentTest.Form().catalogRow(), Optional.of(Long.toString(version)));
+            catalog(Long.toString(version));
+        }
+
+        void catalog(String text) {
+            change(new DeploymentTest.Form().catalogRow(), Optional.of(text));
         }
 
         /** Drops what has changed so far. */
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/Uplink.java
@@ -0,0 +1,83 @@
+package org.masticweir.relay;
+
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Queue;
+import org.masticweir.id.RouterId;
+import org.masticweir.time.ManualScheduler;
+
+/**
+ * What one router has to send on a link of limited bandwidth; its peers take turns.
+ *
+ * <p>Connections that share a link slow each other down, so that many long messages sent at one
+ * moment all come late.
+ */
+final class Uplink {
+    private static final int CHUNK_BYTES = 16 << 10;
+
+    private final ManualScheduler scheduler;
+    private final double bytesPerMs;
+    private final Map<RouterId, Queue<Transfer>> queues = new LinkedHashMap<>();
+    private double freeAtMs;
+    private boolean sending;
+    private long sentBytes;
+
+    Uplink(ManualScheduler scheduler, double bytesPerMs) {
+        this.scheduler = scheduler;
+        this.bytesPerMs = bytesPerMs;
+    }
+
+    /** Returns what was given to send so far, in bytes. */
+    long sentBytes() {
+        return sentBytes;
+    }
+
+    /** A message on its way. */
+    private static final class Transfer {
+        private final Runnable arrival;
+        private long left;
+
+        Transfer(long bytes, Runnable arrival) {
+            this.left = bytes;
+            this.arrival = arrival;
+        }
+    }
+
+    /** Sends {@code bytes} to {@code peer} and then runs {@code arrival}. */
+    void send(RouterId peer, long bytes, Runnable arrival) {
+        sentBytes += bytes;
+        queues.computeIfAbsent(peer, p -> new ArrayDeque<>()).add(new Transfer(bytes, arrival));
+        if (!sending) {
+            sending = true;
+            freeAtMs = Math.max(freeAtMs, scheduler.clock().nowMs());
+            sendChunk();
+        }
+    }
+
+    private void sendChunk() {
+        RouterId peer = queues.keySet().iterator().next();
+        Queue<Transfer> queue = queues.remove(peer);
+        Transfer first = queue.peek();
+        long chunk = Math.min(first.left, CHUNK_BYTES);
+        first.left -= chunk;
+        freeAtMs += chunk / bytesPerMs;
+        if (first.left == 0) {
+            queue.remove();
+        }
+        if (!queue.isEmpty()) {
+            queues.put(peer, queue);
+        }
+        scheduler.at((long) Math.ceil(freeAtMs), () -> sent(first));
+    }
+
+    private void sent(Transfer transfer) {
+        if (transfer.left == 0) {
+            transfer.arrival.run();
+        }
+        sending = !queues.isEmpty();
+        if (sending) {
+            sendChunk();
+        }
+    }
+}
