relay, config: a newer catalog goes to other routers as a packed edit

What callers saw: 404 on a route, 401 with a key, or a run at the old service more than 4 s after the change was acknowledged. Cause: a reader of the store gave the whole catalog (320 KB) to each of some 25 routers at one moment; on a link of 14 Mbit/s that takes 4.6 s, each ask waits 800 ms, drops the reply that comes later and asks anew, so that the link carries replies that nobody takes.

Now the asker names the version it holds and gets an edit of that text: kept stretches by their place, added text, a digest of the result, deflated and made once for all who ask from one version; who holds none of the last four gets the whole the same way. An edit had one stretch before, which is the whole catalog where the version stands first and limits last; it now has any number, for both interfaces. Routers of the version before get and give whole texts.

--- a/masticweir/src/main/java/org/masticweir/config/OfferedRevision.java
+++ b/masticweir/src/main/java/org/masticweir/config/OfferedRevision.java
@@ -27,8 +27,7 @@
         return new OfferedRevision(row.entry(), Optional.of(row.document()), Optional.empty());
     }
 
-    static OfferedRevision editOf(StoredRevision before, StoredRevision row) {
-        DocumentEdit edit = DocumentEdit.between(before.document(), row.document());
+    static OfferedRevision editOf(StoredRevision row, DocumentEdit edit) {
         return new OfferedRevision(row.entry(), Optional.empty(), Optional.of(edit));
     }
 
--- a/masticweir/src/main/java/org/masticweir/config/RecentRevisions.java
+++ b/masticweir/src/main/java/org/masticweir/config/RecentRevisions.java
@@ -2,54 +2,40 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 
 /**
- * The last few revisions that came in force here, from which edits for other routers are made.
+ * The revision in force here and the texts before it, from which edits for other routers are made.
  *
- * <p>Routers hear of a change within a second, so nearly all of them ask from one of these. Not
- * thread-safe: owned by the control thread.
+ * <p>Not thread-safe: owned by the control thread.
  */
 public final class RecentRevisions {
-    /** Enough for changes in quick succession; some 2 MB at 4,500 teams. */
-    private static final int KEPT = 4;
-
-    private final Deque<StoredRevision> rows = new ArrayDeque<>();
-
-    /** Offers of the latest by the revision that the asking router holds. */
-    private final Map<Long, OfferedRevision> offers = new HashMap<>();
+    private final RecentTexts texts = new RecentTexts();
+    private Optional<StoredRevision> latest = Optional.empty();
 
     /** Keeps a revision that came in force, higher than those before. */
     public void add(StoredRevision row) {
-        rows.addLast(checkNotNull(row, "row"));
-        offers.clear();
-        if (rows.size() > KEPT) {
-            rows.removeFirst();
-        }
+        latest = Optional.of(checkNotNull(row, "row"));
+        texts.add(row.revision(), row.document());
     }
 
     /** Returns the latest for a router that holds {@code known}; empty if that is not lower. */
     public Optional<OfferedRevision> offerAbove(long known) {
-        return Optional.ofNullable(rows.peekLast())
-                .filter(latest -> latest.revision() > known)
-                .map(latest -> offer(latest, known));
+        return newerThan(known).map(row -> offer(row, known));
+    }
+
+    /** Returns the latest whole for a router that holds {@code known}, if that is lower. */
+    public Optional<OfferedRevision> wholeAbove(long known) {
+        return newerThan(known).map(OfferedRevision::whole);
     }
 
-    private OfferedRevision offer(StoredRevision latest, long known) {
-        return rows.stream()
-                .filter(row -> row.revision() == known)
-                .findFirst()
-                .map(before -> edit(before, latest))
-                .orElseGet(() -> OfferedRevision.whole(latest));
+    private Optional<StoredRevision> newerThan(long known) {
+        return latest.filter(row -> row.revision() > known);
     }
 
-    /** All peers ask within a moment, and an edit reads both documents whole. */
-    private OfferedRevision edit(StoredRevision before, StoredRevision latest) {
-        return offers.computeIfAbsent(
-                before.revision(), r -> OfferedRevision.editOf(before, latest));
+    private OfferedRevision offer(StoredRevision row, long known) {
+        return texts.editOf(known)
+                .map(edit -> OfferedRevision.editOf(row, edit))
+                .orElseGet(() -> OfferedRevision.whole(row));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/peer/FieldsCodec.java
+++ b/masticweir/src/main/java/org/masticweir/peer/FieldsCodec.java
@@ -9,14 +9,21 @@
     private final int type;
     private final Class<T> messageType;
     private final int fields;
+    private final int required;
     private final Writer<T> writer;
     private final Reader<T> reader;
 
     private FieldsCodec(
-            int type, Class<T> messageType, int fields, Writer<T> writer, Reader<T> reader) {
+            int type,
+            Class<T> messageType,
+            int fields,
+            int required,
+            Writer<T> writer,
+            Reader<T> reader) {
         this.type = type;
         this.messageType = messageType;
         this.fields = fields;
+        this.required = required;
         this.writer = writer;
         this.reader = reader;
     }
@@ -24,7 +31,23 @@
     /** Returns the codec of messages whose {@code fields} the writer writes in order. */
     public static <T extends PeerMessage> FieldsCodec<T> of(
             int type, Class<T> messageType, int fields, Writer<T> writer, Reader<T> reader) {
-        return new FieldsCodec<>(type, messageType, fields, writer, reader);
+        return new FieldsCodec<>(type, messageType, fields, fields, writer, reader);
+    }
+
+    /**
+     * Returns the codec of messages whose last fields older routers do not send.
+     *
+     * @param required fields that all routers send; the reader asks {@link Fields#hasMore} before
+     *     each one after them
+     */
+    public static <T extends PeerMessage> FieldsCodec<T> of(
+            int type,
+            Class<T> messageType,
+            int fields,
+            int required,
+            Writer<T> writer,
+            Reader<T> reader) {
+        return new FieldsCodec<>(type, messageType, fields, required, writer, reader);
     }
 
     @Override
@@ -45,7 +68,7 @@
 
     @Override
     public T decode(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, fields)) {
+        try (Fields f = Fields.open(in, required)) {
             return reader.read(f);
         }
     }
--- a/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
@@ -28,6 +28,9 @@
     /** Time for a peer's answer, in ms. */
     private static final long ASK_MS = 800;
 
+    /** What a router names that wants the whole. */
+    private static final long NO_VERSION = 0;
+
     /** Wait for a version that peers hold after which a line says so, in ms. */
     private static final long LATE_MS = 2_000;
 
@@ -36,12 +39,18 @@
     private final PeerSender links;
     private final Deployment deployment;
     private final Executor control;
+    private final CatalogTexts texts = new CatalogTexts();
     private final Counter offers;
-    private final Counter offeredChars;
+    private final Counter offeredBytes;
     private final Counter unanswered;
     private final Histogram awaitedMs;
     private Consumer<RouterId> onNewer = peer -> {};
     private boolean asking;
+    private boolean wantsWhole;
+
+    /** Newest version whose text came and did not become the one in force; it isn't asked for. */
+    private long notUnderstood;
+
     private long saidLate;
 
     CatalogSharing(
@@ -50,11 +59,11 @@
             Executor control,
             Clock clock,
             MetricRegistry metrics) {
-        this.links = checkNotNull(links, "links");
         this.deployment = checkNotNull(deployment, "deployment");
+        this.links = checkNotNull(links, "links");
         this.control = checkNotNull(control, "control");
         offers = metrics.counter(MetricName.of("catalog_offers_total"));
-        offeredChars = metrics.counter(MetricName.of("catalog_offered_chars_total"));
+        offeredBytes = metrics.counter(MetricName.of("catalog_offered_bytes_total"));
         unanswered = metrics.counter(MetricName.of("catalog_asks_unanswered_total"));
         awaitedMs =
                 metrics.histogram(
@@ -67,35 +76,77 @@
         onNewer = checkNotNull(listener, "listener");
     }
 
+    /** Keeps the catalog that has come in force, for peers that ask. */
+    void changed() {
+        deployment.catalogText().ifPresent(texts::inForce);
+    }
+
     /** Asks a peer for the version that it has said it holds, if that is newer. */
     void heardOf(RouterId peer, long version) {
         deployment.heardOf(version);
-        if (asking || version <= deployment.catalogVersion()) {
+        if (version > Math.max(deployment.catalogVersion(), notUnderstood)) {
+            long held = wantsWhole ? NO_VERSION : deployment.catalogVersion();
+            ask(peer, version, new CatalogAsk(held, true));
+        }
+    }
+
+    private void ask(RouterId peer, long version, CatalogAsk ask) {
+        if (asking) {
             return;
         }
         asking = true;
-        links.ask(peer, new CatalogAsk(deployment.catalogVersion()), ASK_MS)
+        links.ask(peer, ask, ASK_MS)
                 .whenComplete(
                         (m, e) ->
                                 ControlThread.execute(
                                         control,
-                                        () -> offered(peer, Optional.ofNullable(m)),
+                                        () -> answered(peer, version, Optional.ofNullable(m)),
                                         "config"));
     }
 
-    private void offered(RouterId peer, Optional<PeerMessage> offer) {
+    private void answered(RouterId peer, long version, Optional<PeerMessage> reply) {
         asking = false;
-        if (offer.isEmpty()) {
+        if (reply.isEmpty()) {
             unanswered.inc();
             LOG.info("config: {} did not give its newer version", peer);
             return;
         }
-        String text = ((CatalogOffer) offer.get()).text();
+        CatalogOffer offer = (CatalogOffer) reply.get();
         long waitedMs = deployment.catalogAwaitedMs();
-        if (!text.isEmpty() && deployment.catalogText(text, peer.value())) {
+        Optional<String> text = textOf(peer, offer);
+        if (text.isEmpty()) {
+            return;
+        }
+        if (deployment.catalogText(text.get(), peer.value())) {
             awaitedMs.update(waitedMs);
+            changed();
             onNewer.accept(peer);
+            heardOf(peer, deployment.awaitedVersion());
+        } else {
+            notUnderstood = version;
+        }
+    }
+
+    /** Returns the catalog that a peer gives; empty if it has no newer one, or none that fits. */
+    private Optional<String> textOf(RouterId peer, CatalogOffer offer) {
+        if (offer.edit().isEmpty()) {
+            return Optional.of(offer.text()).filter(text -> !text.isEmpty());
         }
+        Optional<String> text = Optional.empty();
+        try {
+            text = offer.edit().get().unpack().applyTo(heldText());
+        } catch (IllegalArgumentException e) {
+            LOG.error("config: the version of {} is not understood, {}", peer, e.getMessage());
+        }
+        wantsWhole = text.isEmpty();
+        if (wantsWhole) {
+            LOG.info("config: the edit of {} fits another text, the whole is asked for", peer);
+        }
+        return text;
+    }
+
+    private String heldText() {
+        return deployment.catalogText().map(Deployment.CatalogText::text).orElse("");
     }
 
     /** Says once of each version that it is late. */
@@ -115,14 +166,9 @@
 
     /** Gives a peer the catalog if it is newer than the peer's. */
     void offer(CatalogAsk ask, Reply reply) {
-        String text =
-                deployment
-                        .catalogText()
-                        .filter(c -> c.version() > ask.newerThan())
-                        .map(Deployment.CatalogText::text)
-                        .orElse("");
+        CatalogOffer offer = texts.offer(ask);
         offers.inc();
-        offeredChars.inc(text.length());
-        reply.send(new CatalogOffer(text));
+        offeredBytes.inc(offer.length());
+        reply.send(offer);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import org.masticweir.catalog.ServerLife;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.forward.ServerUse;
@@ -42,7 +43,8 @@
     private static final int MAX_ID_BYTES = 256;
     private static final int USE_FIELDS = 6;
     private static final int MAX_SERVERS = 16_384;
-    private static final int MAX_CATALOG_BYTES = 4 << 20;
+    static final int MAX_CATALOG_BYTES = 4 << 20;
+    private static final byte[] NO_BYTES = {};
 
     private RelayMessages() {}
 
@@ -61,11 +63,36 @@
     record Pulse(long catalogVersion, StoreContact contact, long newestWord, long completeTo)
             implements PeerMessage {}
 
-    /** Asks for the catalog if the peer's is newer. */
-    record CatalogAsk(long newerThan) implements PeerMessage {}
+    /**
+     * Asks for the catalog if the peer's is newer.
+     *
+     * @param newerThan the version that the sender holds
+     * @param takesEdits whether the sender reads edits, which older routers do not
+     */
+    record CatalogAsk(long newerThan, boolean takesEdits) implements PeerMessage {}
+
+    /**
+     * The peer's catalog, if it is newer: whole, or as an edit of the text that the asking router
+     * holds. An edit of no text fits any.
+     */
+    record CatalogOffer(String text, Optional<PackedEdit> edit) implements PeerMessage {
+        static CatalogOffer nothing() {
+            return whole("");
+        }
 
-    /** The catalog as it stands in the store; empty if there is no newer one. */
-    record CatalogOffer(String text) implements PeerMessage {}
+        static CatalogOffer whole(String text) {
+            return new CatalogOffer(text, Optional.empty());
+        }
+
+        static CatalogOffer edit(PackedEdit edit) {
+            return new CatalogOffer("", Optional.of(edit));
+        }
+
+        /** Returns its length on a link, in bytes, headers left out. */
+        long length() {
+            return text.length() + edit.map(PackedEdit::length).orElse(0);
+        }
+    }
 
     /**
      * All words on servers after one revision of the store up to another.
@@ -132,15 +159,17 @@
                 FieldsCodec.of(
                         CATALOG_ASK,
                         CatalogAsk.class,
+                        2,
                         1,
-                        (m, out) -> out.packLong(m.newerThan()),
-                        f -> new CatalogAsk(f.int64())),
+                        (m, out) -> out.packLong(m.newerThan()).packBoolean(m.takesEdits()),
+                        f -> new CatalogAsk(f.int64(), f.hasMore() && f.bool())),
                 FieldsCodec.of(
                         CATALOG_OFFER,
                         CatalogOffer.class,
+                        2,
                         1,
-                        (m, out) -> out.packString(m.text()),
-                        f -> new CatalogOffer(f.text(MAX_CATALOG_BYTES))),
+                        RelayMessages::encodeOffer,
+                        f -> new CatalogOffer(f.text(MAX_CATALOG_BYTES), edit(f))),
                 FieldsCodec.of(
                         SERVER_NEWS,
                         ServerNews.class,
@@ -200,6 +229,16 @@
         out.packLong(pulse.newestWord()).packLong(pulse.completeTo());
     }
 
+    private static void encodeOffer(CatalogOffer offer, MessagePacker out) throws IOException {
+        byte[] edit = offer.edit().map(PackedEdit::bytes).orElse(NO_BYTES);
+        out.packString(offer.text()).packBinaryHeader(edit.length).writePayload(edit);
+    }
+
+    private static Optional<PackedEdit> edit(Fields f) throws IOException {
+        byte[] edit = f.hasMore() ? f.bytes(MAX_CATALOG_BYTES) : NO_BYTES;
+        return edit.length == 0 ? Optional.empty() : Optional.of(PackedEdit.ofBytes(edit));
+    }
+
     private static MessagePacker encodeLife(ServerLife life, MessagePacker out) throws IOException {
         return out.packString(life.id().value()).packLong(life.startedMs());
     }
--- a/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
@@ -89,6 +89,7 @@
 
     /** Tells that the catalog has changed by the store's word. */
     void catalogChanged() {
+        catalogs.changed();
         send(routers.told(), ownPulse());
     }
 
--- a/masticweir/src/main/java/org/masticweir/router/ConfigControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/ConfigControl.java
@@ -112,9 +112,9 @@
         row.ifPresent(r -> run(state.learned(r, RevisionSource.PEER, clock.nowMs())));
     }
 
-    /** Returns the revision in force for a router that holds {@code known}, if that is lower. */
-    Optional<OfferedRevision> offerAbove(long known) {
-        return recent.offerAbove(known);
+    /** Returns the revision in force for a router that asks, if it is higher than the one held. */
+    Optional<OfferedRevision> offer(ConfigAsk ask) {
+        return ask.takesParts() ? recent.offerAbove(ask.above()) : recent.wholeAbove(ask.above());
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/router/ConfigOffer.java
+++ b/masticweir/src/main/java/org/masticweir/router/ConfigOffer.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.util.Optional;
 import org.masticweir.config.DocumentEdit;
+import org.masticweir.config.DocumentEditCodec;
 import org.masticweir.config.HistoryEntry;
 import org.masticweir.config.OfferedRevision;
 import org.masticweir.peer.Fields;
@@ -17,8 +19,8 @@
 /** Answers a {@link ConfigAsk}; empty when the peer holds nothing higher. */
 record ConfigOffer(Optional<OfferedRevision> offered) implements PeerMessage {
     private static final int FIELDS = 1;
-    private static final int OFFER_FIELDS = 6;
-    private static final int EDIT_FIELDS = 4;
+    private static final int OFFER_FIELDS = 7;
+    private static final int REQUIRED_OFFER_FIELDS = 6;
     private static final int MAX_NAME_BYTES = 1024;
     private static final int MAX_DOCUMENT_BYTES = 1 << 20;
 
@@ -48,23 +50,26 @@
         if (m.document().isPresent()) {
             out.packString(m.document().get());
         }
+        out.packArrayHeader(0);
         out.packArrayHeader(m.edit().isPresent() ? 1 : 0);
         if (m.edit().isPresent()) {
-            DocumentEdit e = m.edit().get();
-            out.packArrayHeader(EDIT_FIELDS).packInt(e.head()).packInt(e.tail());
-            out.packString(e.middle()).packString(e.digest());
+            DocumentEditCodec.encode(m.edit().get(), out);
         }
     }
 
     private static OfferedRevision offer(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, OFFER_FIELDS)) {
+        try (Fields f = Fields.open(in, REQUIRED_OFFER_FIELDS)) {
             HistoryEntry entry =
                     new HistoryEntry(
                             f.int64(), f.text(MAX_NAME_BYTES), f.text(MAX_NAME_BYTES), f.int64());
-            return new OfferedRevision(
-                    entry,
-                    f.list(1, ConfigOffer::text).stream().findFirst(),
-                    f.list(1, ConfigOffer::edit).stream().findFirst());
+            Optional<String> document = f.list(1, ConfigOffer::text).stream().findFirst();
+            Optional<DocumentEdit> olderEdit =
+                    f.list(1, ConfigOffer::olderEdit).stream().findFirst();
+            Optional<DocumentEdit> edit =
+                    f.hasMore()
+                            ? f.list(1, ConfigOffer::edit).stream().findFirst()
+                            : Optional.empty();
+            return new OfferedRevision(entry, document, edit.or(() -> olderEdit));
         }
     }
 
@@ -73,9 +78,12 @@
     }
 
     private static DocumentEdit edit(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, EDIT_FIELDS)) {
-            return new DocumentEdit(
-                    f.int32(), f.int32(), f.text(MAX_DOCUMENT_BYTES), f.text(MAX_NAME_BYTES));
-        }
+        return DocumentEditCodec.decode(in, MAX_DOCUMENT_BYTES);
+    }
+
+    /** Reads the edit of an older router as one that fits no text; the document is asked for. */
+    private static DocumentEdit olderEdit(MessageUnpacker in) throws IOException {
+        in.skipValue();
+        return new DocumentEdit(ImmutableList.of(), "");
     }
 }
--- a/masticweir/src/main/java/org/masticweir/router/PeerControl.java
+++ b/masticweir/src/main/java/org/masticweir/router/PeerControl.java
@@ -121,7 +121,7 @@
             return;
         }
         askingForConfig = true;
-        links.ask(beat.sender().router(), new ConfigAsk(config.namedInAsks()), askTimeoutMs)
+        links.ask(beat.sender().router(), new ConfigAsk(config.namedInAsks(), true), askTimeoutMs)
                 .whenCompleteAsync(
                         (offer, failure) -> onOffer(Optional.ofNullable(offer)), control);
     }
@@ -134,7 +134,7 @@
     }
 
     private void asked(ConfigAsk ask, Reply reply) {
-        reply.send(new ConfigOffer(config.offerAbove(ask.above())));
+        reply.send(new ConfigOffer(config.offer(ask)));
     }
 
     private void apply(MembershipEvent event) {
--- a/masticweir/src/test/java/org/masticweir/config/DocumentEditTest.java
+++ b/masticweir/src/test/java/org/masticweir/config/DocumentEditTest.java
@@ -39,8 +39,29 @@
 
     @Test
     void aChangeOfOneTeamIsShort() {
-        DocumentEdit edit = DocumentEdit.between(document(-1), document(2_000));
-        assertEquals("7", edit.middle());
+        assertEquals("7", added(DocumentEdit.between(document(-1), document(2_000))));
+    }
+
+    /** The version stands first and what changes last, so that all between them went with it. */
+    @Test
+    void changesAtBothEndsAreShort() {
+        String before = "version = 8\n" + document(10);
+        String after = "version = 9\n" + document(4_400);
+        String added = added(DocumentEdit.between(before, after));
+        assertTrue(added.length() < 60, added);
+    }
+
+    @Test
+    void whatHasMovedIsNotWrittenOut() {
+        String added = added(DocumentEdit.between("a\n" + document(-1), document(-1) + "b\n"));
+        assertEquals("b\n", added);
+    }
+
+    private static String added(DocumentEdit edit) {
+        return edit.parts().stream()
+                .filter(DocumentEdit.Part.Added.class::isInstance)
+                .map(part -> ((DocumentEdit.Part.Added) part).text())
+                .collect(Collectors.joining());
     }
 
     /** The revisions that a router offers to others. */
--- a/masticweir/src/test/java/org/masticweir/router/ConfigOfferTest.java
+++ b/masticweir/src/test/java/org/masticweir/router/ConfigOfferTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.config.OfferedRevision;
 import org.masticweir.config.RecentRevisions;
@@ -64,4 +65,32 @@
         System.out.printf("config: offer of %d bytes, of %d as an edit%n", whole, edit);
         assertTrue(edit < MAX_EDIT_BYTES, "edit of " + edit + " bytes");
     }
+
+    /** During a roll, routers of the older version ask and answer as they always did. */
+    @Nested
+    class WithAnOlderRouter {
+        @Test
+        void itsAskIsForTheWhole() throws IOException {
+            try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+                out.packArrayHeader(1).packLong(7);
+                ConfigAsk ask =
+                        ConfigAsk.CODEC.decode(MessagePack.newDefaultUnpacker(out.toByteArray()));
+                assertEquals(new ConfigAsk(7, false), ask);
+            }
+        }
+
+        @Test
+        void itsEditFitsNoText() throws IOException {
+            try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+                out.packArrayHeader(1).packArrayHeader(1).packArrayHeader(6).packLong(2);
+                out.packString("change-2").packString("anna").packLong(1).packArrayHeader(0);
+                out.packArrayHeader(1).packArrayHeader(4).packInt(1).packInt(1);
+                out.packString("7").packString("digest");
+                ConfigOffer read =
+                        ConfigOffer.CODEC.decode(MessagePack.newDefaultUnpacker(out.toByteArray()));
+                OfferedRevision offer = read.offered().orElseThrow();
+                assertEquals(Optional.empty(), offer.resolve(Optional.of(row(1))));
+            }
+        }
+    }
 }
