relay: a reply with a catalog counts whenever it comes, and is asked for once

What callers would see: a change of all keys of 4,500 teams (270 KB packed) is never in force behind thin links: an ask of 800 ms dropped the reply that came later and started it anew, and the replies that nobody took held up the rest. Now a peer is not asked again before it has replied or is given up, one other peer is asked as well after 800 ms, and the reply of either counts.

After: all hold it in 10 s, at most two copies a router. The bound of 10 s is that of any change at the size that users expect.

--- a/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.masticweir.concurrent.ControlThread;
 import org.masticweir.id.RouterId;
 import org.masticweir.metrics.MetricName;
 import org.masticweir.metrics.WindowedReservoir;
@@ -25,9 +24,6 @@
 final class CatalogSharing {
     private static final Logger LOG = LogManager.getLogger(CatalogSharing.class);
 
-    /** Time for a peer's answer, in ms. */
-    private static final long ASK_MS = 800;
-
     /** What a router names that wants the whole. */
     private static final long NO_VERSION = 0;
 
@@ -36,16 +32,14 @@
 
     private static final long WINDOW_MS = 60_000;
 
-    private final PeerSender links;
     private final Deployment deployment;
-    private final Executor control;
+    private final HedgedAsk asks;
     private final CatalogTexts texts = new CatalogTexts();
     private final Counter offers;
     private final Counter offeredBytes;
     private final Counter unanswered;
     private final Histogram awaitedMs;
     private Consumer<RouterId> onNewer = peer -> {};
-    private boolean asking;
     private boolean wantsWhole;
 
     /** Newest version whose text came and did not become the one in force; it isn't asked for. */
@@ -60,8 +54,7 @@
             Clock clock,
             MetricRegistry metrics) {
         this.deployment = checkNotNull(deployment, "deployment");
-        this.links = checkNotNull(links, "links");
-        this.control = checkNotNull(control, "control");
+        asks = new HedgedAsk(links, control, clock);
         offers = metrics.counter(MetricName.of("catalog_offers_total"));
         offeredBytes = metrics.counter(MetricName.of("catalog_offered_bytes_total"));
         unanswered = metrics.counter(MetricName.of("catalog_asks_unanswered_total"));
@@ -86,26 +79,11 @@
         deployment.heardOf(version);
         if (version > Math.max(deployment.catalogVersion(), notUnderstood)) {
             long held = wantsWhole ? NO_VERSION : deployment.catalogVersion();
-            ask(peer, version, new CatalogAsk(held, true));
-        }
-    }
-
-    private void ask(RouterId peer, long version, CatalogAsk ask) {
-        if (asking) {
-            return;
+            asks.ask(peer, new CatalogAsk(held, true), reply -> answered(peer, version, reply));
         }
-        asking = true;
-        links.ask(peer, ask, ASK_MS)
-                .whenComplete(
-                        (m, e) ->
-                                ControlThread.execute(
-                                        control,
-                                        () -> answered(peer, version, Optional.ofNullable(m)),
-                                        "config"));
     }
 
     private void answered(RouterId peer, long version, Optional<PeerMessage> reply) {
-        asking = false;
         if (reply.isEmpty()) {
             unanswered.inc();
             LOG.info("config: {} did not give its newer version", peer);
--- a/masticweir/src/test/java/org/masticweir/relay/CatalogSpreadTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSpreadTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.masticweir.config.DocumentEdit;
 
 /**
  * A catalog of many routes spreads over 95 routers in six domains, each on a link of 14 Mbit/s.
@@ -102,6 +103,49 @@
         }
     }
 
+    /** A reply came later than the ask waited, was dropped, and was asked for again for good. */
+    @Nested
+    class AChangeLongerThanAnAskMayTake {
+        private static final int TEAMS = 4_500;
+        private static final int KEYS_A_TEAM = 4;
+
+        /** In force everywhere, for any change, in ms. */
+        private static final long ANY_CHANGE_MS = 10_000;
+
+        private static String allKeysOf(long version) {
+            Random random = new Random(version);
+            StringBuilder text = new StringBuilder().append(version).append("\n{\"tenants\":[");
+            for (int i = 0; i < TEAMS; i++) {
+                text.append(i == 0 ? "" : ",").append("{\"name\":\"t").append(i);
+                text.append("\",\"apiKeys\":[");
+                for (int key = 0; key < KEYS_A_TEAM; key++) {
+                    text.append(key == 0 ? "\"" : ",\"").append(name(random));
+                    text.append(name(random)).append(name(random)).append('"');
+                }
+                text.append("]}");
+            }
+            return text.append("]}").toString();
+        }
+
+        @Test
+        void isInForceEverywhereInTheEnd() {
+            StoreFleet fleet = settled(allKeysOf(1));
+            fleet.store.catalog(allKeysOf(2));
+            assertEquals(ROUTERS, fleet.holdersAfter(2, ANY_CHANGE_MS), "routers that hold it");
+        }
+
+        @Test
+        void goesTwiceToEachRouterAtMost() {
+            StoreFleet fleet = settled(allKeysOf(1));
+            long packed = PackedEdit.of(DocumentEdit.between("", allKeysOf(2))).length();
+            long before = fleet.sentBytes();
+            fleet.store.catalog(allKeysOf(2));
+            fleet.runFor(ANY_CHANGE_MS);
+            double copies = (fleet.sentBytes() - before) / (double) packed;
+            assertTrue(copies <= 2 * ROUTERS, copies + " copies for " + ROUTERS + " routers");
+        }
+    }
+
     /** What is longer than a frame between routers may be was never given to anybody. */
     @Nested
     class ACatalogLongerThanAFrame {
