relay: a router that knows of a newer catalog denies nothing by the one it has

What callers saw: 404 on a route that a newer version adds, from a router that had been told of that version by its peers' pulses and did not hold it yet. A caller does not come back after such an answer. DeploymentTest.ANewerCatalogThatPeersHold failed before (a router was sure).

--- a/masticweir/src/main/java/org/masticweir/relay/Deployment.java
+++ b/masticweir/src/main/java/org/masticweir/relay/Deployment.java
@@ -118,6 +118,7 @@
     /** Takes note that a peer holds {@code version} of the catalog. */
     void heardOf(long version) {
         awaited.heardOf(version, clock.nowMs());
+        publishIfSurenessChanged();
     }
 
     /** Returns for how long a version that peers hold has been awaited, in ms; 0 if none is. */
@@ -354,8 +355,10 @@
         }
     }
 
+    /** Who knows of a newer catalog denies nothing by the one it has. */
     private boolean isSure() {
-        return clock.nowMs() - confirmedMs <= SURE_MS;
+        long now = clock.nowMs();
+        return now - confirmedMs <= SURE_MS && !awaited.isAwaited(catalogVersion(), now, SURE_MS);
     }
 
     private void publishIfSurenessChanged() {
