--- a/masticweir/src/test/java/org/masticweir/relay/CatalogSpreadTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSpreadTest.java
@@ -146,6 +146,28 @@
         }
     }
 
+    /** A list of many servers came later than the ask waited, and was asked for again for good. */
+    @Nested
+    class AListOfServersLongerThanAnAskMayTake {
+        private static final int SERVERS = 2_600;
+        private static final long IN_THE_END_MS = 10_000;
+
+        @Test
+        void isKnownEverywhereInTheEnd() {
+            StoreFleet fleet = settled("1");
+            fleet.cut = (from, to) -> true;
+            for (int i = 2; i <= SERVERS; i++) {
+                fleet.store.put("server-of-the-pool-" + i, Integer.toString(i));
+            }
+            fleet.store.put("e1", "82");
+            fleet.runFor(1_000);
+            fleet.cut = (from, to) -> false;
+            List<StoreFleet.Router> all = List.copyOf(fleet.routers.values());
+            long tookMs = fleet.untilAllSee(all, "82", IN_THE_END_MS);
+            assertTrue(tookMs <= IN_THE_END_MS, "known by all after " + tookMs + " ms");
+        }
+    }
+
     /** What is longer than a frame between routers may be was never given to anybody. */
     @Nested
     class ACatalogLongerThanAFrame {
