feed: how long an answer of the store is awaited follows its answers

What callers would see: while the store answers 1.33 s late, routers answer 503 to what they don't know, and the store gets five times the calls. Cause: a call waits 3 s for a change and had 0.7 s more. Each call that found none ended by its limit and counted as a lost store; its answer was thrown away, every rank read, and nobody confirmed the catalog.

The time for an answer is now mean and variation of those that came, as a retransmission timer has it (RFC 6298), 0.7 to 4 s, doubled after a call without an answer. While the store is away a call does not wait for changes, so that its return is seen after the time for an answer alone.

--- a/masticweir/src/main/java/org/masticweir/feed/FeedPace.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedPace.java
@@ -6,7 +6,8 @@
  * How often one table is asked for, in ms; immutable.
  *
  * @param waitMs how long the store may wait for a first change
- * @param graceMs how much later than that its answer may come
+ * @param graceMs how much later than that its answer may come at least; {@link AnswerDelay} says
+ *     how much it may now
  * @param restMs pause after an answer with changes, so that changes in series cost one call
  */
 public record FeedPace(long waitMs, long graceMs, long restMs) {
@@ -19,14 +20,4 @@
     public static FeedPace of(long waitMs, long graceMs, long restMs) {
         return new FeedPace(waitMs, graceMs, restMs);
     }
-
-    /** Returns the time limit of a call that waits. */
-    long timeoutMs() {
-        return waitMs + graceMs;
-    }
-
-    /** Returns the silence after which the store counts as having been away. */
-    long awayMs() {
-        return waitMs + graceMs + restMs;
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/feed/FeedState.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedState.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.masticweir.store.FeedOutcome;
@@ -36,12 +37,19 @@
      */
     static final long SETTLE_MS = 700;
 
+    /**
+     * What a call waits for a change while the store is away, in ms: it only asks for an answer.
+     */
+    private static final long PROBE_WAIT_MS = 1;
+
     /** Failed calls in a row after which the store counts as having been away. */
     private static final int AWAY_FAILURES = 2;
 
     private final FeedPace pace;
     private final RandomGenerator random;
+    private final AnswerDelay delay;
     private OptionalLong since = OptionalLong.empty();
+    private Optional<Call> call = Optional.empty();
     private int failures;
     private long lastHeardMs;
     private long doubtUntilMs = Long.MIN_VALUE;
@@ -50,15 +58,19 @@
     FeedState(FeedPace pace, RandomGenerator random) {
         this.pace = checkNotNull(pace, "pace");
         this.random = checkNotNull(random, "random");
+        delay = new AnswerDelay(pace.graceMs());
     }
 
+    /** A call under way: when it began, what the store may wait for a change, and its limit. */
+    private record Call(long startMs, long waitMs, long timeoutMs) {}
+
     /** What to ask the store next. */
     sealed interface Ask {
         /** The whole table. */
-        record All() implements Ask {}
+        record All(long timeoutMs) implements Ask {}
 
-        /** Its changes after a revision. */
-        record Since(long revision) implements Ask {}
+        /** Its changes after a revision; the store may wait for the first one. */
+        record Since(long revision, long waitMs, long timeoutMs) implements Ask {}
     }
 
     /**
@@ -73,8 +85,38 @@
         lastHeardMs = nowMs;
     }
 
-    Ask next() {
-        return since.isPresent() ? new Ask.Since(since.getAsLong()) : new Ask.All();
+    /** Begins the next call. */
+    Ask next(long nowMs) {
+        long waitMs = since.isEmpty() ? 0 : isAway() ? PROBE_WAIT_MS : pace.waitMs();
+        long timeoutMs = waitMs + delay.graceMs();
+        call = Optional.of(new Call(nowMs, waitMs, timeoutMs));
+        return since.isPresent()
+                ? new Ask.Since(since.getAsLong(), waitMs, timeoutMs)
+                : new Ask.All(timeoutMs);
+    }
+
+    /** Returns the silence after which the store counts as having been away, in ms. */
+    long awayMs() {
+        return pace.waitMs() + delay.graceMs() + pace.restMs();
+    }
+
+    /** Learns from a call how late the store answers. */
+    private void learn(FeedOutcome outcome, long nowMs) {
+        if (call.isEmpty()) {
+            return;
+        }
+        Call ended = call.get();
+        call = Optional.empty();
+        long tookMs = nowMs - ended.startMs();
+        if (outcome instanceof FeedOutcome.Rows rows) {
+            // An answer with changes may have come before the wait was over.
+            boolean waitedInFull = rows.changes().isEmpty() || ended.waitMs() <= PROBE_WAIT_MS;
+            if (waitedInFull) {
+                delay.answered(Math.max(0, tookMs - ended.waitMs()));
+            }
+        } else if (tookMs >= ended.timeoutMs()) {
+            delay.unanswered();
+        }
     }
 
     /**
@@ -83,9 +125,10 @@
      * @param role this router's part in reading
      */
     long ended(FeedOutcome outcome, ReadingRole role, long nowMs) {
+        learn(outcome, nowMs);
         if (outcome instanceof FeedOutcome.Rows rows) {
             boolean wasAway =
-                    heard && (failures >= AWAY_FAILURES || nowMs - lastHeardMs > pace.awayMs());
+                    heard && (failures >= AWAY_FAILURES || nowMs - lastHeardMs > awayMs());
             if (wasAway) {
                 doubtUntilMs = nowMs + DOUBT_MS;
             }
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -23,7 +23,6 @@
 
     private final String table;
     private final ChangeFeed store;
-    private final FeedPace pace;
     private final FeedState state;
     private final FeedListener listener;
     private final Supplier<ReadingRole> role;
@@ -46,7 +45,6 @@
             Clock clock) {
         this.table = checkNotNull(table, "table");
         this.store = checkNotNull(store, "store");
-        this.pace = checkNotNull(pace, "pace");
         this.listener = checkNotNull(listener, "listener");
         this.role = checkNotNull(role, "role");
         this.control = checkNotNull(control, "control");
@@ -86,7 +84,7 @@
         if (ageMs.isEmpty()) {
             return state.isAway() ? StoreContact.LOST : StoreContact.NOT_READING;
         }
-        boolean inTime = ageMs.getAsLong() <= pace.awayMs() && !state.isAway();
+        boolean inTime = ageMs.getAsLong() <= state.awayMs() && !state.isAway();
         return inTime ? StoreContact.HEARD : StoreContact.LOST;
     }
 
@@ -95,12 +93,12 @@
             following = false;
             return;
         }
-        FeedState.Ask next = state.next();
+        FeedState.Ask next = state.next(clock.nowMs());
         if (next instanceof FeedState.Ask.Since since) {
-            store.changes(table, since.revision(), pace.waitMs(), pace.timeoutMs())
+            store.changes(table, since.revision(), since.waitMs(), since.timeoutMs())
                     .thenAccept(outcome -> handOver(outcome, OptionalLong.of(since.revision())));
-        } else {
-            store.readAll(table, pace.timeoutMs())
+        } else if (next instanceof FeedState.Ask.All all) {
+            store.readAll(table, all.timeoutMs())
                     .thenAccept(outcome -> handOver(outcome, OptionalLong.empty()));
         }
     }
--- a/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
@@ -1,6 +1,7 @@
 package org.masticweir.feed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -22,13 +23,13 @@
 
     @Test
     void readsTheWholeTableFirst() {
-        assertInstanceOf(FeedState.Ask.All.class, state.next());
+        assertInstanceOf(FeedState.Ask.All.class, state.next(0));
     }
 
     @Test
     void asksForChangesAfterWhatItHas() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
-        assertEquals(new FeedState.Ask.Since(7), state.next());
+        assertEquals(new FeedState.Ask.Since(7, 3_000, 3_700), state.next(0));
     }
 
     @Test
@@ -51,7 +52,7 @@
     void goesOnFromWhatItWasTold() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
         state.told(30, false, 9_000);
-        assertEquals(new FeedState.Ask.Since(30), state.next());
+        assertEquals(new FeedState.Ask.Since(30, 3_000, 3_700), state.next(0));
         state.ended(NOTHING, ReadingRole.SUBSTITUTE, 10_000);
         assertEquals(10_000, state.removalDueMs(10_000));
     }
@@ -79,7 +80,63 @@
     void readsTheWholeTableWhenTheHistoryIsGone() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
         state.ended(new FeedOutcome.HistoryGone(), ReadingRole.FIRST, 10);
-        assertInstanceOf(FeedState.Ask.All.class, state.next());
+        assertInstanceOf(FeedState.Ask.All.class, state.next(0));
+    }
+
+    /** The store answers, later than before; it counted as lost and was called by all. */
+    @Nested
+    class StoreThatAnswersLate {
+        private static final long LATE_MS = 1_330;
+
+        private long nowMs;
+
+        /** Makes one call to a store that answers {@code delayMs} after its wait. */
+        private boolean callIsAnswered(long delayMs) {
+            FeedState.Ask.Since call = (FeedState.Ask.Since) state.next(nowMs);
+            long tookMs = Math.min(call.waitMs() + delayMs, call.timeoutMs());
+            boolean answered = call.waitMs() + delayMs <= call.timeoutMs();
+            nowMs += tookMs;
+            nowMs += state.ended(answered ? NOTHING : FAILED, ReadingRole.FIRST, nowMs);
+            return answered;
+        }
+
+        private void prompt() {
+            state.ended(NOTHING, ReadingRole.FIRST, 0);
+            for (int i = 0; i < 10; i++) {
+                assertTrue(callIsAnswered(4));
+            }
+        }
+
+        @Test
+        void isAwaitedAfterOneCallThatWasNot() {
+            prompt();
+            assertFalse(callIsAnswered(LATE_MS));
+            for (int i = 0; i < 20; i++) {
+                assertTrue(callIsAnswered(LATE_MS), "call " + i);
+            }
+        }
+
+        @Test
+        void isAwaitedNoLongerOnceItIsPromptAgain() {
+            prompt();
+            for (int i = 0; i < 20; i++) {
+                callIsAnswered(LATE_MS);
+            }
+            for (int i = 0; i < 40; i++) {
+                callIsAnswered(4);
+            }
+            assertEquals(new FeedState.Ask.Since(7, 3_000, 3_700), state.next(nowMs));
+        }
+
+        @Test
+        void isAwaitedWithinBoundsIfItIsSilent() {
+            prompt();
+            for (int i = 0; i < 20; i++) {
+                assertFalse(callIsAnswered(60_000));
+            }
+            FeedState.Ask.Since call = (FeedState.Ask.Since) state.next(nowMs);
+            assertTrue(call.timeoutMs() <= AnswerDelay.MAX_GRACE_MS + 1, "limit of " + call);
+        }
     }
 
     /** The store fails or is silent. */
--- a/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/StoreFleet.java
@@ -42,7 +42,7 @@
  */
 final class StoreFleet {
     private static final long LINK_MS = 1;
-    private static final long STORE_MS = 4;
+    private static final long PROMPT_MS = 4;
     private static final long TICK_MS = 100;
     private static final long WAIT_MS = 3_000;
     private static final long GRACE_MS = 700;
@@ -337,6 +337,10 @@
     /** The platform's store: rows, their history, and calls that wait for a change. */
     final class Store {
         long calls;
+
+        /** How long each answer takes once there is something to say, in ms. */
+        long answerMs = PROMPT_MS;
+
         private final Map<RowKey, FeedOutcome.Change> rows =
                 new TreeMap<>(Comparator.comparing(RowKey::table).thenComparing(RowKey::key));
         private final List<FeedOutcome.Change> history = new ArrayList<>();
@@ -399,7 +403,7 @@
 
         private void later(Router router, Runnable answer) {
             scheduler.at(
-                    nowMs() + STORE_MS,
+                    nowMs() + answerMs,
                     () -> {
                         if (router.running && router.fault != StoreFault.SILENT) {
                             answer.run();
--- a/masticweir/src/test/java/org/masticweir/relay/StoreFleetTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/StoreFleetTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.masticweir.id.RouterId;
 import org.masticweir.relay.StoreFleet.Router;
 import org.masticweir.relay.StoreFleet.StoreFault;
@@ -191,6 +192,37 @@
         }
     }
 
+    /** The store answers late; calls that found no change ended by their time limit as lost. */
+    @Nested
+    class StoreThatAnswersLate {
+        private static final long SLOW_FOR_MS = 30_000;
+
+        @ParameterizedTest
+        @ValueSource(longs = {100, 1_330, 3_000})
+        void isReadByAsFewAndBelieved(long answerMs) {
+            becomesLate(answerMs);
+            long before = fleet.store.calls;
+            fleet.runFor(SLOW_FOR_MS);
+            double calls = (fleet.store.calls - before) * 1_000.0 / SLOW_FOR_MS;
+            assertTrue(calls <= 2 * DOMAINS, calls + " calls a second");
+            assertEquals(ROUTERS, all().stream().filter(r -> r.view.sure()).count(), "sure");
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {100, 1_330, 3_000})
+        void holdsUpNoChangeBeyondItsAnswer(long answerMs) {
+            becomesLate(answerMs);
+            fleet.store.catalog(2);
+            assertEquals(ROUTERS, fleet.holdersAfter(2, answerMs + BOUND_MS), "hold it");
+        }
+
+        private void becomesLate(long answerMs) {
+            fleet.runFor(SETTLED_MS);
+            fleet.store.answerMs = answerMs;
+            fleet.runFor(SLOW_FOR_MS);
+        }
+    }
+
     /** A router that is alone has only itself to rely on. */
     @Nested
     class Alone {
