--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogTextsTest.java
@@ -0,0 +1,90 @@
+package org.masticweir.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.masticweir.config.DocumentEdit;
+import org.masticweir.relay.Deployment.CatalogText;
+import org.masticweir.relay.RelayMessages.CatalogAsk;
+import org.masticweir.relay.RelayMessages.CatalogOffer;
+
+/** What a router gives others of the catalogs that came in force at it. */
+class CatalogTextsTest {
+    @Property(tries = 500, seed = "39")
+    void anEditIsUnpackedAsItWasPacked(@ForAll String before, @ForAll String after) {
+        DocumentEdit edit = DocumentEdit.between(before, after);
+        assertEquals(edit, PackedEdit.ofBytes(PackedEdit.of(edit).bytes()).unpack());
+    }
+
+    @Property(tries = 500, seed = "40")
+    void bytesThatAreNoEditAreToldSo(@ForAll byte[] bytes) {
+        assertThrows(IllegalArgumentException.class, () -> PackedEdit.ofBytes(bytes).unpack());
+    }
+
+    /** A router that asks, by what it holds. */
+    @Nested
+    class Asked {
+        private final CatalogTexts texts = new CatalogTexts();
+
+        private void inForce(long from, long to) {
+            for (long version = from; version <= to; version++) {
+                texts.inForce(new CatalogText(version, text(version)));
+            }
+        }
+
+        private static String text(long version) {
+            return version + "\n" + "{\"route\":\"the same\"}\n".repeat(100) + version;
+        }
+
+        private Optional<String> given(long held) {
+            CatalogOffer offer = texts.offer(new CatalogAsk(held, true));
+            return offer.edit().flatMap(edit -> edit.unpack().applyTo(text(held)));
+        }
+
+        @Test
+        void givesTheNewestWhateverIsHeld() {
+            inForce(1, 9);
+            for (long held = 0; held < 9; held++) {
+                assertEquals(Optional.of(text(9)), given(held), "held " + held);
+            }
+        }
+
+        @Test
+        void givesNothingToWhoHoldsTheNewest() {
+            assertEquals(CatalogOffer.nothing(), texts.offer(new CatalogAsk(0, true)));
+            inForce(1, 2);
+            assertEquals(CatalogOffer.nothing(), texts.offer(new CatalogAsk(2, true)));
+            assertEquals(CatalogOffer.nothing(), texts.offer(new CatalogAsk(3, true)));
+        }
+
+        @Test
+        void givesTheWholeToAnOlderRouter() {
+            inForce(1, 2);
+            CatalogOffer offer = texts.offer(new CatalogAsk(1, false));
+            assertEquals(CatalogOffer.whole(text(2)), offer);
+        }
+
+        /** Two routers hold different texts under one version; an edit must fit its own only. */
+        @Test
+        void anEditFitsNoOtherText() {
+            inForce(1, 2);
+            CatalogOffer offer = texts.offer(new CatalogAsk(1, true));
+            DocumentEdit edit = offer.edit().orElseThrow().unpack();
+            assertTrue(edit.applyTo(text(1)).isPresent());
+            assertEquals(Optional.empty(), edit.applyTo("1\n" + "{\"route\":\"x\"}\n".repeat(400)));
+        }
+
+        @Test
+        void neverGoesBack() {
+            inForce(1, 5);
+            inForce(3, 3);
+            assertEquals(Optional.of(text(5)), given(4));
+        }
+    }
+}
