relay: an edit that comes late is applied to the text that it was asked for

A router that got a newer version while an edit was on its way applied the edit to that one, found that it fits no text and asked for the whole. The reply now carries the text of its ask. CatalogSharingTest, the first of four, failed before (held 2 in place of 3).

--- a/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
@@ -79,11 +79,15 @@
         deployment.heardOf(version);
         if (version > Math.max(deployment.catalogVersion(), notUnderstood)) {
             long held = wantsWhole ? NO_VERSION : deployment.catalogVersion();
-            asks.ask(peer, new CatalogAsk(held, true), reply -> answered(peer, version, reply));
+            String base = heldText();
+            asks.ask(
+                    peer,
+                    new CatalogAsk(held, true),
+                    reply -> answered(peer, version, base, reply));
         }
     }
 
-    private void answered(RouterId peer, long version, Optional<PeerMessage> reply) {
+    private void answered(RouterId peer, long version, String base, Optional<PeerMessage> reply) {
         if (reply.isEmpty()) {
             unanswered.inc();
             LOG.info("config: {} did not give its newer version", peer);
@@ -91,7 +95,7 @@
         }
         CatalogOffer offer = (CatalogOffer) reply.get();
         long waitedMs = deployment.catalogAwaitedMs();
-        Optional<String> text = textOf(peer, offer);
+        Optional<String> text = textOf(peer, base, offer);
         if (text.isEmpty()) {
             return;
         }
@@ -105,14 +109,18 @@
         }
     }
 
-    /** Returns the catalog that a peer gives; empty if it has no newer one, or none that fits. */
-    private Optional<String> textOf(RouterId peer, CatalogOffer offer) {
+    /**
+     * Returns the catalog that a peer gives; empty if it has no newer one, or none that fits.
+     *
+     * @param base the text that was held when the peer was asked
+     */
+    private Optional<String> textOf(RouterId peer, String base, CatalogOffer offer) {
         if (offer.edit().isEmpty()) {
             return Optional.of(offer.text()).filter(text -> !text.isEmpty());
         }
         Optional<String> text = Optional.empty();
         try {
-            text = offer.edit().get().unpack().applyTo(heldText());
+            text = offer.edit().get().unpack().applyTo(base);
         } catch (IllegalArgumentException e) {
             LOG.error("config: the version of {} is not understood, {}", peer, e.getMessage());
         }
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
@@ -0,0 +1,129 @@
+package org.masticweir.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.masticweir.config.DocumentEdit;
+import org.masticweir.id.RouterId;
+import org.masticweir.peer.PeerMessage;
+import org.masticweir.peer.PeerSender;
+import org.masticweir.relay.RelayMessages.CatalogAsk;
+import org.masticweir.relay.RelayMessages.CatalogOffer;
+import org.masticweir.time.ManualScheduler;
+
+/** What a router asks its peers for, and what it makes of their replies. */
+class CatalogSharingTest {
+    private static final RouterId FIRST = RouterId.of("first");
+    private static final RouterId SECOND = RouterId.of("second");
+
+    private final ManualScheduler scheduler = new ManualScheduler();
+    private final List<CatalogAsk> asked = new ArrayList<>();
+    private final List<CompletableFuture<PeerMessage>> due = new ArrayList<>();
+    private final Deployment deployment =
+            new Deployment(
+                    new DeploymentTest.Form(),
+                    scheduler.clock(),
+                    new UnreadableRows(new Counter()),
+                    view -> {});
+    private final CatalogSharing sharing =
+            new CatalogSharing(
+                    new Links(), deployment, scheduler, scheduler.clock(), new MetricRegistry());
+
+    /** Peers that reply when the test says so. */
+    private final class Links implements PeerSender {
+        @Override
+        public boolean send(RouterId to, PeerMessage message) {
+            return false;
+        }
+
+        @Override
+        public CompletableFuture<PeerMessage> ask(RouterId to, PeerMessage m, long timeoutMs) {
+            asked.add((CatalogAsk) m);
+            due.add(new CompletableFuture<>());
+            return due.get(due.size() - 1);
+        }
+    }
+
+    /** Each version changes the line of its number, and no other one. */
+    private static String text(long version) {
+        StringBuilder text = new StringBuilder().append(version).append('\n');
+        for (int line = 0; line < 50; line++) {
+            text.append(line == version ? "{\"a changed route\"}\n" : "{\"a route\"}\n");
+        }
+        return text.toString();
+    }
+
+    private static CatalogOffer edit(long from, long to) {
+        return CatalogOffer.edit(PackedEdit.of(DocumentEdit.between(text(from), text(to))));
+    }
+
+    private void inForce(long version) {
+        deployment.catalogText(text(version), "store");
+        sharing.changed();
+    }
+
+    private void reply(int ask, CatalogOffer offer) {
+        due.get(ask).complete(offer);
+        scheduler.runTo(scheduler.clock().nowMs() + 1);
+    }
+
+    private void later() {
+        scheduler.runTo(scheduler.clock().nowMs() + HedgedAsk.HEDGE_MS);
+    }
+
+    private long heldInAsk(int ask) {
+        return asked.get(ask).newerThan();
+    }
+
+    /** A newer version came meanwhile; the edit of the older text was held to fit none. */
+    @Test
+    void anEditThatComesLateFitsTheTextItWasAskedFor() {
+        inForce(1);
+        sharing.heardOf(FIRST, 2);
+        inForce(2);
+        reply(0, edit(1, 3));
+        assertEquals(3, deployment.catalogVersion());
+        sharing.heardOf(SECOND, 4);
+        assertEquals(3, heldInAsk(1));
+    }
+
+    @Test
+    void anEditOfAnotherTextIsFollowedByAnAskForTheWhole() {
+        inForce(1);
+        sharing.heardOf(FIRST, 3);
+        reply(0, edit(2, 3));
+        assertEquals(1, deployment.catalogVersion());
+        sharing.heardOf(FIRST, 3);
+        assertEquals(0, heldInAsk(1));
+        reply(1, CatalogOffer.edit(PackedEdit.of(DocumentEdit.between("", text(3)))));
+        assertEquals(3, deployment.catalogVersion());
+    }
+
+    /** Each pulse asked for the whole text of a version that could not be read. */
+    @Test
+    void aVersionThatIsNotUnderstoodIsAskedForOnce() {
+        inForce(1);
+        sharing.heardOf(FIRST, 2);
+        reply(0, CatalogOffer.whole("not a catalog"));
+        sharing.heardOf(FIRST, 2);
+        later();
+        sharing.heardOf(SECOND, 2);
+        assertEquals(1, asked.size());
+        sharing.heardOf(SECOND, 3);
+        assertEquals(2, asked.size());
+    }
+
+    @Test
+    void asksOnWhileANewerVersionIsKnownOf() {
+        inForce(1);
+        sharing.heardOf(FIRST, 2);
+        sharing.heardOf(FIRST, 5);
+        reply(0, edit(1, 2));
+        assertEquals(2, heldInAsk(1));
+    }
+}
