--- a/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
@@ -4,14 +4,9 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.masticweir.config.DocumentEdit;
 import org.masticweir.id.RouterId;
-import org.masticweir.peer.PeerMessage;
-import org.masticweir.peer.PeerSender;
 import org.masticweir.relay.RelayMessages.CatalogAsk;
 import org.masticweir.relay.RelayMessages.CatalogOffer;
 import org.masticweir.time.ManualScheduler;
@@ -22,8 +17,7 @@
     private static final RouterId SECOND = RouterId.of("second");
 
     private final ManualScheduler scheduler = new ManualScheduler();
-    private final List<CatalogAsk> asked = new ArrayList<>();
-    private final List<CompletableFuture<PeerMessage>> due = new ArrayList<>();
+    private final PlayedPeers peers = new PlayedPeers();
     private final Deployment deployment =
             new Deployment(
                     new DeploymentTest.Form(),
@@ -32,22 +26,7 @@
                     view -> {});
     private final CatalogSharing sharing =
             new CatalogSharing(
-                    new Links(), deployment, scheduler, scheduler.clock(), new MetricRegistry());
-
-    /** Peers that reply when the test says so. */
-    private final class Links implements PeerSender {
-        @Override
-        public boolean send(RouterId to, PeerMessage message) {
-            return false;
-        }
-
-        @Override
-        public CompletableFuture<PeerMessage> ask(RouterId to, PeerMessage m, long timeoutMs) {
-            asked.add((CatalogAsk) m);
-            due.add(new CompletableFuture<>());
-            return due.get(due.size() - 1);
-        }
-    }
+                    peers, deployment, scheduler, scheduler.clock(), new MetricRegistry());
 
     /** Each version changes the line of its number, and no other one. */
     private static String text(long version) {
@@ -68,7 +47,7 @@
     }
 
     private void reply(int ask, CatalogOffer offer) {
-        due.get(ask).complete(offer);
+        peers.replies.get(ask).complete(offer);
         scheduler.runTo(scheduler.clock().nowMs() + 1);
     }
 
@@ -77,7 +56,7 @@
     }
 
     private long heldInAsk(int ask) {
-        return asked.get(ask).newerThan();
+        return ((CatalogAsk) peers.questions.get(ask)).newerThan();
     }
 
     /** A newer version came meanwhile; the edit of the older text was held to fit none. */
@@ -113,9 +92,9 @@
         sharing.heardOf(FIRST, 2);
         later();
         sharing.heardOf(SECOND, 2);
-        assertEquals(1, asked.size());
+        assertEquals(1, peers.asked.size());
         sharing.heardOf(SECOND, 3);
-        assertEquals(2, asked.size());
+        assertEquals(2, peers.asked.size());
     }
 
     @Test
--- a/masticweir/src/test/java/org/masticweir/relay/HedgedAskTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/HedgedAskTest.java
@@ -5,13 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.id.RouterId;
 import org.masticweir.peer.PeerMessage;
-import org.masticweir.peer.PeerSender;
 import org.masticweir.relay.RelayMessages.CatalogAsk;
 import org.masticweir.relay.RelayMessages.CatalogOffer;
 import org.masticweir.time.ManualScheduler;
@@ -25,28 +23,10 @@
     private static final RouterId THIRD = RouterId.of("third");
 
     private final ManualScheduler scheduler = new ManualScheduler();
-    private final Links links = new Links();
-    private final HedgedAsk asks = new HedgedAsk(links, scheduler, scheduler.clock());
+    private final PlayedPeers peers = new PlayedPeers();
+    private final HedgedAsk asks = new HedgedAsk(peers, scheduler, scheduler.clock());
     private final List<Optional<PeerMessage>> replies = new ArrayList<>();
 
-    /** Peers that reply when the test says so. */
-    private static final class Links implements PeerSender {
-        private final List<RouterId> asked = new ArrayList<>();
-        private final List<CompletableFuture<PeerMessage>> due = new ArrayList<>();
-
-        @Override
-        public boolean send(RouterId to, PeerMessage message) {
-            return false;
-        }
-
-        @Override
-        public CompletableFuture<PeerMessage> ask(RouterId to, PeerMessage m, long timeoutMs) {
-            asked.add(to);
-            due.add(new CompletableFuture<>());
-            return due.get(due.size() - 1);
-        }
-    }
-
     private void ask(RouterId peer) {
         asks.ask(peer, QUESTION, replies::add);
     }
@@ -55,8 +35,8 @@
         scheduler.runTo(scheduler.clock().nowMs() + ms);
     }
 
-    private void replies(int ask) {
-        links.due.get(ask).complete(REPLY);
+    private void reply(int ask) {
+        peers.replies.get(ask).complete(REPLY);
         afterMs(1);
     }
 
@@ -64,7 +44,7 @@
     void takesAReplyThatComesLate() {
         ask(FIRST);
         afterMs(4 * HedgedAsk.HEDGE_MS);
-        replies(0);
+        reply(0);
         assertEquals(List.of(Optional.of(REPLY)), replies);
     }
 
@@ -73,34 +53,34 @@
         ask(FIRST);
         afterMs(2 * HedgedAsk.HEDGE_MS);
         ask(FIRST);
-        assertEquals(List.of(FIRST), links.asked);
-        replies(0);
+        assertEquals(List.of(FIRST), peers.asked);
+        reply(0);
         ask(FIRST);
-        assertEquals(List.of(FIRST, FIRST), links.asked);
+        assertEquals(List.of(FIRST, FIRST), peers.asked);
     }
 
     @Test
     void asksOneOtherPeerAfterAWhile() {
         ask(FIRST);
         ask(SECOND);
-        assertEquals(List.of(FIRST), links.asked);
+        assertEquals(List.of(FIRST), peers.asked);
         afterMs(HedgedAsk.HEDGE_MS);
         ask(SECOND);
         afterMs(HedgedAsk.HEDGE_MS);
         ask(THIRD);
-        assertEquals(List.of(FIRST, SECOND), links.asked);
+        assertEquals(List.of(FIRST, SECOND), peers.asked);
     }
 
     @Test
     void asksAnotherAtOnceWhenAPeerIsLost() {
         ask(FIRST);
-        links.due
+        peers.replies
                 .get(0)
                 .completeExceptionally(
                         MasticweirException.notRun(ErrorCode.DEADLINE_EXCEEDED, "link lost"));
         afterMs(1);
         ask(SECOND);
-        assertEquals(List.of(FIRST, SECOND), links.asked);
+        assertEquals(List.of(FIRST, SECOND), peers.asked);
         assertEquals(List.of(Optional.empty()), replies);
     }
 }
--- /dev/null
+++ b/masticweir/src/test/java/org/masticweir/relay/PlayedPeers.java
@@ -0,0 +1,34 @@
+package org.masticweir.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.masticweir.id.RouterId;
+import org.masticweir.peer.PeerMessage;
+import org.masticweir.peer.PeerSender;
+
+/** Peers that reply when a test says so. */
+final class PlayedPeers implements PeerSender {
+    /** The peers that were asked, in order. */
+    final List<RouterId> asked = new ArrayList<>();
+
+    /** What they were asked. */
+    final List<PeerMessage> questions = new ArrayList<>();
+
+    /** Their replies. */
+    final List<CompletableFuture<PeerMessage>> replies = new ArrayList<>();
+
+    @Override
+    public boolean send(RouterId to, PeerMessage message) {
+        return false;
+    }
+
+    @Override
+    public CompletableFuture<PeerMessage> ask(RouterId to, PeerMessage question, long timeoutMs) {
+        CompletableFuture<PeerMessage> reply = new CompletableFuture<>();
+        asked.add(to);
+        questions.add(question);
+        replies.add(reply);
+        return reply;
+    }
+}
