config, relay, peer: a whole catalog is made into an edit without comparing it

CatalogTexts made the edit for a router that holds none of the last versions by comparing the text with an empty one: it was cut into pieces, each looked up among none, and joined again to the one part that it is. DocumentEdit.whole names that directly. FieldsCodec's shorter factory calls the longer one in place of the constructor a second time.

What routers send and read is the same; a property holds that a whole edit fits any text.

--- a/masticweir/src/main/java/org/masticweir/config/DocumentEdit.java
+++ b/masticweir/src/main/java/org/masticweir/config/DocumentEdit.java
@@ -49,6 +49,11 @@
         }
     }
 
+    /** Returns the edit that makes {@code after} of any text. */
+    public static DocumentEdit whole(String after) {
+        return new DocumentEdit(ImmutableList.of(new Part.Added(after)), digestOf(after));
+    }
+
     /** Returns the edit that makes {@code after} of {@code before}. */
     public static DocumentEdit between(String before, String after) {
         int head = Strings.commonPrefix(before, after).length();
--- a/masticweir/src/main/java/org/masticweir/peer/FieldsCodec.java
+++ b/masticweir/src/main/java/org/masticweir/peer/FieldsCodec.java
@@ -31,7 +31,7 @@
     /** Returns the codec of messages whose {@code fields} the writer writes in order. */
     public static <T extends PeerMessage> FieldsCodec<T> of(
             int type, Class<T> messageType, int fields, Writer<T> writer, Reader<T> reader) {
-        return new FieldsCodec<>(type, messageType, fields, fields, writer, reader);
+        return of(type, messageType, fields, fields, writer, reader);
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/relay/CatalogTexts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogTexts.java
@@ -49,10 +49,6 @@
         Optional<DocumentEdit> edit = recent.editOf(known);
         return packed.computeIfAbsent(
                 edit.isPresent() ? known : NO_VERSION,
-                v -> PackedEdit.of(edit.orElseGet(() -> whole(newest))));
-    }
-
-    private static DocumentEdit whole(CatalogText newest) {
-        return DocumentEdit.between("", newest.text());
+                v -> PackedEdit.of(edit.orElseGet(() -> DocumentEdit.whole(newest.text()))));
     }
 }
--- a/masticweir/src/test/java/org/masticweir/config/DocumentEditTest.java
+++ b/masticweir/src/test/java/org/masticweir/config/DocumentEditTest.java
@@ -30,6 +30,11 @@
         assertEquals(Optional.of(after), DocumentEdit.between(before, after).applyTo(before));
     }
 
+    @Property(tries = 1_000, seed = "13")
+    void theWholeFitsAnyText(@ForAll String before, @ForAll String after) {
+        assertEquals(Optional.of(after), DocumentEdit.whole(after).applyTo(before));
+    }
+
     @Property(tries = 1_000, seed = "12")
     void makesNothingElseOfAnotherText(
             @ForAll String before, @ForAll String after, @ForAll String other) {
