health: log who reports a server's failure, and why no server is free

A line now names the peer whose report is taken over, and a refusal for want of a server gives how many are listed, down, blocked and leaving. No decision changes.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -457,7 +457,9 @@
         int running = selector.ownRequestCount(servers.get());
         Optional<String> refusal = requestWait.enterQueueOrRefuse(sendCount, running, nowMs);
         return refusal.isPresent()
-                ? end(ErrorCode.NO_ENGINE, refusal.get())
+                ? end(
+                        ErrorCode.NO_ENGINE,
+                        refusal.get() + ", " + selector.describeAvailability(servers.get(), nowMs))
                 : new Step.Wait(WAIT_MS);
     }
 
--- a/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
@@ -245,6 +245,21 @@
         return soonestMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(soonestMs);
     }
 
+    /** Returns how many servers are excluded for which reason, for the log. */
+    String describeAvailability(ImmutableList<BackendServer> servers, long nowMs) {
+        long down = servers.stream().filter(s -> health.isDown(s, nowMs)).count();
+        long blocked = servers.stream().filter(s -> remainingBlockMs(s, nowMs) > 0).count();
+        long leaving = servers.stream().filter(this::isLeaving).count();
+        return servers.size()
+                + " servers, "
+                + down
+                + " down, "
+                + blocked
+                + " blocked, "
+                + leaving
+                + " leaving";
+    }
+
     /** Returns the number of this router's requests at {@code servers}. */
     int ownRequestCount(ImmutableList<BackendServer> servers) {
         return servers.stream().mapToInt(s -> loads.ownLoad(s.incarnation()).running()).sum();
--- a/masticweir/src/main/java/org/masticweir/relay/LoadSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LoadSharing.java
@@ -10,6 +10,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.forward.LoadTracker;
@@ -30,6 +32,8 @@
  * Changes within a few milliseconds are sent together.
  */
 final class LoadSharing implements PeerExchange.LoadListener {
+    private static final Logger LOG = LogManager.getLogger(LoadSharing.class);
+
     /**
      * Time for which changes are collected before they are sent, in ms; short compared with the
      * prefill of a prompt.
@@ -93,7 +97,8 @@
     }
 
     @Override
-    public void handleFailure(ServerIncarnation server, boolean gone) {
+    public void handleFailure(RouterId peer, ServerIncarnation server, boolean gone) {
+        LOG.info("health: {} reports that {} {}", peer, server, gone ? "has ended" : "failed");
         thread.execute(
                 () ->
                         serverLookup
--- a/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerExchange.java
@@ -72,7 +72,7 @@
     interface LoadListener {
         void handleLoad(RouterId peer, List<EngineLoad> engines);
 
-        void handleFailure(ServerIncarnation server, boolean gone);
+        void handleFailure(RouterId peer, ServerIncarnation server, boolean gone);
 
         void onPeerLost(RouterId peer);
 
@@ -116,7 +116,8 @@
         links.on(
                 FailureUpdate.class,
                 (from, m, reply) ->
-                        runOnControl(() -> loadListener.handleFailure(m.server(), m.isGone())));
+                        runOnControl(
+                                () -> loadListener.handleFailure(from, m.server(), m.isGone())));
         links.on(CrashUpdate.class, (from, m, reply) -> quarantine.handleUpdate(from, m));
         links.on(
                 StoreStatus.class,
