--- a/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
@@ -28,16 +28,23 @@
     private final HttpCallerLimits limits;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final ConnectionPool pool;
+    private final Dialer dialer;
 
-    private HttpCaller(XnioWorker worker, HttpCallerLimits limits) {
+    private HttpCaller(XnioWorker worker, HttpCallerLimits limits, Dialer dialer) {
         this.worker = checkNotNull(worker, "worker");
+        this.dialer = checkNotNull(dialer, "dialer");
         this.limits = checkNotNull(limits, "limits");
         pool = new ConnectionPool(limits.connectionsPerAddress(), limits.idleMs());
     }
 
     /** Returns a caller whose connections live on the I/O threads of {@code worker}. */
     public static HttpCaller create(XnioWorker worker, HttpCallerLimits limits) {
-        return new HttpCaller(worker, limits);
+        return create(worker, limits, Dialer.tcp());
+    }
+
+    /** Returns a caller that opens its connections with {@code dialer}. */
+    public static HttpCaller create(XnioWorker worker, HttpCallerLimits limits, Dialer dialer) {
+        return new HttpCaller(worker, limits, dialer);
     }
 
     /** Makes {@code call} and tells, within {@code timeoutMs} milliseconds, how it ended. */
@@ -50,7 +57,7 @@
                     new HttpOutcome.NeverSent("too many connections to " + call.address(), true));
         }
         XnioIoThread thread = idle.map(ClientConnection::getIoThread).orElse(worker.getIoThread());
-        PendingCall pending = new PendingCall(call, pool, limits.maxAnswerBytes());
+        PendingCall pending = new PendingCall(call, pool, dialer, limits.maxAnswerBytes());
         try {
             thread.execute(() -> pending.start(thread, buffers, idle, timeoutMs));
         } catch (RejectedExecutionException e) {
--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -7,21 +7,17 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.xnio.ChannelListeners;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -36,6 +32,7 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final InetSocketAddress address;
+    private final Connector connector;
     private final Supplier<Optional<HttpCall>> call;
     private final HttpStreamListener listener;
 
@@ -45,15 +42,24 @@
     private boolean sent;
     private boolean over;
 
+    /** Opens the connection of one exchange. */
+    @FunctionalInterface
+    public interface Connector {
+        /** Opens a connection and reports it, or the failure, on the thread of the exchange. */
+        void connect(ClientCallback<ClientConnection> callback);
+    }
+
     private HttpStream(
             XnioIoThread thread,
             ByteBufferPool buffers,
             InetSocketAddress address,
+            Connector connector,
             Supplier<Optional<HttpCall>> call,
             HttpStreamListener listener) {
         this.thread = checkNotNull(thread, "thread");
         this.buffers = checkNotNull(buffers, "buffers");
         this.address = checkNotNull(address, "address");
+        this.connector = checkNotNull(connector, "connector");
         this.call = checkNotNull(call, "call");
         this.listener = checkNotNull(listener, "listener");
     }
@@ -90,7 +96,26 @@
             Supplier<Optional<HttpCall>> call,
             long connectTimeoutMs,
             HttpStreamListener listener) {
-        HttpStream stream = new HttpStream(thread, buffers, address, call, listener);
+        Connector connector = callback -> Dialer.tcp().dial(address, thread, buffers, callback);
+        return open(thread, buffers, address, connector, call, connectTimeoutMs, listener);
+    }
+
+    /**
+     * Opens a connection with {@code connector}, within {@code connectTimeoutMs}, and sends on it
+     * what {@code call} returns then.
+     *
+     * @param address address of the server, for the host field of a call without one
+     * @param call asked once, on {@code thread}; if it returns nothing, the stream is closed
+     */
+    public static HttpStream open(
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            InetSocketAddress address,
+            Connector connector,
+            Supplier<Optional<HttpCall>> call,
+            long connectTimeoutMs,
+            HttpStreamListener listener) {
+        HttpStream stream = new HttpStream(thread, buffers, address, connector, call, listener);
         stream.connect(connectTimeoutMs);
         return stream;
     }
@@ -103,15 +128,8 @@
     }
 
     private void connect(long timeoutMs) {
-        URI uri = URI.create("http://" + host());
         connectTimer = Optional.of(TurnTimer.start(thread, timeoutMs, this::lost));
-        OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-        UndertowClient.getInstance()
-                .connect(callback(this::onConnected), uri, thread, buffers, options);
-    }
-
-    private String host() {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
+        connector.connect(callback(this::onConnected));
     }
 
     private void onConnected(ClientConnection connected) {
@@ -140,7 +158,7 @@
                 new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
         call.headers().addTo(request.getRequestHeaders());
         if (!request.getRequestHeaders().contains(Headers.HOST)) {
-            request.getRequestHeaders().put(Headers.HOST, host());
+            request.getRequestHeaders().put(Headers.HOST, Dialer.hostAndPort(address));
         }
         if (call.body().length > 0) {
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -6,7 +6,6 @@
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderValues;
@@ -15,13 +14,11 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -30,6 +27,7 @@
 final class PendingCall {
     private final HttpCall call;
     private final ConnectionPool pool;
+    private final Dialer dialer;
     private final int maxAnswerBytes;
     private final CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
     private final ByteArrayOutputStream answerBody = new ByteArrayOutputStream();
@@ -40,9 +38,10 @@
     private boolean wholeRequestWritten;
     private boolean ended;
 
-    PendingCall(HttpCall call, ConnectionPool pool, int maxAnswerBytes) {
+    PendingCall(HttpCall call, ConnectionPool pool, Dialer dialer, int maxAnswerBytes) {
         this.call = call;
         this.pool = pool;
+        this.dialer = dialer;
         this.maxAnswerBytes = maxAnswerBytes;
     }
 
@@ -61,13 +60,8 @@
             send(idle.get());
             return;
         }
-        UndertowClient.getInstance()
-                .connect(
-                        callback(this::connected, this::connectFailed),
-                        URI.create("http://" + hostAndPort()),
-                        thread,
-                        buffers,
-                        OptionMap.EMPTY);
+        dialer.dial(
+                call.address(), thread, buffers, callback(this::connected, this::connectFailed));
     }
 
     private void connected(ClientConnection fresh) {
@@ -102,7 +96,7 @@
     private ClientRequest request() {
         ClientRequest request = new ClientRequest();
         request.setMethod(HttpString.tryFromString(call.method())).setPath(call.path());
-        request.getRequestHeaders().put(Headers.HOST, hostAndPort());
+        request.getRequestHeaders().put(Headers.HOST, Dialer.hostAndPort(call.address()));
         call.headers().addTo(request.getRequestHeaders());
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
         return request;
@@ -221,12 +215,6 @@
                         : new HttpOutcome.NeverSent(reason, false));
     }
 
-    private String hostAndPort() {
-        String host = call.address().getAddress().getHostAddress();
-        String literal = host.contains(":") ? "[" + host + "]" : host;
-        return literal + ":" + call.address().getPort();
-    }
-
     private static <T> ClientCallback<T> callback(Consumer<T> done, Consumer<IOException> failed) {
         return new ClientCallback<>() {
             @Override
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -10,6 +10,7 @@
 import org.masticweir.forward.SilenceTimeouts;
 import org.masticweir.forward.StreamDurationEstimator;
 import org.masticweir.forward.WaitQueue;
+import org.masticweir.http.Dialer;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.permits.SharedLimits;
 import org.masticweir.quarantine.SharedQuarantine;
@@ -19,6 +20,7 @@
 /**
  * Dependencies that all requests of a router share; owned by the traffic thread.
  *
+ * @param dialer opens the connections of sends to servers
  * @param sharedRetryPermits permits for retries that exceed this router's own retry budget
  * @param limits rate limits that servers announce, and permits for requests within these limits
  * @param metadataRecorder recorder of the announcements in servers' answers
@@ -31,6 +33,7 @@
         PlatformProtocol protocol,
         ByteBufferPool buffers,
         HttpCaller httpCaller,
+        Dialer dialer,
         PromptCacheClient promptCaches,
         Supplier<RelayView> view,
         LoadTracker loads,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -30,6 +30,7 @@
 import org.masticweir.forward.SilenceTimeouts;
 import org.masticweir.forward.StreamDurationEstimator;
 import org.masticweir.forward.WaitQueue;
+import org.masticweir.http.Dialer;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.logs.LogSetup;
@@ -97,6 +98,7 @@
     private final RelaySettings settings;
     private final Clock clock;
     private final PlatformPort platform;
+    private final Dialer dialer;
     private final ControlExecutor control = new ControlExecutor();
     private final XnioWorker worker;
     private final XnioIoThread thread;
@@ -134,14 +136,19 @@
     private volatile RelayView view = RelayView.empty();
 
     private RelayRouter(
-            RelaySettings settings, StartupListener listener, Clock clock, PlatformPort platform) {
+            RelaySettings settings,
+            StartupListener listener,
+            Clock clock,
+            PlatformPort platform,
+            Dialer dialer) {
         this.settings = checkNotNull(settings, "settings");
         this.clock = checkNotNull(clock, "clock");
         this.platform = checkNotNull(platform, "platform");
+        this.dialer = checkNotNull(dialer, "dialer");
         retryBudgets = ServiceRetryBudgets.of(settings.retryRatio(), settings.retryAllowance());
         worker = newWorker();
         thread = worker.getIoThread();
-        calls = HttpCaller.create(worker, HttpCallerLimits.defaults());
+        calls = HttpCaller.create(worker, HttpCallerLimits.defaults(), dialer);
         store = platform.store(settings.store(), calls);
         links = openLinks();
         deployment = newDeployment();
@@ -166,20 +173,7 @@
         inquiry = lossInquiry();
         inFlight = new InFlightRequests(quarantine);
         quarantine.onChange((c, q) -> thread.execute(() -> inFlight.onQuarantineChange(c, q)));
-        peers =
-                new PeerExchange(
-                        links,
-                        self,
-                        routers,
-                        control,
-                        directory,
-                        loadSharing,
-                        quarantine,
-                        new LimitExchange(limits, permits, thread, links),
-                        sharing,
-                        catalogs,
-                        reading,
-                        metrics.counter(MetricName.of("peer_links_up")));
+        peers = peerExchange(self, routers, loadSharing);
         shutdown = relayShutdown();
         ports =
                 RelayPorts.create(
@@ -211,7 +205,21 @@
      */
     public static RelayRouter start(
             RelaySettings settings, StartupListener listener, Clock clock, PlatformPort platform) {
-        RelayRouter router = new RelayRouter(settings, listener, clock, platform);
+        return start(settings, listener, clock, platform, Dialer.tcp());
+    }
+
+    /**
+     * Starts a router that opens its connections to the store and to servers with {@code dialer}.
+     *
+     * @throws MasticweirException if a port cannot be opened
+     */
+    public static RelayRouter start(
+            RelaySettings settings,
+            StartupListener listener,
+            Clock clock,
+            PlatformPort platform,
+            Dialer dialer) {
+        RelayRouter router = new RelayRouter(settings, listener, clock, platform, dialer);
         router.open();
         return router;
     }
@@ -278,6 +286,23 @@
                 clock);
     }
 
+    private PeerExchange peerExchange(
+            RouterInfo self, KnownRouters routers, LoadSharing loadSharing) {
+        return new PeerExchange(
+                links,
+                self,
+                routers,
+                control,
+                directory,
+                loadSharing,
+                quarantine,
+                new LimitExchange(limits, permits, thread, links),
+                sharing,
+                catalogs,
+                reading,
+                metrics.counter(MetricName.of("peer_links_up")));
+    }
+
     private LoadSharing loadSharing() {
         return new LoadSharing(
                 thread,
@@ -351,6 +376,7 @@
                 platform.protocol(),
                 new DefaultByteBufferPool(true, BUFFER_BYTES),
                 calls,
+                dialer,
                 new PromptCacheClient(calls, platform.protocol(), metadataRecorder, clock),
                 () -> view,
                 loads,
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -143,14 +143,11 @@
         silence = SilenceTimer.of(next, params, context.loads(), context.silenceTimeouts(), now());
         ServerSend newSend =
                 ServerSend.open(
-                        context.thread(),
-                        context.buffers(),
-                        next.server().address(),
+                        context,
+                        next.server(),
                         () -> callTo(next, number),
-                        context.connectTimeoutMs(),
                         request.id(),
                         params.route().streams(),
-                        context.protocol(),
                         new Listener(next, number));
         // The connection may have failed, or the request ended, before open() returned.
         if (!isEnded && number == sendNumber && silence != null) {
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -2,18 +2,17 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.undertow.connector.ByteBufferPool;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.masticweir.catalog.BackendServer;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpStream;
 import org.masticweir.http.HttpStreamListener;
-import org.xnio.XnioIoThread;
 
 /**
  * One send of a request to a server; checks the answer before it is passed on. Runs on the traffic
@@ -53,7 +52,7 @@
     }
 
     /**
-     * Connects to {@code address} and sends the call that {@code callSupplier} returns.
+     * Connects to {@code server} and sends the call that {@code callSupplier} returns.
      *
      * @param callSupplier evaluated once the connection is established; returns an empty value if
      *     the request must no longer be sent
@@ -61,19 +60,29 @@
      * @param isStreaming whether a successful answer is an event stream
      */
     static ServerSend open(
-            XnioIoThread thread,
-            ByteBufferPool buffers,
-            InetSocketAddress address,
+            RelayContext context,
+            BackendServer server,
             Supplier<Optional<HttpCall>> callSupplier,
-            long connectTimeoutMs,
             String requestId,
             boolean isStreaming,
-            PlatformProtocol protocol,
             SendListener listener) {
-        ServerSend send = new ServerSend(requestId, isStreaming, protocol, listener);
-        HttpStreamListener reader = send.new AnswerReader();
+        ServerSend send = new ServerSend(requestId, isStreaming, context.protocol(), listener);
+        InetSocketAddress address = server.address();
         HttpStream stream =
-                HttpStream.open(thread, buffers, address, callSupplier, connectTimeoutMs, reader);
+                HttpStream.open(
+                        context.thread(),
+                        context.buffers(),
+                        address,
+                        callback ->
+                                context.dialer()
+                                        .dial(
+                                                address,
+                                                context.thread(),
+                                                context.buffers(),
+                                                callback),
+                        callSupplier,
+                        context.connectTimeoutMs(),
+                        send.new AnswerReader());
         send.httpStream = Optional.of(stream);
         if (send.isEnded) {
             stream.close();
