Reach servers through other routers while the own paths are lost

What callers saw: at machines that were partitioned from all servers 1 of 67 first tries was served, and 43 of 266 at the others failed, many of them without having been sent anywhere.

Cause: a failed connection was taken for a failed server. A router had no other way to a server; it excluded servers and domains that it merely could not reach, and told all other routers, who then excluded them too.

Ruled out: overload of the remaining routers (refused requests had made no send, servers had room).

Change: package path. The request, its retries, permits and verdict stay with the router that has its caller; only one connection ever carries a byte of it. A failure counts against a server, and is told to others, only if two other routers that reach some server don't reach this one (a carrying router tries a second server before it says so). Calls for a server's state take the same ways. A lost request is followed by a connection of its own before peers are told. A router that has lost its paths and hears no peer says that it isn't ready.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -14,6 +14,7 @@
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
+import org.masticweir.path.ConnectFailure;
 import org.masticweir.quarantine.SendRule;
 
 /**
@@ -36,9 +37,6 @@
      */
     private static final double HEDGE_FRACTION = 0.7;
 
-    /** Divisor of the time goal that gives the minimum retry delay of a refused caller. */
-    private static final int RETRY_AFTER_DIVISOR = 4;
-
     /** Number of urgency levels within one route priority. */
     private static final int URGENCY_STAGES = 3;
 
@@ -49,7 +47,7 @@
     private final RetryLimiter retryLimiter;
     private final ContentPolicy contentPolicy;
     private final RequestWait requestWait;
-    private final RandomGenerator random;
+    private final RetryDelay retryDelay;
 
     private final Set<ServerIncarnation> triedServers = new HashSet<>();
     private final HeldPermits permits = new HeldPermits();
@@ -87,7 +85,7 @@
         this.retryLimiter = checkNotNull(retryLimiter, "retryLimiter");
         this.contentPolicy = checkNotNull(contentPolicy, "contentPolicy");
         requestWait = new RequestWait(request, waitQueue);
-        this.random = checkNotNull(random, "random");
+        retryDelay = new RetryDelay(request.route().goalMs(), random);
         lastEventId = request.callerLastEventId();
     }
 
@@ -198,9 +196,9 @@
     }
 
     /** Handles a failed connect, which transmits no data, and returns the next step. */
-    public Step onConnectFailed(BackendServer server, long nowMs) {
+    public Step onConnectFailed(BackendServer server, ConnectFailure failure, long nowMs) {
         onSendAborted(nowMs);
-        health.recordFailure(server, nowMs);
+        health.recordConnectFailure(server, failure, nowMs);
         return next(nowMs);
     }
 
@@ -225,7 +223,7 @@
     public Step onSendLost(BackendServer server, long nowMs) {
         markMayHaveRun();
         if (request.engine().isPresent()) {
-            health.recordFailure(server, nowMs);
+            health.recordLoss(server, nowMs);
         }
         return next(nowMs);
     }
@@ -455,11 +453,14 @@
                     ErrorCode.OVERLOADED, "servers take no more requests now", waitMs.getAsLong());
         }
         int running = selector.ownRequestCount(servers.get());
-        Optional<String> refusal = requestWait.enterQueueOrRefuse(sendCount, running, nowMs);
+        Optional<String> refusal =
+                requestWait.enterQueueOrRefuse(
+                        sendCount,
+                        running,
+                        () -> selector.describeAvailability(servers.get(), nowMs),
+                        nowMs);
         return refusal.isPresent()
-                ? end(
-                        ErrorCode.NO_ENGINE,
-                        refusal.get() + ", " + selector.describeAvailability(servers.get(), nowMs))
+                ? end(ErrorCode.NO_ENGINE, refusal.get())
                 : new Step.Wait(WAIT_MS);
     }
 
@@ -491,7 +492,6 @@
     }
 
     private OptionalLong retryAfterMs(long minMs) {
-        long baseMs = Math.max(1, request.route().goalMs() / RETRY_AFTER_DIVISOR);
-        return OptionalLong.of(Math.max(baseMs, minMs) + random.nextLong(baseMs));
+        return OptionalLong.of(retryDelay.nextMs(minMs));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * Wait of one request for a server; owned by the traffic thread. Refuses the request if the wait is
@@ -49,10 +50,12 @@
      * Adds an unsent engine request to the queue, or returns the reason to refuse the request.
      *
      * @param runningRequests requests of this router that run at the servers of the service
+     * @param availability how many servers are excluded for which reason, for the log
      */
-    Optional<String> enterQueueOrRefuse(int sendCount, int runningRequests, long nowMs) {
+    Optional<String> enterQueueOrRefuse(
+            int sendCount, int runningRequests, Supplier<String> availability, long nowMs) {
         if (hasTimedOut(nowMs)) {
-            return Optional.of("no server is free");
+            return Optional.of("no server is free, " + availability.get());
         }
         if (usesQueue(sendCount) && queueEntry.isEmpty()) {
             // A run lasts at least about as long as the time goal of the first event.
--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -12,6 +12,7 @@
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.DomainId;
+import org.masticweir.path.ConnectFailure;
 
 /**
  * Observed health of the backend servers; owned by the traffic thread.
@@ -89,14 +90,60 @@
     }
 
     /**
-     * Records that this router failed to connect to a server, or that the server closed a
-     * connection.
+     * Records that a server accepts no connections, neither from this router nor from another one.
+     * Other routers are told.
      */
     public void recordFailure(BackendServer server, long nowMs) {
         pendingReports.putIfAbsent(server.incarnation(), false);
         addFailure(server, nowMs);
     }
 
+    /**
+     * Records that a server lost a request of this router, or was not reached. Other routers are
+     * not told, because the path from this router to the server may have broken.
+     */
+    public void recordLoss(BackendServer server, long nowMs) {
+        addFailure(server, nowMs);
+    }
+
+    /** Records that this router can't connect to a server. */
+    public void recordConnectFailure(BackendServer server, ConnectFailure failure, long nowMs) {
+        if (failure == ConnectFailure.SERVER_UNREACHABLE) {
+            recordFailure(server, nowMs);
+        } else if (failure == ConnectFailure.NOT_REACHED) {
+            recordLoss(server, nowMs);
+        } else {
+            excludeServer(serverState(server.incarnation()), nowMs);
+        }
+    }
+
+    /**
+     * Records that a server accepts connections after the loss of a request. A suspicion against
+     * its domain that rests on this loss is lifted.
+     */
+    public void recordReachable(BackendServer server, long nowMs) {
+        clearFailures(serverState(server.incarnation()), nowMs);
+        Suspicion suspicion = suspicions.get(ServiceInDomain.of(server));
+        if (suspicion != null
+                && suspicion.recentFailures.removeIf(
+                        f -> f.server().equals(server.incarnation()))) {
+            suspicion.suspectedMs = Long.MIN_VALUE / 2;
+        }
+    }
+
+    /**
+     * Forgets the observed failures, because this router has lost its paths to all servers. Servers
+     * that are gone stay excluded.
+     */
+    public void forgetFailures() {
+        suspicions.clear();
+        for (ServerState state : serverStates.values()) {
+            state.failureCount = 0;
+            state.lastFailureMs = Long.MIN_VALUE / 2;
+            state.downUntilMs = Long.MIN_VALUE;
+        }
+    }
+
     /** Records that the incarnation of a server has ended. */
     public void recordServerGone(BackendServer server) {
         pendingReports.put(server.incarnation(), true);
@@ -203,11 +250,7 @@
 
     private void addFailure(BackendServer server, long nowMs) {
         ServerState state = serverState(server.incarnation());
-        if (nowMs >= state.downUntilMs) {
-            int doublings = Math.min(state.failureCount, MAX_DOUBLINGS);
-            state.downUntilMs = nowMs + Math.min(MAX_DOWN_MS, FIRST_DOWN_MS << doublings);
-            state.failureCount++;
-        }
+        excludeServer(state, nowMs);
         state.lastFailureMs = nowMs;
         Suspicion suspicion =
                 suspicions.computeIfAbsent(ServiceInDomain.of(server), p -> new Suspicion());
@@ -221,6 +264,14 @@
         suspicion.recentFailures.add(new Failure(server.incarnation(), nowMs));
     }
 
+    private static void excludeServer(ServerState state, long nowMs) {
+        if (nowMs >= state.downUntilMs) {
+            int doublings = Math.min(state.failureCount, MAX_DOUBLINGS);
+            state.downUntilMs = nowMs + Math.min(MAX_DOWN_MS, FIRST_DOWN_MS << doublings);
+            state.failureCount++;
+        }
+    }
+
     /**
      * Returns whether the suspicion applies to a server. A server that answered or was first listed
      * after the suspicion is not suspect.
--- a/masticweir/src/main/java/org/masticweir/http/ConnectionPool.java
+++ b/masticweir/src/main/java/org/masticweir/http/ConnectionPool.java
@@ -1,7 +1,6 @@
 package org.masticweir.http;
 
 import io.undertow.client.ClientConnection;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
 /** Counts open connections per address and keeps the idle ones for a while; thread-safe. */
@@ -67,7 +65,7 @@
     /** Keeps {@code connection} for a later call; runs on its I/O thread. */
     synchronized void keep(InetSocketAddress address, ClientConnection connection) {
         if (closed || !connection.isOpen()) {
-            discard(connection);
+            Dialer.discard(connection);
             return;
         }
         XnioExecutor.Key expiry =
@@ -79,22 +77,6 @@
                 .addLast(new Idle(connection, expiry));
     }
 
-    /**
-     * Closes {@code connection} at once; its close listener frees its place.
-     *
-     * <p>The client's own close shuts down only its side and then waits for the peer's, so that the
-     * connections to a server which is paused would pile up. Taking the raw connection out of the
-     * client first closes the socket without that wait.
-     */
-    static void discard(ClientConnection connection) {
-        try {
-            IoUtils.safeClose(connection.performUpgrade());
-        } catch (IOException e) {
-            // Closed by the client already.
-            IoUtils.safeClose(connection);
-        }
-    }
-
     private void expire(InetSocketAddress address, ClientConnection connection) {
         boolean unused;
         synchronized (this) {
@@ -102,7 +84,7 @@
             unused = queue.removeIf(i -> i.connection() == connection);
         }
         if (unused) {
-            discard(connection);
+            Dialer.discard(connection);
         }
     }
 
@@ -115,6 +97,6 @@
             idle.clear();
         }
         all.forEach(i -> i.expiry().remove());
-        all.forEach(i -> discard(i.connection()));
+        all.forEach(i -> Dialer.discard(i.connection()));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/http/Dialer.java
+++ b/masticweir/src/main/java/org/masticweir/http/Dialer.java
@@ -4,8 +4,10 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioIoThread;
@@ -36,6 +38,22 @@
                                 options);
     }
 
+    /**
+     * Closes {@code connection} at once; its close listener is called.
+     *
+     * <p>The client's own close shuts down only its side and then waits for the peer's, so that the
+     * connections to a server which is paused would pile up. Taking the raw connection out of the
+     * client first closes the socket without that wait.
+     */
+    static void discard(ClientConnection connection) {
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            // Closed by the client already.
+            IoUtils.safeClose(connection);
+        }
+    }
+
     /** Returns the address as it stands in a URI and in a host field. */
     static String hostAndPort(InetSocketAddress address) {
         String host = address.getAddress().getHostAddress();
--- a/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
@@ -61,7 +61,7 @@
         try {
             thread.execute(() -> pending.start(thread, buffers, idle, timeoutMs));
         } catch (RejectedExecutionException e) {
-            idle.ifPresentOrElse(ConnectionPool::discard, () -> pool.free(call.address()));
+            idle.ifPresentOrElse(Dialer::discard, () -> pool.free(call.address()));
             return CompletableFuture.completedFuture(
                     new HttpOutcome.NeverSent("worker stopped", true));
         }
--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -124,7 +124,7 @@
     public void close() {
         over = true;
         connectTimer.ifPresent(TurnTimer::cancel);
-        connection.ifPresent(ConnectionPool::discard);
+        connection.ifPresent(Dialer::discard);
     }
 
     private void connect(long timeoutMs) {
@@ -135,7 +135,7 @@
     private void onConnected(ClientConnection connected) {
         connectTimer.ifPresent(TurnTimer::cancel);
         if (over) {
-            ConnectionPool.discard(connected);
+            Dialer.discard(connected);
             return;
         }
         connection = Optional.of(connected);
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -179,7 +179,7 @@
         if (wholeRequestWritten && !"close".equalsIgnoreCase(wish)) {
             pool.keep(call.address(), connection);
         } else {
-            ConnectionPool.discard(connection);
+            Dialer.discard(connection);
         }
         outcome.complete(new HttpOutcome.Answered(answer(response)));
     }
@@ -207,7 +207,7 @@
         timer.cancel();
         if (connection != null) {
             // A late answer on this connection would be taken for the next call's.
-            ConnectionPool.discard(connection);
+            Dialer.discard(connection);
         }
         outcome.complete(
                 handedOver
--- a/masticweir/src/main/java/org/masticweir/http/TurnTimer.java
+++ b/masticweir/src/main/java/org/masticweir/http/TurnTimer.java
@@ -17,7 +17,7 @@
  *
  * <p>Not thread-safe: confined to the thread that waits.
  */
-final class TurnTimer {
+public final class TurnTimer {
     /** Timers that a timeout is made of; a call needs some three turns: connect, write, read. */
     static final int TURNS = 5;
 
@@ -36,14 +36,14 @@
     }
 
     /** Starts a wait on {@code thread}, at whose end {@code expired} runs there. */
-    static TurnTimer start(XnioExecutor thread, long timeoutMs, Runnable expired) {
+    public static TurnTimer start(XnioExecutor thread, long timeoutMs, Runnable expired) {
         TurnTimer timer = new TurnTimer(thread, timeoutMs, expired);
         timer.nextTurn();
         return timer;
     }
 
     /** Ends the wait; nothing runs any more. */
-    void cancel() {
+    public void cancel() {
         key.remove();
     }
 
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectFailure.java
@@ -0,0 +1,11 @@
+package org.masticweir.path;
+
+/** What a failed connection tells about the server. */
+public enum ConnectFailure {
+    /** Several routers that reach other servers do not reach this server. */
+    SERVER_UNREACHABLE,
+    /** This router does not reach the server, and others gave no clear answer. */
+    NOT_REACHED,
+    /** This router reaches no server directly, so the failure says nothing about this server. */
+    NO_PATHS
+}
--- /dev/null
+++ b/masticweir/src/main/java/org/masticweir/path/Tunnel.java
@@ -0,0 +1,304 @@
+package org.masticweir.path;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.Channel;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.masticweir.catalog.BackendServer;
+import org.masticweir.http.IpAddress;
+import org.xnio.ChannelListeners;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One connection of another router and the connection to its server; runs on the traffic thread.
+ *
+ * <p>A server's reset must reach the other router as a reset: the end of a connection may be the
+ * end of an answer without a length. The other router's connection is therefore set to reset on
+ * close, also for the case that this process is killed, until the server has closed regularly.
+ */
+final class Tunnel {
+    private static final int MAX_HEAD_BYTES = 1_024;
+    private static final String HEAD_END = "\r\n\r\n";
+    private static final Pattern REQUEST =
+            Pattern.compile(
+                    "GET " + TunnelClient.PATH_PREFIX + "([0-9a-f]+)/(\\S+) HTTP/1\\.1\r\n");
+
+    /** Timeout for the request and for the connection to the server, in ms. */
+    private static final long OPEN_TIMEOUT_MS = 120;
+
+    /** Time after which another server is tried besides one that does not accept, in ms. */
+    private static final long CONTROL_DELAY_MS = 40;
+
+    private static final OptionMap SERVER_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final TunnelServer owner;
+    private final StreamConnection client;
+    private final ByteBuffer head = ByteBuffer.allocate(MAX_HEAD_BYTES);
+    private final XnioExecutor.Key timer;
+    private Optional<StreamConnection> server = Optional.empty();
+    private TunnelStatus failureStatus = TunnelStatus.NO_PATH;
+    private boolean isServerRefused;
+    private boolean isControlStarted;
+    private boolean isOpen;
+    private boolean isClosed;
+
+    Tunnel(TunnelServer owner, StreamConnection client) {
+        this.owner = checkNotNull(owner, "owner");
+        this.client = checkNotNull(client, "client");
+        timer =
+                owner.thread()
+                        .executeAfter(
+                                () -> refuse(failureStatus),
+                                OPEN_TIMEOUT_MS,
+                                TimeUnit.MILLISECONDS);
+    }
+
+    void start() {
+        setResetOnClose(true);
+        client.getSourceChannel().setReadListener(this::readHead);
+        client.getSourceChannel().resumeReads();
+        readHead(client.getSourceChannel());
+    }
+
+    private void readHead(StreamSourceChannel source) {
+        try {
+            int count = source.read(head);
+            if (count < 0 || !head.hasRemaining()) {
+                close();
+                return;
+            }
+        } catch (IOException e) {
+            TunnelServer.LOG.debug("tunnel: a request broke off, {}", e.getMessage());
+            close();
+            return;
+        }
+        String text = new String(head.array(), 0, head.position(), US_ASCII);
+        if (text.endsWith(HEAD_END)) {
+            source.suspendReads();
+            handleRequest(text);
+        }
+    }
+
+    private void handleRequest(String text) {
+        Matcher request = REQUEST.matcher(text);
+        Optional<InetSocketAddress> address =
+                request.lookingAt() ? parseAddress(request.group(2)) : Optional.empty();
+        if (address.isEmpty()) {
+            close();
+            return;
+        }
+        TunnelStatus status = owner.check(request.group(1));
+        Optional<BackendServer> listed = owner.findServer(address.get());
+        if (status != TunnelStatus.OPEN) {
+            refuse(status);
+        } else if (listed.isEmpty()) {
+            refuse(TunnelStatus.NOT_LISTED);
+        } else {
+            connect(listed.get());
+        }
+    }
+
+    private void connect(BackendServer target) {
+        owner.thread()
+                .executeAfter(() -> checkPaths(target), CONTROL_DELAY_MS, TimeUnit.MILLISECONDS);
+        open(
+                target,
+                this::onConnected,
+                () -> {
+                    isServerRefused = true;
+                    checkPaths(target);
+                });
+    }
+
+    /**
+     * Connects to another server to tell a failed server from a lost path. A router that has just
+     * lost its paths would otherwise report each server as failed.
+     */
+    private void checkPaths(BackendServer target) {
+        if (isClosed || isOpen || isControlStarted) {
+            return;
+        }
+        isControlStarted = true;
+        Optional<BackendServer> control = owner.controlFor(target);
+        if (control.isEmpty()) {
+            onControlResult(true);
+            return;
+        }
+        open(
+                control.get(),
+                connection -> {
+                    IoUtils.safeClose(connection);
+                    onControlResult(true);
+                },
+                () -> onControlResult(false));
+    }
+
+    private void onControlResult(boolean isReached) {
+        failureStatus = isReached ? TunnelStatus.UNREACHABLE : TunnelStatus.NO_PATH;
+        if (isServerRefused) {
+            refuse(failureStatus);
+        }
+    }
+
+    /** Opens a connection and counts the result as evidence about this router's paths. */
+    private void open(BackendServer target, Consumer<StreamConnection> onOpen, Runnable onFailure) {
+        owner.thread()
+                .openStreamConnection(
+                        target.address(),
+                        connection -> {
+                            owner.dialer().recordDirectResult(target, true);
+                            onOpen.accept(connection);
+                        },
+                        SERVER_OPTIONS)
+                .addNotifier(
+                        (future, nothing) -> {
+                            if (future.getStatus() == IoFuture.Status.FAILED) {
+                                owner.thread().execute(() -> onRefused(target, onFailure));
+                            }
+                        },
+                        null);
+    }
+
+    private void onRefused(BackendServer target, Runnable onFailure) {
+        owner.dialer().recordDirectResult(target, false);
+        onFailure.run();
+    }
+
+    private static Optional<InetSocketAddress> parseAddress(String text) {
+        try {
+            return Optional.of(IpAddress.parse(text));
+        } catch (IllegalArgumentException e) {
+            TunnelServer.LOG.info("tunnel: request with a malformed address, {}", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void onConnected(StreamConnection connected) {
+        if (isClosed) {
+            IoUtils.safeClose(connected);
+            return;
+        }
+        timer.remove();
+        isOpen = true;
+        server = Optional.of(connected);
+        owner.countEnd(TunnelStatus.OPEN);
+        client.setCloseListener(c -> close());
+        connected.setCloseListener(c -> close());
+        write(
+                TunnelStatus.OPEN,
+                () -> {
+                    transfer(client.getSourceChannel(), connected.getSinkChannel(), this::close);
+                    transfer(
+                            connected.getSourceChannel(),
+                            client.getSinkChannel(),
+                            this::closeAfterLastByte);
+                });
+    }
+
+    /** Writes the reply; the client's receive window always has room for it. */
+    private void write(TunnelStatus status, Runnable next) {
+        ByteBuffer reply = ByteBuffer.wrap(status.toHead().getBytes(US_ASCII));
+        try {
+            client.getSinkChannel().write(reply);
+            client.getSinkChannel().flush();
+        } catch (IOException e) {
+            TunnelServer.LOG.debug("tunnel: a reply could not be written, {}", e.getMessage());
+            close();
+            return;
+        }
+        if (reply.hasRemaining()) {
+            close();
+            return;
+        }
+        next.run();
+    }
+
+    private void transfer(StreamSourceChannel source, StreamSinkChannel sink, Runnable atEnd) {
+        ChannelListeners.initiateTransfer(
+                Long.MAX_VALUE,
+                source,
+                sink,
+                null,
+                s -> {
+                    s.suspendWrites();
+                    atEnd.run();
+                },
+                (channel, e) -> abort(channel, e),
+                (channel, e) -> abort(channel, e),
+                owner.buffers());
+    }
+
+    private void abort(Channel channel, IOException e) {
+        TunnelServer.LOG.debug("tunnel: connection {} broke, {}", channel, e.getMessage());
+        close();
+    }
+
+    /** Ends the client's connection regularly, as the server has ended its own. */
+    private void closeAfterLastByte() {
+        if (isClosed) {
+            return;
+        }
+        StreamSinkChannel sink = client.getSinkChannel();
+        try {
+            sink.shutdownWrites();
+            if (sink.flush()) {
+                closeRegularly();
+                return;
+            }
+            sink.getWriteSetter()
+                    .set(
+                            ChannelListeners.flushingChannelListener(
+                                    s -> closeRegularly(), (channel, e) -> abort(channel, e)));
+            sink.resumeWrites();
+        } catch (IOException e) {
+            abort(sink, e);
+        }
+    }
+
+    private void closeRegularly() {
+        setResetOnClose(false);
+        close();
+    }
+
+    private void refuse(TunnelStatus status) {
+        if (isClosed || isOpen) {
+            return;
+        }
+        owner.countEnd(status);
+        write(status, this::closeRegularly);
+    }
+
+    private void setResetOnClose(boolean isReset) {
+        try {
+            client.setOption(Options.CLOSE_ABORT, isReset);
+        } catch (IOException e) {
+            TunnelServer.LOG.debug("tunnel: already closed, {}", e.getMessage());
+        }
+    }
+
+    private void close() {
+        if (isClosed) {
+            return;
+        }
+        isClosed = true;
+        timer.remove();
+        owner.remove(this);
+        IoUtils.safeClose(client);
+        server.ifPresent(IoUtils::safeClose);
+    }
+}
--- a/masticweir/src/main/java/org/masticweir/relay/EngineStatusProbe.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EngineStatusProbe.java
@@ -31,8 +31,8 @@
     static void probe(
             RelayContext context, BackendServer engine, Consumer<Optional<EngineReport>> callback) {
         context.limits().recordProbe(engine.incarnation());
-        context.httpCaller()
-                .call(context.protocol().engineProbeCall(engine), TIMEOUT_MS)
+        context.serverCaller()
+                .call(engine, context.protocol().engineProbeCall(engine), TIMEOUT_MS)
                 .thenAccept(
                         outcome -> {
                             context.metadataRecorder().recordCall(engine.incarnation(), outcome);
--- a/masticweir/src/main/java/org/masticweir/relay/PromptCacheClient.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PromptCacheClient.java
@@ -10,9 +10,9 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
-import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
 import org.masticweir.id.PromptId;
+import org.masticweir.path.ServerCaller;
 import org.masticweir.time.Clock;
 
 /**
@@ -37,7 +37,7 @@
      */
     private static final long REUSE_MS = 300;
 
-    private final HttpCaller httpCaller;
+    private final ServerCaller serverCaller;
     private final PlatformProtocol protocol;
     private final AnswerMetadataRecorder metadataRecorder;
     private final Clock clock;
@@ -47,11 +47,11 @@
     private record Query(long sentMs, CompletableFuture<ImmutableSet<PromptId>> answer) {}
 
     PromptCacheClient(
-            HttpCaller httpCaller,
+            ServerCaller serverCaller,
             PlatformProtocol protocol,
             AnswerMetadataRecorder metadataRecorder,
             Clock clock) {
-        this.httpCaller = checkNotNull(httpCaller, "httpCaller");
+        this.serverCaller = checkNotNull(serverCaller, "serverCaller");
         this.protocol = checkNotNull(protocol, "protocol");
         this.metadataRecorder = checkNotNull(metadataRecorder, "metadataRecorder");
         this.clock = checkNotNull(clock, "clock");
@@ -70,8 +70,8 @@
     }
 
     private CompletableFuture<ImmutableSet<PromptId>> query(BackendServer engine) {
-        return httpCaller
-                .call(protocol.promptsCall(engine), TIMEOUT_MS)
+        return serverCaller
+                .call(engine, protocol.promptsCall(engine), TIMEOUT_MS)
                 .thenApply(
                         outcome -> {
                             metadataRecorder.recordCall(engine.incarnation(), outcome);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -10,8 +10,8 @@
 import org.masticweir.forward.SilenceTimeouts;
 import org.masticweir.forward.StreamDurationEstimator;
 import org.masticweir.forward.WaitQueue;
-import org.masticweir.http.Dialer;
-import org.masticweir.http.HttpCaller;
+import org.masticweir.path.ServerCaller;
+import org.masticweir.path.ServerDialer;
 import org.masticweir.permits.SharedLimits;
 import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.time.Clock;
@@ -20,7 +20,8 @@
 /**
  * Dependencies that all requests of a router share; owned by the traffic thread.
  *
- * @param dialer opens the connections of sends to servers
+ * @param serverDialer opens the connections of sends to servers
+ * @param serverCaller calls servers for their state
  * @param sharedRetryPermits permits for retries that exceed this router's own retry budget
  * @param limits rate limits that servers announce, and permits for requests within these limits
  * @param metadataRecorder recorder of the announcements in servers' answers
@@ -32,8 +33,9 @@
         XnioIoThread thread,
         PlatformProtocol protocol,
         ByteBufferPool buffers,
-        HttpCaller httpCaller,
-        Dialer dialer,
+        ServerDialer serverDialer,
+        ServerCaller serverCaller,
+        ServerVerifier serverVerifier,
         PromptCacheClient promptCaches,
         Supplier<RelayView> view,
         LoadTracker loads,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -12,6 +12,7 @@
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
+import org.masticweir.path.TunnelOffer;
 import org.masticweir.peer.Fields;
 import org.masticweir.peer.FieldsCodec;
 import org.masticweir.peer.MessageCodec;
@@ -39,6 +40,7 @@
     private static final int PERMIT_REQUEST = 106;
     private static final int PERMIT_REPLY = 107;
     private static final int RATE_USAGE_REPORT = 108;
+    private static final int TUNNEL_OFFER = 109;
 
     private static final int MAX_ID_BYTES = 256;
     private static final int LOAD_FIELDS = 6;
@@ -146,6 +148,7 @@
                 .add(PermitRequest.codec(PERMIT_REQUEST))
                 .add(PermitReply.codec(PERMIT_REPLY))
                 .add(RateUsageReport.codec(RATE_USAGE_REPORT))
+                .add(TunnelOffer.codec(TUNNEL_OFFER))
                 .build();
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -78,6 +78,11 @@
         count("sends_total", "domain", server.domain().value(), "again", again);
     }
 
+    /** Counts a send whose connection goes through another router. */
+    void countTunnelledSend() {
+        count("sends_tunnelled_total");
+    }
+
     /** Counts the end of a send to {@code server}. */
     void countSendEnd(BackendServer server, SendEnd end) {
         String serverLabel = serverLabels.shownAs(server.id().value());
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -3,8 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.codahale.metrics.MetricRegistry;
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -16,9 +16,7 @@
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
-import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
-import org.masticweir.error.Verdict;
 import org.masticweir.feed.FeedPace;
 import org.masticweir.feed.ReadingShare;
 import org.masticweir.feed.TableFollower;
@@ -35,9 +33,6 @@
 import org.masticweir.http.HttpCallerLimits;
 import org.masticweir.logs.LogSetup;
 import org.masticweir.metrics.MetricName;
-import org.masticweir.peer.Hello;
-import org.masticweir.peer.LinkSettings;
-import org.masticweir.peer.MessageRegistry;
 import org.masticweir.peer.PeerLinks;
 import org.masticweir.permits.ServerLimits;
 import org.masticweir.permits.SharedLimits;
@@ -47,9 +42,6 @@
 import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.relay.RelayMessages.RouterInfo;
 import org.masticweir.time.Clock;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -83,22 +75,11 @@
 
     private static final long TICK_MS = 100;
 
-    private static final int MAX_QUEUED_BYTES = 4 << 20;
-    private static final int LINK_CONNECT_TIMEOUT_MS = 500;
-    private static final int LINK_BACKOFF_MIN_MS = 50;
-
-    /**
-     * Longest delay before a reconnection of a lost link, in ms: a router that has restarted must
-     * be reconnected soon.
-     */
-    private static final int LINK_BACKOFF_MAX_MS = 500;
-
-    private static final int LINK_SILENCE_TIMEOUT_MS = 2_000;
-
     private final RelaySettings settings;
     private final Clock clock;
     private final PlatformPort platform;
     private final Dialer dialer;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final ControlExecutor control = new ControlExecutor();
     private final XnioWorker worker;
     private final XnioIoThread thread;
@@ -125,6 +106,7 @@
     private final SharedPermits permits;
     private final SharedLimits limits;
     private final AnswerMetadataRecorder metadataRecorder;
+    private final ServerAccess access;
     private final LossInquiry inquiry;
     private final InFlightRequests inFlight;
     private final PeerExchange peers;
@@ -146,11 +128,11 @@
         this.platform = checkNotNull(platform, "platform");
         this.dialer = checkNotNull(dialer, "dialer");
         retryBudgets = ServiceRetryBudgets.of(settings.retryRatio(), settings.retryAllowance());
-        worker = newWorker();
+        worker = TrafficWorker.create();
         thread = worker.getIoThread();
         calls = HttpCaller.create(worker, HttpCallerLimits.defaults(), dialer);
         store = platform.store(settings.store(), calls);
-        links = openLinks();
+        links = RelayLinks.open(settings, clock);
         deployment = newDeployment();
         RouterInfo self = new RouterInfo(settings.router(), settings.domain(), settings.peers());
         directory = new PeerDirectory(store, self, control);
@@ -170,6 +152,7 @@
         metadataRecorder =
                 new AnswerMetadataRecorder(
                         serverNotices, limits, platform.protocol(), clock, metrics);
+        access = serverAccess();
         inquiry = lossInquiry();
         inFlight = new InFlightRequests(quarantine);
         quarantine.onChange((c, q) -> thread.execute(() -> inFlight.onQuarantineChange(c, q)));
@@ -181,7 +164,7 @@
                         worker,
                         new RelayHandler(context(loadSharing), admission, keepAlive),
                         platform.protocol().readyPath(),
-                        () -> deployment.isReady() && !admission.isDraining(),
+                        this::isReady,
                         metrics);
         callersPort =
                 new CallersPort(
@@ -227,6 +210,7 @@
     private void open() {
         ports.openManagement();
         peers.start();
+        access.start();
         links.start();
         control.execute(() -> reading.setFollowers(catalogFollower, serverFollower));
         directory.join(peers::addRouter);
@@ -245,6 +229,10 @@
         return deployment.isReady() && quarantineStore.isLoaded();
     }
 
+    private boolean isReady() {
+        return deployment.isReady() && !admission.isDraining() && !access.dialer().isIsolated();
+    }
+
     private void tick() {
         deployment.tick();
         reading.tick();
@@ -333,8 +321,26 @@
                 update -> directory.knownRouters().forEach(p -> links.send(p, update)));
     }
 
+    private ServerAccess serverAccess() {
+        return new ServerAccess(
+                settings,
+                worker,
+                thread,
+                buffers,
+                dialer,
+                calls,
+                clock,
+                links,
+                directory::knownRouters,
+                () -> view,
+                () -> !admission.isDraining(),
+                health,
+                metrics);
+    }
+
     private LossInquiry lossInquiry() {
-        ServerProbe check = new ServerProbe(calls, platform.protocol(), limits, metadataRecorder);
+        ServerProbe check =
+                new ServerProbe(access.caller(), platform.protocol(), limits, metadataRecorder);
         return new LossInquiry(quarantine, check, clock);
     }
 
@@ -365,6 +371,7 @@
                     serverNotices.updateListedServers(present, clock.nowMs());
                     inquiry.updateListed(present);
                     limits.retainServers(present);
+                    access.retainServers(present);
                 });
     }
 
@@ -374,10 +381,12 @@
                 clock,
                 thread,
                 platform.protocol(),
-                new DefaultByteBufferPool(true, BUFFER_BYTES),
-                calls,
-                dialer,
-                new PromptCacheClient(calls, platform.protocol(), metadataRecorder, clock),
+                buffers,
+                access.dialer(),
+                access.caller(),
+                new ServerVerifier(access.dialer(), health, clock, loadSharing::scheduleReport),
+                new PromptCacheClient(
+                        access.caller(), platform.protocol(), metadataRecorder, clock),
                 () -> view,
                 loads,
                 health,
@@ -399,24 +408,6 @@
                 loadSharing::scheduleReport);
     }
 
-    private PeerLinks openLinks() {
-        long incarnation = clock.wallMs();
-        LinkSettings link =
-                new LinkSettings(
-                        settings.peers(),
-                        LINK_CONNECT_TIMEOUT_MS,
-                        MAX_QUEUED_BYTES,
-                        LINK_BACKOFF_MIN_MS,
-                        LINK_BACKOFF_MAX_MS,
-                        LINK_SILENCE_TIMEOUT_MS,
-                        incarnation);
-        return PeerLinks.open(
-                link,
-                Hello.of(settings.router(), incarnation, settings.domain()),
-                MessageRegistry.of(RelayMessages.codecs()),
-                clock);
-    }
-
     /**
      * Adds {@code n} to a counter that the surrounding program exposes on this router's metrics
      * page.
@@ -471,25 +462,9 @@
         control.shutdownNow();
         callersPort.close();
         ports.close();
+        access.close();
         links.close();
         calls.close();
         worker.shutdownNow();
     }
-
-    private static XnioWorker newWorker() {
-        try {
-            return Xnio.getInstance()
-                    .createWorker(
-                            OptionMap.builder()
-                                    .set(Options.WORKER_IO_THREADS, 1)
-                                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                                    .set(Options.TCP_NODELAY, true)
-                                    .set(Options.THREAD_DAEMON, true)
-                                    .getMap());
-        } catch (IOException e) {
-            throw MasticweirException.causedBy(
-                    ErrorCode.INTERNAL, Verdict.NOT_RUN, "the traffic thread cannot start", e);
-        }
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -27,6 +27,7 @@
  * @param callers address that callers connect to
  * @param balancer address of the readiness check of the balancer
  * @param peers address that other routers connect to
+ * @param tunnels address at which other routers request tunnels to servers
  * @param metrics address of the metrics page
  * @param store address of the platform's store
  * @param retryRatio retries allowed for each request, over all routers
@@ -41,6 +42,7 @@
         InetSocketAddress callers,
         InetSocketAddress balancer,
         InetSocketAddress peers,
+        InetSocketAddress tunnels,
         InetSocketAddress metrics,
         InetSocketAddress store,
         double retryRatio,
@@ -79,6 +81,7 @@
         checkNotNull(callers, "callers");
         checkNotNull(balancer, "balancer");
         checkNotNull(peers, "peers");
+        checkNotNull(tunnels, "tunnels");
         checkNotNull(metrics, "metrics");
         checkNotNull(store, "store");
         checkNotNull(logLevel, "logLevel");
@@ -136,7 +139,8 @@
         RelaySettings settings() {
             IniSection router = section("router", "id", "domain");
             IniSection retries = section("retries", "share", "allowance");
-            IniSection peers = section("peers", "address");
+            IniSection peers = section("peers", "address", "tunnel_address");
+            InetSocketAddress peerAddress = peers.required("address", ADDRESS);
             double graceS =
                     section("shutdown", "grace_s")
                             .required("grace_s", ValueRule.decimal(0, MAX_GRACE_S));
@@ -151,7 +155,8 @@
                     router.required("domain", ValueRule.id(DomainId::of)),
                     section("callers", "address").required("address", ADDRESS),
                     section("balancer", "address").required("address", ADDRESS),
-                    peers.required("address", ADDRESS),
+                    peerAddress,
+                    peers.optional("tunnel_address", ADDRESS, portAfter(peerAddress)),
                     section("metrics", "address").required("address", ADDRESS),
                     section("store", "address").required("address", ADDRESS),
                     retries.required("share", ValueRule.decimal(0, MAX_RETRY_RATIO)),
@@ -162,6 +167,10 @@
                             .optional("level", ValueRule.enumOf(LogLevel.class), LogLevel.INFO));
         }
 
+        private static InetSocketAddress portAfter(InetSocketAddress address) {
+            return new InetSocketAddress(address.getAddress(), address.getPort() + 1);
+        }
+
         private IniSection section(String name, String... keys) {
             IniSection section = sections.get(name);
             if (section == null) {
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -16,6 +16,8 @@
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.id.ContentId;
+import org.masticweir.id.RouterId;
+import org.masticweir.path.ConnectFailure;
 import org.masticweir.relay.RelayMetrics.SendEnd;
 
 /**
@@ -28,6 +30,7 @@
     private final RelayRequest request;
     private final RequestStateMachine machine;
     private final RequestLog log;
+    private final SendEnds sendEnds;
     private final RelayMetrics.RequestMetrics metrics;
     private final CallerAnswerWriter writer;
     private final CallerDisconnectDetector detector;
@@ -55,6 +58,7 @@
         monitor = new ContentMonitor(context, request);
         timer = new RequestTimer(context.thread());
         log = new RequestLog(context, request);
+        sendEnds = new SendEnds(context, log, monitor);
         permits = new RequestPermits(context, log);
         metrics = context.metrics().request(params.route().name(), request.team());
         machine =
@@ -169,7 +173,8 @@
         }
         long now = now();
         if (now >= params.expiresMs() || !machine.mayStillSend(next.server(), now)) {
-            logNotRun(next.server(), SendEnd.NOT_REACHED, "was reached too late", silence.sentMs());
+            sendEnds.recordNotRun(
+                    next.server(), SendEnd.NOT_REACHED, "was reached too late", silence.sentMs());
             abortUnwrittenSend();
             closeSend();
             execute(machine.next(now));
@@ -227,8 +232,7 @@
 
     private void handleServerLoss(String reason) {
         BackendServer server = silence.server();
-        logLost(server, SendEnd.SILENT, reason, silence.sentMs());
-        monitor.recordLoss(server, silence.sentMs(), false, now());
+        sendEnds.recordLost(server, SendEnd.SILENT, reason, silence.sentMs());
         events.handleServerLoss();
         closeSend();
         execute(machine.onSendLost(server, now()));
@@ -244,7 +248,8 @@
     private void retryElsewhere(Step step) {
         SilenceTimer oldTimer = silence;
         if (step instanceof Step.Send) {
-            logLost(oldTimer.server(), SendEnd.SILENT, "sent no answer", oldTimer.sentMs());
+            sendEnds.recordAbandoned(
+                    oldTimer.server(), SendEnd.SILENT, "sent no answer", oldTimer.sentMs());
             closeSend();
             execute(step);
         } else if (step instanceof Step.AcquireRetryPermit retry) {
@@ -259,12 +264,6 @@
         }
     }
 
-    /** Records the end of a send that might have run and has no complete answer. */
-    private void logLost(BackendServer server, SendEnd end, String what, long sentMs) {
-        log.logLoss(server, what, sentMs, monitor.eventCount(), monitor.content());
-        context.metrics().countSendEnd(server, end);
-    }
-
     @Override
     public ContentId content() {
         return monitor.content();
@@ -278,7 +277,8 @@
     @Override
     public void onQuarantined() {
         if (!isEnded && silence != null && monitor.hasJustBegun(now())) {
-            logLost(silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
+            sendEnds.recordAbandoned(
+                    silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
             abortUnwrittenSend();
             end(machine.endInQuarantine(now()));
         }
@@ -292,11 +292,6 @@
         }
     }
 
-    private void logNotRun(BackendServer server, SendEnd end, String what, long sentMs) {
-        log.logServerEvent(server, what, sentMs);
-        context.metrics().countSendEnd(server, end);
-    }
-
     private void closeSend() {
         monitor.endSend();
         send.ifPresent(ServerSend::close);
@@ -448,7 +443,7 @@
             closeSend();
             String what = "refused with " + head.status();
             if (metadata.isWrongServer()) {
-                logNotRun(step.server(), SendEnd.REFUSED, what, sentMs);
+                sendEnds.recordNotRun(step.server(), SendEnd.REFUSED, what, sentMs);
                 execute(machine.onWrongServer(step.server(), now()));
                 context.onLoadsChanged().run();
                 return;
@@ -456,7 +451,7 @@
             recordLoad(metadata);
             long deprioritizedMs =
                     context.health().recordRefusal(step.server().incarnation(), now());
-            logNotRun(
+            sendEnds.recordNotRun(
                     step.server(),
                     SendEnd.REFUSED,
                     what + " and is the last choice for " + deprioritizedMs + " ms,",
@@ -465,13 +460,20 @@
         }
 
         @Override
-        public void onNotSent() {
+        public void onTunnel(RouterId carrier) {
+            log.logTunnel(step.server(), carrier, sentMs);
+            context.metrics().countTunnelledSend();
+        }
+
+        @Override
+        public void onNotSent(ConnectFailure failure) {
             if (isStale()) {
                 return;
             }
             closeSend();
-            logNotRun(step.server(), SendEnd.NOT_REACHED, "could not be reached", sentMs);
-            execute(machine.onConnectFailed(step.server(), now()));
+            String what = "could not be reached, " + failure;
+            sendEnds.recordNotRun(step.server(), SendEnd.NOT_REACHED, what, sentMs);
+            execute(machine.onConnectFailed(step.server(), failure, now()));
             context.onLoadsChanged().run();
         }
 
@@ -482,8 +484,7 @@
             }
             events.handleServerLoss();
             closeSend();
-            logLost(step.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
-            monitor.recordLoss(step.server(), sentMs, true, now());
+            sendEnds.recordLost(step.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
             execute(machine.onSendLost(step.server(), now()));
             context.onLoadsChanged().run();
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -13,6 +13,7 @@
 import org.masticweir.forward.ServerLoad;
 import org.masticweir.forward.Step;
 import org.masticweir.id.ContentId;
+import org.masticweir.id.RouterId;
 import org.masticweir.permits.PermitDecision;
 
 /**
@@ -50,6 +51,11 @@
                 context.view().get().catalog().map(Catalog::version).orElse(0L));
     }
 
+    /** Logs that the connection of a send goes through another router. */
+    void logTunnel(BackendServer server, RouterId carrier, long sentMs) {
+        logServerEvent(server, "is reached by way of " + carrier, sentMs);
+    }
+
     /** Logs the result of a prompt cache query. */
     void logPromptSearch(int engineCount, Optional<BackendServer> engine) {
         LOG.info(
--- a/masticweir/src/main/java/org/masticweir/relay/SendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendListener.java
@@ -3,6 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.OptionalLong;
 import org.masticweir.http.HttpHead;
+import org.masticweir.id.RouterId;
+import org.masticweir.path.ConnectFailure;
 
 /** Receives the events of one send to a server; an event marked "End" is the last one. */
 interface SendListener {
@@ -21,8 +23,11 @@
     /** End: the server reports that it did not run the request. */
     void onRefusal(HttpHead head, AnswerMetadata metadata);
 
+    /** The connection goes through a tunnel that {@code carrier} carries. */
+    void onTunnel(RouterId carrier);
+
     /** End: the request was not sent. */
-    void onNotSent();
+    void onNotSent(ConnectFailure failure);
 
     /** End: the request was sent, and no usable answer will arrive. */
     void onLost(String reason);
--- a/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
@@ -14,8 +14,8 @@
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.catalog.ServiceSpec;
 import org.masticweir.http.HttpCall;
-import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpOutcome;
+import org.masticweir.path.ServerCaller;
 import org.masticweir.permits.SharedLimits;
 
 /**
@@ -35,7 +35,7 @@
      */
     private static final int MAX_CALLS = 2;
 
-    private final HttpCaller httpCaller;
+    private final ServerCaller serverCaller;
     private final PlatformProtocol protocol;
     private final SharedLimits limits;
     private final AnswerMetadataRecorder metadataRecorder;
@@ -52,11 +52,11 @@
     }
 
     ServerProbe(
-            HttpCaller httpCaller,
+            ServerCaller serverCaller,
             PlatformProtocol protocol,
             SharedLimits limits,
             AnswerMetadataRecorder metadataRecorder) {
-        this.httpCaller = checkNotNull(httpCaller, "httpCaller");
+        this.serverCaller = checkNotNull(serverCaller, "serverCaller");
         this.protocol = checkNotNull(protocol, "protocol");
         this.limits = checkNotNull(limits, "limits");
         this.metadataRecorder = checkNotNull(metadataRecorder, "metadataRecorder");
@@ -82,7 +82,7 @@
 
     private void call(BackendServer server, HttpCall call, boolean isEngine, int callNumber) {
         limits.recordProbe(server.incarnation());
-        CompletableFuture<HttpOutcome> answer = httpCaller.call(call, TIMEOUT_MS);
+        CompletableFuture<HttpOutcome> answer = serverCaller.call(server, call, TIMEOUT_MS);
         answer.thenAccept(
                 outcome -> {
                     metadataRecorder.recordCall(server.incarnation(), outcome);
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -4,7 +4,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -13,6 +12,7 @@
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpStream;
 import org.masticweir.http.HttpStreamListener;
+import org.masticweir.path.ConnectAttempt;
 
 /**
  * One send of a request to a server; checks the answer before it is passed on. Runs on the traffic
@@ -32,6 +32,7 @@
     private final String requestId;
     private final boolean isStreaming;
     private final PlatformProtocol protocol;
+    private final ConnectAttempt attempt;
     private final SendListener listener;
     private final EventSplitter splitter = new EventSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -44,10 +45,12 @@
             String requestId,
             boolean isStreaming,
             PlatformProtocol protocol,
+            ConnectAttempt attempt,
             SendListener listener) {
         this.requestId = checkNotNull(requestId, "requestId");
         this.isStreaming = isStreaming;
         this.protocol = checkNotNull(protocol, "protocol");
+        this.attempt = checkNotNull(attempt, "attempt");
         this.listener = checkNotNull(listener, "listener");
     }
 
@@ -66,22 +69,18 @@
             String requestId,
             boolean isStreaming,
             SendListener listener) {
-        ServerSend send = new ServerSend(requestId, isStreaming, context.protocol(), listener);
-        InetSocketAddress address = server.address();
+        ConnectAttempt attempt =
+                context.serverDialer().newAttempt(server, context.connectTimeoutMs());
+        ServerSend send =
+                new ServerSend(requestId, isStreaming, context.protocol(), attempt, listener);
         HttpStream stream =
                 HttpStream.open(
                         context.thread(),
                         context.buffers(),
-                        address,
-                        callback ->
-                                context.dialer()
-                                        .dial(
-                                                address,
-                                                context.thread(),
-                                                context.buffers(),
-                                                callback),
-                        callSupplier,
-                        context.connectTimeoutMs(),
+                        server.address(),
+                        send.attempt,
+                        () -> send.onConnected(callSupplier),
+                        context.connectTimeoutMs() + 1,
                         send.new AnswerReader());
         send.httpStream = Optional.of(stream);
         if (send.isEnded) {
@@ -94,9 +93,15 @@
     @Override
     public void close() {
         isEnded = true;
+        attempt.close();
         httpStream.ifPresent(HttpStream::close);
     }
 
+    private Optional<HttpCall> onConnected(Supplier<Optional<HttpCall>> callSupplier) {
+        attempt.carrier().ifPresent(listener::onTunnel);
+        return callSupplier.get();
+    }
+
     private boolean isEventStream() {
         return isStreaming && head.isSuccess();
     }
@@ -186,7 +191,7 @@
                 return;
             }
             isEnded = true;
-            listener.onNotSent();
+            listener.onNotSent(attempt.failure());
         }
     }
 }
--- a/masticweir/src/test/java/org/masticweir/forward/RequestStateMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/RequestStateMachineTest.java
@@ -15,6 +15,7 @@
 import org.masticweir.catalog.Repeatability;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
+import org.masticweir.path.ConnectFailure;
 
 /** Tests the next step after each kind of failure. */
 class RequestStateMachineTest {
@@ -92,7 +93,9 @@
             step = decide(cutOff, step, 0);
             for (int i = 1; i <= FAILED_CONNECTS; i++) {
                 long now = i;
-                Step after = cutOff.onConnectFailed(asSend(step).server(), now);
+                Step after =
+                        cutOff.onConnectFailed(
+                                asSend(step).server(), ConnectFailure.SERVER_UNREACHABLE, now);
                 fixture.servers.forEach(s -> fixture.health.recordAnswer(s.incarnation(), now));
                 step = decide(cutOff, after instanceof Step.Wait ? cutOff.next(i) : after, i);
             }
