--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -54,6 +54,7 @@
     public static final int MAX_CHARS = 65_536;
 
     private static final int MAX_SECTIONS = 16;
+    private static final int MAX_PORT = 65_535;
     private static final double MAX_RETRY_RATIO = 10;
     private static final double MAX_ALLOWANCE = 1_000_000;
     private static final int MAX_GRACE_S = 600;
@@ -156,7 +157,7 @@
                     section("callers", "address").required("address", ADDRESS),
                     section("balancer", "address").required("address", ADDRESS),
                     peerAddress,
-                    peers.optional("tunnel_address", ADDRESS, portAfter(peerAddress)),
+                    tunnelAddress(peers, peerAddress),
                     section("metrics", "address").required("address", ADDRESS),
                     section("store", "address").required("address", ADDRESS),
                     retries.required("share", ValueRule.decimal(0, MAX_RETRY_RATIO)),
@@ -167,8 +168,15 @@
                             .optional("level", ValueRule.enumOf(LogLevel.class), LogLevel.INFO));
         }
 
-        private static InetSocketAddress portAfter(InetSocketAddress address) {
-            return new InetSocketAddress(address.getAddress(), address.getPort() + 1);
+        /** Returns the given address; if there is none, the port after that of the peers. */
+        private static InetSocketAddress tunnelAddress(
+                IniSection peers, InetSocketAddress peerAddress) {
+            int port = peerAddress == null ? MAX_PORT : peerAddress.getPort();
+            if (port == MAX_PORT) {
+                return peers.required("tunnel_address", ADDRESS);
+            }
+            InetSocketAddress next = new InetSocketAddress(peerAddress.getAddress(), port + 1);
+            return peers.optional("tunnel_address", ADDRESS, next);
         }
 
         private IniSection section(String name, String... keys) {
--- a/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
@@ -82,4 +82,38 @@
     void theLogLevelIsOptional() {
         assertEquals("INFO", parse("0.8", "150", "8").logLevel().name());
     }
+
+    /** Where other routers request tunnels. */
+    @Nested
+    class TunnelAddress {
+        private RelaySettings parse(String peers) {
+            return RelaySettings.parse(
+                    "router.ini",
+                    "[router]\nid = r1\ndomain = d1\n[callers]\naddress = 127.0.0.1:1\n"
+                            + "[balancer]\naddress = 127.0.0.1:2\n[peers]\n"
+                            + peers
+                            + "\n[metrics]\naddress = 127.0.0.1:4\n[store]\n"
+                            + "address = 127.0.0.1:5\n[retries]\nshare = 0.8\n"
+                            + "allowance = 150\n[shutdown]\ngrace_s = 8\n");
+        }
+
+        @Test
+        void isThePortAfterThatOfThePeers() {
+            assertEquals(7, parse("address = 127.0.0.1:6").tunnels().getPort());
+        }
+
+        @Test
+        void mayBeGiven() {
+            RelaySettings settings = parse("address = 127.0.0.1:6\ntunnel_address = 127.0.0.1:9");
+            assertEquals(9, settings.tunnels().getPort());
+        }
+
+        @Test
+        void mustBeGivenIfNoPortFollows() {
+            MasticweirException e =
+                    assertThrows(
+                            MasticweirException.class, () -> parse("address = 127.0.0.1:65535"));
+            assertTrue(e.getMessage().contains("tunnel_address"), e.getMessage());
+        }
+    }
 }
