Bound what all routers send to brittle servers by the room that they have

What callers would see: a server that says it is brittle falls over for seconds when it has to reject more than a few requests in a second, and with it what it works on.

Cause: nothing read the announcement, and plain servers were sent whatever came, each router for itself; a full server rejected the rest.

Change: Server-Brittle is decoded at the edge, kept by server and told to all routers. A request to such a server needs room: one issuer a server, chosen like those of shared rates, grants at most as many requests at once as the server has slots, the part of its side in a partition, half while issuers change. Routers report what they hold with each request and each end, so that a new issuer learns it. A rejection lowers the limit to what the server held then; it rises by one in 10 s. After half of the rejections that the server bears in a second nothing is granted until a second has passed. A caller who gets no room in time is refused at once, as not run.

Found on the way: a granted permit was wasted if another request of the router had been denied meanwhile; this held for limited servers as well. A permit now holds against a later denial.

--- a/masticweir/src/main/java/org/masticweir/forward/LoadEntry.java
+++ b/masticweir/src/main/java/org/masticweir/forward/LoadEntry.java
@@ -42,6 +42,10 @@
         return entry;
     }
 
+    public ServerIncarnation server() {
+        return server;
+    }
+
     /** Records the end of the prefill, once. */
     public void endPrefill() {
         if (!isPrefillEnded && !isClosed) {
--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -145,7 +145,10 @@
         Optional<BackendServer> usableCopyHolder = usableCopyHolder(nowMs);
         Optional<BackendServer> server =
                 permittedServer
-                        .filter(s -> canAccept(s, nowMs))
+                        .filter(
+                                s ->
+                                        selector.canAcceptWithPermit(
+                                                s, request.size(), request.engine(), nowMs))
                         .or(() -> usableCopyHolder)
                         .or(() -> usableCachingEngine(nowMs))
                         .or(() -> selectServer(nowMs));
@@ -244,10 +247,8 @@
 
     /** Returns the delay until {@link #onSlowAnswer}; empty if the request can't be hedged. */
     public OptionalLong hedgeDelayMs() {
-        boolean canHedge =
-                request.route().repeatability() == Repeatability.IDEMPOTENT
-                        && sendCount < request.route().attempts();
-        return canHedge
+        boolean isIdempotent = request.route().repeatability() == Repeatability.IDEMPOTENT;
+        return isIdempotent && sendCount < request.route().attempts()
                 ? OptionalLong.of(Math.max(1, (long) (request.route().goalMs() * HEDGE_FRACTION)))
                 : OptionalLong.empty();
     }
@@ -315,7 +316,7 @@
         return onRefused(nowMs);
     }
 
-    /** Records that the last send did not run and therefore has no copy. */
+    /** Records that the last send did not run, so it has no copy. */
     private void markNotRun() {
         isInFlight = false;
         copyHolder = Optional.empty();
--- a/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
@@ -93,6 +93,7 @@
     private final ServerHealth health;
     private final ServerNotices notices;
     private final ServerLimits limits;
+    private final ServerLimits brittle;
     private final DomainId ownDomain;
     private final RandomGenerator random;
 
@@ -101,24 +102,33 @@
             ServerHealth health,
             ServerNotices notices,
             ServerLimits limits,
+            ServerLimits brittle,
             DomainId ownDomain,
             RandomGenerator random) {
         this.loads = checkNotNull(loads, "loads");
         this.health = checkNotNull(health, "health");
         this.notices = checkNotNull(notices, "notices");
         this.limits = checkNotNull(limits, "limits");
+        this.brittle = checkNotNull(brittle, "brittle");
         this.ownDomain = checkNotNull(ownDomain, "ownDomain");
         this.random = checkNotNull(random, "random");
     }
 
+    /**
+     * Creates a selector.
+     *
+     * @param limits request rates that servers announce
+     * @param brittle rejections a second that servers announce to bear
+     */
     public static ServerSelector create(
             LoadTracker loads,
             ServerHealth health,
             ServerNotices notices,
             ServerLimits limits,
+            ServerLimits brittle,
             DomainId ownDomain,
             RandomGenerator random) {
-        return new ServerSelector(loads, health, notices, limits, ownDomain, random);
+        return new ServerSelector(loads, health, notices, limits, brittle, ownDomain, random);
     }
 
     /** Returns the best of {@code servers} that can accept a request; empty if there is none. */
@@ -183,7 +193,7 @@
             ImmutableList<BackendServer> servers, RequestSize size, EngineSpec engine, long nowMs) {
         Optional<EngineSpec> spec = Optional.of(engine);
         return servers.stream()
-                .filter(s -> canAccept(s, size, spec, nowMs) && !needsPermit(s))
+                .filter(s -> canAccept(s, size, spec, nowMs) && !isRateLimited(s))
                 .sorted(Comparator.comparingDouble(s -> rank(s, spec, nowMs)))
                 .limit(MAX_QUERIED_ENGINES)
                 .collect(ImmutableList.toImmutableList());
@@ -192,19 +202,32 @@
     /** Returns whether {@code server} can accept a request now. */
     boolean canAccept(
             BackendServer server, RequestSize size, Optional<EngineSpec> engine, long nowMs) {
+        return canAcceptWithPermit(server, size, engine, nowMs)
+                && remainingBlockMs(server, nowMs) == 0;
+    }
+
+    /**
+     * Returns whether {@code server} can accept a request that has a permit. Another request of
+     * this router may have been denied since, which does not take the permit away.
+     */
+    boolean canAcceptWithPermit(
+            BackendServer server, RequestSize size, Optional<EngineSpec> engine, long nowMs) {
         return !health.isDown(server, nowMs)
-                && remainingBlockMs(server, nowMs) == 0
+                && notices.remainingPauseMs(server.incarnation(), nowMs) == 0
                 && hasCapacity(server, size, engine);
     }
 
     /**
-     * Returns the remaining time of a server's pause or rate limit block, in ms; 0 if there is
-     * neither.
+     * Returns the remaining time of a server's pause or of the wait for a permit, in ms; 0 if there
+     * is neither.
      */
     long remainingBlockMs(BackendServer server, long nowMs) {
-        return Math.max(
-                notices.remainingPauseMs(server.incarnation(), nowMs),
-                limits.remainingBlockMs(server.incarnation(), nowMs));
+        ServerIncarnation incarnation = server.incarnation();
+        long blockedMs =
+                Math.max(
+                        limits.remainingBlockMs(incarnation, nowMs),
+                        brittle.remainingBlockMs(incarnation, nowMs));
+        return Math.max(notices.remainingPauseMs(incarnation, nowMs), blockedMs);
     }
 
     /** Returns whether a server is leaving, according to its entry or one of its answers. */
@@ -222,6 +245,10 @@
 
     /** Returns whether a request to {@code server} needs a permit. */
     boolean needsPermit(BackendServer server) {
+        return isRateLimited(server) || brittle.isLimited(server.incarnation());
+    }
+
+    private boolean isRateLimited(BackendServer server) {
         return limits.isLimited(server.incarnation());
     }
 
@@ -323,7 +350,7 @@
     private double rank(BackendServer server, Optional<EngineSpec> engine, long nowMs) {
         boolean isInOtherDomain = !server.domain().equals(ownDomain);
         boolean isDeprioritized = health.isDeprioritized(server, nowMs);
-        boolean isRateLimited = needsPermit(server);
+        boolean isRateLimited = isRateLimited(server);
         if (engine.isEmpty()) {
             double utilization =
                     (double) loads.requestCount(server.incarnation(), nowMs) / server.slots();
--- a/masticweir/src/main/java/org/masticweir/permits/LimitUpdate.java
+++ b/masticweir/src/main/java/org/masticweir/permits/LimitUpdate.java
@@ -47,15 +47,14 @@
 
     /** Returns the codec of limit updates with message type {@code type}. */
     public static MessageCodec<LimitUpdate> codec(int type) {
-        return FieldsCodec.of(
-                type,
-                LimitUpdate.class,
-                1,
-                LimitUpdate::encode,
-                f -> new LimitUpdate(f.list(MAX_LIMITS, LimitUpdate::decodeLimit)));
+        return FieldsCodec.of(type, LimitUpdate.class, 1, LimitUpdate::encode, LimitUpdate::decode);
     }
 
-    private static void encode(LimitUpdate update, MessagePacker out) throws IOException {
+    static LimitUpdate decode(Fields f) throws IOException {
+        return new LimitUpdate(f.list(MAX_LIMITS, LimitUpdate::decodeLimit));
+    }
+
+    static void encode(LimitUpdate update, MessagePacker out) throws IOException {
         out.packArrayHeader(update.limits.size());
         for (ServerLimit limit : update.limits) {
             out.packArrayHeader(LIMIT_FIELDS);
--- a/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
@@ -20,6 +20,11 @@
         return new PermitKey("server/" + server);
     }
 
+    /** Returns the key of the room at a server. */
+    public static PermitKey ofRoom(ServerIncarnation server) {
+        return new PermitKey("room/" + server);
+    }
+
     /** Returns the key of the retry allowance of a service. */
     public static PermitKey ofRetries(ServiceName service) {
         return new PermitKey("repeats/" + service.value());
--- a/masticweir/src/main/java/org/masticweir/permits/ServerLimits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/ServerLimits.java
@@ -11,8 +11,9 @@
 import org.masticweir.permits.LimitUpdate.ServerLimit;
 
 /**
- * The request limits of servers, based on the servers' answers and on updates from other routers;
- * owned by the traffic thread.
+ * Rates that servers announce, based on the servers' answers and on updates from other routers;
+ * owned by the traffic thread. There is one instance for the requests a second that servers accept,
+ * and one for the rejections a second that brittle servers bear.
  */
 public final class ServerLimits {
     private final Map<ServerIncarnation, Limit> limits = new HashMap<>();
--- a/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedLimits.java
@@ -135,6 +135,10 @@
                 });
     }
 
+    public boolean isLimited(ServerIncarnation server) {
+        return limits.isLimited(server);
+    }
+
     /** Returns a server's limit and its age, for the log. */
     public String describe(ServerIncarnation server) {
         OptionalDouble perSecond = limits.perSecond(server);
--- a/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
+++ b/masticweir/src/main/java/org/masticweir/permits/SharedPermits.java
@@ -70,6 +70,10 @@
         unansweredCounter = metrics.counter(MetricName.of("permit_asks_unanswered_total"));
     }
 
+    IssuerSelector issuers() {
+        return issuerSelector;
+    }
+
     /** Adds a known router. The router may issue permits once it is linked. */
     public void addRouter(RouterId router) {
         issuerSelector.addRouter(router, clock.nowMs());
--- a/masticweir/src/main/java/org/masticweir/relay/AnswerMetadata.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerMetadata.java
@@ -16,6 +16,7 @@
  * @param isSigned whether the answer has the server's signature
  * @param requestCount requests that are running or queued at the server
  * @param limit request rate that the server accepts
+ * @param rejections rejections a second that the server bears before it fails, if it is brittle
  * @param isLeaving whether the server will stop soon and accepts no more requests
  * @param pauseMs time for which this router must not send requests to the server
  */
@@ -26,12 +27,14 @@
         boolean isSigned,
         OptionalInt requestCount,
         AnnouncedLimit limit,
+        AnnouncedLimit rejections,
         boolean isLeaving,
         OptionalLong pauseMs) {
     public AnswerMetadata {
         checkNotNull(requestId, "requestId");
         checkNotNull(requestCount, "requestCount");
         checkNotNull(limit, "limit");
+        checkNotNull(rejections, "rejections");
         checkNotNull(pauseMs, "pauseMs");
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/AnswerMetadataRecorder.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerMetadataRecorder.java
@@ -14,6 +14,7 @@
 import org.masticweir.http.HttpOutcome;
 import org.masticweir.metrics.MetricName;
 import org.masticweir.permits.SharedLimits;
+import org.masticweir.permits.SharedRooms;
 import org.masticweir.time.Clock;
 
 /**
@@ -25,6 +26,7 @@
 
     private final ServerNotices notices;
     private final SharedLimits limits;
+    private final SharedRooms rooms;
     private final PlatformProtocol protocol;
     private final Clock clock;
     private final Counter leavingCounter;
@@ -33,11 +35,13 @@
     AnswerMetadataRecorder(
             ServerNotices notices,
             SharedLimits limits,
+            SharedRooms rooms,
             PlatformProtocol protocol,
             Clock clock,
             MetricRegistry metrics) {
         this.notices = checkNotNull(notices, "notices");
         this.limits = checkNotNull(limits, "limits");
+        this.rooms = checkNotNull(rooms, "rooms");
         this.protocol = checkNotNull(protocol, "protocol");
         this.clock = checkNotNull(clock, "clock");
         leavingCounter = metrics.counter(MetricName.of("servers_said_leaving_total"));
@@ -53,6 +57,7 @@
     void recordAnswer(
             ServerIncarnation server, AnswerMetadata metadata, String request, long sentMs) {
         limits.handleAnswer(server, metadata.limit(), request, sentMs);
+        rooms.handleAnswer(server, metadata.rejections(), sentMs);
         recordAnnouncements(server, metadata, request);
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/LimitExchange.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LimitExchange.java
@@ -8,11 +8,15 @@
 import org.masticweir.peer.LinkDirection;
 import org.masticweir.peer.LinkListener;
 import org.masticweir.peer.PeerLinks;
+import org.masticweir.permits.BrittleUpdate;
 import org.masticweir.permits.LimitUpdate;
 import org.masticweir.permits.PermitRequest;
 import org.masticweir.permits.RateUsageReport;
+import org.masticweir.permits.RoomReport;
+import org.masticweir.permits.RoomRequest;
 import org.masticweir.permits.SharedLimits;
 import org.masticweir.permits.SharedPermits;
+import org.masticweir.permits.SharedRooms;
 
 /**
  * Connects the peer links with the shared limits of servers and the shared permits: passes messages
@@ -21,17 +25,24 @@
 final class LimitExchange implements LinkListener {
     private final SharedLimits limits;
     private final SharedPermits permits;
+    private final SharedRooms rooms;
     private final Executor traffic;
     private final PeerLinks links;
 
     /**
      * Creates an exchange that receives nothing before {@link #start}.
      *
-     * @param traffic runs all calls to {@code limits}
+     * @param traffic runs all calls to {@code limits} and {@code rooms}
      */
-    LimitExchange(SharedLimits limits, SharedPermits permits, Executor traffic, PeerLinks links) {
+    LimitExchange(
+            SharedLimits limits,
+            SharedPermits permits,
+            SharedRooms rooms,
+            Executor traffic,
+            PeerLinks links) {
         this.limits = checkNotNull(limits, "limits");
         this.permits = checkNotNull(permits, "permits");
+        this.rooms = checkNotNull(rooms, "rooms");
         this.traffic = checkNotNull(traffic, "traffic");
         this.links = checkNotNull(links, "links");
     }
@@ -42,6 +53,11 @@
                 LimitUpdate.class,
                 (from, m, reply) -> traffic.execute(() -> limits.handleUpdate(from, m)));
         links.on(PermitRequest.class, permits::handleRequest);
+        links.on(
+                BrittleUpdate.class,
+                (from, m, reply) -> traffic.execute(() -> rooms.handleUpdate(from, m)));
+        links.on(RoomRequest.class, rooms::handleRequest);
+        links.on(RoomReport.class, (from, m, reply) -> rooms.handleReport(from, m));
         links.on(RateUsageReport.class, (from, m, reply) -> permits.handleUsage(m));
         links.listen(this);
     }
@@ -56,6 +72,7 @@
         if (direction == LinkDirection.OUTGOING) {
             permits.onLinkUp(peer.router());
             traffic.execute(() -> limits.snapshot().ifPresent(m -> links.send(peer.router(), m)));
+            traffic.execute(() -> rooms.snapshot().ifPresent(m -> links.send(peer.router(), m)));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -13,6 +13,7 @@
 import org.masticweir.path.ServerCaller;
 import org.masticweir.path.ServerDialer;
 import org.masticweir.permits.SharedLimits;
+import org.masticweir.permits.SharedRooms;
 import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.time.Clock;
 import org.xnio.XnioIoThread;
@@ -24,6 +25,7 @@
  * @param serverCaller calls servers for their state
  * @param sharedRetryPermits permits for retries that exceed this router's own retry budget
  * @param limits rate limits that servers announce, and permits for requests within these limits
+ * @param rooms room at brittle servers
  * @param metadataRecorder recorder of the announcements in servers' answers
  * @param connectTimeoutMs timeout for a connection to a server
  * @param onLoadsChanged runs after this router's load on servers has changed
@@ -44,6 +46,7 @@
         RetryLimiter retryLimiter,
         SharedRetryPermits sharedRetryPermits,
         SharedLimits limits,
+        SharedRooms rooms,
         AnswerMetadataRecorder metadataRecorder,
         SharedQuarantine quarantine,
         LossInquiry lossInquiry,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -17,10 +17,13 @@
 import org.masticweir.peer.FieldsCodec;
 import org.masticweir.peer.MessageCodec;
 import org.masticweir.peer.PeerMessage;
+import org.masticweir.permits.BrittleUpdate;
 import org.masticweir.permits.LimitUpdate;
 import org.masticweir.permits.PermitReply;
 import org.masticweir.permits.PermitRequest;
 import org.masticweir.permits.RateUsageReport;
+import org.masticweir.permits.RoomReport;
+import org.masticweir.permits.RoomRequest;
 import org.masticweir.quarantine.CrashUpdate;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -41,6 +44,9 @@
     private static final int PERMIT_REPLY = 107;
     private static final int RATE_USAGE_REPORT = 108;
     private static final int TUNNEL_OFFER = 109;
+    private static final int BRITTLE_UPDATE = 110;
+    private static final int ROOM_REQUEST = 111;
+    private static final int ROOM_REPORT = 112;
 
     private static final int MAX_ID_BYTES = 256;
     private static final int LOAD_FIELDS = 6;
@@ -149,6 +155,9 @@
                 .add(PermitReply.codec(PERMIT_REPLY))
                 .add(RateUsageReport.codec(RATE_USAGE_REPORT))
                 .add(TunnelOffer.codec(TUNNEL_OFFER))
+                .add(BrittleUpdate.codec(BRITTLE_UPDATE))
+                .add(RoomRequest.codec(ROOM_REQUEST))
+                .add(RoomReport.codec(ROOM_REPORT))
                 .build();
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -37,6 +37,7 @@
 import org.masticweir.permits.ServerLimits;
 import org.masticweir.permits.SharedLimits;
 import org.masticweir.permits.SharedPermits;
+import org.masticweir.permits.SharedRooms;
 import org.masticweir.quarantine.Quarantine;
 import org.masticweir.quarantine.QuarantineStore;
 import org.masticweir.quarantine.SharedQuarantine;
@@ -103,8 +104,10 @@
     private final QuarantineStore quarantineStore;
     private final SharedQuarantine quarantine;
     private final ServerLimits serverLimits = ServerLimits.create();
+    private final ServerLimits brittleServers = ServerLimits.create();
     private final SharedPermits permits;
     private final SharedLimits limits;
+    private final SharedRooms rooms;
     private final AnswerMetadataRecorder metadataRecorder;
     private final ServerAccess access;
     private final LossInquiry inquiry;
@@ -149,9 +152,10 @@
         quarantine = sharedQuarantine();
         permits = new SharedPermits(settings.router(), links, clock, thread, metrics);
         limits = sharedLimits();
+        rooms = sharedRooms();
         metadataRecorder =
                 new AnswerMetadataRecorder(
-                        serverNotices, limits, platform.protocol(), clock, metrics);
+                        serverNotices, limits, rooms, platform.protocol(), clock, metrics);
         access = serverAccess();
         inquiry = lossInquiry();
         inFlight = new InFlightRequests(quarantine);
@@ -284,7 +288,7 @@
                 directory,
                 loadSharing,
                 quarantine,
-                new LimitExchange(limits, permits, thread, links),
+                new LimitExchange(limits, permits, rooms, thread, links),
                 sharing,
                 catalogs,
                 reading,
@@ -321,6 +325,19 @@
                 update -> directory.knownRouters().forEach(p -> links.send(p, update)));
     }
 
+    private SharedRooms sharedRooms() {
+        return new SharedRooms(
+                settings.router(),
+                brittleServers,
+                permits,
+                links,
+                clock,
+                thread,
+                server -> loads.ownLoad(server).running(),
+                metrics,
+                update -> directory.knownRouters().forEach(p -> links.send(p, update)));
+    }
+
     private ServerAccess serverAccess() {
         return new ServerAccess(
                 settings,
@@ -371,6 +388,7 @@
                     serverNotices.updateListedServers(present, clock.nowMs());
                     inquiry.updateListed(present);
                     limits.retainServers(present);
+                    rooms.retainServers(present);
                     access.retainServers(present);
                 });
     }
@@ -391,10 +409,17 @@
                 loads,
                 health,
                 ServerSelector.create(
-                        loads, health, serverNotices, serverLimits, settings.domain(), random),
+                        loads,
+                        health,
+                        serverNotices,
+                        serverLimits,
+                        brittleServers,
+                        settings.domain(),
+                        random),
                 retryBudgets,
                 new SharedRetryPermits(retryBudgets, permits, clock),
                 limits,
+                rooms,
                 metadataRecorder,
                 quarantine,
                 inquiry,
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -8,7 +8,6 @@
 import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
-import org.masticweir.forward.LoadEntry;
 import org.masticweir.forward.RequestParameters;
 import org.masticweir.forward.RequestStateMachine;
 import org.masticweir.forward.SilenceTimer;
@@ -40,7 +39,7 @@
     private final RequestPermits permits;
 
     private Optional<ServerSend> send = Optional.empty();
-    private Optional<LoadEntry> loadEntry = Optional.empty();
+    private Optional<SendLoad> load = Optional.empty();
     private SilenceTimer silence;
     private int sendNumber;
 
@@ -142,8 +141,7 @@
         int number = sendNumber;
         log.logSend(next, number);
         context.metrics().countSend(next.server(), sendNumber);
-        loadEntry = Optional.of(LoadEntry.open(context.loads(), next, params.size()));
-        context.onLoadsChanged().run();
+        load = Optional.of(SendLoad.open(context, next, params.size()));
         silence = SilenceTimer.of(next, params, context.loads(), context.silenceTimeouts(), now());
         ServerSend newSend =
                 ServerSend.open(
@@ -293,16 +291,17 @@
     }
 
     private void closeSend() {
+        closeSend(false);
+    }
+
+    private void closeSend(boolean isRejected) {
         monitor.endSend();
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
         silence = null;
         timer.close();
-        if (loadEntry.isPresent()) {
-            loadEntry.get().close();
-            loadEntry = Optional.empty();
-            context.onLoadsChanged().run();
-        }
+        load.ifPresent(l -> l.close(isRejected));
+        load = Optional.empty();
     }
 
     private void end(Step.End end) {
@@ -379,8 +378,7 @@
             context.health().recordAnswer(step.server().incarnation(), now);
             monitor.recordEvent(now);
             if (silence.recordEvent(now)) {
-                loadEntry.ifPresent(LoadEntry::endPrefill);
-                context.onLoadsChanged().run();
+                load.ifPresent(SendLoad::endPrefill);
             }
             events.forward(step.server(), head, bytes, id, now);
         }
@@ -440,7 +438,7 @@
             if (isStale()) {
                 return;
             }
-            closeSend();
+            closeSend(!metadata.isWrongServer());
             String what = "refused with " + head.status();
             if (metadata.isWrongServer()) {
                 sendEnds.recordNotRun(step.server(), SendEnd.REFUSED, what, sentMs);
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -120,6 +120,9 @@
 
     /** Logs the decision on a server permit that was requested at {@code requestedMs}. */
     void logServerPermit(BackendServer server, PermitDecision decision, long requestedMs) {
+        if (!context.limits().isLimited(server.incarnation())) {
+            return;
+        }
         LOG.info(
                 "relay: request {}: permit for {} {} after {} ms, it takes {}",
                 id,
@@ -129,6 +132,16 @@
                 context.limits().describe(server.incarnation()));
     }
 
+    /** Logs that a brittle server has no room for the request now. */
+    void logRoomDenied(BackendServer server, PermitDecision decision, long requestedMs) {
+        LOG.info(
+                "relay: request {}: room at {} {} after {} ms",
+                id,
+                server.id(),
+                text(decision),
+                context.clock().nowMs() - requestedMs);
+    }
+
     /** Logs that a stream resumed after a pause. */
     void logResume(BackendServer server, long pauseMs) {
         LOG.info("relay: request {} goes on at {} after {} ms", id, server.id(), pauseMs);
--- a/masticweir/src/main/java/org/masticweir/relay/RequestPermits.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestPermits.java
@@ -18,7 +18,10 @@
         this.log = checkNotNull(log, "log");
     }
 
-    /** Requests a permit to send the request to a server that limits its request rate. */
+    /**
+     * Requests what a send to a server needs: a permit if the server limits its request rate, and
+     * room if it is brittle.
+     */
     void requestServerPermit(BackendServer server, int urgency, Consumer<Boolean> callback) {
         long requestedMs = context.clock().nowMs();
         context.limits()
@@ -27,6 +30,24 @@
                         urgency,
                         decision -> {
                             log.logServerPermit(server, decision, requestedMs);
+                            if (decision.isGranted()) {
+                                requestRoom(server, urgency, callback);
+                            } else {
+                                callback.accept(false);
+                            }
+                        });
+    }
+
+    private void requestRoom(BackendServer server, int urgency, Consumer<Boolean> callback) {
+        long requestedMs = context.clock().nowMs();
+        context.rooms()
+                .request(
+                        server,
+                        urgency,
+                        decision -> {
+                            if (!decision.isGranted()) {
+                                log.logRoomDenied(server, decision, requestedMs);
+                            }
                             callback.accept(decision.isGranted());
                         });
     }
--- a/masticweir/src/test/java/org/masticweir/forward/ForwardFixture.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ForwardFixture.java
@@ -31,9 +31,16 @@
     final ServerHealth health = ServerHealth.create();
     final ServerNotices notices = ServerNotices.create();
     final ServerLimits limits = ServerLimits.create();
+    final ServerLimits brittle = ServerLimits.create();
     final ServerSelector selector =
             ServerSelector.create(
-                    loads, health, notices, limits, DomainId.of("a"), new SplittableRandom(7));
+                    loads,
+                    health,
+                    notices,
+                    limits,
+                    brittle,
+                    DomainId.of("a"),
+                    new SplittableRandom(7));
     final WaitQueue waitQueue = WaitQueue.create();
     final ServiceRetryBudgets retryBudgets = retryBudgetsOfBusyRouter();
 
--- a/masticweir/src/test/java/org/masticweir/forward/ServerSelectorTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerSelectorTest.java
@@ -1,6 +1,7 @@
 package org.masticweir.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
@@ -17,6 +18,8 @@
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
+import org.masticweir.permits.AnnouncedLimit;
+import org.masticweir.permits.ServerLimits;
 
 /** Tests which server is selected. */
 class ServerSelectorTest {
@@ -282,6 +285,7 @@
                             fixture.health,
                             fixture.notices,
                             fixture.limits,
+                            fixture.brittle,
                             DomainId.of("a"),
                             new SplittableRandom(1))
                     .select(
@@ -305,4 +309,49 @@
             assertEquals("a", choosePlain().domain().value());
         }
     }
+
+    /** Servers that need a permit. */
+    @Nested
+    class Permits {
+        private final BackendServer server = fixture.byId("a-1");
+
+        private void announce(ServerLimits limits) {
+            limits.recordAnswer(server.incarnation(), AnnouncedLimit.of(3), 0, 0);
+        }
+
+        private boolean canAccept() {
+            return fixture.selector.canAccept(
+                    server, ForwardFixture.PROMPT, Optional.of(ForwardFixture.ENGINE), 1);
+        }
+
+        private boolean canAcceptWithPermit() {
+            return fixture.selector.canAcceptWithPermit(
+                    server, ForwardFixture.PROMPT, Optional.of(ForwardFixture.ENGINE), 1);
+        }
+
+        @Test
+        void areNeededAtBrittleServers() {
+            assertFalse(fixture.selector.needsPermit(server));
+            announce(fixture.brittle);
+            assertTrue(fixture.selector.needsPermit(server));
+        }
+
+        /** Failure: a granted permit is wasted because another request was denied meanwhile. */
+        @Test
+        void thatWereGrantedHoldAfterTheDenialOfAnotherRequest() {
+            announce(fixture.brittle);
+            announce(fixture.limits);
+            fixture.brittle.blockUntil(server.incarnation(), 10);
+            assertFalse(canAccept());
+            assertTrue(canAcceptWithPermit());
+            fixture.limits.blockUntil(server.incarnation(), 10);
+            assertTrue(canAcceptWithPermit());
+        }
+
+        @Test
+        void doNotHoldAgainstAPauseOfTheServer() {
+            fixture.notices.recordPause(server.incarnation(), 100, 0);
+            assertFalse(canAcceptWithPermit());
+        }
+    }
 }
