path: hear sooner that a server is unreachable, and try both sides of a cut

Cause: a silent server was reported to others up to 260 ms after its loss, as each router asked for a tunnel waited 120 ms, and they were asked one after the other; meanwhile streams went on at other servers of the same lost domain. A router of a domain that is cut off tried four servers elsewhere and took all its paths for lost.

Change: a carrying router waits 60 ms for a server, by turns of its thread; after the loss of a silent server all ways are tried at once; a check of lost paths tries two servers of the own domain and two of others.

--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -26,10 +26,10 @@
     private static final long RACE_DELAY_MS = 50;
 
     /** Time after which more routers are asked for a tunnel, in ms. */
-    private static final long MORE_PEERS_DELAY_MS = 90;
+    private static final long MORE_PEERS_DELAY_MS = 40;
 
-    /** Timeout of one request for a tunnel, in ms; the carrying router connects within 120 ms. */
-    private static final long TUNNEL_TIMEOUT_MS = 140;
+    /** Timeout of one request for a tunnel, in ms; the carrying router connects within 60 ms. */
+    private static final long TUNNEL_TIMEOUT_MS = 100;
 
     /**
      * Maximum number of routers that are asked for a tunnel. If more than half of the routers have
@@ -75,6 +75,16 @@
         }
     }
 
+    /**
+     * Starts the attempt on all ways at once; called instead of {@link #connect}. This tells
+     * soonest whether the server is reached at all, at the price of connections that are not used.
+     */
+    public void connectEagerly(ClientCallback<ClientConnection> listener) {
+        connect(listener);
+        startTunnel();
+        askMorePeers();
+    }
+
     /** Returns the router that carries the connection; empty if it is direct. */
     public Optional<RouterId> carrier() {
         return carrier;
--- a/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.Level;
@@ -40,6 +41,9 @@
     /** Time between two background checks, in ms. */
     private static final long CHECK_INTERVAL_MS = 400;
 
+    /** Servers of the own domain, and of others, that one check tries. */
+    private static final int CHECKS_PER_SIDE = ServerPaths.LOST_FROM_SERVERS / 2;
+
     /** Time after which a server counts as not reached by a check, in ms. */
     private static final long CHECK_TIMEOUT_MS = 100;
 
@@ -48,6 +52,7 @@
     private final ByteBufferPool buffers;
     private final Clock clock;
     private final ServerPaths paths;
+    private final DomainId ownDomain;
     private final TunnelPeers peers;
     private final RandomGenerator random;
     private final Supplier<ImmutableList<BackendServer>> listedServers;
@@ -76,6 +81,7 @@
         this.buffers = checkNotNull(buffers, "buffers");
         this.clock = checkNotNull(clock, "clock");
         this.paths = checkNotNull(paths, "paths");
+        this.ownDomain = checkNotNull(ownDomain, "ownDomain");
         peers = new TunnelPeers(ownDomain, random);
         this.random = checkNotNull(random, "random");
         this.listedServers = checkNotNull(listedServers, "listedServers");
@@ -180,12 +186,30 @@
     private void check() {
         List<BackendServer> candidates = new ArrayList<>(listedServers.get());
         Collections.shuffle(candidates, new Random(random.nextLong()));
-        boolean areAllLost = paths.areAllLost();
+        if (paths.areAllLost()) {
+            startChecks(candidates, s -> true, 1);
+        } else {
+            startChecks(candidates, this::isNear, CHECKS_PER_SIDE);
+            startChecks(candidates, s -> !isNear(s), CHECKS_PER_SIDE);
+        }
+        thread.executeAfter(this::endCheck, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns whether a server is in the own domain. A domain may be cut off from the others, and
+     * all servers of a domain may fail together; servers of both sides tell this from lost paths.
+     */
+    private boolean isNear(BackendServer server) {
+        return server.domain().equals(ownDomain);
+    }
+
+    private void startChecks(
+            List<BackendServer> candidates, Predicate<BackendServer> filter, int count) {
         candidates.stream()
-                .filter(s -> areAllLost || !paths.hasFailed(s.incarnation()))
-                .limit(areAllLost ? 1 : ServerPaths.LOST_FROM_SERVERS)
+                .filter(filter)
+                .filter(s -> paths.areAllLost() || !paths.hasFailed(s.incarnation()))
+                .limit(count)
                 .forEach(s -> new PathCheck(s).start());
-        thread.executeAfter(this::endCheck, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     private void endCheck() {
--- a/masticweir/src/main/java/org/masticweir/path/Tunnel.java
+++ b/masticweir/src/main/java/org/masticweir/path/Tunnel.java
@@ -14,13 +14,13 @@
 import java.util.regex.Pattern;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.http.IpAddress;
+import org.masticweir.http.TurnTimer;
 import org.xnio.ChannelListeners;
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -38,18 +38,21 @@
             Pattern.compile(
                     "GET " + TunnelClient.PATH_PREFIX + "([0-9a-f]+)/(\\S+) HTTP/1\\.1\r\n");
 
-    /** Timeout for the request and for the connection to the server, in ms. */
-    private static final long OPEN_TIMEOUT_MS = 120;
+    /**
+     * Timeout for the request and for the connection to the server, in ms: many round trips. While
+     * a server is not known to have failed, other routers go on to choose it.
+     */
+    private static final long OPEN_TIMEOUT_MS = 60;
 
     /** Time after which another server is tried besides one that does not accept, in ms. */
-    private static final long CONTROL_DELAY_MS = 40;
+    private static final long CONTROL_DELAY_MS = 20;
 
     private static final OptionMap SERVER_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final TunnelServer owner;
     private final StreamConnection client;
     private final ByteBuffer head = ByteBuffer.allocate(MAX_HEAD_BYTES);
-    private final XnioExecutor.Key timer;
+    private final TurnTimer timer;
     private Optional<StreamConnection> server = Optional.empty();
     private TunnelStatus failureStatus = TunnelStatus.NO_PATH;
     private boolean isServerRefused;
@@ -60,12 +63,7 @@
     Tunnel(TunnelServer owner, StreamConnection client) {
         this.owner = checkNotNull(owner, "owner");
         this.client = checkNotNull(client, "client");
-        timer =
-                owner.thread()
-                        .executeAfter(
-                                () -> refuse(failureStatus),
-                                OPEN_TIMEOUT_MS,
-                                TimeUnit.MILLISECONDS);
+        timer = TurnTimer.start(owner.thread(), OPEN_TIMEOUT_MS, () -> refuse(failureStatus));
     }
 
     void start() {
@@ -193,7 +191,7 @@
             IoUtils.safeClose(connected);
             return;
         }
-        timer.remove();
+        timer.cancel();
         isOpen = true;
         server = Optional.of(connected);
         owner.countEnd(TunnelStatus.OPEN);
@@ -296,7 +294,7 @@
             return;
         }
         isClosed = true;
-        timer.remove();
+        timer.cancel();
         owner.remove(this);
         IoUtils.safeClose(client);
         server.ifPresent(IoUtils::safeClose);
--- a/masticweir/src/main/java/org/masticweir/relay/ServerVerifier.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerVerifier.java
@@ -53,7 +53,13 @@
     void verify(BackendServer server, boolean isConnectionBroken) {
         if (pending.add(server.incarnation())) {
             ConnectAttempt attempt = dialer.newAttempt(server, TIMEOUT_MS);
-            attempt.connect(new Result(server, attempt, isConnectionBroken));
+            Result result = new Result(server, attempt, isConnectionBroken);
+            if (isConnectionBroken) {
+                attempt.connect(result);
+            } else {
+                // A silent server may not even refuse the connection.
+                attempt.connectEagerly(result);
+            }
         }
     }
 
