path: use all direct paths at once when they are back

Cause: while all paths were lost, each tunnel renewed the time for which the direct path to its server was passed over, though no direct connection had been tried. Now only a failed direct connection beside a tunnel counts, and the first success after a loss of all paths clears all.

--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -203,7 +203,9 @@
         if (isDirectPending) {
             owner.recordDirectResult(server, false);
         }
-        owner.paths().recordPeerSuccess(server.incarnation(), owner.now());
+        if (isDirectTried) {
+            owner.paths().recordPeerSuccess(server.incarnation(), owner.now());
+        }
         owner.peers().recordOpened(peer);
         connection.addCloseListener(c -> owner.peers().recordClosed(peer));
         carrier = Optional.of(peer);
--- a/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
@@ -75,9 +75,16 @@
         return (int) brokenPaths.values().stream().filter(p -> nowMs < p.brokenUntilMs).count();
     }
 
-    /** Records that a direct connection was established. */
+    /**
+     * Records that a direct connection was established. If the paths to all servers were lost, they
+     * are probably all back.
+     */
     void recordDirectSuccess(ServerIncarnation server) {
-        brokenPaths.remove(checkNotNull(server, "server"));
+        checkNotNull(server, "server");
+        if (areAllLost()) {
+            brokenPaths.clear();
+        }
+        brokenPaths.remove(server);
         failedServers.clear();
     }
 
--- a/masticweir/src/test/java/org/masticweir/path/ServerPathsTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/ServerPathsTest.java
@@ -108,6 +108,15 @@
             assertFalse(paths.areAllLost());
         }
 
+        /** Failure: requests go through other routers for a second after the paths are back. */
+        @Test
+        void areAllUsedAfterOneSuccess() {
+            failAt(4);
+            paths.recordPeerSuccess(servers.get(0), 0);
+            paths.recordDirectSuccess(servers.get(5));
+            assertFalse(paths.mustUsePeer(servers.get(0), 1));
+        }
+
         @Test
         void areNotLostIfOtherRoutersDoNotReachTheServersEither() {
             failAt(4);
