path: a carrying router counts its own failed connections, also those that hang

Found by reading: a tunnel opened its connection past the dialer, so that a test that cuts a router's paths did not cut those of its tunnels, and a connection that hung until the timeout was no evidence against the router's own paths. It would have called servers unreachable for as long as no request of its own failed. TunnelTest has both cases.

--- a/masticweir/src/main/java/org/masticweir/path/Tunnel.java
+++ b/masticweir/src/main/java/org/masticweir/path/Tunnel.java
@@ -3,22 +3,25 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.Channel;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.http.Dialer;
 import org.masticweir.http.IpAddress;
 import org.masticweir.http.TurnTimer;
 import org.xnio.ChannelListeners;
-import org.xnio.IoFuture;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
@@ -47,12 +50,11 @@
     /** Time after which another server is tried besides one that does not accept, in ms. */
     private static final long CONTROL_DELAY_MS = 20;
 
-    private static final OptionMap SERVER_OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
-
     private final TunnelServer owner;
     private final StreamConnection client;
     private final ByteBuffer head = ByteBuffer.allocate(MAX_HEAD_BYTES);
     private final TurnTimer timer;
+    private final Set<ServerConnect> pendingConnects = new HashSet<>();
     private Optional<StreamConnection> server = Optional.empty();
     private TunnelStatus failureStatus = TunnelStatus.NO_PATH;
     private boolean isServerRefused;
@@ -63,7 +65,7 @@
     Tunnel(TunnelServer owner, StreamConnection client) {
         this.owner = checkNotNull(owner, "owner");
         this.client = checkNotNull(client, "client");
-        timer = TurnTimer.start(owner.thread(), OPEN_TIMEOUT_MS, () -> refuse(failureStatus));
+        timer = TurnTimer.start(owner.thread(), OPEN_TIMEOUT_MS, this::onTimeout);
     }
 
     void start() {
@@ -153,28 +155,48 @@
         }
     }
 
-    /** Opens a connection and counts the result as evidence about this router's paths. */
     private void open(BackendServer target, Consumer<StreamConnection> onOpen, Runnable onFailure) {
-        owner.thread()
-                .openStreamConnection(
-                        target.address(),
-                        connection -> {
-                            owner.dialer().recordDirectResult(target, true);
-                            onOpen.accept(connection);
-                        },
-                        SERVER_OPTIONS)
-                .addNotifier(
-                        (future, nothing) -> {
-                            if (future.getStatus() == IoFuture.Status.FAILED) {
-                                owner.thread().execute(() -> onRefused(target, onFailure));
-                            }
-                        },
-                        null);
+        ServerConnect connect = new ServerConnect(target, onOpen, onFailure);
+        pendingConnects.add(connect);
+        owner.dialer().dialDirectly(target, connect);
+    }
+
+    /** One connection to a server, whose result is evidence about this router's paths. */
+    private final class ServerConnect implements ClientCallback<ClientConnection> {
+        private final BackendServer target;
+        private final Consumer<StreamConnection> onOpen;
+        private final Runnable onFailure;
+
+        ServerConnect(BackendServer target, Consumer<StreamConnection> onOpen, Runnable onFailure) {
+            this.target = target;
+            this.onOpen = onOpen;
+            this.onFailure = onFailure;
+        }
+
+        @Override
+        public void completed(ClientConnection connection) {
+            pendingConnects.remove(this);
+            owner.dialer().recordDirectResult(target, true);
+            try {
+                onOpen.accept(connection.performUpgrade());
+            } catch (IOException e) {
+                TunnelServer.LOG.debug("tunnel: closed at once, {}", e.getMessage());
+                Dialer.discard(connection);
+                onFailure.run();
+            }
+        }
+
+        @Override
+        public void failed(IOException e) {
+            pendingConnects.remove(this);
+            owner.dialer().recordDirectResult(target, false);
+            onFailure.run();
+        }
     }
 
-    private void onRefused(BackendServer target, Runnable onFailure) {
-        owner.dialer().recordDirectResult(target, false);
-        onFailure.run();
+    private void onTimeout() {
+        pendingConnects.forEach(c -> owner.dialer().recordDirectResult(c.target, false));
+        refuse(failureStatus);
     }
 
     private static Optional<InetSocketAddress> parseAddress(String text) {
--- a/masticweir/src/test/java/org/masticweir/path/TunnelTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/TunnelTest.java
@@ -8,14 +8,19 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +39,7 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 /** What a tunnel passes on, for whom and to where, on loopback sockets. */
@@ -47,17 +53,22 @@
     private ServerSocket server;
     private InetSocketAddress port;
     private TunnelServer tunnels;
+    private ServerSocket second;
     private volatile boolean isOpen = true;
+    private volatile Optional<IOException> cut = Optional.empty();
+    private volatile boolean isHanging;
 
     @BeforeEach
     void setUp() throws Exception {
         worker = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1));
         server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         port = freeAddress();
-        ImmutableList<BackendServer> listed = ImmutableList.of(backend("e1", server));
+        second = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        ImmutableList<BackendServer> listed =
+                ImmutableList.of(backend("e1", server), backend("e2", second));
         ServerDialer dialer =
                 new ServerDialer(
-                        Dialer.tcp(),
+                        this::dial,
                         worker.getIoThread(),
                         new DefaultByteBufferPool(true, 1_024),
                         Clock.system(),
@@ -84,9 +95,25 @@
     void tearDown() throws IOException {
         tunnels.close();
         server.close();
+        second.close();
         worker.shutdownNow();
     }
 
+    private void dial(
+            InetSocketAddress address,
+            XnioIoThread thread,
+            ByteBufferPool pool,
+            ClientCallback<ClientConnection> callback) {
+        if (isHanging) {
+            return;
+        }
+        if (cut.isPresent()) {
+            thread.execute(() -> callback.failed(cut.get()));
+        } else {
+            Dialer.tcp().dial(address, thread, pool, callback);
+        }
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) socket.getLocalSocketAddress();
@@ -172,6 +199,21 @@
             assertRefused("502 Bad Gateway", KEY, address);
         }
 
+        /** Failure: a router that has just lost its paths calls a sound server unreachable. */
+        @Test
+        void ofARouterThatReachesNoServerItself() throws Exception {
+            cut = Optional.of(new ConnectException("path is cut"));
+            assertRefused("504 Gateway Timeout", KEY, serverAddress());
+            assertTrue(paths.hasFailed(ServerIncarnation.of(EngineId.of("e1"), 0)));
+        }
+
+        @Test
+        void ofARouterWhoseConnectionsHang() throws Exception {
+            isHanging = true;
+            assertRefused("504 Gateway Timeout", KEY, serverAddress());
+            assertTrue(paths.hasFailed(ServerIncarnation.of(EngineId.of("e1"), 0)));
+        }
+
         @Test
         void ofBytesThatAreNoRequest() throws Exception {
             try (Socket client = new Socket(port.getAddress(), port.getPort())) {
