health: tell other routers of a loss while the path to its server works

What a caller would see: on larger sites streams went on at engines that hang, as each router had to lose a stream there itself.

A server that is silent, or ends connections, while it accepts new ones was told of no more.

Change: if the connection that follows a loss is direct, the loss is the server's and is told; if only a tunnel gets through, it is the path's, and the server is cleared.

--- a/masticweir/src/main/java/org/masticweir/relay/ServerVerifier.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerVerifier.java
@@ -18,11 +18,12 @@
 import org.masticweir.time.Clock;
 
 /**
- * Checks whether a server that lost a request accepts connections, before other routers are told of
- * a failure; owned by the traffic thread.
+ * Checks whether the loss of a request is the fault of its server or of the path to it, before
+ * other routers are told of a failure; owned by the traffic thread.
  *
  * <p>A router that loses its paths loses its requests at all servers at once. If it reported each
- * loss as a failure, the other routers would avoid servers that they reach.
+ * loss as a failure, the other routers would avoid servers that they reach. A server that loses
+ * requests while it accepts this router's connections is reported: it hangs, or ends connections.
  */
 final class ServerVerifier {
     private static final Logger LOG = LogManager.getLogger(ServerVerifier.class);
@@ -47,13 +48,12 @@
     /**
      * Checks {@code server} after the loss of a request.
      *
-     * @param isConnectionBroken whether the connection broke; a server that is merely silent stays
-     *     excluded although it accepts connections
+     * @param isConnectionBroken whether the connection broke, and the server was not just silent
      */
     void verify(BackendServer server, boolean isConnectionBroken) {
         if (pending.add(server.incarnation())) {
             ConnectAttempt attempt = dialer.newAttempt(server, TIMEOUT_MS);
-            Result result = new Result(server, attempt, isConnectionBroken);
+            Result result = new Result(server, attempt);
             if (isConnectionBroken) {
                 attempt.connect(result);
             } else {
@@ -73,21 +73,23 @@
     private final class Result implements ClientCallback<ClientConnection> {
         private final BackendServer server;
         private final ConnectAttempt attempt;
-        private final boolean isConnectionBroken;
 
-        Result(BackendServer server, ConnectAttempt attempt, boolean isConnectionBroken) {
+        Result(BackendServer server, ConnectAttempt attempt) {
             this.server = server;
             this.attempt = attempt;
-            this.isConnectionBroken = isConnectionBroken;
         }
 
         @Override
         public void completed(ClientConnection connection) {
             Dialer.discard(connection);
-            if (isConnectionBroken) {
+            if (attempt.carrier().isPresent()) {
                 health.recordReachable(server, clock.nowMs());
+                finish(server, "is reached by another router only");
+            } else {
+                // The path works, so the server is at fault, and other routers should know.
+                health.recordFailure(server, clock.nowMs());
+                finish(server, "accepts connections");
             }
-            finish(server, "accepts connections");
         }
 
         @Override
