--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -91,7 +91,7 @@
 
     /**
      * Records that a server accepts no connections, neither from this router nor from another one.
-     * Other routers are told.
+     * Reported to other routers.
      */
     public void recordFailure(BackendServer server, long nowMs) {
         pendingReports.putIfAbsent(server.incarnation(), false);
@@ -99,8 +99,8 @@
     }
 
     /**
-     * Records that a server lost a request of this router, or was not reached. Other routers are
-     * not told, because the path from this router to the server may have broken.
+     * Records that a server lost a request of this router, or was not reached. It is not reported,
+     * because the path from this router to the server may have broken.
      */
     public void recordLoss(BackendServer server, long nowMs) {
         addFailure(server, nowMs);
--- a/masticweir/src/main/java/org/masticweir/http/Dialer.java
+++ b/masticweir/src/main/java/org/masticweir/http/Dialer.java
@@ -54,7 +54,7 @@
         }
     }
 
-    /** Returns the address as it stands in a URI and in a host field. */
+    /** Formats the address for a URI or a host field. */
     static String hostAndPort(InetSocketAddress address) {
         String host = address.getAddress().getHostAddress();
         String literal = host.contains(":") ? "[" + host + "]" : host;
--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -90,7 +90,7 @@
         return carrier;
     }
 
-    /** Returns what the failure of this attempt tells; called after the attempt has failed. */
+    /** Returns the cause of the failure; called after the attempt has failed. */
     public ConnectFailure failure() {
         return failure;
     }
--- a/masticweir/src/main/java/org/masticweir/path/ConnectFailure.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectFailure.java
@@ -1,6 +1,6 @@
 package org.masticweir.path;
 
-/** What a failed connection tells about the server. */
+/** Cause of a failed connection, as far as it is known. */
 public enum ConnectFailure {
     /** Several routers that reach other servers do not reach this server. */
     SERVER_UNREACHABLE,
