relay: a stream without a length is complete only if its server lives

Callers got part of a report as the whole, or an empty report. An answer may come with neither a length nor chunks and end with its connection, and a process that dies ends its connections in the same way: the system closes them with FIN. Engines write whole events, so that the end lies between two events nearly always. Such a stream was passed on as complete, and the quarantine took the content for sound although its server had ended under it.

Evidence: UnframedAnswerTest, a server of raw bytes whose process ends after event 5 or after the head. Failed before: Stream .whoseEngineExitsBetweenEventsGoesOnElsewhere (3 of 3), .whoseEngineExitsBeforeTheFirstEventStartsElsewhere, and ThroughTunnel .streamThatBreaksOffBetweenEventsGoesOnElsewhere[EXIT]: "expected: <id: 1 ..." and only five events, or none, came. They pass with the change.

The other cases of the test passed before and show what was ruled out: resets (direct and by way of another router, where the reset stays a reset), an end within an event or within the head, HTTP/1.0 and "Connection: close", plain answers that are reset. The caller's answer has chunks or a length in all.

Nothing in the protocol marks the last event, and the number of output tokens is only an upper bound. What can be asked is the server: after the end of a stream without a length it is probed. If it answers, the process did not die, and the end was the stream's. If it doesn't, the stream goes on elsewhere after its last event; the rest is empty if it was complete. The probe begins after the end, so one that others began before is not shared. A server that pauses or can't be probed is taken at its word. The stream's last chunk waits for one round trip; streams with chunks or a length don't wait.

Not told apart: a plain answer without a length that the server's end cut off by FIN. Its signature stands in the head and says nothing of the body.

--- a/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
@@ -47,8 +47,10 @@
         LIVES,
         /** The server does not accept connections. */
         UNREACHED,
-        /** The probe was not possible or not conclusive. */
-        UNKNOWN
+        /** The probe was not conclusive. */
+        UNKNOWN,
+        /** The server pauses, or has nothing that can be called. */
+        NOT_PROBED
     }
 
     ServerProbe(
@@ -72,7 +74,7 @@
         Optional<ServiceSpec> spec = catalog.flatMap(c -> c.service(server.service()));
         Optional<HttpCall> call = spec.flatMap(s -> callTo(server, s));
         if (call.isEmpty() || metadataRecorder.isPausing(server.incarnation())) {
-            callback.accept(Result.UNKNOWN);
+            callback.accept(Result.NOT_PROBED);
             return;
         }
         List<Consumer<Result>> callbacks = new ArrayList<>(List.of(callback));
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -7,6 +7,8 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
@@ -26,12 +28,15 @@
  * is longer than expected. The send is then lost and its connection is closed.
  */
 final class ServerSend implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger(ServerSend.class);
+
     /** Limit on the size of a complete answer. */
     private static final int MAX_ANSWER_BYTES = 8 << 20;
 
+    private final RelayContext context;
+    private final BackendServer server;
     private final String requestId;
     private final boolean isStreaming;
-    private final PlatformProtocol protocol;
     private final ConnectAttempt attempt;
     private final SendListener listener;
     private final EventSplitter splitter = new EventSplitter();
@@ -42,14 +47,16 @@
     private boolean isEnded;
 
     private ServerSend(
+            RelayContext context,
+            BackendServer server,
             String requestId,
             boolean isStreaming,
-            PlatformProtocol protocol,
             ConnectAttempt attempt,
             SendListener listener) {
+        this.context = checkNotNull(context, "context");
+        this.server = checkNotNull(server, "server");
         this.requestId = checkNotNull(requestId, "requestId");
         this.isStreaming = isStreaming;
-        this.protocol = checkNotNull(protocol, "protocol");
         this.attempt = checkNotNull(attempt, "attempt");
         this.listener = checkNotNull(listener, "listener");
     }
@@ -72,7 +79,7 @@
         ConnectAttempt attempt =
                 context.serverDialer().newAttempt(server, context.connectTimeoutMs());
         ServerSend send =
-                new ServerSend(requestId, isStreaming, context.protocol(), attempt, listener);
+                new ServerSend(context, server, requestId, isStreaming, attempt, listener);
         HttpStream stream =
                 HttpStream.open(
                         context.thread(),
@@ -106,6 +113,47 @@
         return isStreaming && head.isSuccess();
     }
 
+    /**
+     * Ends a stream whose last event is complete.
+     *
+     * <p>A process that dies ends its connections, too. Without a length or chunks, the end of the
+     * connection shows that the stream is complete only if the server is still alive. The stream of
+     * a server that is not goes on elsewhere; the rest is empty if the stream was complete.
+     */
+    private void endStream() {
+        if (head.isBodyFramed()) {
+            completeStream();
+            return;
+        }
+        // A probe that began before the end would not show that the server lived at the end.
+        ServerProbe probe =
+                new ServerProbe(
+                        context.serverCaller(),
+                        context.protocol(),
+                        context.limits(),
+                        context.metadataRecorder());
+        probe.probe(server, context.view().get().catalog(), this::endStream);
+    }
+
+    private void endStream(ServerProbe.Result result) {
+        if (isEnded) {
+            return;
+        }
+        LOG.info("relay: request {}: stream without a length ended, {}", requestId, result);
+        boolean isAlive =
+                result == ServerProbe.Result.LIVES || result == ServerProbe.Result.NOT_PROBED;
+        if (isAlive) {
+            completeStream();
+        } else {
+            discard("the answer has no length and its server no longer answers");
+        }
+    }
+
+    private void completeStream() {
+        isEnded = true;
+        listener.onStreamEnd(head);
+    }
+
     private void discard(String reason) {
         if (isEnded) {
             return;
@@ -122,7 +170,7 @@
                 return;
             }
             head = received;
-            metadata = protocol.parseAnswerMetadata(received);
+            metadata = context.protocol().parseAnswerMetadata(received);
             if (metadata.isNotRun()) {
                 if (!metadata.isWrongServer()) {
                     listener.onHead(metadata);
@@ -174,8 +222,7 @@
                 isEnded = true;
                 listener.onAnswer(head, metadata, body.toByteArray());
             } else if (splitter.isAtEventEnd()) {
-                isEnded = true;
-                listener.onStreamEnd(head);
+                endStream();
             } else {
                 discard("the answer ends within an event");
             }
