Split the state machine and the lifecycle of a request by concept

RequestServers selects the servers of one request and knows which it has tried; SendSupervisor notices that the server of the send in flight is silent or slow. No change of behaviour: the same statements in the same order.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -3,15 +3,12 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Repeatability;
-import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
 import org.masticweir.path.ConnectFailure;
@@ -41,7 +38,7 @@
     private static final int URGENCY_STAGES = 3;
 
     private final RequestParameters request;
-    private final Supplier<ImmutableList<BackendServer>> servers;
+    private final RequestServers servers;
     private final ServerSelector selector;
     private final ServerHealth health;
     private final RetryLimiter retryLimiter;
@@ -49,7 +46,6 @@
     private final RequestWait requestWait;
     private final RetryDelay retryDelay;
 
-    private final Set<ServerIncarnation> triedServers = new HashSet<>();
     private final HeldPermits permits = new HeldPermits();
     private int sendCount;
     private int transmissions;
@@ -62,13 +58,8 @@
     private Verdict verdict = Verdict.NOT_RUN;
     private OptionalLong lastEventId;
     private boolean hasEvent;
-    private Optional<BackendServer> copyHolder = Optional.empty();
-    private Optional<BackendServer> cachingEngine = Optional.empty();
     private boolean hasQueriedCaches;
 
-    /** Whether the content is suspected: servers ended while they ran the same content. */
-    private boolean mustUseLeastLoaded;
-
     private RequestStateMachine(
             RequestParameters request,
             Supplier<ImmutableList<BackendServer>> servers,
@@ -79,7 +70,7 @@
             WaitQueue waitQueue,
             RandomGenerator random) {
         this.request = checkNotNull(request, "request");
-        this.servers = checkNotNull(servers, "servers");
+        this.servers = new RequestServers(request, servers, selector, health);
         this.selector = checkNotNull(selector, "selector");
         this.health = checkNotNull(health, "health");
         this.retryLimiter = checkNotNull(retryLimiter, "retryLimiter");
@@ -131,12 +122,10 @@
         if (rule == SendRule.WAIT) {
             return waitForTrial(nowMs);
         }
-        mustUseLeastLoaded = rule == SendRule.LEAST_LOADED;
+        servers.setMustUseLeastLoaded(rule == SendRule.LEAST_LOADED);
         if (!hasQueriedCaches && request.mayBeCached()) {
             hasQueriedCaches = true;
-            ImmutableList<BackendServer> engines =
-                    selector.enginesToQuery(
-                            servers.get(), request.size(), request.engine().get(), nowMs);
+            ImmutableList<BackendServer> engines = servers.enginesToQuery(nowMs);
             if (!engines.isEmpty()) {
                 return new Step.QueryPromptCaches(engines);
             }
@@ -145,13 +134,10 @@
         Optional<BackendServer> usableCopyHolder = usableCopyHolder(nowMs);
         Optional<BackendServer> server =
                 permittedServer
-                        .filter(
-                                s ->
-                                        selector.canAcceptWithPermit(
-                                                s, request.size(), request.engine(), nowMs))
+                        .filter(s -> servers.canAcceptWithPermit(s, nowMs))
                         .or(() -> usableCopyHolder)
-                        .or(() -> usableCachingEngine(nowMs))
-                        .or(() -> selectServer(nowMs));
+                        .or(() -> servers.usableCachingEngine(nowMs))
+                        .or(() -> servers.select(nowMs));
         if (server.isEmpty() || requestWait.mustWait(sendCount, nowMs)) {
             return waitOrEnd(nowMs);
         }
@@ -177,7 +163,9 @@
      * server would receive the request long after the announcement.
      */
     public boolean mayStillSend(BackendServer server, long nowMs) {
-        return findListed(server).filter(s -> selector.mayStillAccept(s, nowMs)).isPresent();
+        return servers.findListed(server)
+                .filter(s -> selector.mayStillAccept(s, nowMs))
+                .isPresent();
     }
 
     /** Handles the decision on a {@link Step.AcquirePermit} and returns the next step. */
@@ -194,7 +182,7 @@
 
     /** Handles the result of the prompt cache query and returns the next step. */
     public Step onPromptCacheResult(Optional<BackendServer> engine, long nowMs) {
-        cachingEngine = checkNotNull(engine, "engine");
+        servers.setCachingEngine(engine);
         return next(nowMs);
     }
 
@@ -238,7 +226,7 @@
                 request.route().repeatability().mayRunAgain()
                         && sendCount < request.route().attempts()
                         && nowMs < request.expiresMs()
-                        && selectServer(nowMs).isPresent();
+                        && servers.select(nowMs).isPresent();
         if (!canRetry) {
             return Optional.empty();
         }
@@ -263,7 +251,7 @@
      */
     public Optional<Step> onSlowAnswer(long nowMs) {
         boolean hasFreeServer =
-                selectServer(nowMs).filter(s -> selector.hasFreeSlot(s, nowMs)).isPresent();
+                servers.select(nowMs).filter(s -> selector.hasFreeSlot(s, nowMs)).isPresent();
         if (!hasFreeServer || hedgeDelayMs().isEmpty() || nowMs >= request.expiresMs()) {
             return Optional.empty();
         }
@@ -319,7 +307,7 @@
     /** Records that the last send did not run, so it has no copy. */
     private void markNotRun() {
         isInFlight = false;
-        copyHolder = Optional.empty();
+        servers.recordNotRun();
     }
 
     private void markMayHaveRun() {
@@ -342,63 +330,13 @@
         sendCount++;
         transmissions++;
         isInFlight = true;
-        triedServers.add(server.incarnation());
-        copyHolder =
-                request.needsCopy()
-                        ? selector.selectCopyHolder(
-                                servers.get(),
-                                server,
-                                request.size(),
-                                request.engine().get(),
-                                nowMs)
-                        : Optional.empty();
+        Optional<BackendServer> copyHolder = servers.recordSend(server, nowMs);
         return new Step.Send(server, copyHolder, resumesFromCopy, lastEventId);
     }
 
     /** Returns the copy holder if it is usable; a run has no copy before its first event. */
     private Optional<BackendServer> usableCopyHolder(long nowMs) {
-        if (!hasEvent) {
-            return Optional.empty();
-        }
-        return copyHolder
-                .filter(h -> !triedServers.contains(h.incarnation()) && !health.isDown(h, nowMs))
-                .filter(h -> selector.remainingBlockMs(h, nowMs) == 0)
-                .flatMap(this::findListed);
-    }
-
-    /** Returns the current entry of a server; empty if its incarnation is not listed. */
-    private Optional<BackendServer> findListed(BackendServer server) {
-        return servers.get().stream()
-                .filter(s -> s.incarnation().equals(server.incarnation()))
-                .findAny();
-    }
-
-    private Optional<BackendServer> usableCachingEngine(long nowMs) {
-        return cachingEngine.filter(
-                e -> !triedServers.contains(e.incarnation()) && canAccept(e, nowMs));
-    }
-
-    private boolean canAccept(BackendServer server, long nowMs) {
-        return selector.canAccept(server, request.size(), request.engine(), nowMs);
-    }
-
-    /**
-     * Returns the best untried server. If none is left, a resumable stream may use a tried server.
-     *
-     * <p>Without this, a stream in a partitioned domain with two engines waits until its deadline
-     * if both engines have stalled for a moment, although both run again.
-     */
-    private Optional<BackendServer> selectServer(long nowMs) {
-        Optional<BackendServer> untried = selectExcluding(triedServers, nowMs);
-        boolean isResumable = request.route().repeatability() == Repeatability.RESUMABLE;
-        return untried.isPresent() || !isResumable ? untried : selectExcluding(Set.of(), nowMs);
-    }
-
-    private Optional<BackendServer> selectExcluding(Set<ServerIncarnation> excluded, long nowMs) {
-        return mustUseLeastLoaded
-                ? selector.selectLeastLoaded(
-                        servers.get(), request.size(), request.engine(), excluded, nowMs)
-                : selector.select(servers.get(), request.size(), request.engine(), excluded, nowMs);
+        return hasEvent ? servers.usableCopyHolder(nowMs) : Optional.empty();
     }
 
     /**
@@ -438,7 +376,7 @@
         if (hasEvent) {
             return new Step.Wait(WAIT_MS);
         }
-        if (servers.get().stream().allMatch(selector::isLeaving)) {
+        if (servers.listed().stream().allMatch(selector::isLeaving)) {
             return end(ErrorCode.NO_ENGINE, "no server");
         }
         if (request.engine().isPresent() && !request.engine().get().holds(request.size().total())) {
@@ -448,17 +386,17 @@
                     OptionalLong.empty(),
                     "request exceeds the memory of any engine");
         }
-        OptionalLong waitMs = selector.timeUntilUnblockedMs(servers.get(), triedServers, nowMs);
+        OptionalLong waitMs = servers.timeUntilUnblockedMs(nowMs);
         if (waitMs.isPresent() && requestWait.hasTimedOut(nowMs + waitMs.getAsLong())) {
             return end(
                     ErrorCode.OVERLOADED, "servers take no more requests now", waitMs.getAsLong());
         }
-        int running = selector.ownRequestCount(servers.get());
+        int running = selector.ownRequestCount(servers.listed());
         Optional<String> refusal =
                 requestWait.enterQueueOrRefuse(
                         sendCount,
                         running,
-                        () -> selector.describeAvailability(servers.get(), nowMs),
+                        () -> selector.describeAvailability(servers.listed(), nowMs),
                         nowMs);
         return refusal.isPresent()
                 ? end(ErrorCode.NO_ENGINE, refusal.get())
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -37,6 +37,7 @@
     private final ContentMonitor monitor;
     private final RequestTimer timer;
     private final RequestPermits permits;
+    private final SendSupervisor supervisor;
 
     private Optional<ServerSend> send = Optional.empty();
     private Optional<SendLoad> load = Optional.empty();
@@ -72,6 +73,9 @@
                         context.random());
         writer = new CallerAnswerWriter(exchange, this::handleCallerDisconnect);
         detector = CallerDisconnectDetector.start(exchange, this::handleCallerDisconnect);
+        supervisor =
+                new SendSupervisor(
+                        context, request, machine, log, permits, timer, new SupervisorListener());
         events = new EventRelay(context, params, machine, writer, metrics, log);
     }
 
@@ -154,7 +158,7 @@
         // The connection may have failed, or the request ended, before open() returned.
         if (!isEnded && number == sendNumber && silence != null) {
             send = Optional.of(newSend);
-            scheduleTimer();
+            supervisor.start(silence);
         } else {
             newSend.close();
         }
@@ -190,42 +194,9 @@
         }
     }
 
-    /** Sets the timer to the earlier of the deadline and the next check of the server. */
-    private void scheduleTimer() {
-        long dueMs = params.expiresMs();
-        if (params.route().streams()) {
-            dueMs = Math.min(dueMs, silence.nextCheckMs(now()));
-        } else if (machine.hedgeDelayMs().isPresent()) {
-            dueMs = Math.min(dueMs, silence.sentMs() + machine.hedgeDelayMs().getAsLong());
-        }
-        timer.set(Math.max(1, dueMs - now()), this::handleTimer);
-    }
-
-    private void handleTimer() {
-        long now = now();
-        if (now >= params.expiresMs()) {
-            abortUnwrittenSend();
-            end(machine.endAtDeadline());
-            return;
-        }
-        if (params.route().streams() && silence.needsAction(context.health(), now)) {
-            inquireSilence(now);
-            return;
-        }
-        if (!params.route().streams()) {
-            handleSlowAnswer(now);
-            return;
-        }
-        scheduleTimer();
-    }
-
-    private void inquireSilence(long now) {
-        SilenceTimer inquiredTimer = silence;
-        new SilenceInquiry(context, log, request.id(), inquiredTimer)
-                .start(
-                        now,
-                        () -> !isEnded && silence == inquiredTimer,
-                        loss -> loss.ifPresentOrElse(this::handleServerLoss, this::scheduleTimer));
+    private void handleDeadline() {
+        abortUnwrittenSend();
+        end(machine.endAtDeadline());
     }
 
     private void handleServerLoss(String reason) {
@@ -237,29 +208,11 @@
         context.onLoadsChanged().run();
     }
 
-    private void handleSlowAnswer(long now) {
-        timer.set(Math.max(1, params.expiresMs() - now), this::handleTimer);
-        machine.onSlowAnswer(now).ifPresent(this::retryElsewhere);
-    }
-
-    /** Abandons the current send once a retry permit is granted. */
-    private void retryElsewhere(Step step) {
-        SilenceTimer oldTimer = silence;
-        if (step instanceof Step.Send) {
-            sendEnds.recordAbandoned(
-                    oldTimer.server(), SendEnd.SILENT, "sent no answer", oldTimer.sentMs());
-            closeSend();
-            execute(step);
-        } else if (step instanceof Step.AcquireRetryPermit retry) {
-            permits.requestRetryPermit(
-                    params.service(),
-                    retry.urgency(),
-                    granted -> {
-                        if (!isEnded && silence == oldTimer) {
-                            retryElsewhere(machine.onRetryDecision(granted, now()));
-                        }
-                    });
-        }
+    private void handleHedge(Step.Send step) {
+        sendEnds.recordAbandoned(
+                silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
+        closeSend();
+        execute(step);
     }
 
     @Override
@@ -299,7 +252,7 @@
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
         silence = null;
-        timer.close();
+        supervisor.stop();
         load.ifPresent(l -> l.close(isRejected));
         load = Optional.empty();
     }
@@ -346,6 +299,24 @@
         return context.clock().nowMs();
     }
 
+    /** Handles the findings about the send in flight. */
+    private final class SupervisorListener implements SendSupervisor.Listener {
+        @Override
+        public void onDeadline() {
+            handleDeadline();
+        }
+
+        @Override
+        public void onServerLost(String reason) {
+            handleServerLoss(reason);
+        }
+
+        @Override
+        public void onHedge(Step.Send step) {
+            handleHedge(step);
+        }
+    }
+
     /** Handles the events of one send; ignores them once a later send has started. */
     private final class Listener implements SendListener {
         private final Step.Send step;
