relay: one line and one counter for each answer that was cut

What operators saw: a request with neither an answer nor a refusal, and no record that tells who ended its connection. Until now a connection that ended for its caller's close, a failed write, an answer that nobody reads, or an end in the middle of a stream left a line of its own kind or none (a last part that can't be written, a refusal that can't be written, a full queue passed for a caller that left).

Each has one line now, 'request ID was cut, REASON by the SIDE', with the stage, what was written, the age of the server's last bytes, the version of the catalog at admission and now, and how late the timer ran; answers_cut_total counts it by reason. explain shows it, as it names the request. A caller's close is told apart by its kind (end of its input, reset, other). Existing lines stay as they were.

No decision changes.

--- a/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
+++ b/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
@@ -53,6 +53,17 @@
         assertEquals(ImmutableList.of(suspect, resumed), story(resumed, suspect));
     }
 
+    /** A request whose caller got part of an answer: the line says who ended it, and why. */
+    @Test
+    void tellsWhoCutTheAnswer() {
+        String cut =
+                "2026-12-03T00:00:02.400Z INFO  relay: request a1 was cut, DEADLINE by the ROUTER"
+                        + " after 1300 ms: at e1 in send 1, after an event, its time is over; 3"
+                        + " events and 96 bytes written, 0 bytes queued; a server's last bytes 900"
+                        + " ms ago, config 8 at admission and 9 now, turn 0 ms late";
+        assertEquals(ImmutableList.of(GOES, cut), story(cut, GOES));
+    }
+
     @Test
     void tellsThatTheStoreWasAway() {
         String away = "2026-12-03T00:00:00.900Z WARN  feed: table servers lost, no answer";
--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.undertow.io.DefaultIoCallback;
+import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.io.IOException;
@@ -10,6 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.http.HttpHead;
 import org.xnio.IoUtils;
@@ -26,21 +29,31 @@
     private static final double MS_PER_SECOND = 1_000.0;
 
     private final HttpServerExchange exchange;
-    private final Runnable onWriteFailed;
+    private final Consumer<CutReason> onCut;
     private final Deque<ByteBuffer> queue = new ArrayDeque<>();
     private int queuedBytes;
+    private long writtenBytes;
+    private int writtenEvents;
     private StreamSinkChannel sink;
     private boolean isEndQueued;
     private boolean isEnded;
 
+    /**
+     * How much of an event stream was written.
+     *
+     * @param queuedBytes bytes that wait until the caller reads
+     */
+    record Progress(int events, long bytes, int queuedBytes) {}
+
     /**
      * Creates the writer for the answer of {@code exchange}.
      *
-     * @param onWriteFailed runs when the answer can no longer be written to the caller
+     * @param onCut receives the reason if the writer ends the connection before the answer is
+     *     complete; not called by {@link #abort} and {@link #sendError}
      */
-    CallerAnswerWriter(HttpServerExchange exchange, Runnable onWriteFailed) {
+    CallerAnswerWriter(HttpServerExchange exchange, Consumer<CutReason> onCut) {
         this.exchange = checkNotNull(exchange, "exchange");
-        this.onWriteFailed = checkNotNull(onWriteFailed, "onWriteFailed");
+        this.onCut = checkNotNull(onCut, "onCut");
     }
 
     /** Returns whether the headers of an event stream have been sent. */
@@ -48,6 +61,10 @@
         return sink != null;
     }
 
+    Progress progress() {
+        return new Progress(writtenEvents, writtenBytes, queuedBytes);
+    }
+
     /** Sends a complete answer. */
     void sendComplete(HttpHead head, byte[] body) {
         if (isEnded) {
@@ -56,7 +73,7 @@
         isEnded = true;
         exchange.setStatusCode(head.status());
         head.headers().addTo(exchange.getResponseHeaders());
-        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        send(body);
     }
 
     /** Sends an error answer of this router. */
@@ -78,7 +95,21 @@
                         exchange.getResponseHeaders()
                                 .put(Headers.RETRY_AFTER, Double.toString(ms / MS_PER_SECOND)));
         String body = "{\"code\":\"" + code + "\",\"message\":\"" + reason + "\"}";
-        exchange.getResponseSender().send(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)));
+        send(body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void send(byte[] body) {
+        exchange.getResponseSender()
+                .send(
+                        ByteBuffer.wrap(body),
+                        new DefaultIoCallback() {
+                            @Override
+                            public void onException(
+                                    HttpServerExchange ex, Sender sender, IOException e) {
+                                onCut.accept(CutReason.LAST_PART_NOT_WRITTEN);
+                                super.onException(ex, sender, e);
+                            }
+                        });
     }
 
     /**
@@ -109,8 +140,7 @@
         }
         queuedBytes += bytes.remaining();
         if (queuedBytes > MAX_QUEUED_BYTES) {
-            abort();
-            onWriteFailed.run();
+            cut(CutReason.CALLER_TOO_SLOW);
             return;
         }
         queue.add(bytes);
@@ -132,6 +162,11 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    private void cut(CutReason reason) {
+        onCut.accept(reason);
+        abort();
+    }
+
     private void write() {
         if (isEnded) {
             return;
@@ -141,11 +176,13 @@
                 ByteBuffer next = queue.peek();
                 int count = sink.write(next);
                 queuedBytes -= count;
+                writtenBytes += count;
                 if (next.hasRemaining()) {
                     sink.resumeWrites();
                     return;
                 }
                 queue.remove();
+                writtenEvents++;
             }
             if (isEndQueued) {
                 isEnded = true;
@@ -159,8 +196,7 @@
                 sink.resumeWrites();
             }
         } catch (IOException e) {
-            abort();
-            onWriteFailed.run();
+            cut(isEndQueued ? CutReason.LAST_PART_NOT_WRITTEN : CutReason.WRITE_FAILED);
         }
     }
 
@@ -176,7 +212,7 @@
                             try {
                                 flushLast();
                             } catch (IOException e) {
-                                abort();
+                                cut(CutReason.LAST_PART_NOT_WRITTEN);
                             }
                         });
         sink.resumeWrites();
--- a/masticweir/src/main/java/org/masticweir/relay/CallerDisconnectDetector.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerDisconnectDetector.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.IoUtils;
@@ -29,11 +30,11 @@
     private static final Logger LOG = LogManager.getLogger(CallerDisconnectDetector.class);
     private static final AttachmentKey<CallerDisconnectDetector> KEY =
             AttachmentKey.create(CallerDisconnectDetector.class);
-    private static final Runnable NO_OP = () -> {};
+    private static final Consumer<CutReason> NO_OP = reason -> {};
 
     private final HttpServerConnection connection;
     private HttpServerExchange exchange;
-    private Runnable onDisconnect = NO_OP;
+    private Consumer<CutReason> onDisconnect = NO_OP;
 
     /** Bytes of a following request, in a buffer to which more bytes can be appended. */
     private Optional<PooledByteBuffer> nextRequestBytes = Optional.empty();
@@ -48,7 +49,8 @@
      * Runs {@code onDisconnect} if the caller disconnects; call this method after the whole request
      * has been read.
      */
-    static CallerDisconnectDetector start(HttpServerExchange exchange, Runnable onDisconnect) {
+    static CallerDisconnectDetector start(
+            HttpServerExchange exchange, Consumer<CutReason> onDisconnect) {
         HttpServerConnection connection = (HttpServerConnection) exchange.getConnection();
         CallerDisconnectDetector detector = connection.getAttachment(KEY);
         if (detector == null) {
@@ -56,14 +58,15 @@
             // removed.
             CallerDisconnectDetector newDetector = new CallerDisconnectDetector(connection);
             connection.putAttachment(KEY, newDetector);
-            connection.addCloseListener(c -> newDetector.notifyListener());
+            connection.addCloseListener(
+                    c -> newDetector.notifyListener(CutReason.CONNECTION_CLOSED));
             detector = newDetector;
         }
         detector.begin(exchange, checkNotNull(onDisconnect, "onDisconnect"));
         return detector;
     }
 
-    private void begin(HttpServerExchange newExchange, Runnable listener) {
+    private void begin(HttpServerExchange newExchange, Consumer<CutReason> listener) {
         exchange = newExchange;
         onDisconnect = listener;
         hasDroppedBytes = false;
@@ -112,11 +115,11 @@
                 count = source.read(buffer);
             }
             if (count < 0) {
-                handleDisconnect();
+                handleDisconnect(CutReason.CALLER_ENDED_INPUT);
             }
         } catch (IOException e) {
             LOG.debug("relay: connection of a caller failed, {}", e.getMessage());
-            handleDisconnect();
+            handleDisconnect(CutReason.CALLER_RESET);
         }
     }
 
@@ -134,16 +137,16 @@
         return buffer;
     }
 
-    private void handleDisconnect() {
+    private void handleDisconnect(CutReason reason) {
+        notifyListener(reason);
         IoUtils.safeClose(connection);
-        notifyListener();
     }
 
-    private void notifyListener() {
-        Runnable listener = onDisconnect;
+    private void notifyListener(CutReason reason) {
+        Consumer<CutReason> listener = onDisconnect;
         onDisconnect = NO_OP;
         nextRequestBytes.ifPresent(PooledByteBuffer::close);
         nextRequestBytes = Optional.empty();
-        listener.run();
+        listener.accept(reason);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -63,7 +63,8 @@
             Optional<TeamId> team,
             ServiceName service,
             Optional<EngineSpec> engine,
-            long receivedMs) {}
+            long receivedMs,
+            long catalogVersion) {}
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
@@ -113,7 +114,14 @@
             throw new Refusal(ErrorCode.BODY_TOO_LARGE, "the body is too long");
         }
         return new AdmittedRequest(
-                headers, metadata, route, team.map(Team::id), service, engine, now);
+                headers,
+                metadata,
+                route,
+                team.map(Team::id),
+                service,
+                engine,
+                now,
+                catalog.version());
     }
 
     /**
@@ -259,7 +267,8 @@
                         admitted.metadata(),
                         admitted.team(),
                         admitted.headers(),
-                        body);
+                        body,
+                        admitted.catalogVersion());
         new RequestLifecycle(context, request, exchange).start();
     }
 
@@ -271,10 +280,20 @@
                 refusal.code,
                 refusal.getMessage());
         context.metrics().countEarlyRefusal(refusal.code);
-        new CallerAnswerWriter(exchange, () -> {})
+        new CallerAnswerWriter(exchange, reason -> handleCut(exchange, reason))
                 .sendError(refusal.code, retryAfterMs(refusal.code), refusal.getMessage());
     }
 
+    private void handleCut(HttpServerExchange exchange, CutReason reason) {
+        LOG.info(
+                "relay: refusal of {} {} was cut, {} by the {}",
+                exchange.getRequestMethod(),
+                exchange.getRequestURI(),
+                reason,
+                reason.decider());
+        context.metrics().countCut(reason);
+    }
+
     private OptionalLong retryAfterMs(ErrorCode code) {
         return switch (code) {
             case NO_CONFIGURATION -> OptionalLong.of(NO_CONFIGURATION_RETRY_MS);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -89,6 +89,11 @@
         count("sends_ended_total", "server", serverLabel, "cause", lowerCaseName(end));
     }
 
+    /** Counts a request whose caller's connection ended before its answer was complete. */
+    void countCut(CutReason reason) {
+        count("answers_cut_total", "reason", reason.label());
+    }
+
     /**
      * Records that a stream resumed at {@code server} after the loss of another send; {@code ms} is
      * the time since the last event.
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRequest.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRequest.java
@@ -14,6 +14,7 @@
  * A caller's request as received by the router; immutable.
  *
  * @param path path and query as received
+ * @param catalogVersion version of the catalog with which the request was admitted
  * @param body body of the request; not copied, because it may be long and is never modified
  */
 record RelayRequest(
@@ -23,7 +24,8 @@
         String method,
         String path,
         HttpHeaders headers,
-        byte[] body) {
+        byte[] body,
+        long catalogVersion) {
     RelayRequest {
         checkNotNull(params, "params");
         checkNotNull(metadata, "metadata");
@@ -40,11 +42,13 @@
             RequestMetadata metadata,
             Optional<TeamId> team,
             HttpHeaders headers,
-            byte[] body) {
+            byte[] body,
+            long catalogVersion) {
         String query = exchange.getQueryString();
         String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
         String method = exchange.getRequestMethod().toString();
-        return new RelayRequest(params, metadata, team, method, path, headers, body);
+        return new RelayRequest(
+                params, metadata, team, method, path, headers, body, catalogVersion);
     }
 
     /** Returns the id that the caller has assigned to this attempt. */
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
+import org.masticweir.error.ErrorCode;
 import org.masticweir.forward.RequestParameters;
 import org.masticweir.forward.RequestStateMachine;
 import org.masticweir.forward.SilenceTimer;
@@ -46,6 +47,8 @@
 
     private boolean isSendWritten;
 
+    private OptionalLong lastServerBytesMs = OptionalLong.empty();
+
     private boolean isEnded;
 
     /** Delivers a server's error answer, unless the request is sent to another server at once. */
@@ -56,7 +59,7 @@
         this.request = checkNotNull(request, "request");
         params = request.params();
         monitor = new ContentMonitor(context, request);
-        timer = new RequestTimer(context.thread());
+        timer = new RequestTimer(context.thread(), context.clock());
         log = new RequestLog(context, request);
         sendEnds = new SendEnds(context, log, monitor);
         permits = new RequestPermits(context, log);
@@ -71,8 +74,8 @@
                         monitor.policy(),
                         context.waitQueue(),
                         context.random());
-        writer = new CallerAnswerWriter(exchange, this::handleCallerDisconnect);
-        detector = CallerDisconnectDetector.start(exchange, this::handleCallerDisconnect);
+        writer = new CallerAnswerWriter(exchange, this::handleCut);
+        detector = CallerDisconnectDetector.start(exchange, this::handleCut);
         supervisor =
                 new SendSupervisor(
                         context, request, machine, log, permits, timer, new SupervisorListener());
@@ -105,7 +108,9 @@
         } else if (step instanceof Step.Wait wait) {
             timer.set(wait.delayMs(), () -> execute(machine.next(now())));
         } else {
-            end((Step.End) step);
+            Step.End end = (Step.End) step;
+            boolean isDeadline = end.code() == ErrorCode.DEADLINE_EXCEEDED;
+            end(end, isDeadline ? CutReason.DEADLINE : CutReason.NO_FURTHER_SEND);
         }
     }
 
@@ -196,7 +201,7 @@
 
     private void handleDeadline() {
         abortUnwrittenSend();
-        end(machine.endAtDeadline());
+        end(machine.endAtDeadline(), CutReason.DEADLINE);
     }
 
     private void handleServerLoss(String reason) {
@@ -231,7 +236,7 @@
             sendEnds.recordAbandoned(
                     silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
             abortUnwrittenSend();
-            end(machine.endInQuarantine(now()));
+            end(machine.endInQuarantine(now()), CutReason.QUARANTINE);
         }
     }
 
@@ -239,7 +244,7 @@
     public void onRouterExit() {
         if (!isEnded) {
             abortUnwrittenSend();
-            end(machine.endAtShutdown());
+            end(machine.endAtShutdown(), CutReason.SHUTDOWN);
         }
     }
 
@@ -257,17 +262,32 @@
         load = Optional.empty();
     }
 
-    private void end(Step.End end) {
+    /**
+     * Ends the request with an error answer.
+     *
+     * @param cutReason reason of the cut if part of an answer was sent already
+     */
+    private void end(Step.End end, CutReason cutReason) {
         if (isEnded) {
             return;
         }
         log.logEnd(end, machine.sendCount());
+        if (writer.isStreaming()) {
+            recordCut(cutReason, describeStage() + ", " + end.reason());
+        }
         metrics.countFailure(end.code());
         release();
         writer.sendError(end.code(), end.retryAfterMs(), end.reason());
     }
 
-    private void handleCallerDisconnect() {
+    private void recordCut(CutReason reason, String stage) {
+        log.logCut(reason, stage, writer.progress(), lastServerBytesMs, timer.delayMs());
+        context.metrics().countCut(reason);
+    }
+
+    /** Handles the end of the caller's connection before the answer was complete. */
+    private void handleCut(CutReason reason) {
+        recordCut(reason, isEnded ? "the last part of its answer" : describeStage());
         if (isEnded) {
             return;
         }
@@ -335,6 +355,7 @@
         @Override
         public void onHead(AnswerMetadata metadata) {
             if (!isStale()) {
+                lastServerBytesMs = OptionalLong.of(now());
                 context.metadataRecorder()
                         .recordAnswer(step.server().incarnation(), metadata, request.id(), sentMs);
             }
@@ -346,6 +367,7 @@
                 return;
             }
             long now = now();
+            lastServerBytesMs = OptionalLong.of(now);
             context.health().recordAnswer(step.server().incarnation(), now);
             monitor.recordEvent(now);
             if (silence.recordEvent(now)) {
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -26,11 +26,13 @@
     private final RelayContext context;
     private final String id;
     private final long receivedMs;
+    private final long catalogVersion;
 
     RequestLog(RelayContext context, RelayRequest request) {
         this.context = checkNotNull(context, "context");
         id = request.id();
         receivedMs = request.params().receivedMs();
+        catalogVersion = request.catalogVersion();
     }
 
     /** Logs a send; {@code number} counts the sends of the request from 1. */
@@ -48,7 +50,11 @@
                 load.running(),
                 load.prefills(),
                 send.copyHolder().map(h -> h.id().value()).orElse("none"),
-                context.view().get().catalog().map(Catalog::version).orElse(0L));
+                currentCatalogVersion());
+    }
+
+    private long currentCatalogVersion() {
+        return context.view().get().catalog().map(Catalog::version).orElse(0L);
     }
 
     /** Logs that the connection of a send goes through another router. */
@@ -172,6 +178,38 @@
         LOG.info("relay: request {} was left by its caller after {} ms, {}", id, ageMs(), stage);
     }
 
+    /**
+     * Logs that the connection of the caller ended before its answer was complete.
+     *
+     * @param stage progress of the request, and the reason in words
+     * @param lastServerBytesMs when a server sent something last; empty if none did
+     * @param delayMs how late the task ran that ended the connection
+     */
+    void logCut(
+            CutReason reason,
+            String stage,
+            CallerAnswerWriter.Progress written,
+            OptionalLong lastServerBytesMs,
+            OptionalLong delayMs) {
+        long now = context.clock().nowMs();
+        LOG.info(
+                "relay: request {} was cut, {} by the {} after {} ms: {}; {} events and {} bytes"
+                        + " written, {} bytes queued; a server's last bytes {} ms ago, config {} at"
+                        + " admission and {} now, turn {} ms late",
+                id,
+                reason,
+                reason.decider(),
+                ageMs(),
+                stage,
+                written.events(),
+                written.bytes(),
+                written.queuedBytes(),
+                lastServerBytesMs.isPresent() ? now - lastServerBytesMs.getAsLong() : "unknown",
+                catalogVersion,
+                currentCatalogVersion(),
+                delayMs.isPresent() ? delayMs.getAsLong() : "unknown");
+    }
+
     static String text(OptionalLong event) {
         return event.isPresent() ? Long.toString(event.getAsLong()) : "none";
     }
--- a/masticweir/src/test/java/org/masticweir/relay/ExchangeCompletionTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/ExchangeCompletionTest.java
@@ -56,7 +56,7 @@
         ExchangeCompletion.addListener(
                 exchange, new KeepAliveConnections(), () -> completion.complete(null));
         HttpHead head = new HttpHead(200, HttpHeaders.copyOf(Map.of()));
-        new CallerAnswerWriter(exchange, () -> {}).sendComplete(head, new byte[answerBytes]);
+        new CallerAnswerWriter(exchange, reason -> {}).sendComplete(head, new byte[answerBytes]);
         isCompleteAfterCall.complete(completion.isDone());
     }
 
