--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
+import org.masticweir.error.ErrorCode;
 import org.masticweir.forward.RequestParameters;
 import org.masticweir.forward.RequestStateMachine;
 import org.masticweir.forward.SilenceTimer;
@@ -37,6 +38,7 @@
     private final ContentMonitor monitor;
     private final RequestTimer timer;
     private final RequestPermits permits;
+    private final SendSupervisor supervisor;
 
     private Optional<ServerSend> send = Optional.empty();
     private Optional<SendLoad> load = Optional.empty();
@@ -45,6 +47,8 @@
 
     private boolean isSendWritten;
 
+    private OptionalLong lastServerBytesMs = OptionalLong.empty();
+
     private boolean isEnded;
 
     /** Delivers a server's error answer, unless the request is sent to another server at once. */
@@ -55,7 +59,7 @@
         this.request = checkNotNull(request, "request");
         params = request.params();
         monitor = new ContentMonitor(context, request);
-        timer = new RequestTimer(context.thread());
+        timer = new RequestTimer(context.thread(), context.clock());
         log = new RequestLog(context, request);
         sendEnds = new SendEnds(context, log, monitor);
         permits = new RequestPermits(context, log);
@@ -70,8 +74,11 @@
                         monitor.policy(),
                         context.waitQueue(),
                         context.random());
-        writer = new CallerAnswerWriter(exchange, this::handleCallerDisconnect);
-        detector = CallerDisconnectDetector.start(exchange, this::handleCallerDisconnect);
+        writer = new CallerAnswerWriter(exchange, this::handleCut);
+        detector = CallerDisconnectDetector.start(exchange, this::handleCut);
+        supervisor =
+                new SendSupervisor(
+                        context, request, machine, log, permits, timer, new SupervisorListener());
         events = new EventRelay(context, params, machine, writer, metrics, log);
     }
 
@@ -101,7 +108,9 @@
         } else if (step instanceof Step.Wait wait) {
             timer.set(wait.delayMs(), () -> execute(machine.next(now())));
         } else {
-            end((Step.End) step);
+            Step.End end = (Step.End) step;
+            boolean isDeadline = end.code() == ErrorCode.DEADLINE_EXCEEDED;
+            end(end, isDeadline ? CutReason.DEADLINE : CutReason.NO_FURTHER_SEND);
         }
     }
 
@@ -154,7 +163,7 @@
         // The connection may have failed, or the request ended, before open() returned.
         if (!isEnded && number == sendNumber && silence != null) {
             send = Optional.of(newSend);
-            scheduleTimer();
+            supervisor.start(silence);
         } else {
             newSend.close();
         }
@@ -190,42 +199,9 @@
         }
     }
 
-    /** Sets the timer to the earlier of the deadline and the next check of the server. */
-    private void scheduleTimer() {
-        long dueMs = params.expiresMs();
-        if (params.route().streams()) {
-            dueMs = Math.min(dueMs, silence.nextCheckMs(now()));
-        } else if (machine.hedgeDelayMs().isPresent()) {
-            dueMs = Math.min(dueMs, silence.sentMs() + machine.hedgeDelayMs().getAsLong());
-        }
-        timer.set(Math.max(1, dueMs - now()), this::handleTimer);
-    }
-
-    private void handleTimer() {
-        long now = now();
-        if (now >= params.expiresMs()) {
-            abortUnwrittenSend();
-            end(machine.endAtDeadline());
-            return;
-        }
-        if (params.route().streams() && silence.needsAction(context.health(), now)) {
-            inquireSilence(now);
-            return;
-        }
-        if (!params.route().streams()) {
-            handleSlowAnswer(now);
-            return;
-        }
-        scheduleTimer();
-    }
-
-    private void inquireSilence(long now) {
-        SilenceTimer inquiredTimer = silence;
-        new SilenceInquiry(context, log, request.id(), inquiredTimer)
-                .start(
-                        now,
-                        () -> !isEnded && silence == inquiredTimer,
-                        loss -> loss.ifPresentOrElse(this::handleServerLoss, this::scheduleTimer));
+    private void handleDeadline() {
+        abortUnwrittenSend();
+        end(machine.endAtDeadline(), CutReason.DEADLINE);
     }
 
     private void handleServerLoss(String reason) {
@@ -237,29 +213,11 @@
         context.onLoadsChanged().run();
     }
 
-    private void handleSlowAnswer(long now) {
-        timer.set(Math.max(1, params.expiresMs() - now), this::handleTimer);
-        machine.onSlowAnswer(now).ifPresent(this::retryElsewhere);
-    }
-
-    /** Abandons the current send once a retry permit is granted. */
-    private void retryElsewhere(Step step) {
-        SilenceTimer oldTimer = silence;
-        if (step instanceof Step.Send) {
-            sendEnds.recordAbandoned(
-                    oldTimer.server(), SendEnd.SILENT, "sent no answer", oldTimer.sentMs());
-            closeSend();
-            execute(step);
-        } else if (step instanceof Step.AcquireRetryPermit retry) {
-            permits.requestRetryPermit(
-                    params.service(),
-                    retry.urgency(),
-                    granted -> {
-                        if (!isEnded && silence == oldTimer) {
-                            retryElsewhere(machine.onRetryDecision(granted, now()));
-                        }
-                    });
-        }
+    private void handleHedge(Step.Send step) {
+        sendEnds.recordAbandoned(
+                silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
+        closeSend();
+        execute(step);
     }
 
     @Override
@@ -278,7 +236,7 @@
             sendEnds.recordAbandoned(
                     silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
             abortUnwrittenSend();
-            end(machine.endInQuarantine(now()));
+            end(machine.endInQuarantine(now()), CutReason.QUARANTINE);
         }
     }
 
@@ -286,7 +244,7 @@
     public void onRouterExit() {
         if (!isEnded) {
             abortUnwrittenSend();
-            end(machine.endAtShutdown());
+            end(machine.endAtShutdown(), CutReason.SHUTDOWN);
         }
     }
 
@@ -299,22 +257,37 @@
         send.ifPresent(ServerSend::close);
         send = Optional.empty();
         silence = null;
-        timer.close();
+        supervisor.stop();
         load.ifPresent(l -> l.close(isRejected));
         load = Optional.empty();
     }
 
-    private void end(Step.End end) {
+    /**
+     * Ends the request with an error answer.
+     *
+     * @param cutReason reason of the cut if part of an answer was sent already
+     */
+    private void end(Step.End end, CutReason cutReason) {
         if (isEnded) {
             return;
         }
         log.logEnd(end, machine.sendCount());
+        if (writer.isStreaming()) {
+            recordCut(cutReason, describeStage() + ", " + end.reason());
+        }
         metrics.countFailure(end.code());
         release();
         writer.sendError(end.code(), end.retryAfterMs(), end.reason());
     }
 
-    private void handleCallerDisconnect() {
+    private void recordCut(CutReason reason, String stage) {
+        log.logCut(reason, stage, writer.progress(), lastServerBytesMs, timer.delayMs());
+        context.metrics().countCut(reason);
+    }
+
+    /** Handles the end of the caller's connection before the answer was complete. */
+    private void handleCut(CutReason reason) {
+        recordCut(reason, isEnded ? "the last part of its answer" : describeStage());
         if (isEnded) {
             return;
         }
@@ -346,6 +319,24 @@
         return context.clock().nowMs();
     }
 
+    /** Handles the findings about the send in flight. */
+    private final class SupervisorListener implements SendSupervisor.Listener {
+        @Override
+        public void onDeadline() {
+            handleDeadline();
+        }
+
+        @Override
+        public void onServerLost(String reason) {
+            handleServerLoss(reason);
+        }
+
+        @Override
+        public void onHedge(Step.Send step) {
+            handleHedge(step);
+        }
+    }
+
     /** Handles the events of one send; ignores them once a later send has started. */
     private final class Listener implements SendListener {
         private final Step.Send step;
@@ -364,6 +355,7 @@
         @Override
         public void onHead(AnswerMetadata metadata) {
             if (!isStale()) {
+                lastServerBytesMs = OptionalLong.of(now());
                 context.metadataRecorder()
                         .recordAnswer(step.server().incarnation(), metadata, request.id(), sentMs);
             }
@@ -375,6 +367,7 @@
                 return;
             }
             long now = now();
+            lastServerBytesMs = OptionalLong.of(now);
             context.health().recordAnswer(step.server().incarnation(), now);
             monitor.recordEvent(now);
             if (silence.recordEvent(now)) {
