quarantine: its commands take the content of a request with its parts

The whole content decides as before; parts are handed over and not used yet. recordSuccess takes when the run began, and listeners get the ids that changed together. No change of behaviour.

--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -143,8 +143,8 @@
     }
 
     /** Returns whether and where a request with {@code content} may be sent now. */
-    public SendRule sendRule(ContentId content, long nowMs) {
-        Entry entry = findUnexpired(content, nowMs);
+    public SendRule sendRule(RequestContent content, long nowMs) {
+        Entry entry = findUnexpired(content.whole(), nowMs);
         if (entry == null) {
             return SendRule.ANY_SERVER;
         }
@@ -179,8 +179,8 @@
     }
 
     /** Returns the time until the quarantine of {@code content} ends, in ms. */
-    public long remainingQuarantineMs(ContentId content, long nowMs) {
-        Entry entry = entries.get(content);
+    public long remainingQuarantineMs(RequestContent content, long nowMs) {
+        Entry entry = entries.get(content.whole());
         return entry == null
                 ? 0
                 : Math.max(
@@ -191,27 +191,27 @@
      * Records that this router sends a request with {@code content}. Returns whether this send is a
      * trial; the trial lasts until {@link #endTrial}.
      */
-    public boolean beginTrial(ContentId content, long nowMs) {
-        Entry entry = findUnexpired(content, nowMs);
+    public boolean beginTrial(RequestContent content, long nowMs) {
+        Entry entry = findUnexpired(content.whole(), nowMs);
         if (entry == null || entry.crashCount() == 0) {
             return false;
         }
         entry.ownTrials++;
         entry.trialsUntilMs.put(self, Long.MAX_VALUE);
-        pendingUpdates.add(content);
+        pendingUpdates.add(content.whole());
         return true;
     }
 
     /** Records the end of a trial. */
-    public void endTrial(ContentId content) {
-        Entry entry = entries.get(content);
+    public void endTrial(RequestContent content) {
+        Entry entry = entries.get(content.whole());
         if (entry == null || entry.ownTrials == 0) {
             return;
         }
         entry.ownTrials--;
         if (entry.ownTrials == 0) {
             entry.trialsUntilMs.remove(self);
-            pendingUpdates.add(content);
+            pendingUpdates.add(content.whole());
         }
     }
 
@@ -219,28 +219,32 @@
      * Records that the cause of a loss under {@code content} is being determined; requests with the
      * content wait until {@link #endInquiry}.
      */
-    public void beginInquiry(ContentId content, long nowMs) {
-        getOrCreate(content, nowMs).inquiries++;
+    public void beginInquiry(RequestContent content, long nowMs) {
+        getOrCreate(content.whole(), nowMs).inquiries++;
     }
 
     /** Records that the cause of a loss has been determined. */
-    public void endInquiry(ContentId content) {
-        Entry entry = entries.get(content);
+    public void endInquiry(RequestContent content) {
+        Entry entry = entries.get(content.whole());
         if (entry != null) {
             entry.inquiries = Math.max(0, entry.inquiries - 1);
-            removeIfEmpty(content, entry);
+            removeIfEmpty(content.whole(), entry);
         }
     }
 
     /** Records the end of a server that had begun to run a request with {@code content}. */
-    public Change recordLoss(ContentId content, Loss loss, long nowMs) {
-        Entry entry = getOrCreate(content, nowMs);
+    public Change recordLoss(RequestContent content, Loss loss, long nowMs) {
+        Entry entry = getOrCreate(content.whole(), nowMs);
         return setRecord(entry, entry.record.withLoss(loss));
     }
 
-    /** Records that a request with {@code content} ran without crashing its server. */
-    public Change recordSuccess(ContentId content, long nowMs) {
-        Entry entry = findUnexpired(content, nowMs);
+    /**
+     * Records that a request with {@code content} ran without crashing its server.
+     *
+     * @param beganMs when the run began
+     */
+    public Change recordSuccess(RequestContent content, long beganMs, long nowMs) {
+        Entry entry = findUnexpired(content.whole(), nowMs);
         return entry == null || entry.crashCount() == 0
                 ? Change.NONE
                 : setRecord(entry, entry.record.withdrawAllLosses());
--- a/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
@@ -41,7 +42,7 @@
     private final Counter suspectedCounter;
     private final Counter quarantinedCounter;
     private final Counter clearedCounter;
-    private volatile BiConsumer<ContentId, Change> listener = (content, change) -> {};
+    private volatile BiConsumer<ImmutableSet<ContentId>, Change> listener = (ids, change) -> {};
     private volatile boolean isEmpty = true;
     private boolean isBatchScheduled;
 
@@ -69,10 +70,11 @@
     }
 
     /**
-     * Sets the listener for contents that become suspected or are put into quarantine. The listener
-     * is called on the thread that made the change, outside of any lock.
+     * Sets the listener for contents and parts that become suspected or are put into quarantine. It
+     * is called with the ids that changed together, on the thread that made the change, outside of
+     * any lock.
      */
-    public void onChange(BiConsumer<ContentId, Change> newListener) {
+    public void onChange(BiConsumer<ImmutableSet<ContentId>, Change> newListener) {
         listener = checkNotNull(newListener, "newListener");
     }
 
@@ -82,29 +84,29 @@
      * @param content supplier of the content id; called only while losses of any content are
      *     recorded
      */
-    public SendRule sendRule(Supplier<ContentId> content, long nowMs) {
+    public SendRule sendRule(Supplier<RequestContent> content, long nowMs) {
         if (isEmpty) {
             return SendRule.ANY_SERVER;
         }
-        ContentId id = content.get();
+        RequestContent id = content.get();
         synchronized (this) {
             return quarantine.sendRule(id, nowMs);
         }
     }
 
     /** Returns the time until the quarantine of {@code content} ends, in ms. */
-    public synchronized long remainingQuarantineMs(ContentId content, long nowMs) {
+    public synchronized long remainingQuarantineMs(RequestContent content, long nowMs) {
         return quarantine.remainingQuarantineMs(content, nowMs);
     }
 
     /**
      * Records a send. Returns whether the send is a trial; the trial lasts until {@link #endTrial}.
      */
-    public boolean beginTrial(Supplier<ContentId> content) {
+    public boolean beginTrial(Supplier<RequestContent> content) {
         if (isEmpty) {
             return false;
         }
-        ContentId id = content.get();
+        RequestContent id = content.get();
         synchronized (this) {
             boolean isOnTrial = quarantine.beginTrial(id, clock.nowMs());
             scheduleBatch();
@@ -113,7 +115,7 @@
     }
 
     /** Records the end of a trial. */
-    public synchronized void endTrial(ContentId content) {
+    public synchronized void endTrial(RequestContent content) {
         quarantine.endTrial(content);
         scheduleBatch();
     }
@@ -122,30 +124,34 @@
      * Records that the cause of a loss is being determined; requests with the content wait until
      * {@link #endInquiry}.
      */
-    public synchronized void beginInquiry(ContentId content) {
+    public synchronized void beginInquiry(RequestContent content) {
         quarantine.beginInquiry(content, clock.nowMs());
         isEmpty = false;
     }
 
     /** Records that the cause of a loss has been determined. */
-    public synchronized void endInquiry(ContentId content) {
+    public synchronized void endInquiry(RequestContent content) {
         quarantine.endInquiry(content);
         isEmpty = quarantine.isEmpty();
     }
 
     /** Records the end of a server that had begun to run a request with {@code content}. */
-    public void recordLoss(ContentId content, Loss loss, String cause) {
-        apply(content, cause, now -> quarantine.recordLoss(content, loss, now));
+    public void recordLoss(RequestContent content, Loss loss, String cause) {
+        apply(content.whole(), cause, now -> quarantine.recordLoss(content, loss, now));
     }
 
-    /** Records that a request ran for longer than a trial lasts, or received its whole answer. */
-    public void recordSuccess(Supplier<ContentId> content) {
+    /**
+     * Records that a request ran for longer than a trial lasts, or received its whole answer.
+     *
+     * @param beganMs when the run began
+     */
+    public void recordSuccess(Supplier<RequestContent> content, long beganMs) {
         if (!isEmpty) {
-            ContentId id = content.get();
+            RequestContent id = content.get();
             apply(
-                    id,
+                    id.whole(),
                     "a request with it ran without a crash",
-                    now -> quarantine.recordSuccess(id, now));
+                    now -> quarantine.recordSuccess(id, beganMs, now));
         }
     }
 
@@ -227,7 +233,7 @@
 
     private void notifyListener(ContentId content, Change change) {
         if (change == Change.SUSPECTED || change == Change.QUARANTINED) {
-            listener.accept(content, change);
+            listener.accept(ImmutableSet.of(content), change);
         }
     }
 
@@ -270,7 +276,7 @@
             LOG.warn(
                     "quarantine: content {} is not sent for {} ms, {}",
                     content,
-                    remainingQuarantineMs(content, clock.nowMs()),
+                    remainingQuarantineMs(RequestContent.of(content), clock.nowMs()),
                     describeLosses(content, cause));
         } else if (change == Change.CLEARED) {
             clearedCounter.inc();
--- a/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
@@ -4,11 +4,12 @@
 
 import com.google.common.base.Supplier;
 import com.google.common.base.Suppliers;
+import com.google.common.collect.ImmutableSet;
 import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.ContentPolicy;
-import org.masticweir.id.ContentId;
 import org.masticweir.quarantine.Quarantine;
+import org.masticweir.quarantine.RequestContent;
 import org.masticweir.quarantine.SendRule;
 
 /**
@@ -19,18 +20,21 @@
  */
 final class ContentMonitor {
     private final RelayContext context;
-    private final Supplier<ContentId> content;
+    private final Supplier<RequestContent> content;
     private int eventCount;
+    private long sentMs;
     private long firstEventMs;
     private boolean isTrial;
     private boolean isSuccessRecorded;
 
     ContentMonitor(RelayContext context, RelayRequest request) {
         this.context = checkNotNull(context, "context");
-        content = Suppliers.memoize(() -> ContentDigest.of(request));
+        content =
+                Suppliers.memoize(
+                        () -> new RequestContent(ContentDigest.of(request), ImmutableSet.of()));
     }
 
-    ContentId content() {
+    RequestContent content() {
         return content.get();
     }
 
@@ -61,6 +65,7 @@
     void beginSend() {
         eventCount = 0;
         isSuccessRecorded = false;
+        sentMs = context.clock().nowMs();
         isTrial = context.quarantine().beginTrial(content);
     }
 
@@ -71,13 +76,13 @@
         eventCount++;
         if (!isSuccessRecorded && !hasJustBegun(nowMs)) {
             isSuccessRecorded = true;
-            context.quarantine().recordSuccess(content);
+            context.quarantine().recordSuccess(content, firstEventMs);
         }
     }
 
     /** Records the arrival of the complete answer. */
     void recordAnswer() {
-        context.quarantine().recordSuccess(content);
+        context.quarantine().recordSuccess(content, eventCount == 0 ? sentMs : firstEventMs);
     }
 
     void endSend() {
@@ -106,6 +111,11 @@
         }
     }
 
+    /** Returns when the current run began if it has lasted longer than a trial. */
+    OptionalLong provenRunStartMs(long nowMs) {
+        return hasJustBegun(nowMs) ? OptionalLong.empty() : OptionalLong.of(firstEventMs);
+    }
+
     /**
      * Returns whether the server of the send has run the request for less time than a trial takes.
      */
--- a/masticweir/src/main/java/org/masticweir/relay/InFlightRequests.java
+++ b/masticweir/src/main/java/org/masticweir/relay/InFlightRequests.java
@@ -3,10 +3,14 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.masticweir.id.ContentId;
 import org.masticweir.quarantine.Quarantine.Change;
+import org.masticweir.quarantine.RequestContent;
 import org.masticweir.quarantine.SharedQuarantine;
 
 /**
@@ -20,10 +24,10 @@
 
     /** A request in flight. */
     interface Request {
-        ContentId content();
+        RequestContent content();
 
-        /** Returns whether the server has run the request for longer than a trial takes. */
-        boolean runsLongerThanTrial();
+        /** Returns when the current run began if it has lasted longer than a trial. */
+        OptionalLong provenRunStartMs();
 
         /** Notifies the request that its content was quarantined. */
         void onQuarantined();
@@ -57,18 +61,21 @@
     }
 
     /**
-     * Applies a change of the quarantine to the requests with {@code content}. If one of these
-     * requests has run for longer than a trial, the content is harmless, and a success is recorded.
-     * Otherwise, if the content is quarantined, requests that have just started are cancelled,
-     * because they would end their servers too.
+     * Applies a change of the quarantine to the requests with any of {@code changedIds}. If one of
+     * these requests has run for longer than a trial, the content is harmless, and a success is
+     * recorded. Otherwise, if the content is quarantined, requests that have just started are
+     * cancelled, because they would end their servers too.
      */
-    void onQuarantineChange(ContentId content, Change change) {
+    void onQuarantineChange(ImmutableSet<ContentId> changedIds, Change change) {
         ImmutableList<Request> copies =
                 requests.stream()
-                        .filter(r -> r.content().equals(content))
+                        .filter(r -> changedIds.contains(r.content().whole()))
                         .collect(ImmutableList.toImmutableList());
-        if (copies.stream().anyMatch(Request::runsLongerThanTrial)) {
-            quarantine.recordSuccess(() -> content);
+        Optional<Request> proven =
+                copies.stream().filter(r -> r.provenRunStartMs().isPresent()).findAny();
+        if (proven.isPresent()) {
+            quarantine.recordSuccess(
+                    proven.get()::content, proven.get().provenRunStartMs().getAsLong());
         } else if (change == Change.QUARANTINED) {
             copies.forEach(Request::onQuarantined);
         }
--- a/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
@@ -12,8 +12,8 @@
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
 import org.masticweir.catalog.ServerIncarnation;
-import org.masticweir.id.ContentId;
 import org.masticweir.quarantine.Loss;
+import org.masticweir.quarantine.RequestContent;
 import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.relay.ServerProbe.Result;
 import org.masticweir.time.Clock;
@@ -47,7 +47,7 @@
      * run.
      */
     private static final class SilentServer {
-        private final Map<ContentId, Loss> losses = new HashMap<>();
+        private final Map<RequestContent, Loss> losses = new HashMap<>();
         private long watchedUntilMs;
     }
 
@@ -65,7 +65,7 @@
      *     reachable a moment ago
      */
     void handleLoss(
-            ContentId content,
+            RequestContent content,
             BackendServer server,
             long sentMs,
             boolean isConnectionBroken,
@@ -83,14 +83,14 @@
     }
 
     private void handleProbeResult(
-            ContentId content, Loss loss, boolean isConnectionBroken, Result result) {
+            RequestContent content, Loss loss, boolean isConnectionBroken, Result result) {
         ServerIncarnation incarnation = loss.life();
         boolean hasEnded =
                 result == Result.ENDED || (isConnectionBroken && result == Result.UNREACHED);
         LOG.info(
                 "quarantine: {} was lost under content {}, {}, {}",
                 incarnation,
-                content,
+                content.whole(),
                 isConnectionBroken ? "connection broken" : "silent",
                 result);
         if (isConnectionBroken) {
@@ -105,7 +105,7 @@
         }
     }
 
-    private void watchEntry(ContentId content, Loss loss) {
+    private void watchEntry(RequestContent content, Loss loss) {
         ServerIncarnation incarnation = loss.life();
         if (silentServers.size() < MAX_SILENT_SERVERS || silentServers.containsKey(incarnation)) {
             SilentServer server =
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -14,9 +14,9 @@
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
-import org.masticweir.id.ContentId;
 import org.masticweir.id.RouterId;
 import org.masticweir.path.ConnectFailure;
+import org.masticweir.quarantine.RequestContent;
 import org.masticweir.relay.RelayMetrics.SendEnd;
 
 /**
@@ -263,13 +263,13 @@
     }
 
     @Override
-    public ContentId content() {
+    public RequestContent content() {
         return monitor.content();
     }
 
     @Override
-    public boolean runsLongerThanTrial() {
-        return !isEnded && silence != null && !monitor.hasJustBegun(now());
+    public OptionalLong provenRunStartMs() {
+        return !isEnded && silence != null ? monitor.provenRunStartMs(now()) : OptionalLong.empty();
     }
 
     @Override
--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantineFleet.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineFleet.java
@@ -96,7 +96,7 @@
         }
 
         void trySend() {
-            SendRule rule = quarantine().sendRule(content, nowMs);
+            SendRule rule = quarantine().sendRule(RequestContent.of(content), nowMs);
             Optional<Server> server = server(rule);
             if (rule == SendRule.REJECT) {
                 rejectedCount++;
@@ -126,7 +126,7 @@
             sentMs = nowMs;
             runStartedMs = Long.MAX_VALUE;
             sendsMs.computeIfAbsent(content, c -> new ArrayList<>()).add(nowMs);
-            isOnTrial = quarantine().beginTrial(content, nowMs);
+            isOnTrial = quarantine().beginTrial(RequestContent.of(content), nowMs);
             broadcast(router);
             server.runs.add(this);
             int send = sendCount;
@@ -159,7 +159,7 @@
 
         private void recordSuccess(Server server, int send) {
             if (isRunningAt(server, send)) {
-                quarantine().recordSuccess(content, nowMs);
+                quarantine().recordSuccess(RequestContent.of(content), runStartedMs, nowMs);
                 broadcast(router);
             }
         }
@@ -177,7 +177,7 @@
         private void endTrial() {
             if (isOnTrial) {
                 isOnTrial = false;
-                quarantine().endTrial(content);
+                quarantine().endTrial(RequestContent.of(content));
                 broadcast(router);
             }
         }
@@ -189,12 +189,12 @@
                 return;
             }
             Loss loss = new Loss(incarnation, sentMs, nowMs);
-            quarantine().beginInquiry(content, nowMs);
+            quarantine().beginInquiry(RequestContent.of(content), nowMs);
             schedule(
                     INQUIRY_MS,
                     () -> {
-                        quarantine().endInquiry(content);
-                        quarantine().recordLoss(content, loss, nowMs);
+                        quarantine().endInquiry(RequestContent.of(content));
+                        quarantine().recordLoss(RequestContent.of(content), loss, nowMs);
                         broadcast(router);
                     });
             trySend();
--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantineTest.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineTest.java
@@ -24,6 +24,7 @@
 class QuarantineTest {
     private static final long MAX_QUARANTINE_MS = 3_600_000;
     private static final ContentId CONTENT = ContentId.of("content");
+    private static final RequestContent REQUEST = RequestContent.of(CONTENT);
     private static final RouterId PEER = RouterId.of("r2");
 
     private final Quarantine quarantine = Quarantine.create(RouterId.of("r1"), MAX_QUARANTINE_MS);
@@ -41,12 +42,12 @@
 
     private void loseThreeServers(long nowMs) {
         for (int i = 0; i < Quarantine.CRASH_LIMIT; i++) {
-            quarantine.recordLoss(CONTENT, loss(i, nowMs), nowMs);
+            quarantine.recordLoss(REQUEST, loss(i, nowMs), nowMs);
         }
     }
 
     private SendRule sendRule(long nowMs) {
-        return quarantine.sendRule(CONTENT, nowMs);
+        return quarantine.sendRule(REQUEST, nowMs);
     }
 
     /** Losses that count, and the limit. */
@@ -55,11 +56,11 @@
         @Test
         void contentIsRejectedFromTheLimitOn() {
             assertEquals(SendRule.ANY_SERVER, sendRule(0));
-            assertEquals(Change.SUSPECTED, quarantine.recordLoss(CONTENT, loss(1, 0), 0));
+            assertEquals(Change.SUSPECTED, quarantine.recordLoss(REQUEST, loss(1, 0), 0));
             assertEquals(SendRule.ANY_SERVER, sendRule(0));
-            assertEquals(Change.SUSPECTED, quarantine.recordLoss(CONTENT, loss(2, 0), 0));
+            assertEquals(Change.SUSPECTED, quarantine.recordLoss(REQUEST, loss(2, 0), 0));
             assertEquals(SendRule.LEAST_LOADED, sendRule(0));
-            assertEquals(Change.QUARANTINED, quarantine.recordLoss(CONTENT, loss(3, 0), 0));
+            assertEquals(Change.QUARANTINED, quarantine.recordLoss(REQUEST, loss(3, 0), 0));
             assertEquals(SendRule.REJECT, sendRule(0));
         }
 
@@ -69,11 +70,11 @@
          */
         @Test
         void serverCountsOnceIfSeveralRoutersLostIt() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
             ContentUpdate sameServer =
                     new ContentUpdate(CrashRecord.of(CONTENT).withLoss(loss(1, 0)), false);
             assertEquals(Change.NONE, quarantine.handleUpdate(PEER, sameServer, 0));
-            assertEquals(Change.NONE, quarantine.recordLoss(CONTENT, loss(1, 0), 0));
+            assertEquals(Change.NONE, quarantine.recordLoss(REQUEST, loss(1, 0), 0));
             assertEquals(1, quarantine.countedLosses(CONTENT).size());
         }
 
@@ -84,11 +85,11 @@
         @Test
         void serversThatEndTogetherCountOnce() {
             for (int i = 0; i < 4; i++) {
-                quarantine.recordLoss(CONTENT, new Loss(incarnation(i), 500, 1_000 + i), 1_010);
+                quarantine.recordLoss(REQUEST, new Loss(incarnation(i), 500, 1_000 + i), 1_010);
             }
             assertEquals(SendRule.ANY_SERVER, sendRule(1_010));
-            quarantine.recordLoss(CONTENT, new Loss(incarnation(5), 1_020, 2_000), 2_000);
-            quarantine.recordLoss(CONTENT, new Loss(incarnation(6), 2_010, 3_000), 3_000);
+            quarantine.recordLoss(REQUEST, new Loss(incarnation(5), 1_020, 2_000), 2_000);
+            quarantine.recordLoss(REQUEST, new Loss(incarnation(6), 2_010, 3_000), 3_000);
             assertEquals(SendRule.REJECT, sendRule(3_000));
         }
 
@@ -97,9 +98,9 @@
          */
         @Test
         void serverThatEndsJustAfterAnotherDoesNotCount() {
-            quarantine.recordLoss(CONTENT, new Loss(incarnation(1), 0, 1_000), 1_000);
-            quarantine.recordLoss(CONTENT, new Loss(incarnation(2), 1_001, 1_010), 1_010);
-            quarantine.recordLoss(CONTENT, new Loss(incarnation(3), 1_012, 1_020), 1_020);
+            quarantine.recordLoss(REQUEST, new Loss(incarnation(1), 0, 1_000), 1_000);
+            quarantine.recordLoss(REQUEST, new Loss(incarnation(2), 1_001, 1_010), 1_010);
+            quarantine.recordLoss(REQUEST, new Loss(incarnation(3), 1_012, 1_020), 1_020);
             assertEquals(SendRule.ANY_SERVER, sendRule(1_020));
         }
 
@@ -108,7 +109,7 @@
         void eachIncarnationOfAServerCounts() {
             for (int start = 1; start <= Quarantine.CRASH_LIMIT; start++) {
                 ServerIncarnation incarnation = ServerIncarnation.of(EngineId.of("i-1"), start);
-                quarantine.recordLoss(CONTENT, new Loss(incarnation, 0, RUN_MS), RUN_MS);
+                quarantine.recordLoss(REQUEST, new Loss(incarnation, 0, RUN_MS), RUN_MS);
             }
             assertEquals(SendRule.REJECT, sendRule(0));
         }
@@ -119,16 +120,16 @@
          */
         @Test
         void requestsWaitDuringAnInquiry() {
-            quarantine.beginInquiry(CONTENT, 0);
+            quarantine.beginInquiry(REQUEST, 0);
             assertEquals(SendRule.WAIT, sendRule(0));
-            quarantine.endInquiry(CONTENT);
+            quarantine.endInquiry(REQUEST);
             assertEquals(SendRule.ANY_SERVER, sendRule(1));
         }
 
         @Test
         void inquiryWithoutALossLeavesNoEntry() {
-            quarantine.beginInquiry(CONTENT, 0);
-            quarantine.endInquiry(CONTENT);
+            quarantine.beginInquiry(REQUEST, 0);
+            quarantine.endInquiry(REQUEST);
             assertTrue(quarantine.isEmpty());
         }
     }
@@ -138,19 +139,19 @@
     class Clearing {
         @Test
         void runWithoutCrashClearsEarlierLosses() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
-            quarantine.recordLoss(CONTENT, loss(2, 0), 0);
-            assertEquals(Change.CLEARED, quarantine.recordSuccess(CONTENT, 10));
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
+            quarantine.recordLoss(REQUEST, loss(2, 0), 0);
+            assertEquals(Change.CLEARED, quarantine.recordSuccess(REQUEST, 10, 10));
             assertEquals(SendRule.ANY_SERVER, sendRule(10));
-            assertEquals(Change.SUSPECTED, quarantine.recordLoss(CONTENT, loss(3, 20), 20));
+            assertEquals(Change.SUSPECTED, quarantine.recordLoss(REQUEST, loss(3, 20), 20));
             assertEquals(1, quarantine.countedLosses(CONTENT).size());
         }
 
         /** The update with an old loss arrives after the loss was withdrawn. */
         @Test
         void lateUpdateDoesNotRestoreAWithdrawnLoss() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
-            quarantine.recordSuccess(CONTENT, 10);
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
+            quarantine.recordSuccess(REQUEST, 10, 10);
             ContentUpdate late =
                     new ContentUpdate(CrashRecord.of(CONTENT).withLoss(loss(1, 0)), false);
             quarantine.handleUpdate(PEER, late, 30);
@@ -160,7 +161,7 @@
         /** A connection limit was mistaken for the end of a server, which then answered. */
         @Test
         void serverThatAnswersDoesNotCount() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
             assertEquals(ImmutableList.of(CONTENT), quarantine.contentsWithLossOf(incarnation(1)));
             assertEquals(Change.CLEARED, quarantine.recordAlive(CONTENT, incarnation(1), 5));
         }
@@ -173,18 +174,18 @@
         void quarantineEndsAndGrowsWithEachCrash() {
             loseThreeServers(0);
             long first = Quarantine.FIRST_QUARANTINE_MS;
-            assertEquals(first - 1_000, quarantine.remainingQuarantineMs(CONTENT, 1_000));
+            assertEquals(first - 1_000, quarantine.remainingQuarantineMs(REQUEST, 1_000));
             assertEquals(SendRule.REJECT, sendRule(first - 1));
             assertEquals(SendRule.LEAST_LOADED, sendRule(first));
-            quarantine.beginTrial(CONTENT, first);
+            quarantine.beginTrial(REQUEST, first);
             assertEquals(SendRule.WAIT, sendRule(first + 1));
-            quarantine.endTrial(CONTENT);
-            quarantine.beginInquiry(CONTENT, first + 1);
+            quarantine.endTrial(REQUEST);
+            quarantine.beginInquiry(REQUEST, first + 1);
             assertEquals(SendRule.WAIT, sendRule(first + 1));
-            quarantine.endInquiry(CONTENT);
-            Change change = quarantine.recordLoss(CONTENT, loss(7, first + 2), first + 2);
+            quarantine.endInquiry(REQUEST);
+            Change change = quarantine.recordLoss(REQUEST, loss(7, first + 2), first + 2);
             assertEquals(Change.QUARANTINED, change);
-            assertTrue(quarantine.remainingQuarantineMs(CONTENT, first + 2) > first);
+            assertTrue(quarantine.remainingQuarantineMs(REQUEST, first + 2) > first);
             assertEquals(SendRule.REJECT, sendRule(3 * first));
         }
 
@@ -193,7 +194,10 @@
             loseThreeServers(0);
             assertEquals(
                     Change.CLEARED,
-                    quarantine.recordSuccess(CONTENT, Quarantine.FIRST_QUARANTINE_MS));
+                    quarantine.recordSuccess(
+                            REQUEST,
+                            Quarantine.FIRST_QUARANTINE_MS,
+                            Quarantine.FIRST_QUARANTINE_MS));
             assertEquals(SendRule.ANY_SERVER, sendRule(Quarantine.FIRST_QUARANTINE_MS));
         }
 
@@ -211,7 +215,7 @@
             ContentUpdate same = quarantine.snapshot(halfMs).get(0);
             Quarantine other = Quarantine.create(PEER, MAX_QUARANTINE_MS);
             other.handleUpdate(RouterId.of("r1"), same, halfMs);
-            assertEquals(halfMs, other.remainingQuarantineMs(CONTENT, halfMs));
+            assertEquals(halfMs, other.remainingQuarantineMs(REQUEST, halfMs));
         }
     }
 
@@ -220,10 +224,10 @@
     class Trials {
         @Test
         void oneCopyRunsAtATime() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
-            assertTrue(quarantine.beginTrial(CONTENT, 1));
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
+            assertTrue(quarantine.beginTrial(REQUEST, 1));
             assertEquals(SendRule.WAIT, sendRule(2));
-            quarantine.endTrial(CONTENT);
+            quarantine.endTrial(REQUEST);
             assertEquals(SendRule.ANY_SERVER, sendRule(3));
         }
 
@@ -240,7 +244,7 @@
 
         @Test
         void contentWithoutLossesIsNotOnTrial() {
-            assertFalse(quarantine.beginTrial(CONTENT, 0));
+            assertFalse(quarantine.beginTrial(REQUEST, 0));
         }
     }
 
@@ -249,7 +253,7 @@
     class Updates {
         @Test
         void areDrainedOnceAndNotForwarded() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
             assertEquals(1, quarantine.drainUpdates(0).size());
             assertEquals(0, quarantine.drainUpdates(0).size());
             CrashRecord received = CrashRecord.of(CONTENT).withLoss(loss(2, 0));
@@ -262,7 +266,7 @@
         /** A peer's update arrives before this router has sent its own. */
         @Test
         void ofAPeerDoNotReplaceOwnUpdates() {
-            quarantine.recordLoss(CONTENT, loss(1, 0), 0);
+            quarantine.recordLoss(REQUEST, loss(1, 0), 0);
             CrashRecord received = CrashRecord.of(CONTENT).withLoss(loss(2, 0));
             quarantine.handleUpdate(PEER, new ContentUpdate(received, false), 0);
             assertEquals(1, quarantine.drainUpdates(0).size());
@@ -313,10 +317,12 @@
         void oldestBelowTheLimitAreEvictedFirst() {
             loseThreeServers(0);
             for (int i = 0; i < Quarantine.MAX_CONTENTS; i++) {
-                quarantine.recordLoss(ContentId.of("c" + i), loss(i, 1), 1);
+                quarantine.recordLoss(RequestContent.of(ContentId.of("c" + i)), loss(i, 1), 1);
             }
             assertEquals(SendRule.REJECT, sendRule(2));
-            assertEquals(SendRule.ANY_SERVER, quarantine.sendRule(ContentId.of("c0"), 2));
+            assertEquals(
+                    SendRule.ANY_SERVER,
+                    quarantine.sendRule(RequestContent.of(ContentId.of("c0")), 2));
             assertEquals(Quarantine.MAX_CONTENTS, quarantine.snapshot(2).size());
         }
     }
