--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -98,7 +98,9 @@
         send(body.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Sends the body of an answer with its length; the library sets none with this callback. */
     private void send(byte[] body) {
+        exchange.setResponseContentLength(body.length);
         exchange.getResponseSender()
                 .send(
                         ByteBuffer.wrap(body),
