A silent server is given up only for a send that can be made now

What callers saw: an answer that ends in the middle, though its server goes on a second later. Cause: a stream's server that was silent for half of the longest pause was left first, and only then was it asked what comes next; where that was the end (sends used up, content in quarantine, a request that must not run twice) the caller's connection was closed, and where nothing was free the stream lost its run.

Now the state machine is asked first (RequestStateMachine.relocation; counts no send and no retry; the permits that another send needs are asked for while the old one goes on). If the request can't be sent elsewhere, the send is kept and checked each 50 ms; an event ends the check. A kept server is probed each 500 ms, and is given up if it runs as another incarnation, lacks the request in two reports, broke the connection, or has lost its entry. Its failure counts for other requests and for its content as before. A silent server with an alternative is left as early as before.

Failed before: UnansweredRequestTest.SilentServer.keepsItsStreamIfTheRouteAllowsNoFurtherSend (EOF in the middle of the chunks) and keepsItsStreamIfThereIsNoOtherServer (2 runs in place of 1). Ruled out: a longer timeout of silence alone, which would let all streams wait that can go on elsewhere.

--- a/masticweir/src/main/java/org/masticweir/forward/ContentPolicy.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ContentPolicy.java
@@ -7,6 +7,14 @@
 public interface ContentPolicy {
     SendRule rule(long nowMs);
 
+    /**
+     * Returns the rule that would hold for another send if the send in flight ended now. It differs
+     * if that send is the trial which other sends wait for.
+     */
+    default SendRule ruleAfterSend(long nowMs) {
+        return rule(nowMs);
+    }
+
     /**
      * Returns how long the content stays in quarantine, in ms; empty if the policy has no
      * quarantine.
--- a/masticweir/src/main/java/org/masticweir/forward/RequestServers.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestServers.java
@@ -117,6 +117,17 @@
         return untried.isPresent() || !isResumable ? untried : selectExcluding(Set.of(), nowMs);
     }
 
+    /** Returns the server that {@link #select} would return if {@code other} did not exist. */
+    Optional<BackendServer> selectOtherThan(BackendServer other, long nowMs) {
+        Set<ServerIncarnation> tried = new HashSet<>(triedServers);
+        tried.add(other.incarnation());
+        Optional<BackendServer> untried = selectExcluding(tried, nowMs);
+        boolean isResumable = request.route().repeatability() == Repeatability.RESUMABLE;
+        return untried.isPresent() || !isResumable
+                ? untried
+                : selectExcluding(Set.of(other.incarnation()), nowMs);
+    }
+
     private Optional<BackendServer> selectExcluding(Set<ServerIncarnation> excluded, long nowMs) {
         return mustUseLeastLoaded
                 ? selector.selectLeastLoaded(
--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -55,6 +55,7 @@
 
     private boolean isRequestCounted;
     private boolean isInFlight;
+    private boolean isSilenceRecorded;
     private Verdict verdict = Verdict.NOT_RUN;
     private OptionalLong lastEventId;
     private boolean hasEvent;
@@ -213,12 +214,69 @@
     /** Handles a send whose complete answer will not arrive, and returns the next step. */
     public Step onSendLost(BackendServer server, long nowMs) {
         markMayHaveRun();
-        if (request.engine().isPresent()) {
+        boolean isRecorded = isSilenceRecorded && health.isDown(server, nowMs);
+        if (request.engine().isPresent() && !isRecorded) {
             health.recordLoss(server, nowMs);
         }
         return next(nowMs);
     }
 
+    /** Records, once for each send, that the server of the send in flight is silent. */
+    public void onSilence(BackendServer server, long nowMs) {
+        if (request.engine().isPresent() && !isSilenceRecorded) {
+            isSilenceRecorded = true;
+            health.recordLoss(server, nowMs);
+        }
+    }
+
+    /**
+     * Returns whether the request can be sent to another server than {@code silentServer} now;
+     * counts no send and no retry.
+     *
+     * <p>A server that is silent may go on a moment later. Without this check, an answer would be
+     * cut for such a silence if nothing but the end of the request came after the send.
+     */
+    public Relocation relocation(BackendServer silentServer, long nowMs) {
+        SendRule rule = contentPolicy.ruleAfterSend(nowMs);
+        if (nowMs >= request.expiresMs()
+                || !request.route().repeatability().mayRunAgain()
+                || sendCount >= request.route().attempts()
+                || rule == SendRule.REJECT
+                || rule == SendRule.WAIT) {
+            return Relocation.impossible();
+        }
+        Optional<BackendServer> permittedServer =
+                permits.permittedServer(nowMs)
+                        .filter(s -> !s.incarnation().equals(silentServer.incarnation()));
+        Optional<BackendServer> server =
+                permittedServer
+                        .filter(s -> servers.canAcceptWithPermit(s, nowMs))
+                        .or(() -> usableCopyHolder(nowMs))
+                        .or(() -> servers.usableCachingEngine(nowMs))
+                        .or(() -> servers.selectOtherThan(silentServer, nowMs));
+        if (server.isEmpty()) {
+            return Relocation.impossible();
+        }
+        if (selector.needsPermit(server.get()) && !permittedServer.equals(server)) {
+            return Relocation.after(new Step.AcquirePermit(server.get(), urgency()));
+        }
+        if (permits.allowsRetry(nowMs) || retryLimiter.mayRetry(request.service(), nowMs)) {
+            return Relocation.possible();
+        }
+        return retryLimiter.mayRequestPermit(request.service(), nowMs)
+                ? Relocation.after(new Step.AcquireRetryPermit(urgency()))
+                : Relocation.impossible();
+    }
+
+    /** Records the decision on a permit that {@link #relocation} needs. */
+    public void onRelocationPermit(Step permit, boolean granted, long nowMs) {
+        if (permit instanceof Step.AcquirePermit server) {
+            permits.recordDecision(server.server(), granted, nowMs);
+        } else {
+            permits.recordRetryDecision(granted, nowMs);
+        }
+    }
+
     /** Returns the send or permit request that replaces a server's error answer, if allowed. */
     public Optional<Step> onErrorAnswer(long nowMs) {
         markMayHaveRun();
@@ -329,6 +387,7 @@
         }
         sendCount++;
         transmissions++;
+        isSilenceRecorded = false;
         isInFlight = true;
         Optional<BackendServer> copyHolder = servers.recordSend(server, nowMs);
         return new Step.Send(server, copyHolder, resumesFromCopy, lastEventId);
--- a/masticweir/src/main/java/org/masticweir/forward/RetryLimiter.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RetryLimiter.java
@@ -13,6 +13,9 @@
      */
     boolean tryRetry(ServiceName service, long nowMs);
 
+    /** Returns whether {@link #tryRetry} would allow a retry; counts nothing. */
+    boolean mayRetry(ServiceName service, long nowMs);
+
     /**
      * Returns whether a retry permit may be requested now. All routers share the allowance of these
      * permits.
--- a/masticweir/src/main/java/org/masticweir/forward/ServiceRetryBudgets.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServiceRetryBudgets.java
@@ -81,6 +81,11 @@
         return budget(service).tryRetry(workClassOf(service), ALL_TEAMS, nowMs);
     }
 
+    @Override
+    public boolean mayRetry(ServiceName service, long nowMs) {
+        return budget(service).mayRetry(workClassOf(service), ALL_TEAMS, nowMs);
+    }
+
     @Override
     public boolean mayRequestPermit(ServiceName service, long nowMs) {
         return allowance.isPresent()
--- a/masticweir/src/main/java/org/masticweir/forward/SilenceTimer.java
+++ b/masticweir/src/main/java/org/masticweir/forward/SilenceTimer.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 
 /** Measures the time since the last activity of one send's server; owned by the traffic thread. */
@@ -18,6 +19,15 @@
      */
     static final long MAX_REPORT_AGE_MS = 600;
 
+    /**
+     * Time between two checks whether a request can leave its silent server, in ms: short compared
+     * with the pauses that callers notice.
+     */
+    static final long KEPT_CHECK_INTERVAL_MS = 50;
+
+    /** Number of consecutive reports after which a request that they lack is missing. */
+    private static final int MISSING_REPORTS = 2;
+
     private final BackendServer server;
     private final boolean resumesFromCopy;
     private final long gapGoalMs;
@@ -26,6 +36,13 @@
     private final long sentMs;
     private final long prefillTokens;
     private boolean hasFirstEvent;
+
+    /** Time of the next check of a silent server whose send is kept; empty if it isn't kept. */
+    private OptionalLong nextKeptCheckMs = OptionalLong.empty();
+
+    /** Consecutive reports of an engine that lack a request whose events it has sent before. */
+    private int missingCount;
+
     private long lastActivityMs;
     private long timeoutMs;
 
@@ -66,24 +83,48 @@
         if (isFirst && !resumesFromCopy) {
             timeouts.recordPrefill(prefillTokens, nowMs - sentMs);
         }
-        lastActivityMs = nowMs;
+        recordActivity(nowMs);
         timeoutMs = nextEventTimeoutMs();
         return isFirst;
     }
 
+    private void recordActivity(long nowMs) {
+        lastActivityMs = nowMs;
+        nextKeptCheckMs = OptionalLong.empty();
+        missingCount = 0;
+    }
+
     /**
-     * Handles an engine's report about a request that has not started in time.
+     * Handles an engine's report about a silent request. Before the first event, the report is a
+     * sign of life that restarts the timer.
      *
-     * @return whether the engine may still have the request, so that the restarted timer applies
+     * @return whether the engine may still have the request. A request that has sent events is
+     *     missing only if several reports lack it, because its last events may be under way.
      */
     public boolean recordReport(EngineReport report, String requestId, long nowMs) {
-        lastActivityMs = nowMs;
-        return nowMs - sentMs < MAX_REPORT_AGE_MS || report.mayHaveRequest(requestId);
+        boolean mayHaveRequest =
+                nowMs - sentMs < MAX_REPORT_AGE_MS || report.mayHaveRequest(requestId);
+        if (isEventDue()) {
+            missingCount = mayHaveRequest ? 0 : missingCount + 1;
+            return missingCount < MISSING_REPORTS;
+        }
+        recordActivity(nowMs);
+        return mayHaveRequest;
+    }
+
+    /** Keeps the send of a silent server, because the request can't be sent elsewhere now. */
+    public void keep(long nowMs) {
+        nextKeptCheckMs = OptionalLong.of(nowMs + KEPT_CHECK_INTERVAL_MS);
+    }
+
+    /** Returns whether the server is silent and its send is kept. */
+    public boolean isKept() {
+        return nextKeptCheckMs.isPresent();
     }
 
     /** Restarts the timer, because the engine can't be probed now. */
     public void restart(long nowMs) {
-        lastActivityMs = nowMs;
+        recordActivity(nowMs);
     }
 
     /** Returns the time at which the timeout is reached. */
@@ -93,7 +134,10 @@
 
     /** Returns the time of the next check. */
     public long nextCheckMs(long nowMs) {
-        return isLossCertain() ? deadlineMs() : Math.min(deadlineMs(), nowMs + CHECK_INTERVAL_MS);
+        if (isKept()) {
+            return nextKeptCheckMs.getAsLong();
+        }
+        return isEventDue() ? deadlineMs() : Math.min(deadlineMs(), nowMs + CHECK_INTERVAL_MS);
     }
 
     /**
@@ -105,14 +149,17 @@
      * requests.
      */
     public boolean needsAction(ServerHealth health, long nowMs) {
-        return nowMs >= deadlineMs() || (!isLossCertain() && health.isDown(server, nowMs));
+        if (isKept()) {
+            return nowMs >= nextKeptCheckMs.getAsLong();
+        }
+        return nowMs >= deadlineMs() || (!isEventDue() && health.isDown(server, nowMs));
     }
 
     /**
-     * Returns whether a timeout means that the server is lost. Before the first event, the server
-     * may still run the prefill. A run that resumes from a copy needs almost no prefill.
+     * Returns whether the server should send an event within the timeout. Before the first event,
+     * the server may still run the prefill. A run that resumes from a copy needs almost no prefill.
      */
-    public boolean isLossCertain() {
+    public boolean isEventDue() {
         return hasFirstEvent || resumesFromCopy;
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
@@ -42,6 +42,12 @@
                 return context.quarantine().sendRule(content, nowMs);
             }
 
+            @Override
+            public SendRule ruleAfterSend(long nowMs) {
+                SendRule rule = rule(nowMs);
+                return isTrial && rule == SendRule.WAIT ? SendRule.LEAST_LOADED : rule;
+            }
+
             @Override
             public OptionalLong remainingQuarantineMs(long nowMs) {
                 return OptionalLong.of(
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -326,6 +326,12 @@
             handleDeadline();
         }
 
+        @Override
+        public void onServerSilent(String reason) {
+            sendEnds.recordKept(silence.server(), reason, silence.sentMs());
+            context.onLoadsChanged().run();
+        }
+
         @Override
         public void onServerLost(String reason) {
             handleServerLoss(reason);
--- a/masticweir/src/main/java/org/masticweir/relay/SendEnds.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendEnds.java
@@ -29,6 +29,13 @@
         context.metrics().countSendEnd(server, end);
     }
 
+    /** Records a send that is kept although its server is silent; the server is checked. */
+    void recordKept(BackendServer server, String reason, long sentMs) {
+        log.logServerEvent(server, "is kept, " + reason + ",", sentMs);
+        monitor.recordLoss(server, sentMs, false, context.clock().nowMs());
+        context.serverVerifier().verify(server, false);
+    }
+
     /** Records a send that the server lost, and checks whether the server has failed. */
     void recordLost(BackendServer server, SendEnd end, String what, long sentMs) {
         recordAbandoned(server, end, what, sentMs);
--- a/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
@@ -3,16 +3,23 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.masticweir.forward.Relocation;
 import org.masticweir.forward.RequestParameters;
 import org.masticweir.forward.RequestStateMachine;
 import org.masticweir.forward.SilenceTimer;
 import org.masticweir.forward.Step;
+import org.masticweir.relay.SilenceInquiry.Finding;
+import org.masticweir.relay.SilenceInquiry.State;
 
 /**
  * Supervises the send in flight of one request: notices that its server is silent or slow, and that
  * the deadline of the request has passed; runs on the traffic thread.
  */
 final class SendSupervisor {
+    /** Time between two probes of a silent server whose send is kept, in ms. */
+    private static final long KEPT_PROBE_INTERVAL_MS = 500;
+
     private final RelayContext context;
     private final RelayRequest request;
     private final RequestParameters params;
@@ -23,10 +30,19 @@
     private final Listener listener;
     private Optional<SilenceTimer> current = Optional.empty();
 
+    /** Time from which a kept send may be probed again. */
+    private long nextProbeMs;
+
+    /** Whether the decision on a permit to leave the silent server is pending. */
+    private boolean isPermitPending;
+
     /** Handles the findings about the send in flight. */
     interface Listener {
         void onDeadline();
 
+        /** Records that the server is silent, and that its send is kept. */
+        void onServerSilent(String reason);
+
         /** Handles the loss of the server; the request goes on elsewhere or ends. */
         void onServerLost(String reason);
 
@@ -55,6 +71,7 @@
     /** Starts to supervise the send that {@code silence} measures. */
     void start(SilenceTimer silence) {
         current = Optional.of(silence);
+        isPermitPending = false;
         scheduleTimer(silence);
     }
 
@@ -86,7 +103,7 @@
             return;
         }
         if (params.route().streams() && silence.needsAction(context.health(), now)) {
-            inquireSilence(silence, now);
+            checkSilent(silence, now);
             return;
         }
         if (!params.route().streams()) {
@@ -96,14 +113,89 @@
         scheduleTimer(silence);
     }
 
-    private void inquireSilence(SilenceTimer silence, long now) {
-        new SilenceInquiry(context, log, request.id(), silence)
-                .start(
-                        now,
-                        () -> isCurrent(silence),
-                        loss ->
-                                loss.ifPresentOrElse(
-                                        listener::onServerLost, () -> scheduleTimer(silence)));
+    private void checkSilent(SilenceTimer silence, long now) {
+        if (silence.isKept()) {
+            moveOrKeep(silence, "silent for " + silence.silenceMs(now) + " ms");
+        } else {
+            inquiry(silence).start(now, () -> isCurrent(silence), f -> handleFinding(silence, f));
+        }
+    }
+
+    private SilenceInquiry inquiry(SilenceTimer silence) {
+        return new SilenceInquiry(context, log, request.id(), silence);
+    }
+
+    private void handleFinding(SilenceTimer silence, Finding finding) {
+        switch (finding.state()) {
+            case ALIVE -> scheduleTimer(silence);
+            case LOST -> listener.onServerLost(finding.reason());
+            default -> moveOrKeep(silence, finding.reason());
+        }
+    }
+
+    /**
+     * Gives a silent server up if the request can be sent to another server now. Otherwise keeps
+     * the send, because the server may go on.
+     */
+    private void moveOrKeep(SilenceTimer silence, String reason) {
+        long now = now();
+        machine.onSilence(silence.server(), now);
+        Relocation relocation = machine.relocation(silence.server(), now);
+        if (relocation.isPossible()) {
+            listener.onServerLost(reason);
+            return;
+        }
+        if (context.view().get().server(silence.server().incarnation()).isEmpty()) {
+            listener.onServerLost(reason + ", its entry is gone");
+            return;
+        }
+        keep(silence, reason, now);
+        relocation.neededPermit().ifPresent(permit -> acquirePermit(silence, permit));
+    }
+
+    private void keep(SilenceTimer silence, String reason, long now) {
+        boolean isNewlySilent = !silence.isKept();
+        silence.keep(now);
+        scheduleTimer(silence);
+        if (isNewlySilent) {
+            listener.onServerSilent(reason);
+            nextProbeMs = now;
+        }
+        if (now >= nextProbeMs) {
+            nextProbeMs = now + KEPT_PROBE_INTERVAL_MS;
+            inquiry(silence)
+                    .probe(() -> isCurrent(silence) && silence.isKept(), this::handleKeptProbe);
+        }
+    }
+
+    private void handleKeptProbe(Finding finding) {
+        if (finding.state() == State.LOST) {
+            listener.onServerLost(finding.reason());
+        }
+    }
+
+    private void acquirePermit(SilenceTimer silence, Step permit) {
+        if (isPermitPending) {
+            return;
+        }
+        isPermitPending = true;
+        Consumer<Boolean> callback = granted -> handlePermit(silence, permit, granted);
+        if (permit instanceof Step.AcquirePermit server) {
+            permits.requestServerPermit(server.server(), server.urgency(), callback);
+        } else if (permit instanceof Step.AcquireRetryPermit retry) {
+            permits.requestRetryPermit(params.service(), retry.urgency(), callback);
+        }
+    }
+
+    private void handlePermit(SilenceTimer silence, Step permit, boolean granted) {
+        if (!isCurrent(silence)) {
+            return;
+        }
+        isPermitPending = false;
+        machine.onRelocationPermit(permit, granted, now());
+        if (granted && silence.isKept()) {
+            checkSilent(silence, now());
+        }
     }
 
     private void handleSlowAnswer(SilenceTimer silence, long now) {
--- a/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
+++ b/masticweir/src/main/java/org/masticweir/retry/RetryBudget.java
@@ -85,15 +85,20 @@
      * Returns true and counts a retry if the budget allows the retry; otherwise changes nothing.
      */
     public synchronized boolean tryRetry(WorkClassId workClass, TeamId team, long nowMs) {
-        SendWindow ownWindow = window(workClass, team);
-        if (!allows(ownWindow, nowMs) || !allows(routerWindow, nowMs)) {
+        if (!mayRetry(workClass, team, nowMs)) {
             return false;
         }
+        SendWindow ownWindow = window(workClass, team);
         ownWindow.addRetry(nowMs);
         routerWindow.addRetry(nowMs);
         return true;
     }
 
+    /** Returns whether the budget allows a retry; counts nothing. */
+    public synchronized boolean mayRetry(WorkClassId workClass, TeamId team, long nowMs) {
+        return allows(window(workClass, team), nowMs) && allows(routerWindow, nowMs);
+    }
+
     /**
      * Cancels a retry that was counted at {@code countedMs} and transmitted no data.
      *
--- a/masticweir/src/test/java/org/masticweir/forward/SilenceTimerTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/SilenceTimerTest.java
@@ -76,8 +76,53 @@
 
         @Test
         void lossIsNotCertain() {
-            assertFalse(timerOfSend(false).isLossCertain());
-            assertTrue(timerOfSend(true).isLossCertain());
+            assertFalse(timerOfSend(false).isEventDue());
+            assertTrue(timerOfSend(true).isEventDue());
+        }
+    }
+
+    /** A send that is kept although its server is silent. */
+    @Nested
+    class KeptSend {
+        private final SilenceTimer timer = timerOfSend(false);
+
+        private boolean isThere(long nowMs, String... running) {
+            return timer.recordReport(
+                    new EngineReport(Set.of(running), running.length, 0, OptionalLong.empty()),
+                    "r1",
+                    nowMs);
+        }
+
+        /** A check in each turn of the thread would stop the router. */
+        @Test
+        void isCheckedAgainAfterAnInterval() {
+            timer.recordEvent(1_000);
+            timer.keep(2_000);
+            assertTrue(timer.isKept());
+            assertFalse(timer.needsAction(fixture.health, 2_001));
+            long dueMs = timer.nextCheckMs(2_001);
+            assertEquals(2_000 + SilenceTimer.KEPT_CHECK_INTERVAL_MS, dueMs);
+            assertTrue(timer.needsAction(fixture.health, dueMs));
+        }
+
+        @Test
+        void isNoLongerSilentAfterAnEvent() {
+            timer.recordEvent(1_000);
+            timer.keep(2_000);
+            timer.recordEvent(2_010);
+            assertFalse(timer.isKept());
+            assertFalse(timer.needsAction(fixture.health, 2_060));
+        }
+
+        /** An answer whose last events are under way must not be given up. */
+        @Test
+        void isMissingOnlyIfSeveralReportsLackIt() {
+            timer.recordEvent(1_000);
+            timer.keep(2_000);
+            assertTrue(isThere(2_100));
+            assertTrue(isThere(2_600, "r1"));
+            assertTrue(isThere(3_100));
+            assertFalse(isThere(3_600));
         }
     }
 
