relay: a refusal whose body is cut off is a refusal

Callers got 502 ENGINE_LOST, "the server broke off", for bookings that their server said it had not run: the connection broke after the head of the refusal, and the send counted as lost, so that it might have run. Nothing but the head of a refusal is used.

Evidence: UnframedAnswerTest.Refusal.thatIsCutOffAfterItsHeadIsARefusal (both cases) and .withoutALengthIsARefusal failed: "expected: <503> but was: <502>". A refusal that is cut off within its head stays a loss, which a test holds.

Ruled out: the head being read in part. The client library reports a head once it is complete.

--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -216,8 +216,7 @@
                 return;
             }
             if (metadata.isNotRun()) {
-                isEnded = true;
-                listener.onRefusal(head, metadata);
+                refuse();
             } else if (!isEventStream()) {
                 isEnded = true;
                 listener.onAnswer(head, metadata, body.toByteArray());
@@ -233,12 +232,20 @@
             if (isEnded) {
                 return;
             }
-            if (isSent) {
+            if (metadata != null && metadata.isNotRun()) {
+                // The head has told all; the rest of a refusal is not passed on.
+                refuse();
+            } else if (isSent) {
                 discard("the connection broke");
-                return;
+            } else {
+                isEnded = true;
+                listener.onNotSent(attempt.failure());
             }
+        }
+
+        private void refuse() {
             isEnded = true;
-            listener.onNotSent(attempt.failure());
+            listener.onRefusal(head, metadata);
         }
     }
 }
