http: tests of calls and streams whose answer has no length

Proof that it holds; nothing was changed. HttpStreamTest: a reset that comes at once with the last bytes, 50 times; HTTP/1.0; an end within the head.

--- a/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
@@ -19,7 +19,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -30,6 +33,7 @@
 class HttpStreamTest {
     private static final long TIMEOUT_MS = 5_000;
     private static final int REQUEST_BYTES = 1_024;
+    private static final int REPETITIONS = 50;
 
     private XnioWorker worker;
     private ServerSocket server;
@@ -54,6 +58,15 @@
 
     /** Writes each part once the one before has been heard. */
     private String exchange(Ending ending, String... parts) throws Exception {
+        return exchange(ending, true, parts);
+    }
+
+    /** Writes all and ends at once. */
+    private String exchangeAtOnce(Ending ending, String bytes) throws Exception {
+        return exchange(ending, false, bytes);
+    }
+
+    private String exchange(Ending ending, boolean awaitsHead, String... parts) throws Exception {
         Heard heard = new Heard();
         XnioIoThread thread = worker.getIoThread();
         HttpCall call = HttpCall.get((InetSocketAddress) server.getLocalSocketAddress(), "/");
@@ -69,7 +82,9 @@
             connection.getInputStream().read(new byte[REQUEST_BYTES]);
             for (String part : parts) {
                 connection.getOutputStream().write(part.getBytes(US_ASCII));
-                heard.head.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                if (awaitsHead) {
+                    heard.head.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+                }
             }
             if (ending == Ending.RESET) {
                 connection.setSoLinger(true, 0);
@@ -259,6 +274,23 @@
         void isLostIfItsConnectionIsReset() throws Exception {
             assertTrue(exchange(Ending.RESET, HEAD, "ab").startsWith("lost: "));
         }
+
+        /** Failure: the reset comes with the last bytes, and is told after them as an end. */
+        @RepeatedTest(REPETITIONS)
+        void isLostIfTheResetComesWithIt() throws Exception {
+            assertTrue(exchangeAtOnce(Ending.RESET, HEAD + "ab").startsWith("lost: "));
+        }
+
+        @Test
+        void isLostIfTheConnectionOfAnOldServerIsReset() throws Exception {
+            assertTrue(
+                    exchange(Ending.RESET, "HTTP/1.0 200 OK\r\n\r\n", "ab").startsWith("lost: "));
+        }
+
+        @Test
+        void isWholeIfAnOldServerClosesItsConnection() throws Exception {
+            assertEquals("whole: abcd", exchange(Ending.CLOSE, "HTTP/1.0 200 OK\r\n\r\nab", "cd"));
+        }
     }
 
     /** A booking ends with an error although its answer was whole: more bytes came after it. */
@@ -278,6 +310,13 @@
         }
     }
 
+    /** Failure: an answer without the end of its head passes for an empty one. */
+    @ParameterizedTest
+    @EnumSource(Ending.class)
+    void answerThatEndsWithinItsHeadIsLost(Ending ending) throws Exception {
+        assertEquals("lost: ", exchangeAtOnce(ending, "HTTP/1.1 200 OK\r\nConnection: cl"));
+    }
+
     /** A chunk's end is missing: what came must not pass for the whole answer. */
     @Test
     void chunkedAnswerWithoutItsLastChunkIsLost() throws Exception {
