path: tests of ends and resets through a tunnel

Proof that it holds; nothing was changed. A carrying router that is killed (a process of its own, SIGKILL) resets the connection that it carries; a server's reset stays one behind 64 KB that the client has not read; a client's reset ends the server's connection.

--- a/masticweir/src/test/java/org/masticweir/path/TunnelTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/TunnelTest.java
@@ -46,6 +46,7 @@
 class TunnelTest {
     private static final String KEY = "0123456789abcdef";
     private static final int TIMEOUT_MS = 5_000;
+    private static final int UNREAD_BYTES = 64 << 10;
     private static final String OPEN = "HTTP/1.1 200 OK";
 
     private final ServerPaths paths = ServerPaths.create();
@@ -131,13 +132,27 @@
     }
 
     private Socket request(String key, InetSocketAddress target) throws IOException {
-        Socket socket = new Socket(port.getAddress(), port.getPort());
+        return request(port, key, target);
+    }
+
+    private static Socket request(InetSocketAddress tunnels, String key, InetSocketAddress target)
+            throws IOException {
+        Socket socket = new Socket(tunnels.getAddress(), tunnels.getPort());
         socket.setSoTimeout(TIMEOUT_MS);
         String head = "GET /tunnel/" + key + "/" + IpAddress.text(target) + " HTTP/1.1\r\n\r\n";
         socket.getOutputStream().write(head.getBytes(US_ASCII));
         return socket;
     }
 
+    private static void assertEndsUnread(Socket accepted) throws IOException {
+        accepted.setSoTimeout(TIMEOUT_MS);
+        try {
+            assertEquals(-1, accepted.getInputStream().read());
+        } catch (SocketException e) {
+            assertEquals("Connection reset", e.getMessage());
+        }
+    }
+
     private InetSocketAddress serverAddress() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
@@ -272,6 +287,47 @@
             }
         }
 
+        /** Failure: what a slow client has not read yet hides the server's reset. */
+        @Test
+        void ofTheServersResetBehindUnreadBytes() throws Exception {
+            try (Socket client = open();
+                    Socket accepted = server.accept()) {
+                accepted.getOutputStream().write(new byte[UNREAD_BYTES]);
+                accepted.setSoLinger(true, 0);
+                accepted.close();
+                assertThrows(SocketException.class, () -> client.getInputStream().readAllBytes());
+            }
+        }
+
+        /** Failure: a process that ends in the middle of an answer ends it for its client. */
+        @Test
+        void ofTheCarryingProcessesEndAsAReset() throws Exception {
+            try (TunnelProcess process = TunnelProcess.start(serverAddress(), KEY);
+                    Socket client = request(process.address(), KEY, serverAddress())) {
+                assertEquals(OPEN, readHead(client));
+                try (Socket accepted = server.accept()) {
+                    accepted.getOutputStream().write("part".getBytes(US_ASCII));
+                    assertEquals(
+                            "part", new String(client.getInputStream().readNBytes(4), US_ASCII));
+                    process.kill();
+                    assertThrows(SocketException.class, () -> client.getInputStream().read());
+                    assertEndsUnread(accepted);
+                }
+            }
+        }
+
+        /** Failure: a server works on for a client whose connection was reset. */
+        @Test
+        void ofTheClientsReset() throws Exception {
+            Socket client = open();
+            try (Socket accepted = server.accept()) {
+                accepted.setSoTimeout(TIMEOUT_MS);
+                client.setSoLinger(true, 0);
+                client.close();
+                assertEndsUnread(accepted);
+            }
+        }
+
         /** Failure: a server works on for a caller that has left. */
         @Test
         void ofTheClientsEnd() throws Exception {
