--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantineFleet.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineFleet.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
@@ -27,7 +29,6 @@
     private static final long INQUIRY_MS = 3;
     private static final long RETRY_MS = 10;
     private static final long REQUEST_TIMEOUT_MS = 2_250;
-    private static final int PREFILL_MS = 1_000;
     private static final long RUN_MS = 5_000;
     private static final long CRASH_MS = 80;
     private static final long RESTART_MS = 4_000;
@@ -45,9 +46,17 @@
 
     private final Map<ContentId, List<Long>> crashesMs = new HashMap<>();
     private final Map<ContentId, List<Long>> sendsMs = new HashMap<>();
+    private final Set<ContentId> crashingIds = new HashSet<>();
+    private final Set<Integer> cutOffRouters = new HashSet<>();
+    private final Map<ContentId, CrashRecord> store = new HashMap<>();
+    private final SoundRequestCounts sound = new SoundRequestCounts();
+    private int minPrefillMs = 1_000;
+    private int maxPrefillMs = 2_000;
     private int submittedCount;
     private int answeredCount;
     private int rejectedCount;
+    private long messageCount;
+    private long updateCount;
 
     private record Event(long atMs, int number, Runnable action) implements Comparable<Event> {
         @Override
@@ -76,19 +85,26 @@
     /** One submission of a request. */
     private final class Submission {
         private final int router;
-        private final ContentId content;
-        private final boolean isCrashing;
+        private final RequestContent content;
         private final long receivedMs = nowMs;
         private int sendCount;
         private long sentMs;
         private long runStartedMs;
         private boolean isOnTrial;
+        private boolean hasWaited;
         private boolean isDone;
 
-        Submission(int router, ContentId content, boolean harmful) {
+        Submission(int router, RequestContent content) {
             this.router = router;
             this.content = content;
-            this.isCrashing = harmful;
+        }
+
+        private List<ContentId> crashing() {
+            return content.all().stream().filter(crashingIds::contains).toList();
+        }
+
+        private boolean isSound() {
+            return crashing().isEmpty();
         }
 
         private Quarantine quarantine() {
@@ -96,21 +112,48 @@
         }
 
         void trySend() {
-            SendRule rule = quarantine().sendRule(RequestContent.of(content), nowMs);
+            if (isDone) {
+                return;
+            }
+            SendRule rule = quarantine().sendRule(content, nowMs);
             Optional<Server> server = server(rule);
             if (rule == SendRule.REJECT) {
-                rejectedCount++;
-                isDone = true;
+                reject();
             } else if (sendCount >= ATTEMPTS
                     || nowMs - receivedMs > REQUEST_TIMEOUT_MS && sendCount == 0) {
                 isDone = true;
+                if (sendCount == 0 && hasWaited && isSound()) {
+                    sound.recordNotSent();
+                }
             } else if (rule == SendRule.WAIT || server.isEmpty()) {
+                hasWaited |= rule == SendRule.WAIT;
                 schedule(RETRY_MS, this::trySend);
             } else {
                 send(server.get());
             }
         }
 
+        private void reject() {
+            rejectedCount++;
+            isDone = true;
+            if (isSound()) {
+                sound.recordRejection();
+            }
+        }
+
+        /** Cancels the send if the request has just begun and is rejected now. */
+        void cancelIfRejected() {
+            boolean hasJustBegun =
+                    runStartedMs == Long.MAX_VALUE || nowMs - runStartedMs < Quarantine.TRIAL_MS;
+            if (!isDone
+                    && hasJustBegun
+                    && quarantine().sendRule(content, nowMs) == SendRule.REJECT) {
+                servers.forEach(s -> s.runs.remove(this));
+                endTrial();
+                reject();
+            }
+        }
+
         private Optional<Server> server(SendRule rule) {
             List<Server> up = servers.stream().filter(s -> s.isUp).toList();
             if (up.isEmpty()) {
@@ -125,12 +168,18 @@
             sendCount++;
             sentMs = nowMs;
             runStartedMs = Long.MAX_VALUE;
-            sendsMs.computeIfAbsent(content, c -> new ArrayList<>()).add(nowMs);
-            isOnTrial = quarantine().beginTrial(RequestContent.of(content), nowMs);
+            for (ContentId id : crashing()) {
+                sendsMs.computeIfAbsent(id, c -> new ArrayList<>()).add(nowMs);
+            }
+            if (sendCount == 1 && hasWaited && isSound()) {
+                sound.recordDelay(nowMs - receivedMs);
+            }
+            isOnTrial = quarantine().beginTrial(content, nowMs);
             broadcast(router);
             server.runs.add(this);
             int send = sendCount;
-            schedule(PREFILL_MS + random.nextInt(PREFILL_MS), () -> beginRun(server, send));
+            int prefillMs = minPrefillMs + random.nextInt(maxPrefillMs - minPrefillMs);
+            schedule(prefillMs, () -> beginRun(server, send));
         }
 
         private boolean isRunningAt(Server server, int send) {
@@ -142,7 +191,7 @@
                 return;
             }
             runStartedMs = nowMs;
-            if (isCrashing) {
+            if (!isSound()) {
                 schedule(CRASH_MS, () -> crash(server, send));
                 return;
             }
@@ -152,14 +201,16 @@
 
         private void crash(Server server, int send) {
             if (isRunningAt(server, send)) {
-                crashesMs.computeIfAbsent(content, c -> new ArrayList<>()).add(nowMs);
+                for (ContentId id : crashing()) {
+                    crashesMs.computeIfAbsent(id, c -> new ArrayList<>()).add(nowMs);
+                }
                 endServer(server);
             }
         }
 
         private void recordSuccess(Server server, int send) {
             if (isRunningAt(server, send)) {
-                quarantine().recordSuccess(RequestContent.of(content), runStartedMs, nowMs);
+                quarantine().recordSuccess(content, runStartedMs, nowMs);
                 broadcast(router);
             }
         }
@@ -177,7 +228,7 @@
         private void endTrial() {
             if (isOnTrial) {
                 isOnTrial = false;
-                quarantine().endTrial(RequestContent.of(content));
+                quarantine().endTrial(content);
                 broadcast(router);
             }
         }
@@ -189,13 +240,13 @@
                 return;
             }
             Loss loss = new Loss(incarnation, sentMs, nowMs);
-            quarantine().beginInquiry(RequestContent.of(content), nowMs);
+            quarantine().beginInquiry(content, nowMs);
             schedule(
                     INQUIRY_MS,
                     () -> {
-                        quarantine().endInquiry(RequestContent.of(content));
-                        quarantine().recordLoss(RequestContent.of(content), loss, nowMs);
-                        broadcast(router);
+                        quarantine().endInquiry(content);
+                        quarantine().recordLoss(content, loss, nowMs);
+                        handleChanges(router);
                     });
             trySend();
         }
@@ -231,8 +282,62 @@
     }
 
     void submit(ContentId content, boolean harmful) {
+        if (harmful) {
+            crashingIds.add(content);
+        }
+        submit(RequestContent.of(content));
+    }
+
+    /** Submits a request at any router. */
+    void submit(RequestContent content) {
         submittedCount++;
-        new Submission(random.nextInt(routers.size()), content, harmful).trySend();
+        Submission submission = new Submission(random.nextInt(routers.size()), content);
+        if (submission.isSound()) {
+            sound.recordSubmission();
+        }
+        submission.trySend();
+    }
+
+    /** Sets the range of the time from a send to the begin of the run, in ms. */
+    void setPrefillMs(int minMs, int maxMs) {
+        minPrefillMs = minMs;
+        maxPrefillMs = maxMs;
+    }
+
+    /** From now on each request with {@code id} crashes its server. */
+    void makeCrashing(ContentId id) {
+        crashingIds.add(id);
+    }
+
+    /** Cuts off a router from all others for {@code ms}; then its links are restored. */
+    void cutOff(int router, long ms) {
+        cutOffRouters.add(router);
+        schedule(
+                ms,
+                () -> {
+                    cutOffRouters.remove(router);
+                    for (int peer = 0; peer < routers.size(); peer++) {
+                        restoreLink(router, peer);
+                        restoreLink(peer, router);
+                    }
+                });
+    }
+
+    private void restoreLink(int from, int to) {
+        if (from != to) {
+            handleUpdates(from, to, routers.get(from).snapshot(nowMs));
+        }
+    }
+
+    /** Ends all routers with their requests; new ones read what the store holds. */
+    void restartRouters() {
+        for (int i = 0; i < routers.size(); i++) {
+            Quarantine fresh = Quarantine.create(RouterId.of("r" + i), 3_600_000);
+            store.values().forEach(r -> fresh.restore(r, nowMs));
+            routers.set(i, fresh);
+        }
+        servers.forEach(s -> s.runs.forEach(r -> r.isDone = true));
+        servers.forEach(s -> s.runs.clear());
     }
 
     /** Ends all servers of one domain at once. */
@@ -263,6 +368,26 @@
                 });
     }
 
+    /** Sends the changes of a router to the others, saves them and ends what it rejects now. */
+    private void handleChanges(int router) {
+        broadcast(router);
+        cancelRejected(router);
+        Quarantine quarantine = routers.get(router);
+        for (ContentUpdate update : quarantine.snapshot(nowMs)) {
+            CrashRecord record = update.record().shifted(nowMs);
+            if (record.countedLosses().size() >= 2) {
+                store.put(record.content(), record);
+            }
+        }
+    }
+
+    private void cancelRejected(int router) {
+        servers.stream()
+                .flatMap(s -> List.copyOf(s.runs).stream())
+                .filter(r -> r.router == router)
+                .forEach(Submission::cancelIfRejected);
+    }
+
     private void broadcast(int router) {
         if (!routers.get(router).hasUpdates()) {
             return;
@@ -271,6 +396,7 @@
                 BATCH_MS,
                 () -> {
                     List<ContentUpdate> updates = routers.get(router).drainUpdates(nowMs);
+                    updateCount += updates.size();
                     for (int peer = 0; peer < routers.size() && !updates.isEmpty(); peer++) {
                         broadcast(router, peer, updates);
                     }
@@ -278,9 +404,10 @@
     }
 
     private void broadcast(int router, int peer, List<ContentUpdate> updates) {
-        if (peer == router) {
+        if (peer == router || cutOffRouters.contains(router) || cutOffRouters.contains(peer)) {
             return;
         }
+        messageCount++;
         boolean linkDown = random.nextInt(50) == 0;
         if (linkDown) {
             schedule(
@@ -296,6 +423,8 @@
 
     private void handleUpdates(int router, int peer, List<ContentUpdate> updates) {
         updates.forEach(n -> routers.get(peer).handleUpdate(RouterId.of("r" + router), n, nowMs));
+        cancelRejected(peer);
+        broadcast(peer);
     }
 
     /** Returns the number of servers that {@code content} crashed. */
@@ -307,12 +436,18 @@
      * Returns how often {@code content} was sent more than {@code afterMs} after its third crash.
      */
     long sendsAfterThirdCrash(ContentId content, long afterMs) {
-        List<Long> ends = crashesMs.getOrDefault(content, List.of());
-        return ends.size() < Quarantine.CRASH_LIMIT
+        return sendsAfterCrash(content, Quarantine.CRASH_LIMIT, afterMs);
+    }
+
+    /**
+     * Returns how often requests with {@code id} were sent more than {@code afterMs} after crash
+     * {@code number} of it.
+     */
+    long sendsAfterCrash(ContentId id, int number, long afterMs) {
+        List<Long> ends = crashesMs.getOrDefault(id, List.of());
+        return ends.size() < number
                 ? 0
-                : sendsMs.get(content).stream()
-                        .filter(s -> s > ends.get(Quarantine.CRASH_LIMIT - 1) + afterMs)
-                        .count();
+                : sendsMs.get(id).stream().filter(s -> s > ends.get(number - 1) + afterMs).count();
     }
 
     /**
@@ -323,6 +458,20 @@
         return sendsMs.get(content).stream().filter(s -> s <= firstMs + MAX_UPDATE_MS).count();
     }
 
+    SoundRequestCounts sound() {
+        return sound;
+    }
+
+    /** Returns the number of messages between routers. */
+    long messageCount() {
+        return messageCount;
+    }
+
+    /** Returns the number of updates of one id in all broadcasts. */
+    long updateCount() {
+        return updateCount;
+    }
+
     int submittedCount() {
         return submittedCount;
     }
