quarantine: losses count for the parts of prompts too

Cause: losses were kept for whole contents only.

Why it works: a loss is recorded for the whole content and the parts of each request that had just begun on the server. A run that began after a loss and passed its trial clears its parts, for all routers. A part is not suspected in a request if something else, not in the request, was lost with the same servers and ran without a crash less recently. Trials of a part are spread over the routers, so that not each of them sends one once a trial has ended; while a loss is being determined the trial counts as running.

Tests changed: QuarantineTest reads the changes of an id from the map that is returned now, and leadToTheSameStateInAnyOrder has a time for each loss and success, since a success clears the losses before it; as strict as before. Old rows of the store are read; a row of a part has a mark. Records of an update have two more fields, which older routers skip.

--- a/masticweir/src/main/java/org/masticweir/quarantine/CrashUpdate.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/CrashUpdate.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
@@ -18,7 +19,10 @@
 
 /** Reports to another router which servers ended while they ran which contents; immutable. */
 public record CrashUpdate(List<ContentUpdate> contents) implements PeerMessage {
-    private static final int CONTENT_FIELDS = 4;
+    /** Fields of a content; older versions send the first {@link #OLD_CONTENT_FIELDS}. */
+    private static final int CONTENT_FIELDS = 6;
+
+    private static final int OLD_CONTENT_FIELDS = 4;
     private static final int LOSS_FIELDS = 4;
     private static final int INCARNATION_FIELDS = 2;
     private static final int MAX_CONTENTS = 16_384;
@@ -50,6 +54,11 @@
             }
             encodeIncarnations(record.withdrawn(), out);
             out.packBoolean(content.isOnTrial());
+            out.packBoolean(record.isPart());
+            out.packArrayHeader(record.lastSuccessMs().isPresent() ? 1 : 0);
+            if (record.lastSuccessMs().isPresent()) {
+                out.packLong(record.lastSuccessMs().getAsLong());
+            }
         }
     }
 
@@ -67,16 +76,22 @@
     }
 
     private static ContentUpdate decodeContent(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, CONTENT_FIELDS)) {
-            CrashRecord record =
-                    new CrashRecord(
-                            ContentId.of(f.text(MAX_ID_BYTES)),
-                            f.list(CrashRecord.MAX_INCARNATIONS, CrashUpdate::decodeLoss),
-                            ImmutableSet.copyOf(
-                                    f.list(
-                                            CrashRecord.MAX_INCARNATIONS,
-                                            CrashUpdate::decodeListedIncarnation)));
-            return new ContentUpdate(record, f.bool());
+        try (Fields f = Fields.open(in, OLD_CONTENT_FIELDS)) {
+            ContentId content = ContentId.of(f.text(MAX_ID_BYTES));
+            ImmutableList<Loss> losses =
+                    f.list(CrashRecord.MAX_INCARNATIONS, CrashUpdate::decodeLoss);
+            ImmutableSet<ServerIncarnation> withdrawn =
+                    ImmutableSet.copyOf(
+                            f.list(
+                                    CrashRecord.MAX_INCARNATIONS,
+                                    CrashUpdate::decodeListedIncarnation));
+            boolean isOnTrial = f.bool();
+            boolean isPart = f.hasMore() && f.bool();
+            List<Long> success =
+                    f.hasMore() ? f.list(1, MessageUnpacker::unpackLong) : ImmutableList.of();
+            OptionalLong lastSuccessMs = success.stream().mapToLong(Long::longValue).findFirst();
+            return new ContentUpdate(
+                    new CrashRecord(content, isPart, lastSuccessMs, losses, withdrawn), isOnTrial);
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -2,22 +2,26 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.collect.ImmutableList;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
 import java.util.LinkedHashSet;
-import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.RouterId;
 
 /**
- * The contents that may have crashed servers, based on the losses that all routers observed; owned
- * by the traffic thread.
+ * The contents and parts of prompts that may have crashed servers, based on the losses that all
+ * routers observed; owned by the traffic thread.
  *
  * <p>A request that crashes each server that begins to run it may be submitted again and again, at
  * any router and under new ids. Without a quarantine, the recorded losses would be discarded at the
@@ -26,6 +30,11 @@
  * the submission ends. After {@link #CRASH_LIMIT} crashes the content is put into quarantine and
  * rejected.
  *
+ * <p>A part of a prompt may crash servers too, in requests of different contents. Each loss is
+ * recorded for the whole content and for all parts of each request that had just begun on the
+ * server. A part is to blame if all its losses have no other content or part in common that ran
+ * without a crash less recently. A request with a part of which this is unclear is tried.
+ *
  * <p>A trial is a send of a suspected content: a content with at least one counted crash. While a
  * trial runs, other requests with the same content wait.
  *
@@ -62,45 +71,24 @@
      */
     static final long PEER_TRIAL_EXPIRY_MS = 10_000;
 
-    /** Time for which losses of a content below the limit are kept after the last loss, in ms. */
-    static final long SUSPECT_EXPIRY_MS = 600_000;
+    /** Time over which the routers spread their sends of a suspected part, in ms. */
+    private static final int TRIAL_STAGGER_MS = 1_000;
 
-    /** Maximum number of contents; each takes some hundred bytes. */
-    static final int MAX_CONTENTS = 4_096;
+    /** Time over which the routers spread their sends after a part's quarantine, in ms. */
+    private static final int QUARANTINE_STAGGER_MS = 10_000;
 
-    private final RouterId self;
-    private final long maxQuarantineMs;
+    /** Minimum time between two updates about successes of a part without counted losses, in ms. */
+    private static final long SUCCESS_UPDATE_MS = 10_000;
 
-    /** Ordered by the last change, oldest first. */
-    private final Map<ContentId, Entry> entries = new LinkedHashMap<>();
+    /** Maximum number of parts of a request that are recorded. */
+    private static final int MAX_PARTS = 64;
 
+    private final RouterId self;
+    private final long maxQuarantineMs;
+    private final CrashEvidence evidence;
+    private final OwnTrials ownTrials = new OwnTrials();
     private final Set<ContentId> pendingUpdates = new LinkedHashSet<>();
 
-    /** The state of one content. */
-    private static final class Entry {
-        private final Map<RouterId, Long> trialsUntilMs = new HashMap<>();
-        private CrashRecord record;
-        private long createdMs;
-        private int ownTrials;
-        private int inquiries;
-
-        Entry(CrashRecord record) {
-            this.record = record;
-        }
-
-        /**
-         * Returns the time of the last loss, or the creation time of this entry if there is no
-         * loss.
-         */
-        long lastLossOrCreationMs() {
-            return record.lastLoss().map(Loss::endedMs).orElse(createdMs);
-        }
-
-        int crashCount() {
-            return record.crashCount();
-        }
-    }
-
     /** The change of a content's state by one call. */
     public enum Change {
         NONE,
@@ -110,7 +98,7 @@
     }
 
     /**
-     * The state of one content, for other routers.
+     * The state of one content or part, for other routers.
      *
      * @param record record with times relative to the time of sending, which is 0
      * @param isOnTrial whether a trial of the content runs at the sender
@@ -124,6 +112,7 @@
     private Quarantine(RouterId self, long maxQuarantineMs) {
         this.self = checkNotNull(self, "self");
         this.maxQuarantineMs = maxQuarantineMs;
+        evidence = new CrashEvidence(maxQuarantineMs);
     }
 
     /**
@@ -139,23 +128,101 @@
 
     /** Returns whether no loss of any content is recorded; callers then need no content id. */
     public boolean isEmpty() {
-        return entries.isEmpty();
+        return evidence.isEmpty();
+    }
+
+    private static ImmutableSet<ContentId> recordedIds(RequestContent content) {
+        return ImmutableSet.<ContentId>builder()
+                .addAll(content.parts().asList().stream().limit(MAX_PARTS).iterator())
+                .add(content.whole())
+                .build();
     }
 
     /** Returns whether and where a request with {@code content} may be sent now. */
     public SendRule sendRule(RequestContent content, long nowMs) {
-        Entry entry = findUnexpired(content.whole(), nowMs);
-        if (entry == null) {
-            return SendRule.ANY_SERVER;
+        SendRule strictest = SendRule.ANY_SERVER;
+        for (ContentId id : recordedIds(content)) {
+            ContentState state = evidence.findUnexpired(id, nowMs);
+            if (state != null) {
+                strictest = strictest.stricterOf(ruleOf(state, content, nowMs));
+            }
         }
-        int count = entry.crashCount();
-        if (count >= CRASH_LIMIT && nowMs < entry.lastLossOrCreationMs() + quarantineMs(count)) {
+        return strictest;
+    }
+
+    private SendRule ruleOf(ContentState state, RequestContent content, long nowMs) {
+        int suspicion = suspicion(state, content, nowMs);
+        if (suspicion == 0) {
+            boolean isInquired = state.isInquired() && !isProven(state);
+            return isInquired ? SendRule.WAIT : SendRule.ANY_SERVER;
+        }
+        boolean isHeld = suspicion >= CRASH_LIMIT && nowMs < quarantineEndMs(state);
+        if (isHeld && !isAmbiguous(state, content)) {
             return SendRule.REJECT;
         }
-        if (entry.inquiries > 0 || (count > 0 && isOnTrial(entry, nowMs))) {
+        if (state.isInquired() || state.isOnTrial(nowMs) || state.isStaggered(nowMs)) {
             return SendRule.WAIT;
         }
-        return count >= LEAST_LOADED_MIN_CRASHES ? SendRule.LEAST_LOADED : SendRule.ANY_SERVER;
+        return suspicion >= LEAST_LOADED_MIN_CRASHES ? SendRule.LEAST_LOADED : SendRule.ANY_SERVER;
+    }
+
+    private static boolean isProven(ContentState state) {
+        return state.record().isPart() && state.record().lastSuccessMs().isPresent();
+    }
+
+    /**
+     * Returns how many crashes are held against {@code state} in a request with {@code content}:
+     * none if something else that is not in this request explains all its losses.
+     */
+    private int suspicion(ContentState state, RequestContent content, long nowMs) {
+        int suspicion = state.suspicion(nowMs);
+        return suspicion > 0 && isExplained(state, content, nowMs) ? 0 : suspicion;
+    }
+
+    /**
+     * Returns whether something that is not in this request was lost with the same servers and is
+     * more likely to have caused the crashes. If that is wrong, the next crash under this request
+     * shows it.
+     */
+    private boolean isExplained(ContentState state, RequestContent content, long nowMs) {
+        if (!state.record().isPart()) {
+            return otherCandidates(state, content)
+                    .anyMatch(
+                            other ->
+                                    other.record().isPart()
+                                            && other.suspicion(nowMs) >= CRASH_LIMIT
+                                            && other.crashCount() > state.crashCount());
+        }
+        boolean isTrusted = state.isTrusted(nowMs);
+        return otherCandidates(state, content)
+                .anyMatch(
+                        other ->
+                                state.isProvenLaterThan(other)
+                                        || (isTrusted
+                                                && other.suspicion(nowMs) >= CRASH_LIMIT
+                                                && !other.isProvenLongAfter(state)));
+    }
+
+    /** Returns whether something that is not in this request may have caused all losses as well. */
+    private boolean isAmbiguous(ContentState state, RequestContent content) {
+        return state.record().isPart()
+                && otherCandidates(state, content).anyMatch(s -> !s.isProvenLongAfter(state));
+    }
+
+    private Stream<ContentState> otherCandidates(ContentState state, RequestContent content) {
+        ImmutableSet<ContentId> own = content.all();
+        return evidence.othersWithAllLossesOf(state).stream()
+                .filter(s -> !own.contains(s.content()));
+    }
+
+    /**
+     * Returns when the quarantine ends. The routers that did not observe the last loss send later,
+     * each at a time of its own, so that one request is tried and not one at each router.
+     */
+    private long quarantineEndMs(ContentState state) {
+        long endMs = state.lastLossOrCreationMs() + quarantineMs(state.crashesForDuration());
+        boolean isFirst = state.isLossObservedHere() || !state.record().isPart();
+        return isFirst ? endMs : endMs + staggerMs(state, QUARANTINE_STAGGER_MS);
     }
 
     /**
@@ -172,19 +239,32 @@
         return Math.min(durationMs, maxQuarantineMs);
     }
 
-    /** Returns the counted losses of {@code content}. */
+    /** Returns a delay below {@code maxMs} that differs between routers and between crashes. */
+    private int staggerMs(ContentState state, int maxMs) {
+        String seed = self + " " + state.content() + " " + state.crashCount();
+        return Math.floorMod(Hashing.murmur3_32_fixed().hashString(seed, UTF_8).asInt(), maxMs);
+    }
+
+    /** Returns the counted losses of a content or part. */
     public ImmutableList<Loss> countedLosses(ContentId content) {
-        Entry entry = entries.get(content);
-        return entry == null ? ImmutableList.of() : entry.record.countedLosses();
+        ContentState state = evidence.get(content);
+        return state == null ? ImmutableList.of() : state.record().countedLosses();
     }
 
-    /** Returns the time until the quarantine of {@code content} ends, in ms. */
+    /** Returns the time until {@code content} and its parts are not in quarantine, in ms. */
     public long remainingQuarantineMs(RequestContent content, long nowMs) {
-        Entry entry = entries.get(content.whole());
-        return entry == null
-                ? 0
-                : Math.max(
-                        0, entry.lastLossOrCreationMs() + quarantineMs(entry.crashCount()) - nowMs);
+        return recordedIds(content).stream()
+                .map(evidence::get)
+                .filter(s -> s != null && suspicion(s, content, nowMs) >= CRASH_LIMIT)
+                .mapToLong(s -> Math.max(0, quarantineEndMs(s) - nowMs))
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns the time until the quarantine of one content or part ends, in ms. */
+    long remainingQuarantineMs(ContentId id, long nowMs) {
+        ContentState state = evidence.get(id);
+        return state == null ? 0 : Math.max(0, quarantineEndMs(state) - nowMs);
     }
 
     /**
@@ -192,107 +272,166 @@
      * trial; the trial lasts until {@link #endTrial}.
      */
     public boolean beginTrial(RequestContent content, long nowMs) {
-        Entry entry = findUnexpired(content.whole(), nowMs);
-        if (entry == null || entry.crashCount() == 0) {
+        ImmutableSet<ContentId> suspects =
+                recordedIds(content).stream()
+                        .filter(
+                                id -> {
+                                    ContentState state = evidence.findUnexpired(id, nowMs);
+                                    return state != null && suspicion(state, content, nowMs) > 0;
+                                })
+                        .collect(ImmutableSet.toImmutableSet());
+        if (suspects.isEmpty()) {
             return false;
         }
-        entry.ownTrials++;
-        entry.trialsUntilMs.put(self, Long.MAX_VALUE);
-        pendingUpdates.add(content.whole());
+        ownTrials.begin(content, suspects);
+        suspects.forEach(id -> evidence.get(id).beginOwnTrial());
+        pendingUpdates.addAll(suspects);
         return true;
     }
 
     /** Records the end of a trial. */
     public void endTrial(RequestContent content) {
-        Entry entry = entries.get(content.whole());
-        if (entry == null || entry.ownTrials == 0) {
-            return;
-        }
-        entry.ownTrials--;
-        if (entry.ownTrials == 0) {
-            entry.trialsUntilMs.remove(self);
-            pendingUpdates.add(content.whole());
+        for (ContentId id : ownTrials.end(content)) {
+            ContentState state = evidence.get(id);
+            if (state != null) {
+                state.endOwnTrial();
+                pendingUpdates.add(id);
+            }
         }
     }
 
     /**
      * Records that the cause of a loss under {@code content} is being determined; requests with the
-     * content wait until {@link #endInquiry}.
+     * content, or with a part that is not known to run, wait until {@link #endInquiry}.
      */
     public void beginInquiry(RequestContent content, long nowMs) {
-        getOrCreate(content.whole(), nowMs).inquiries++;
+        for (ContentId id : recordedIds(content)) {
+            getOrCreate(id, content, nowMs).beginInquiry();
+        }
     }
 
     /** Records that the cause of a loss has been determined. */
     public void endInquiry(RequestContent content) {
-        Entry entry = entries.get(content.whole());
-        if (entry != null) {
-            entry.inquiries = Math.max(0, entry.inquiries - 1);
-            removeIfEmpty(content.whole(), entry);
+        for (ContentId id : recordedIds(content)) {
+            ContentState state = evidence.get(id);
+            if (state != null) {
+                state.endInquiry();
+                if (state.crashCount() > 0) {
+                    pendingUpdates.add(id);
+                }
+                evidence.removeIfEmpty(state);
+            }
         }
     }
 
     /** Records the end of a server that had begun to run a request with {@code content}. */
-    public Change recordLoss(RequestContent content, Loss loss, long nowMs) {
-        Entry entry = getOrCreate(content.whole(), nowMs);
-        return setRecord(entry, entry.record.withLoss(loss));
+    public ImmutableMap<ContentId, Change> recordLoss(
+            RequestContent content, Loss loss, long nowMs) {
+        return recordedIds(content).stream()
+                .collect(
+                        ImmutableMap.toImmutableMap(
+                                Function.identity(),
+                                id -> recordLoss(getOrCreate(id, content, nowMs), loss, nowMs)));
+    }
+
+    private Change recordLoss(ContentState state, Loss loss, long nowMs) {
+        state.setLossObservedHere(true);
+        state.staggerUntil(nowMs);
+        return setRecord(state, state.record().withLoss(loss), nowMs);
     }
 
     /**
-     * Records that a request with {@code content} ran without crashing its server.
+     * Records that a request with {@code content} ran without crashing its server. A run shows
+     * nothing about a part that crashes servers since it began; a content is always the same.
      *
      * @param beganMs when the run began
      */
-    public Change recordSuccess(RequestContent content, long beganMs, long nowMs) {
-        Entry entry = findUnexpired(content.whole(), nowMs);
-        return entry == null || entry.crashCount() == 0
-                ? Change.NONE
-                : setRecord(entry, entry.record.withdrawAllLosses());
-    }
-
-    /** Returns the contents for which the loss of {@code incarnation} counts. */
-    public ImmutableList<ContentId> contentsWithLossOf(ServerIncarnation incarnation) {
-        return entries.values().stream()
-                .map(e -> e.record)
-                .filter(r -> r.countedLosses().stream().anyMatch(l -> l.life().equals(incarnation)))
-                .map(CrashRecord::content)
+    public ImmutableMap<ContentId, Change> recordSuccess(
+            RequestContent content, long beganMs, long nowMs) {
+        ImmutableMap.Builder<ContentId, Change> changes = ImmutableMap.builder();
+        for (ContentId id : recordedIds(content)) {
+            boolean isPart = !id.equals(content.whole());
+            if (isPart) {
+                evidence.recordSuccess(id, beganMs);
+            }
+            ContentState state = evidence.findUnexpired(id, nowMs);
+            if (state != null) {
+                changes.put(id, recordSuccess(state, isPart ? beganMs : nowMs, nowMs));
+            }
+        }
+        return changes.build();
+    }
+
+    private Change recordSuccess(ContentState state, long successMs, long nowMs) {
+        boolean hadUpdate = pendingUpdates.contains(state.content());
+        int crashes = state.crashCount();
+        if (crashes == 0 && !state.record().isPart()) {
+            return Change.NONE;
+        }
+        Change change = setRecord(state, state.record().withSuccess(successMs), nowMs);
+        boolean isNews = state.crashCount() != crashes || state.isSuccessNews(SUCCESS_UPDATE_MS);
+        if (!hadUpdate && !isNews) {
+            pendingUpdates.remove(state.content());
+        }
+        return change;
+    }
+
+    /** Returns the contents and parts for which the loss of {@code incarnation} counts. */
+    ImmutableList<ContentId> contentsWithLossOf(ServerIncarnation incarnation) {
+        return evidence.all().stream()
+                .filter(s -> s.countedIncarnations().contains(incarnation))
+                .map(ContentState::content)
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Records an answer of {@code incarnation}, whose loss was counted for {@code content}. */
-    public Change recordAlive(ContentId content, ServerIncarnation incarnation, long nowMs) {
-        Entry entry = findUnexpired(content, nowMs);
-        return entry == null
-                ? Change.NONE
-                : setRecord(entry, entry.record.withdrawLossOf(incarnation));
+    /** Records an answer of {@code incarnation}, whose loss may have been counted. */
+    public ImmutableMap<ContentId, Change> recordAlive(ServerIncarnation incarnation, long nowMs) {
+        return contentsWithLossOf(incarnation).stream()
+                .collect(
+                        ImmutableMap.toImmutableMap(
+                                Function.identity(), id -> withdrawLoss(id, incarnation, nowMs)));
+    }
+
+    private Change withdrawLoss(ContentId content, ServerIncarnation incarnation, long nowMs) {
+        ContentState state = evidence.get(content);
+        return setRecord(state, state.record().withdrawLossOf(incarnation), nowMs);
     }
 
     /** Applies another router's update; updates may arrive twice, late and in any order. */
     public Change handleUpdate(RouterId peer, ContentUpdate update, long nowMs) {
-        Entry entry = getOrCreate(update.record().content(), nowMs);
-        if (update.isOnTrial()) {
-            entry.trialsUntilMs.put(peer, nowMs + PEER_TRIAL_EXPIRY_MS);
-        } else {
-            entry.trialsUntilMs.remove(peer);
+        CrashRecord record = update.record();
+        ContentState state = evidence.getOrCreate(record.content(), record.isPart(), nowMs);
+        OptionalLong trialUntilMs =
+                update.isOnTrial()
+                        ? OptionalLong.of(nowMs + PEER_TRIAL_EXPIRY_MS)
+                        : OptionalLong.empty();
+        boolean hasTrialEnded = state.setPeerTrial(peer, trialUntilMs);
+        int crashes = state.crashCount();
+        Change change = merge(state, record.shifted(nowMs), nowMs);
+        boolean hasLoss = state.crashCount() > crashes;
+        if (hasLoss) {
+            state.setLossObservedHere(false);
+        }
+        if (record.isPart() && (hasLoss || hasTrialEnded)) {
+            state.staggerUntil(nowMs + staggerMs(state, TRIAL_STAGGER_MS));
         }
-        Change change = merge(entry, update.record().shifted(nowMs));
-        removeIfEmpty(update.record().content(), entry);
+        evidence.removeIfEmpty(state);
         return change;
     }
 
     /** Applies a record read from the store. */
     public Change restore(CrashRecord record, long nowMs) {
-        return merge(getOrCreate(record.content(), nowMs), record);
+        return merge(evidence.getOrCreate(record.content(), record.isPart(), nowMs), record, nowMs);
     }
 
     /** Removes the trials of a lost router. */
     public void removeTrialsOf(RouterId peer) {
-        entries.values().forEach(e -> e.trialsUntilMs.remove(peer));
+        evidence.all().forEach(s -> s.setPeerTrial(peer, OptionalLong.empty()));
     }
 
-    /** Returns the record of {@code content}, if there is one. */
+    /** Returns the record of a content or part, if there is one. */
     public Optional<CrashRecord> record(ContentId content) {
-        return Optional.ofNullable(entries.get(content)).map(e -> e.record);
+        return Optional.ofNullable(evidence.get(content)).map(ContentState::record);
     }
 
     /** Returns whether there are changes to send to other routers. */
@@ -304,8 +443,9 @@
     public ImmutableList<ContentUpdate> drainUpdates(long nowMs) {
         ImmutableList<ContentUpdate> updates =
                 pendingUpdates.stream()
-                        .filter(entries::containsKey)
-                        .map(c -> updateOf(entries.get(c), nowMs))
+                        .map(evidence::get)
+                        .filter(Objects::nonNull)
+                        .map(s -> updateOf(s, nowMs))
                         .collect(ImmutableList.toImmutableList());
         pendingUpdates.clear();
         return updates;
@@ -313,103 +453,46 @@
 
     /** Returns all records, for a router that has just been linked. */
     public ImmutableList<ContentUpdate> snapshot(long nowMs) {
-        return entries.values().stream()
-                .filter(e -> !e.record.isEmpty())
-                .map(e -> updateOf(e, nowMs))
+        return evidence.all().stream()
+                .filter(s -> !s.record().isEmpty())
+                .map(s -> updateOf(s, nowMs))
                 .collect(ImmutableList.toImmutableList());
     }
 
-    private static ContentUpdate updateOf(Entry entry, long nowMs) {
-        return new ContentUpdate(entry.record.shifted(-nowMs), entry.ownTrials > 0);
+    private static ContentUpdate updateOf(ContentState state, long nowMs) {
+        state.recordSharedSuccess(state.record().lastSuccessMs());
+        return new ContentUpdate(state.record().shifted(-nowMs), state.isBusyHere());
     }
 
     /**
      * Merges a record of another router and does not forward its changes. This router's own changes
-     * remain to be sent.
+     * remain to be sent, and successes that the other one does not know.
      */
-    private Change merge(Entry entry, CrashRecord record) {
+    private Change merge(ContentState state, CrashRecord record, long nowMs) {
         boolean hasOwnUpdate = pendingUpdates.contains(record.content());
-        Change change = setRecord(entry, entry.record.merge(record));
-        if (!hasOwnUpdate) {
+        state.recordSharedSuccess(record.lastSuccessMs());
+        Change change = setRecord(state, state.record().merge(record), nowMs);
+        if (!hasOwnUpdate && !state.isSuccessNews(SUCCESS_UPDATE_MS)) {
             pendingUpdates.remove(record.content());
         }
         return change;
     }
 
-    private Change setRecord(Entry entry, CrashRecord record) {
-        int previousCount = entry.crashCount();
-        if (record.equals(entry.record)) {
+    private Change setRecord(ContentState state, CrashRecord record, long nowMs) {
+        if (record.equals(state.record())) {
             return Change.NONE;
         }
-        entry.record = record;
-        entries.remove(record.content());
-        entries.put(record.content(), entry);
+        int previous = state.suspicion(nowMs);
+        evidence.setRecord(state, record);
         pendingUpdates.add(record.content());
-        int newCount = entry.crashCount();
-        if (newCount > previousCount) {
-            return newCount >= CRASH_LIMIT ? Change.QUARANTINED : Change.SUSPECTED;
-        }
-        return newCount == 0 && previousCount > 0 ? Change.CLEARED : Change.NONE;
-    }
-
-    private Entry getOrCreate(ContentId content, long nowMs) {
-        Entry entry = findUnexpired(content, nowMs);
-        if (entry != null) {
-            return entry;
-        }
-        evictIfFull(nowMs);
-        Entry fresh = new Entry(CrashRecord.of(content));
-        fresh.createdMs = nowMs;
-        entries.put(content, fresh);
-        return fresh;
-    }
-
-    private Entry findUnexpired(ContentId content, long nowMs) {
-        Entry entry = entries.get(content);
-        if (entry != null && isExpired(entry, nowMs)) {
-            entries.remove(content);
-            return null;
-        }
-        return entry;
-    }
-
-    private boolean isExpired(Entry entry, long nowMs) {
-        boolean isQuarantined = entry.crashCount() >= CRASH_LIMIT;
-        long retentionMs =
-                isQuarantined ? maxQuarantineMs : Math.min(maxQuarantineMs, SUSPECT_EXPIRY_MS);
-        return entry.inquiries == 0 && nowMs - entry.lastLossOrCreationMs() >= retentionMs;
-    }
-
-    /**
-     * Removes expired contents, then the oldest contents below the limit, then the oldest contents
-     * in quarantine. Each crash costs a server, so quarantined contents are the most expensive to
-     * detect again.
-     */
-    private void evictIfFull(long nowMs) {
-        if (entries.size() < MAX_CONTENTS) {
-            return;
-        }
-        entries.values().removeIf(e -> isExpired(e, nowMs));
-        evictOldest(false);
-        evictOldest(true);
-    }
-
-    private void evictOldest(boolean quarantined) {
-        Iterator<Entry> oldest = entries.values().iterator();
-        while (entries.size() >= MAX_CONTENTS && oldest.hasNext()) {
-            if (oldest.next().crashCount() >= CRASH_LIMIT == quarantined) {
-                oldest.remove();
-            }
-        }
-    }
-
-    private void removeIfEmpty(ContentId content, Entry entry) {
-        if (entry.record.isEmpty() && entry.inquiries == 0) {
-            entries.remove(content);
+        int current = state.suspicion(nowMs);
+        if (current > previous) {
+            return current >= CRASH_LIMIT ? Change.QUARANTINED : Change.SUSPECTED;
         }
+        return current == 0 && previous > 0 ? Change.CLEARED : Change.NONE;
     }
 
-    private static boolean isOnTrial(Entry entry, long nowMs) {
-        return entry.trialsUntilMs.values().stream().anyMatch(until -> nowMs < until);
+    private ContentState getOrCreate(ContentId id, RequestContent content, long nowMs) {
+        return evidence.getOrCreate(id, !id.equals(content.whole()), nowMs);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/quarantine/QuarantineStore.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/QuarantineStore.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -61,6 +62,9 @@
     private static final Splitter FIELD_SPLITTER = Splitter.on(FIELD_SEPARATOR);
     private static final int LOSS_FIELDS = 4;
 
+    /** Follows the time in the row of a part; the row of a whole content has no mark. */
+    private static final String PART_MARK = "part";
+
     private final TableService store;
     private final ScheduledExecutorService control;
     private final Clock clock;
@@ -153,6 +157,9 @@
     /** Returns a record as text, with the time of writing and all other times relative to it. */
     private String encode(CrashRecord record) {
         StringBuilder text = new StringBuilder(Long.toString(clock.wallMs()));
+        if (record.isPart()) {
+            text.append(PART_SEPARATOR).append(PART_MARK);
+        }
         for (Loss loss : record.shifted(-clock.nowMs()).countedLosses()) {
             ServerIncarnation incarnation = loss.life();
             text.append(PART_SEPARATOR);
@@ -176,13 +183,19 @@
                 remove(row.key());
                 return;
             }
+            boolean isPart = parts.get(1).equals(PART_MARK);
             ImmutableList<Loss> losses =
-                    parts.subList(1, parts.size()).stream()
+                    parts.subList(isPart ? 2 : 1, parts.size()).stream()
                             .limit(CrashRecord.MAX_INCARNATIONS)
                             .map(QuarantineStore::decodeLoss)
                             .collect(ImmutableList.toImmutableList());
             CrashRecord record =
-                    new CrashRecord(ContentId.of(row.key().key()), losses, ImmutableSet.of());
+                    new CrashRecord(
+                            ContentId.of(row.key().key()),
+                            isPart,
+                            OptionalLong.empty(),
+                            losses,
+                            ImmutableSet.of());
             recordConsumer.accept(record.shifted(clock.nowMs() - ageMs));
         } catch (IllegalArgumentException e) {
             LOG.warn("quarantine: row {} is not understood, {}", row.key(), e.getMessage());
--- a/masticweir/src/main/java/org/masticweir/quarantine/SendRule.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SendRule.java
@@ -1,6 +1,6 @@
 package org.masticweir.quarantine;
 
-/** Whether and where a request with a given content may be sent now. */
+/** Whether and where a request with a given content may be sent now; the strictest rule last. */
 public enum SendRule {
     /** The request may be sent to any server: fewer than two crashes of its content are counted. */
     ANY_SERVER,
@@ -14,5 +14,10 @@
      */
     WAIT,
     /** The request must not be sent: its content is in quarantine. */
-    REJECT
+    REJECT;
+
+    /** Returns the stricter one of this rule and {@code other}. */
+    SendRule stricterOf(SendRule other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -4,6 +4,8 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Optional;
@@ -34,6 +36,12 @@
     /** Time for which changes are batched, in ms; short compared with the start of a run. */
     private static final long BATCH_MS = 5;
 
+    /**
+     * Minimum time between two successes that are recorded while there are no losses, in ms. They
+     * show which parts are in frequent use; each of them costs the computation of the ids.
+     */
+    private static final long SUCCESS_SAMPLE_MS = 100;
+
     private final Quarantine quarantine;
     private final Clock clock;
     private final ScheduledExecutorService control;
@@ -44,6 +52,7 @@
     private final Counter clearedCounter;
     private volatile BiConsumer<ImmutableSet<ContentId>, Change> listener = (ids, change) -> {};
     private volatile boolean isEmpty = true;
+    private volatile long nextSampleMs = Long.MIN_VALUE;
     private boolean isBatchScheduled;
 
     /**
@@ -137,7 +146,7 @@
 
     /** Records the end of a server that had begun to run a request with {@code content}. */
     public void recordLoss(RequestContent content, Loss loss, String cause) {
-        apply(content.whole(), cause, now -> quarantine.recordLoss(content, loss, now));
+        apply(cause, now -> quarantine.recordLoss(content, loss, now));
     }
 
     /**
@@ -146,27 +155,20 @@
      * @param beganMs when the run began
      */
     public void recordSuccess(Supplier<RequestContent> content, long beganMs) {
-        if (!isEmpty) {
-            RequestContent id = content.get();
-            apply(
-                    id.whole(),
-                    "a request with it ran without a crash",
-                    now -> quarantine.recordSuccess(id, beganMs, now));
+        long nowMs = clock.nowMs();
+        if (isEmpty && nowMs < nextSampleMs) {
+            return;
         }
+        nextSampleMs = nowMs + SUCCESS_SAMPLE_MS;
+        RequestContent ids = content.get();
+        apply(
+                "a request with it ran without a crash",
+                now -> quarantine.recordSuccess(ids, beganMs, now));
     }
 
     /** Records an answer of an incarnation whose loss was counted. */
     public void recordAlive(ServerIncarnation incarnation) {
-        List<ContentId> contents;
-        synchronized (this) {
-            contents = quarantine.contentsWithLossOf(incarnation);
-        }
-        contents.forEach(
-                c ->
-                        apply(
-                                c,
-                                incarnation + " is alive",
-                                now -> quarantine.recordAlive(c, incarnation, now)));
+        apply(incarnation + " is alive", now -> quarantine.recordAlive(incarnation, now));
     }
 
     /** Handles an update from another router. */
@@ -180,6 +182,8 @@
         synchronized (this) {
             change = quarantine.handleUpdate(peer, update, clock.nowMs());
             isEmpty = quarantine.isEmpty();
+            // Other routers may not know a success that this router saw.
+            scheduleBatch();
         }
         if (change == Change.QUARANTINED) {
             log(content, change, "update from " + peer);
@@ -187,7 +191,7 @@
             // The router that made the change has logged it at a higher level.
             LOG.debug("quarantine: content {} is {}, update from {}", content, change, peer);
         }
-        notifyListener(content, change);
+        notifyListener(ImmutableMap.of(content, change));
     }
 
     /** Applies a record read from the store. */
@@ -198,7 +202,7 @@
             isEmpty = false;
         }
         log(record.content(), change, "read from the store");
-        notifyListener(record.content(), change);
+        notifyListener(ImmutableMap.of(record.content(), change));
     }
 
     /** Removes the trials of a lost router. */
@@ -212,28 +216,37 @@
         return all.isEmpty() ? Optional.empty() : Optional.of(new CrashUpdate(all));
     }
 
-    /** A call that may change the state of a content. */
+    /** A call that may change the states of contents and parts. */
     private interface Command {
-        Change runAt(long nowMs);
+        ImmutableMap<ContentId, Change> runAt(long nowMs);
     }
 
-    private void apply(ContentId content, String cause, Command command) {
-        Change change;
+    private void apply(String cause, Command command) {
+        ImmutableMap<ContentId, Change> changes;
         synchronized (this) {
-            change = command.runAt(clock.nowMs());
+            changes = command.runAt(clock.nowMs());
             isEmpty = quarantine.isEmpty();
             scheduleBatch();
         }
-        log(content, change, cause);
-        if (change != Change.NONE) {
-            record(content).ifPresent(save);
-        }
-        notifyListener(content, change);
+        changes.forEach(
+                (content, change) -> {
+                    log(content, change, cause);
+                    if (change != Change.NONE) {
+                        record(content).ifPresent(save);
+                    }
+                });
+        notifyListener(changes);
     }
 
-    private void notifyListener(ContentId content, Change change) {
-        if (change == Change.SUSPECTED || change == Change.QUARANTINED) {
-            listener.accept(ImmutableSet.of(content), change);
+    private void notifyListener(ImmutableMap<ContentId, Change> changes) {
+        for (Change change : ImmutableList.of(Change.SUSPECTED, Change.QUARANTINED)) {
+            ImmutableSet<ContentId> ids =
+                    changes.keySet().stream()
+                            .filter(id -> changes.get(id) == change)
+                            .collect(ImmutableSet.toImmutableSet());
+            if (!ids.isEmpty()) {
+                listener.accept(ids, change);
+            }
         }
     }
 
@@ -268,22 +281,31 @@
         if (change == Change.SUSPECTED) {
             suspectedCounter.inc();
             LOG.info(
-                    "quarantine: content {} is suspect, {}",
-                    content,
+                    "quarantine: {} is suspect, {}",
+                    describe(content),
                     describeLosses(content, cause));
         } else if (change == Change.QUARANTINED) {
             quarantinedCounter.inc();
             LOG.warn(
-                    "quarantine: content {} is not sent for {} ms, {}",
-                    content,
-                    remainingQuarantineMs(RequestContent.of(content), clock.nowMs()),
+                    "quarantine: {} is not sent for {} ms, {}",
+                    describe(content),
+                    remainingMs(content),
                     describeLosses(content, cause));
         } else if (change == Change.CLEARED) {
             clearedCounter.inc();
-            LOG.info("quarantine: content {} is cleared, {}", content, cause);
+            LOG.info("quarantine: {} is cleared, {}", describe(content), cause);
         }
     }
 
+    private synchronized long remainingMs(ContentId content) {
+        return quarantine.remainingQuarantineMs(content, clock.nowMs());
+    }
+
+    private String describe(ContentId content) {
+        boolean isPart = record(content).map(CrashRecord::isPart).orElse(false);
+        return (isPart ? "part " : "content ") + content;
+    }
+
     private String describeLosses(ContentId content, String cause) {
         return record(content)
                 .map(r -> cause + "; " + r.crashCount() + " ends counted of " + r.countedLosses())
--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantineTest.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -46,6 +47,10 @@
         }
     }
 
+    private static Change changeOf(ImmutableMap<ContentId, Change> changes) {
+        return changes.get(CONTENT);
+    }
+
     private SendRule sendRule(long nowMs) {
         return quarantine.sendRule(REQUEST, nowMs);
     }
@@ -56,11 +61,12 @@
         @Test
         void contentIsRejectedFromTheLimitOn() {
             assertEquals(SendRule.ANY_SERVER, sendRule(0));
-            assertEquals(Change.SUSPECTED, quarantine.recordLoss(REQUEST, loss(1, 0), 0));
+            assertEquals(Change.SUSPECTED, changeOf(quarantine.recordLoss(REQUEST, loss(1, 0), 0)));
             assertEquals(SendRule.ANY_SERVER, sendRule(0));
-            assertEquals(Change.SUSPECTED, quarantine.recordLoss(REQUEST, loss(2, 0), 0));
+            assertEquals(Change.SUSPECTED, changeOf(quarantine.recordLoss(REQUEST, loss(2, 0), 0)));
             assertEquals(SendRule.LEAST_LOADED, sendRule(0));
-            assertEquals(Change.QUARANTINED, quarantine.recordLoss(REQUEST, loss(3, 0), 0));
+            assertEquals(
+                    Change.QUARANTINED, changeOf(quarantine.recordLoss(REQUEST, loss(3, 0), 0)));
             assertEquals(SendRule.REJECT, sendRule(0));
         }
 
@@ -74,7 +80,7 @@
             ContentUpdate sameServer =
                     new ContentUpdate(CrashRecord.of(CONTENT).withLoss(loss(1, 0)), false);
             assertEquals(Change.NONE, quarantine.handleUpdate(PEER, sameServer, 0));
-            assertEquals(Change.NONE, quarantine.recordLoss(REQUEST, loss(1, 0), 0));
+            assertEquals(Change.NONE, changeOf(quarantine.recordLoss(REQUEST, loss(1, 0), 0)));
             assertEquals(1, quarantine.countedLosses(CONTENT).size());
         }
 
@@ -141,9 +147,10 @@
         void runWithoutCrashClearsEarlierLosses() {
             quarantine.recordLoss(REQUEST, loss(1, 0), 0);
             quarantine.recordLoss(REQUEST, loss(2, 0), 0);
-            assertEquals(Change.CLEARED, quarantine.recordSuccess(REQUEST, 10, 10));
+            assertEquals(Change.CLEARED, changeOf(quarantine.recordSuccess(REQUEST, 10, 10)));
             assertEquals(SendRule.ANY_SERVER, sendRule(10));
-            assertEquals(Change.SUSPECTED, quarantine.recordLoss(REQUEST, loss(3, 20), 20));
+            assertEquals(
+                    Change.SUSPECTED, changeOf(quarantine.recordLoss(REQUEST, loss(3, 20), 20)));
             assertEquals(1, quarantine.countedLosses(CONTENT).size());
         }
 
@@ -163,7 +170,7 @@
         void serverThatAnswersDoesNotCount() {
             quarantine.recordLoss(REQUEST, loss(1, 0), 0);
             assertEquals(ImmutableList.of(CONTENT), quarantine.contentsWithLossOf(incarnation(1)));
-            assertEquals(Change.CLEARED, quarantine.recordAlive(CONTENT, incarnation(1), 5));
+            assertEquals(Change.CLEARED, changeOf(quarantine.recordAlive(incarnation(1), 5)));
         }
 
         /**
@@ -183,7 +190,7 @@
             quarantine.beginInquiry(REQUEST, first + 1);
             assertEquals(SendRule.WAIT, sendRule(first + 1));
             quarantine.endInquiry(REQUEST);
-            Change change = quarantine.recordLoss(REQUEST, loss(7, first + 2), first + 2);
+            Change change = changeOf(quarantine.recordLoss(REQUEST, loss(7, first + 2), first + 2));
             assertEquals(Change.QUARANTINED, change);
             assertTrue(quarantine.remainingQuarantineMs(REQUEST, first + 2) > first);
             assertEquals(SendRule.REJECT, sendRule(3 * first));
@@ -194,10 +201,11 @@
             loseThreeServers(0);
             assertEquals(
                     Change.CLEARED,
-                    quarantine.recordSuccess(
-                            REQUEST,
-                            Quarantine.FIRST_QUARANTINE_MS,
-                            Quarantine.FIRST_QUARANTINE_MS));
+                    changeOf(
+                            quarantine.recordSuccess(
+                                    REQUEST,
+                                    Quarantine.FIRST_QUARANTINE_MS,
+                                    Quarantine.FIRST_QUARANTINE_MS)));
             assertEquals(SendRule.ANY_SERVER, sendRule(Quarantine.FIRST_QUARANTINE_MS));
         }
 
@@ -282,11 +290,12 @@
                 for (int i = 0; i < 6; i++) {
                     record =
                             random.nextInt(4) == 0
-                                    ? record.withdrawAllLosses()
-                                    : record.withLoss(loss(i, 0));
+                                    ? record.withSuccess(10 * i)
+                                    : record.withLoss(loss(i, 10 * i));
                     updates.add(new ContentUpdate(record, false));
                     updates.add(
-                            new ContentUpdate(CrashRecord.of(CONTENT).withLoss(loss(i, 0)), false));
+                            new ContentUpdate(
+                                    CrashRecord.of(CONTENT).withLoss(loss(i, 10 * i)), false));
                 }
                 Quarantine one = quarantineOf(updates, random);
                 Quarantine other = quarantineOf(updates, random);
@@ -316,14 +325,14 @@
         @Test
         void oldestBelowTheLimitAreEvictedFirst() {
             loseThreeServers(0);
-            for (int i = 0; i < Quarantine.MAX_CONTENTS; i++) {
+            for (int i = 0; i < CrashEvidence.MAX_CONTENTS; i++) {
                 quarantine.recordLoss(RequestContent.of(ContentId.of("c" + i)), loss(i, 1), 1);
             }
             assertEquals(SendRule.REJECT, sendRule(2));
             assertEquals(
                     SendRule.ANY_SERVER,
                     quarantine.sendRule(RequestContent.of(ContentId.of("c0")), 2));
-            assertEquals(Quarantine.MAX_CONTENTS, quarantine.snapshot(2).size());
+            assertEquals(CrashEvidence.MAX_CONTENTS, quarantine.snapshot(2).size());
         }
     }
 }
