--- a/masticweir/src/main/java/org/masticweir/relay/RequestMetadata.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestMetadata.java
@@ -2,10 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.masticweir.forward.RequestSize;
 import org.masticweir.id.PromptId;
+import org.masticweir.id.PromptPartId;
 
 /**
  * Metadata from the headers of a caller's request; immutable.
@@ -16,6 +18,8 @@
  * @param teamKey key that identifies the caller's team
  * @param size estimated cost of the request for an engine
  * @param prompt id of the part of the prompt that no other caller's request shares
+ * @param model name of the model that runs the prompt
+ * @param sharedParts ids of the parts of the prompt that other requests may share
  * @param lastEventId id of the last event that the caller has received
  */
 public record RequestMetadata(
@@ -24,6 +28,8 @@
         Optional<String> teamKey,
         RequestSize size,
         Optional<PromptId> prompt,
+        Optional<String> model,
+        ImmutableSet<PromptPartId> sharedParts,
         OptionalLong lastEventId) {
     public RequestMetadata {
         checkNotNull(requestId, "requestId");
@@ -31,6 +37,8 @@
         checkNotNull(teamKey, "teamKey");
         checkNotNull(size, "size");
         checkNotNull(prompt, "prompt");
+        checkNotNull(model, "model");
+        checkNotNull(sharedParts, "sharedParts");
         checkNotNull(lastEventId, "lastEventId");
     }
 }
