forward: bound each wait for a trial, and name a Retry-After that fits

What callers saw: a request whose content was suspect and whose first send had taken long was ended at once in place of waiting for the trial; a stream with a partly delivered answer waited until its deadline; a refused caller came back while the trial, two seconds long, was still running.

Cause: the wait was measured from the arrival of the request, streams had no limit, and the Retry-After was that of any refusal.

QuarantinedRequestTest failed before: waitsForTrialAfterALongSend:92 expected Step.Wait but was Step.End doesNotWaitUntilItsDeadlineWithAPartlyDeliveredAnswer:108 expected Step.End but was Step.Wait isToldToReturnAfterTheTrial:83 expected: <true> but was: <false>

The wait is now measured since the last send, and lasts half of the time goal, or all of it if events were delivered.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -12,6 +12,7 @@
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
 import org.masticweir.path.ConnectFailure;
+import org.masticweir.quarantine.Quarantine;
 import org.masticweir.quarantine.SendRule;
 
 /**
@@ -60,6 +61,9 @@
     private boolean hasEvent;
     private boolean hasQueriedCaches;
 
+    /** Start of the wait for a trial since the last send; empty if there was no such wait. */
+    private OptionalLong trialWaitStartMs = OptionalLong.empty();
+
     private RequestStateMachine(
             RequestParameters request,
             Supplier<ImmutableList<BackendServer>> servers,
@@ -322,6 +326,7 @@
 
     private Step send(BackendServer server, boolean resumesFromCopy, long nowMs) {
         requestWait.close();
+        trialWaitStartMs = OptionalLong.empty();
         permits.consume();
         if (!isRequestCounted) {
             isRequestCounted = true;
@@ -358,13 +363,21 @@
                 "servers ended under this content");
     }
 
-    /** Waits for the trial send of suspected content, at most as long as for a free server. */
+    /**
+     * Waits for the trial send of suspected content, or ends the request. An unsent request waits
+     * at most as long as for a free server. A request that was sent waits as long for each of its
+     * sends, and twice as long if its answer is partly delivered.
+     */
     private Step waitForTrial(long nowMs) {
-        return hasEvent || !requestWait.hasTimedOut(nowMs)
-                ? new Step.Wait(WAIT_MS)
-                : end(
+        if (trialWaitStartMs.isEmpty()) {
+            trialWaitStartMs = OptionalLong.of(sendCount == 0 ? request.receivedMs() : nowMs);
+        }
+        return requestWait.hasTimedOut(trialWaitStartMs.getAsLong(), hasEvent, nowMs)
+                ? end(
                         ErrorCode.OVERLOADED,
-                        "servers ended under this content, and its trial is running");
+                        "servers ended under this content, and its trial is running",
+                        Quarantine.TRIAL_MS)
+                : new Step.Wait(WAIT_MS);
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
@@ -24,6 +24,9 @@
      */
     private static final int ENGINE_GOAL_DIVISOR = 2;
 
+    /** Factor by which a request with a partly delivered answer waits longer for a trial. */
+    private static final int EVENT_WAIT_FACTOR = 2;
+
     private final RequestParameters request;
     private final WaitQueue queue;
     private Optional<WaitQueue.Entry> queueEntry = Optional.empty();
@@ -73,7 +76,18 @@
 
     /** Returns whether the request has waited for the longest useful time. */
     boolean hasTimedOut(long nowMs) {
-        return nowMs - request.receivedMs() >= maxWaitMs();
+        return hasTimedOut(request.receivedMs(), false, nowMs);
+    }
+
+    /**
+     * Returns whether a wait that started at {@code startMs} has lasted for the longest useful
+     * time.
+     *
+     * @param hasEvent whether the answer is partly delivered, so that a refusal wastes work
+     */
+    boolean hasTimedOut(long startMs, boolean hasEvent, long nowMs) {
+        long maxMs = hasEvent ? EVENT_WAIT_FACTOR * maxWaitMs() : maxWaitMs();
+        return nowMs - startMs >= maxMs;
     }
 
     /** Leaves the queue. */
--- a/masticweir/src/test/java/org/masticweir/forward/QuarantinedRequestTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/QuarantinedRequestTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
@@ -9,6 +10,7 @@
 import org.masticweir.catalog.Repeatability;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.Verdict;
+import org.masticweir.quarantine.Quarantine;
 import org.masticweir.quarantine.SendRule;
 
 /** Tests requests with content that has ended servers. */
@@ -72,6 +74,40 @@
         assertEquals(ErrorCode.OVERLOADED, asEnd(machine.next(ForwardFixture.GOAL_MS / 2)).code());
     }
 
+    /** Guards against a caller that returns while the trial is still running. */
+    @Test
+    void isToldToReturnAfterTheTrial() {
+        rule = SendRule.WAIT;
+        Step.End refused = asEnd(requestUnderRule().next(ForwardFixture.GOAL_MS / 2));
+        assertEquals(Verdict.NOT_RUN, refused.verdict());
+        assertTrue(refused.retryAfterMs().orElseThrow() >= Quarantine.TRIAL_MS);
+    }
+
+    /** Guards against a request that is refused at once because its first send took long. */
+    @Test
+    void waitsForTrialAfterALongSend() {
+        RequestStateMachine machine = requestUnderRule();
+        BackendServer first = asSend(machine.next(0)).server();
+        rule = SendRule.WAIT;
+        assertInstanceOf(Step.Wait.class, machine.onSendLost(first, ForwardFixture.GOAL_MS));
+        Step.End ended = asEnd(machine.next(ForwardFixture.GOAL_MS * 3 / 2));
+        assertEquals(ErrorCode.ENGINE_LOST, ended.code());
+        assertEquals(Verdict.MAY_HAVE_RUN, ended.verdict());
+    }
+
+    /** Guards against a stream that waits for the trials of others until its deadline. */
+    @Test
+    void doesNotWaitUntilItsDeadlineWithAPartlyDeliveredAnswer() {
+        RequestStateMachine machine = requestUnderRule();
+        BackendServer first = asSend(machine.next(0)).server();
+        machine.onEvent(1);
+        rule = SendRule.WAIT;
+        assertInstanceOf(Step.Wait.class, machine.onSendLost(first, 1_000));
+        assertInstanceOf(Step.Wait.class, machine.next(1_000 + ForwardFixture.GOAL_MS - 1));
+        assertEquals(
+                ErrorCode.ENGINE_LOST, asEnd(machine.next(1_000 + ForwardFixture.GOAL_MS)).code());
+    }
+
     /** If the content ends another server, the requests at that server are lost too. */
     @Test
     void goesToLeastLoadedServer() {
