relay: hold the loss of a server against all runs that had just begun there

Cause: each request asked for its own content alone why its server had ended, and only requests whose connection was seen to break were counted. A server that ends has several runs that have just begun, and the one that ended it need not be the first whose connection breaks.

LossInquiry makes one inquiry for each incarnation, for all runs that had just begun there (InFlightRequests.startedRunsAt). A trial goes on until the inquiry has its result: before, other routers heard of the end of the trial first and could begin the next one. ContentMonitor names the parts of the prompt beside the whole content.

InFlightRequests applies a change to all requests that hold a changed id: runs that passed a trial are recorded as successes, and what the quarantine then rejects is ended at once, also while it waits. A stream with events is stopped only if its whole content is rejected.

--- a/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
@@ -4,7 +4,7 @@
 
 import com.google.common.base.Supplier;
 import com.google.common.base.Suppliers;
-import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.ContentPolicy;
@@ -31,7 +31,10 @@
         this.context = checkNotNull(context, "context");
         content =
                 Suppliers.memoize(
-                        () -> new RequestContent(ContentDigest.of(request), ImmutableSet.of()));
+                        () ->
+                                new RequestContent(
+                                        ContentDigest.of(request),
+                                        ContentDigest.ofParts(request.metadata())));
     }
 
     RequestContent content() {
@@ -107,7 +110,11 @@
                         .isPresent();
         if (isExpectedToRun && hasJustBegun(nowMs)) {
             context.lossInquiry()
-                    .handleLoss(content.get(), server, sentMs, isConnectionBroken, view.catalog());
+                    .handleLoss(
+                            new StartedRun(content.get(), sentMs),
+                            server,
+                            isConnectionBroken,
+                            view.catalog());
         }
     }
 
@@ -116,6 +123,27 @@
         return hasJustBegun(nowMs) ? OptionalLong.empty() : OptionalLong.of(firstEventMs);
     }
 
+    /** Returns the current run, sent at {@code sentMs}, if it has just begun. */
+    Optional<StartedRun> startedRun(long sentMs, long nowMs) {
+        return hasJustBegun(nowMs)
+                ? Optional.of(new StartedRun(content.get(), sentMs))
+                : Optional.empty();
+    }
+
+    /**
+     * Returns whether the current run must be stopped, although it may have begun, because the
+     * quarantine rejects its content. A run with events has passed the phase in which parts of
+     * prompts end servers.
+     */
+    boolean mustStop(long nowMs) {
+        return eventCount == 0 || (hasJustBegun(nowMs) && isWholeContentRejected(nowMs));
+    }
+
+    private boolean isWholeContentRejected(long nowMs) {
+        RequestContent whole = RequestContent.of(content.get().whole());
+        return context.quarantine().sendRule(() -> whole, nowMs) == SendRule.REJECT;
+    }
+
     /**
      * Returns whether the server of the send has run the request for less time than a trial takes.
      */
--- a/masticweir/src/main/java/org/masticweir/relay/InFlightRequests.java
+++ b/masticweir/src/main/java/org/masticweir/relay/InFlightRequests.java
@@ -8,10 +8,13 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
 import org.masticweir.quarantine.Quarantine.Change;
 import org.masticweir.quarantine.RequestContent;
+import org.masticweir.quarantine.SendRule;
 import org.masticweir.quarantine.SharedQuarantine;
+import org.masticweir.time.Clock;
 
 /**
  * Set of a router's requests in flight; applies quarantine changes to them; owned by the traffic
@@ -19,6 +22,7 @@
  */
 final class InFlightRequests {
     private final SharedQuarantine quarantine;
+    private final Clock clock;
     private final Set<Request> requests = new LinkedHashSet<>();
     private boolean isEnded;
 
@@ -29,7 +33,10 @@
         /** Returns when the current run began if it has lasted longer than a trial. */
         OptionalLong provenRunStartMs();
 
-        /** Notifies the request that its content was quarantined. */
+        /** Returns the current run if it is at {@code server} and has just begun. */
+        Optional<StartedRun> startedRunAt(ServerIncarnation server);
+
+        /** Notifies the request that it must not be sent any more: it would end its server. */
         void onQuarantined();
 
         /**
@@ -39,8 +46,9 @@
         void onRouterExit();
     }
 
-    InFlightRequests(SharedQuarantine quarantine) {
+    InFlightRequests(SharedQuarantine quarantine, Clock clock) {
         this.quarantine = checkNotNull(quarantine, "quarantine");
+        this.clock = checkNotNull(clock, "clock");
     }
 
     void add(Request request) {
@@ -60,24 +68,32 @@
         ImmutableList.copyOf(requests).forEach(Request::onRouterExit);
     }
 
+    /** Returns the runs that have just begun at {@code server}. */
+    ImmutableList<StartedRun> startedRunsAt(ServerIncarnation server) {
+        return requests.stream()
+                .flatMap(r -> r.startedRunAt(server).stream())
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /**
-     * Applies a change of the quarantine to the requests with any of {@code changedIds}. If one of
-     * these requests has run for longer than a trial, the content is harmless, and a success is
-     * recorded. Otherwise, if the content is quarantined, requests that have just started are
-     * cancelled, because they would end their servers too.
+     * Applies a change of the quarantine to the requests with any of {@code changedIds}. Those that
+     * have run for longer than a trial are harmless, and are recorded as successes. After that, the
+     * requests that the quarantine rejects are ended, because they would end their servers too.
      */
     void onQuarantineChange(ImmutableSet<ContentId> changedIds, Change change) {
-        ImmutableList<Request> copies =
+        ImmutableList<Request> affected =
                 requests.stream()
-                        .filter(r -> changedIds.contains(r.content().whole()))
+                        .filter(r -> r.content().all().stream().anyMatch(changedIds::contains))
                         .collect(ImmutableList.toImmutableList());
-        Optional<Request> proven =
-                copies.stream().filter(r -> r.provenRunStartMs().isPresent()).findAny();
-        if (proven.isPresent()) {
-            quarantine.recordSuccess(
-                    proven.get()::content, proven.get().provenRunStartMs().getAsLong());
-        } else if (change == Change.QUARANTINED) {
-            copies.forEach(Request::onQuarantined);
+        affected.forEach(
+                r ->
+                        r.provenRunStartMs()
+                                .ifPresent(began -> quarantine.recordSuccess(r::content, began)));
+        if (change == Change.QUARANTINED) {
+            long now = clock.nowMs();
+            affected.stream()
+                    .filter(r -> quarantine.sendRule(r::content, now) == SendRule.REJECT)
+                    .forEach(Request::onQuarantined);
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
@@ -2,11 +2,18 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
@@ -19,12 +26,15 @@
 import org.masticweir.time.Clock;
 
 /**
- * Decides whether the loss of a server is attributed to the content that it ran; owned by the
+ * Decides whether the loss of a server is attributed to the contents that it ran; owned by the
  * traffic thread.
  *
- * <p>The loss is attributed to the content only if the server has certainly ended. There are three
+ * <p>The loss is attributed to contents only if the server has certainly ended. There are three
  * such cases: the server broke the connection and then refuses new connections, another incarnation
  * has its address, or its entry lapses.
+ *
+ * <p>There is one inquiry for each incarnation. All runs that had just begun there may have caused
+ * the loss, not only the run whose connection broke first.
  */
 final class LossInquiry {
     private static final Logger LOG = LogManager.getLogger(LossInquiry.class);
@@ -38,10 +48,28 @@
     private static final int MAX_SILENT_SERVERS = 1_024;
 
     private final SharedQuarantine quarantine;
-    private final ServerProbe probe;
+    private final Probe probe;
+    private final Function<ServerIncarnation, ImmutableList<StartedRun>> startedRuns;
     private final Clock clock;
+    private final Map<ServerIncarnation, Inquiry> inquiries = new HashMap<>();
     private final Map<ServerIncarnation, SilentServer> silentServers = new HashMap<>();
 
+    /** Finds out whether a server ended; see {@link ServerProbe}. */
+    interface Probe {
+        void probe(BackendServer server, Optional<Catalog> catalog, Consumer<Result> callback);
+    }
+
+    /** An inquiry, with one loss for each content that the server had started to run. */
+    private static final class Inquiry {
+        private final Map<RequestContent, Loss> losses = new LinkedHashMap<>();
+
+        /** Contents whose requests wait for the result. */
+        private final Set<RequestContent> waitingContents = new LinkedHashSet<>();
+
+        private final List<RequestContent> trials = new ArrayList<>();
+        private boolean isConnectionBroken;
+    }
+
     /**
      * A server that became silent, with one loss for each content that the server had started to
      * run.
@@ -51,66 +79,106 @@
         private long watchedUntilMs;
     }
 
-    LossInquiry(SharedQuarantine quarantine, ServerProbe probe, Clock clock) {
+    /**
+     * Creates an inquiry without losses.
+     *
+     * @param startedRuns returns the runs of this router that have just begun at a server
+     */
+    LossInquiry(
+            SharedQuarantine quarantine,
+            Probe probe,
+            Function<ServerIncarnation, ImmutableList<StartedRun>> startedRuns,
+            Clock clock) {
         this.quarantine = checkNotNull(quarantine, "quarantine");
         this.probe = checkNotNull(probe, "probe");
+        this.startedRuns = checkNotNull(startedRuns, "startedRuns");
         this.clock = checkNotNull(clock, "clock");
     }
 
     /**
-     * Handles the loss of {@code server} soon after it started to run a request. The request was
-     * sent at {@code sentMs}.
+     * Handles the loss of {@code server} soon after it started {@code run}.
      *
      * @param isConnectionBroken whether the server broke the connection, which shows that it was
      *     reachable a moment ago
      */
     void handleLoss(
-            RequestContent content,
+            StartedRun run,
             BackendServer server,
-            long sentMs,
             boolean isConnectionBroken,
             Optional<Catalog> catalog) {
-        Loss loss = new Loss(server.incarnation(), sentMs, clock.nowMs());
+        ServerIncarnation incarnation = server.incarnation();
+        boolean isRunning = inquiries.containsKey(incarnation);
+        Inquiry inquiry = inquiries.computeIfAbsent(incarnation, i -> new Inquiry());
+        addRun(inquiry, incarnation, run);
+        startedRuns.apply(incarnation).forEach(r -> addRun(inquiry, incarnation, r));
         if (isConnectionBroken) {
             // The request waits for the inquiry. After a broken connection the probe takes
             // milliseconds; the probe of a silent server would delay the request for longer.
+            inquiry.isConnectionBroken = true;
+            delayRequests(inquiry, run.content());
+        }
+        if (!isRunning) {
+            probe.probe(server, catalog, result -> handleProbeResult(incarnation, result));
+        }
+    }
+
+    private void addRun(Inquiry inquiry, ServerIncarnation incarnation, StartedRun run) {
+        long now = clock.nowMs();
+        Loss previous = inquiry.losses.get(run.content());
+        if (previous == null || previous.sentMs() < run.sentMs()) {
+            inquiry.losses.put(run.content(), new Loss(incarnation, run.sentMs(), now));
+        }
+    }
+
+    /**
+     * Delays the requests with {@code content} until the result is known. A trial of the content
+     * goes on until then, so that no other router begins the next one before.
+     */
+    private void delayRequests(Inquiry inquiry, RequestContent content) {
+        if (inquiry.waitingContents.add(content)) {
             quarantine.beginInquiry(content);
+            if (quarantine.beginTrial(() -> content)) {
+                inquiry.trials.add(content);
+            }
         }
-        probe.probe(
-                server,
-                catalog,
-                result -> handleProbeResult(content, loss, isConnectionBroken, result));
     }
 
-    private void handleProbeResult(
-            RequestContent content, Loss loss, boolean isConnectionBroken, Result result) {
-        ServerIncarnation incarnation = loss.life();
+    private void handleProbeResult(ServerIncarnation incarnation, Result result) {
+        Inquiry inquiry = inquiries.remove(incarnation);
         boolean hasEnded =
-                result == Result.ENDED || (isConnectionBroken && result == Result.UNREACHED);
-        LOG.info(
-                "quarantine: {} was lost under content {}, {}, {}",
-                incarnation,
-                content.whole(),
-                isConnectionBroken ? "connection broken" : "silent",
-                result);
-        if (isConnectionBroken) {
-            quarantine.endInquiry(content);
-        }
+                result == Result.ENDED
+                        || (inquiry.isConnectionBroken && result == Result.UNREACHED);
+        String sign = inquiry.isConnectionBroken ? "connection broken" : "silent";
+        inquiry.losses
+                .keySet()
+                .forEach(
+                        content ->
+                                LOG.info(
+                                        "quarantine: {} was lost under content {}, {}, {}",
+                                        incarnation,
+                                        RequestLog.text(content),
+                                        sign,
+                                        result));
+        inquiry.waitingContents.forEach(quarantine::endInquiry);
         if (hasEnded) {
-            quarantine.recordLoss(content, loss, incarnation + " ended under it");
+            recordLosses(inquiry.losses, incarnation + " ended under it");
         } else if (result == Result.LIVES) {
             quarantine.recordAlive(incarnation);
         } else {
-            watchEntry(content, loss);
+            watchEntry(incarnation, inquiry.losses);
         }
+        inquiry.trials.forEach(quarantine::endTrial);
+    }
+
+    private void recordLosses(Map<RequestContent, Loss> losses, String cause) {
+        losses.forEach((content, loss) -> quarantine.recordLoss(content, loss, cause));
     }
 
-    private void watchEntry(RequestContent content, Loss loss) {
-        ServerIncarnation incarnation = loss.life();
+    private void watchEntry(ServerIncarnation incarnation, Map<RequestContent, Loss> losses) {
         if (silentServers.size() < MAX_SILENT_SERVERS || silentServers.containsKey(incarnation)) {
             SilentServer server =
                     silentServers.computeIfAbsent(incarnation, i -> new SilentServer());
-            server.losses.put(content, loss);
+            server.losses.putAll(losses);
             server.watchedUntilMs = clock.nowMs() + WATCH_MS;
         }
     }
@@ -128,8 +196,7 @@
             } else if (!listedServers.contains(entry.getKey())) {
                 iterator.remove();
                 String cause = entry.getKey() + "'s entry lapsed while it ran the content";
-                server.losses.forEach(
-                        (content, loss) -> quarantine.recordLoss(content, loss, cause));
+                recordLosses(server.losses, cause);
             }
         }
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -157,8 +157,8 @@
                 new AnswerMetadataRecorder(
                         serverNotices, limits, rooms, platform.protocol(), clock, metrics);
         access = serverAccess();
+        inFlight = new InFlightRequests(quarantine, clock);
         inquiry = lossInquiry();
-        inFlight = new InFlightRequests(quarantine);
         quarantine.onChange((c, q) -> thread.execute(() -> inFlight.onQuarantineChange(c, q)));
         peers = peerExchange(self, routers, loadSharing);
         shutdown = relayShutdown();
@@ -358,7 +358,7 @@
     private LossInquiry lossInquiry() {
         ServerProbe check =
                 new ServerProbe(access.caller(), platform.protocol(), limits, metadataRecorder);
-        return new LossInquiry(quarantine, check, clock);
+        return new LossInquiry(quarantine, check::probe, inFlight::startedRunsAt, clock);
     }
 
     private RelayShutdown relayShutdown() {
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -225,9 +225,21 @@
         return !isEnded && silence != null ? monitor.provenRunStartMs(now()) : OptionalLong.empty();
     }
 
+    @Override
+    public Optional<StartedRun> startedRunAt(ServerIncarnation server) {
+        boolean isThere =
+                !isEnded
+                        && silence != null
+                        && isSendWritten
+                        && silence.server().incarnation().equals(server);
+        return isThere ? monitor.startedRun(silence.sentMs(), now()) : Optional.empty();
+    }
+
     @Override
     public void onQuarantined() {
-        if (!isEnded && silence != null && monitor.hasJustBegun(now())) {
+        if (!isEnded && silence == null) {
+            execute(machine.endInQuarantine(now()));
+        } else if (!isEnded && monitor.mustStop(now())) {
             sendEnds.recordAbandoned(
                     silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
             abortUnwrittenSend();
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -12,9 +12,9 @@
 import org.masticweir.forward.EngineReport;
 import org.masticweir.forward.ServerLoad;
 import org.masticweir.forward.Step;
-import org.masticweir.id.ContentId;
 import org.masticweir.id.RouterId;
 import org.masticweir.permits.PermitDecision;
+import org.masticweir.quarantine.RequestContent;
 
 /**
  * Logs one line for each decision on a request, with the request's id and the reasons; runs on the
@@ -81,7 +81,11 @@
      * {@code eventCount} events.
      */
     void logLoss(
-            BackendServer server, String what, long sentMs, int eventCount, ContentId content) {
+            BackendServer server,
+            String what,
+            long sentMs,
+            int eventCount,
+            RequestContent content) {
         LOG.info(
                 "relay: request {}: {} in {} {} after {} ms and {} events, content {}",
                 id,
@@ -90,7 +94,14 @@
                 what,
                 context.clock().nowMs() - sentMs,
                 eventCount,
-                content);
+                text(content));
+    }
+
+    /** Returns the ids of the whole content and of its parts. */
+    static String text(RequestContent content) {
+        return content.parts().isEmpty()
+                ? content.whole().value()
+                : content.whole() + " with parts " + content.parts();
     }
 
     /** Logs the decision on a retry permit that was requested at {@code requestedMs}. */
--- a/masticweir/src/main/java/org/masticweir/relay/SendEnds.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendEnds.java
@@ -25,7 +25,7 @@
 
     /** Records a send that might have run and was abandoned by this router. */
     void recordAbandoned(BackendServer server, SendEnd end, String what, long sentMs) {
-        log.logLoss(server, what, sentMs, monitor.eventCount(), monitor.content().whole());
+        log.logLoss(server, what, sentMs, monitor.eventCount(), monitor.content());
         context.metrics().countSendEnd(server, end);
     }
 
