--- a/masticweir/src/main/java/org/masticweir/relay/InFlightRequests.java
+++ b/masticweir/src/main/java/org/masticweir/relay/InFlightRequests.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
-import org.masticweir.quarantine.Quarantine.Change;
 import org.masticweir.quarantine.RequestContent;
 import org.masticweir.quarantine.SendRule;
 import org.masticweir.quarantine.SharedQuarantine;
@@ -80,7 +79,7 @@
      * have run for longer than a trial are harmless, and are recorded as successes. After that, the
      * requests that the quarantine rejects are ended, because they would end their servers too.
      */
-    void onQuarantineChange(ImmutableSet<ContentId> changedIds, Change change) {
+    void onQuarantineChange(ImmutableSet<ContentId> changedIds) {
         ImmutableList<Request> affected =
                 requests.stream()
                         .filter(r -> r.content().all().stream().anyMatch(changedIds::contains))
@@ -89,11 +88,9 @@
                 r ->
                         r.provenRunStartMs()
                                 .ifPresent(began -> quarantine.recordSuccess(r::content, began)));
-        if (change == Change.QUARANTINED) {
-            long now = clock.nowMs();
-            affected.stream()
-                    .filter(r -> quarantine.sendRule(r::content, now) == SendRule.REJECT)
-                    .forEach(Request::onQuarantined);
-        }
+        long now = clock.nowMs();
+        affected.stream()
+                .filter(r -> quarantine.sendRule(r::content, now) == SendRule.REJECT)
+                .forEach(Request::onQuarantined);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -159,7 +159,7 @@
         access = serverAccess();
         inFlight = new InFlightRequests(quarantine, clock);
         inquiry = lossInquiry();
-        quarantine.onChange((c, q) -> thread.execute(() -> inFlight.onQuarantineChange(c, q)));
+        quarantine.onChange((c, q) -> thread.execute(() -> inFlight.onQuarantineChange(c)));
         peers = peerExchange(self, routers, loadSharing);
         shutdown = relayShutdown();
         ports =
--- a/masticweir/src/test/java/org/masticweir/relay/LinkedQuarantines.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/LinkedQuarantines.java
@@ -1,31 +1,28 @@
-package org.masticweir.relay;
+package org.masticweir.quarantine;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.RouterId;
-import org.masticweir.quarantine.CrashUpdate;
-import org.masticweir.quarantine.Quarantine;
-import org.masticweir.quarantine.RequestContent;
-import org.masticweir.quarantine.SendRule;
-import org.masticweir.quarantine.SharedQuarantine;
+import org.masticweir.time.Clock;
 import org.masticweir.time.ManualScheduler;
 
 /** The quarantines of some routers, whose updates reach all routers that are not cut off. */
-final class LinkedQuarantines {
+public final class LinkedQuarantines {
     private static final long QUARANTINE_MS = 3_600_000;
 
     /** Longer than the time for which changes are batched. */
     private static final long MESSAGE_MS = 10;
 
-    final ManualScheduler scheduler = new ManualScheduler();
-    final List<CrashUpdate> updates = new ArrayList<>();
+    private final ManualScheduler scheduler = new ManualScheduler();
+    private final List<CrashUpdate> updates = new ArrayList<>();
     private final List<SharedQuarantine> all = new ArrayList<>();
     private final List<Integer> cutOff = new ArrayList<>();
 
-    LinkedQuarantines(int routers) {
+    public LinkedQuarantines(int routers) {
         for (int i = 0; i < routers; i++) {
             int self = i;
             all.add(
@@ -34,7 +31,7 @@
                             scheduler.clock(),
                             new MetricRegistry(),
                             scheduler,
-                            update -> deliver(self, update),
+                            update -> broadcast(self, update),
                             record -> {}));
         }
     }
@@ -43,8 +40,18 @@
         return RouterId.of("r" + number);
     }
 
+    /** Returns the clock of all routers. */
+    public Clock clock() {
+        return scheduler.clock();
+    }
+
+    /** Returns all updates that any router has sent, in order. */
+    public ImmutableList<CrashUpdate> updates() {
+        return ImmutableList.copyOf(updates);
+    }
+
     /** Returns the content of a request with its own whole content and the given parts. */
-    static RequestContent content(String whole, String... parts) {
+    public static RequestContent content(String whole, String... parts) {
         ImmutableSet.Builder<ContentId> ids = ImmutableSet.builder();
         for (String part : parts) {
             ids.add(ContentId.of(part));
@@ -52,17 +59,17 @@
         return new RequestContent(ContentId.of(whole), ids.build());
     }
 
-    SharedQuarantine of(int router) {
+    public SharedQuarantine of(int router) {
         return all.get(router);
     }
 
     /** Sends no updates to and from {@code router} until it is linked again. */
-    void cutOff(int router) {
+    public void cutOff(int router) {
         cutOff.add(router);
     }
 
     /** Links {@code router} again; it exchanges snapshots with the others. */
-    void link(int router) {
+    public void link(int router) {
         cutOff.remove((Integer) router);
         for (int i = 0; i < all.size(); i++) {
             if (i != router && !cutOff.contains(i)) {
@@ -73,30 +80,34 @@
         }
     }
 
-    /** Delivers an update of {@code from} to all other routers that are linked. */
-    void deliver(int from, CrashUpdate update) {
+    /** Delivers {@code update} of router {@code from} to {@code to}, linked or not. */
+    public void deliver(int to, int from, CrashUpdate update) {
+        of(to).handleUpdate(routerId(from), update);
+    }
+
+    private void broadcast(int from, CrashUpdate update) {
         updates.add(update);
         for (int i = 0; i < all.size(); i++) {
             if (i != from && !cutOff.contains(i) && !cutOff.contains(from)) {
-                of(i).handleUpdate(routerId(from), update);
+                deliver(i, from, update);
             }
         }
     }
 
     /** Waits until the updates of all routers have been sent. */
-    void awaitUpdates() {
+    public void awaitUpdates() {
         advance(MESSAGE_MS);
     }
 
-    void advance(long ms) {
+    public void advance(long ms) {
         scheduler.runTo(nowMs() + ms);
     }
 
-    long nowMs() {
+    public long nowMs() {
         return scheduler.clock().nowMs();
     }
 
-    SendRule rule(int router, RequestContent content) {
+    public SendRule rule(int router, RequestContent content) {
         return of(router).sendRule(() -> content, nowMs());
     }
 }
--- a/masticweir/src/test/java/org/masticweir/relay/InFlightRequestsTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/InFlightRequestsTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.masticweir.relay.LinkedQuarantines.content;
+import static org.masticweir.quarantine.LinkedQuarantines.content;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -14,8 +14,8 @@
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
+import org.masticweir.quarantine.LinkedQuarantines;
 import org.masticweir.quarantine.Loss;
-import org.masticweir.quarantine.Quarantine.Change;
 import org.masticweir.quarantine.RequestContent;
 import org.masticweir.quarantine.SendRule;
 
@@ -26,7 +26,7 @@
 
     private final LinkedQuarantines quarantines = new LinkedQuarantines(1);
     private final InFlightRequests requests =
-            new InFlightRequests(quarantines.of(0), quarantines.scheduler.clock());
+            new InFlightRequests(quarantines.of(0), quarantines.clock());
 
     private static ServerIncarnation incarnation(String id) {
         return ServerIncarnation.ofUnknownStart(EngineId.of(id));
@@ -95,7 +95,7 @@
     }
 
     private void applyChange(String id) {
-        requests.onQuarantineChange(ImmutableSet.of(ContentId.of(id)), Change.QUARANTINED);
+        requests.onQuarantineChange(ImmutableSet.of(ContentId.of(id)));
     }
 
     /** A content or part is quarantined. */
--- a/masticweir/src/test/java/org/masticweir/relay/LossInquiryTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/LossInquiryTest.java
@@ -2,7 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
-import static org.masticweir.relay.LinkedQuarantines.content;
+import static org.masticweir.quarantine.LinkedQuarantines.content;
 
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
@@ -18,6 +18,7 @@
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
+import org.masticweir.quarantine.LinkedQuarantines;
 import org.masticweir.quarantine.RequestContent;
 import org.masticweir.quarantine.SendRule;
 import org.masticweir.relay.ServerProbe.Result;
@@ -35,7 +36,7 @@
                     quarantines.of(0),
                     (server, catalog, callback) -> probes.add(callback),
                     server -> ImmutableList.copyOf(otherRuns),
-                    quarantines.scheduler.clock());
+                    quarantines.clock());
     private int servers;
 
     private static BackendServer server(int number) {
