explain: tell which servers ended under the content and parts of a request

What operators saw: the story of a refused request named neither the servers that had ended nor when, since the quarantine's lines do not name the request and may be minutes old.

RequestStoryTest.tellsWhichServersEndedUnderItsPart failed before (:89, the quarantine's line was missing). The ids of the content and parts in the request's own lines now select the quarantine's lines, up to its end.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/RequestStory.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/RequestStory.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -21,7 +22,8 @@
  * puts them in order; not thread-safe.
  *
  * <p>Beside the lines that name the request these are what its routers came to believe meanwhile of
- * the servers that it went to, of the store and of themselves.
+ * the servers that it went to, of the store and of themselves, and which servers had ended under
+ * its content or under a part of its prompt.
  */
 final class RequestStory {
     /** How long before and after the request a change of belief may matter, in ms. */
@@ -37,9 +39,17 @@
     /** Prefixes of lines on what any request of a router depends on. */
     private static final Pattern OF_ALL = Pattern.compile("[ \"](?:feed|router): ");
 
+    /** Prefix of lines on contents and parts of prompts that end their servers. */
+    private static final Pattern OF_CONTENTS = Pattern.compile("[ \"]quarantine: ");
+
+    /** Id of a content or part, which is a digest. */
+    private static final Pattern CONTENT =
+            Pattern.compile("(?<![A-Za-z0-9])[0-9a-f]{32}(?![A-Za-z0-9])");
+
     private final Pattern named;
     private final List<Line> lines = new ArrayList<>();
     private final List<Line> beliefs = new ArrayList<>();
+    private final List<Line> evidence = new ArrayList<>();
 
     /** A line with the time it tells. */
     private record Line(Instant at, String text) {}
@@ -60,6 +70,8 @@
             lines.add(new Line(at.get(), text));
         } else if (OF_SERVERS.matcher(text).find() || OF_ALL.matcher(text).find()) {
             beliefs.add(new Line(at.get(), text));
+        } else if (OF_CONTENTS.matcher(text).find()) {
+            evidence.add(new Line(at.get(), text));
         }
     }
 
@@ -77,12 +89,32 @@
         Set<String> servers = servers();
         Stream<Line> matter =
                 beliefs.stream().filter(meanwhile).filter(l -> concerns(l.text(), servers));
-        return Stream.concat(lines.stream(), matter)
+        return Stream.of(lines.stream(), matter, evidenceBefore(last.plusMillis(MARGIN_MS)))
+                .flatMap(l -> l)
                 .sorted(comparing(Line::at))
                 .map(Line::text)
                 .collect(toImmutableList());
     }
 
+    /** Returns what was learnt of the request's content and parts; it may be long before. */
+    private Stream<Line> evidenceBefore(Instant end) {
+        Set<String> contents = contentsOf(lines);
+        return evidence.stream()
+                .filter(l -> l.at().isBefore(end))
+                .filter(l -> !Collections.disjoint(contentsOf(List.of(l)), contents));
+    }
+
+    private static Set<String> contentsOf(List<Line> lines) {
+        Set<String> contents = new HashSet<>();
+        for (Line line : lines) {
+            Matcher m = CONTENT.matcher(line.text());
+            while (m.find()) {
+                contents.add(m.group());
+            }
+        }
+        return contents;
+    }
+
     private static boolean concerns(String text, Set<String> servers) {
         return OF_ALL.matcher(text).find() || servers.stream().anyMatch(text::contains);
     }
--- a/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
+++ b/masticweir-cli/src/test/java/org/masticweir/cli/RequestStoryTest.java
@@ -72,6 +72,23 @@
         assertTrue(story(REMOVED).isEmpty());
     }
 
+    /** Guards against a refusal whose cause an operator cannot find: it lies minutes before. */
+    @Test
+    void tellsWhichServersEndedUnderItsPart() {
+        String part = "0123456789abcdef0123456789abcdef";
+        String held =
+                "2026-12-03T00:00:00Z WARN  quarantine: part "
+                        + part
+                        + " is not sent for 60000 ms, i-8 ended under it";
+        String other = held.replace(part, "f" + part.substring(1));
+        String refused =
+                "2026-12-03T00:00:40Z INFO  relay: request a1 ends QUARANTINED NOT_RUN after 1 ms"
+                        + " and 0 sends, servers ended under this content, part "
+                        + part;
+        String later = held.replace("00:00:00Z", "00:01:00Z");
+        assertEquals(ImmutableList.of(held, refused), story(later, other, refused, held));
+    }
+
     /** The command around it. */
     @Nested
     class Command {
