--- a/masticweir/src/main/java/org/masticweir/forward/HeldPermits.java
+++ b/masticweir/src/main/java/org/masticweir/forward/HeldPermits.java
@@ -24,6 +24,15 @@
     /** Expiry of the retry permit that the send in flight has consumed. */
     private OptionalLong usedRetryPermitExpiresMs = OptionalLong.empty();
 
+    /** Records the decision on the permit that {@code step} requests. */
+    void recordDecision(Step step, boolean granted, long nowMs) {
+        if (step instanceof Step.AcquirePermit permit) {
+            recordDecision(permit.server(), granted, nowMs);
+        } else {
+            recordRetryDecision(granted, nowMs);
+        }
+    }
+
     /** Records the decision on a permit for a rate-limited server. */
     void recordDecision(BackendServer limitedServer, boolean granted, long nowMs) {
         checkNotNull(limitedServer, "limitedServer");
--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -62,9 +62,6 @@
     private boolean hasEvent;
     private boolean hasQueriedCaches;
 
-    /** Start of the wait for a trial since the last send; empty if there was no such wait. */
-    private OptionalLong trialWaitStartMs = OptionalLong.empty();
-
     private RequestStateMachine(
             RequestParameters request,
             Supplier<ImmutableList<BackendServer>> servers,
@@ -274,11 +271,7 @@
 
     /** Records the decision on a permit that {@link #relocation} needs. */
     public void onRelocationPermit(Step permit, boolean granted, long nowMs) {
-        if (permit instanceof Step.AcquirePermit server) {
-            permits.recordDecision(server.server(), granted, nowMs);
-        } else {
-            permits.recordRetryDecision(granted, nowMs);
-        }
+        permits.recordDecision(permit, granted, nowMs);
     }
 
     /** Returns the send or permit request that replaces a server's error answer, if allowed. */
@@ -384,7 +377,6 @@
 
     private Step send(BackendServer server, boolean resumesFromCopy, long nowMs) {
         requestWait.close();
-        trialWaitStartMs = OptionalLong.empty();
         permits.consume();
         if (!isRequestCounted) {
             isRequestCounted = true;
@@ -428,10 +420,7 @@
      * sends, and twice as long if its answer is partly delivered.
      */
     private Step waitForTrial(long nowMs) {
-        if (trialWaitStartMs.isEmpty()) {
-            trialWaitStartMs = OptionalLong.of(sendCount == 0 ? request.receivedMs() : nowMs);
-        }
-        return requestWait.hasTimedOut(trialWaitStartMs.getAsLong(), hasEvent, nowMs)
+        return requestWait.hasTrialTimedOut(sendCount > 0, hasEvent, nowMs)
                 ? end(
                         ErrorCode.OVERLOADED,
                         "servers ended under this content, and its trial is running",
--- a/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 
 /**
@@ -31,6 +32,9 @@
     private final WaitQueue queue;
     private Optional<WaitQueue.Entry> queueEntry = Optional.empty();
 
+    /** Start of the wait for a trial since the last send; empty if there was no such wait. */
+    private OptionalLong trialWaitStartMs = OptionalLong.empty();
+
     RequestWait(RequestParameters request, WaitQueue queue) {
         this.request = checkNotNull(request, "request");
         this.queue = checkNotNull(queue, "queue");
@@ -76,23 +80,27 @@
 
     /** Returns whether the request has waited for the longest useful time. */
     boolean hasTimedOut(long nowMs) {
-        return hasTimedOut(request.receivedMs(), false, nowMs);
+        return nowMs - request.receivedMs() >= maxWaitMs();
     }
 
     /**
-     * Returns whether a wait that started at {@code startMs} has lasted for the longest useful
-     * time.
+     * Returns whether the wait for a trial has lasted for the longest useful time. The wait of an
+     * unsent request counts from its arrival, any other wait from the first call after a send.
      *
      * @param hasEvent whether the answer is partly delivered, so that a refusal wastes work
      */
-    boolean hasTimedOut(long startMs, boolean hasEvent, long nowMs) {
+    boolean hasTrialTimedOut(boolean isSent, boolean hasEvent, long nowMs) {
+        if (trialWaitStartMs.isEmpty()) {
+            trialWaitStartMs = OptionalLong.of(isSent ? nowMs : request.receivedMs());
+        }
         long maxMs = hasEvent ? EVENT_WAIT_FACTOR * maxWaitMs() : maxWaitMs();
-        return nowMs - startMs >= maxMs;
+        return nowMs - trialWaitStartMs.getAsLong() >= maxMs;
     }
 
-    /** Leaves the queue. */
+    /** Ends all waits before a send: leaves the queue, and forgets the wait for a trial. */
     @Override
     public void close() {
+        trialWaitStartMs = OptionalLong.empty();
         queueEntry.ifPresent(queue::remove);
         queueEntry = Optional.empty();
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -232,11 +232,10 @@
 
     @Override
     public Optional<StartedRun> startedRunAt(ServerIncarnation server) {
-        boolean isThere =
-                !isEnded
-                        && silence != null
-                        && isSendWritten
-                        && silence.server().incarnation().equals(server);
+        if (isEnded || silence == null || !isSendWritten) {
+            return Optional.empty();
+        }
+        boolean isThere = silence.server().incarnation().equals(server);
         return isThere ? monitor.startedRun(silence.sentMs(), now()) : Optional.empty();
     }
 
@@ -415,7 +414,7 @@
                 return;
             }
             context.health().recordAnswer(step.server().incarnation(), now());
-            recordLoad(metadata);
+            SendLoad.recordReport(context, step.server(), metadata);
             monitor.recordAnswer();
             context.metrics().countSendEnd(step.server(), SendEnd.ANSWERED);
             closeSend();
@@ -457,7 +456,7 @@
                 context.onLoadsChanged().run();
                 return;
             }
-            recordLoad(metadata);
+            SendLoad.recordReport(context, step.server(), metadata);
             long deprioritizedMs =
                     context.health().recordRefusal(step.server().incarnation(), now());
             sendEnds.recordNotRun(
@@ -497,11 +496,5 @@
             execute(machine.onSendLost(step.server(), now()));
             context.onLoadsChanged().run();
         }
-
-        private void recordLoad(AnswerMetadata metadata) {
-            ServerIncarnation incarnation = step.server().incarnation();
-            metadata.requestCount()
-                    .ifPresent(n -> context.loads().recordServerReport(incarnation, n, now()));
-        }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/SendLoad.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendLoad.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import org.masticweir.catalog.BackendServer;
 import org.masticweir.forward.LoadEntry;
 import org.masticweir.forward.RequestSize;
 import org.masticweir.forward.Step;
@@ -22,6 +23,18 @@
         return load;
     }
 
+    /** Records the load that {@code server} reports in an answer, if it does. */
+    static void recordReport(RelayContext context, BackendServer server, AnswerMetadata metadata) {
+        metadata.requestCount()
+                .ifPresent(
+                        count ->
+                                context.loads()
+                                        .recordServerReport(
+                                                server.incarnation(),
+                                                count,
+                                                context.clock().nowMs()));
+    }
+
     /** Records the end of the prefill, once. */
     void endPrefill() {
         entry.endPrefill();
