standins: an engine falls silent, answers without a length, ends on a part of a prompt

silence_ms holds back streams while the engine computes and answers probes (pause_ms freezes all). unframed sends streams with neither a length nor chunks. end_on_part ends the process on tokens that follow one another; end_on_token is the same with one token. EngineStandInTest.Faulty has a test for each; the end of the process itself is not played there.

--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/ControlRequest.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/ControlRequest.java
@@ -1,8 +1,8 @@
 package org.masticweir.standins.engine;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /** The faults that one call of the control interface asks for; absent ones stay as they are. */
@@ -21,6 +21,10 @@
         return optional(fields.pauseMs);
     }
 
+    OptionalLong silenceMs() {
+        return optional(fields.silenceMs);
+    }
+
     OptionalLong refuseMs() {
         return optional(fields.refuseMs);
     }
@@ -39,8 +43,14 @@
         return Optional.ofNullable(fields.ignoreFencing);
     }
 
-    OptionalInt endOnToken() {
-        return fields.endOnToken == null ? OptionalInt.empty() : OptionalInt.of(fields.endOnToken);
+    Optional<Boolean> unframed() {
+        return Optional.ofNullable(fields.unframed);
+    }
+
+    /** Returns the tokens that end the process where they follow one another in a prompt. */
+    Optional<List<Integer>> endOnPart() {
+        return Optional.ofNullable(fields.endOnPart)
+                .or(() -> Optional.ofNullable(fields.endOnToken).map(List::of));
     }
 
     boolean dropStreams() {
@@ -59,5 +69,8 @@
             Boolean ignoreFencing,
             Long refuseMs,
             Integer endOnToken,
+            List<Integer> endOnPart,
+            Long silenceMs,
+            Boolean unframed,
             Boolean dropStreams) {}
 }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Engine.java
@@ -195,6 +195,8 @@
     /** Plays the faults that {@code control} asks for; no step ends once a pause has begun. */
     synchronized void apply(ControlRequest control) {
         faults.apply(control);
+        // A silence that ends early must not hold back what is computed.
+        wakeReaders();
         if (control.dropStreams()) {
             dropStreams();
         }
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineApi.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/EngineApi.java
@@ -95,7 +95,7 @@
         admission
                 .sequence()
                 .map(sequence -> FrameCursor.of(engine, sequence, from, attempt, wrong))
-                .ifPresent(c -> StreamWriter.start(exchange, engine, c, faults.pause()));
+                .ifPresent(c -> StreamWriter.start(exchange, engine, c, faults));
     }
 
     private void status(HttpServerExchange exchange) {
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/Faults.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/Faults.java
@@ -3,8 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Collections;
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Optional;
 import org.masticweir.standins.http.Pause;
 import org.masticweir.time.Clock;
 
@@ -12,15 +13,18 @@
 final class Faults {
     private final Clock clock;
     private final Pause pause;
+    private final Pause silence;
     private volatile double slowFactor = 1;
     private volatile WrongResume wrongResume = WrongResume.NONE;
     private volatile boolean ignoreFencing;
     private volatile long refuseEndMs;
-    private volatile OptionalInt endOnToken = OptionalInt.empty();
+    private volatile boolean unframed;
+    private volatile Optional<List<Integer>> endOnPart = Optional.empty();
 
     private Faults(Clock clock) {
         this.clock = checkNotNull(clock, "clock");
         this.pause = Pause.inactive(clock);
+        this.silence = Pause.inactive(clock);
         this.refuseEndMs = clock.nowMs();
     }
 
@@ -34,7 +38,9 @@
         control.wrongResume().ifPresent(value -> wrongResume = value);
         control.ignoreFencing().ifPresent(value -> ignoreFencing = value);
         control.refuseMs().ifPresent(ms -> refuseEndMs = clock.nowMs() + ms);
-        control.endOnToken().ifPresent(token -> endOnToken = OptionalInt.of(token));
+        control.endOnPart().ifPresent(this::endOn);
+        control.unframed().ifPresent(value -> unframed = value);
+        control.silenceMs().ifPresent(silence::begin);
         control.pauseMs().ifPresent(pause::begin);
     }
 
@@ -43,6 +49,21 @@
         slowFactor = factor;
     }
 
+    private void endOn(List<Integer> part) {
+        checkArgument(!part.isEmpty(), "end_on_part is empty");
+        endOnPart = Optional.of(List.copyOf(part));
+    }
+
+    /** Returns the time in which streams get nothing, while all else goes on. */
+    Pause silence() {
+        return silence;
+    }
+
+    /** Returns whether streams have neither a length nor chunks. */
+    boolean unframed() {
+        return unframed;
+    }
+
     Pause pause() {
         return pause;
     }
@@ -61,7 +82,7 @@
 
     /** Returns whether the process ends as soon as it runs a request with {@code prompt}. */
     boolean endsOn(List<Integer> prompt) {
-        return endOnToken.isPresent() && prompt.contains(endOnToken.getAsInt());
+        return endOnPart.filter(p -> Collections.indexOfSubList(prompt, p) >= 0).isPresent();
     }
 
     /** Returns how long the engine goes on refusing work, 0 when it takes work. */
--- a/masticweir-standins/src/main/java/org/masticweir/standins/engine/StreamWriter.java
+++ b/masticweir-standins/src/main/java/org/masticweir/standins/engine/StreamWriter.java
@@ -6,8 +6,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.masticweir.standins.http.Json;
-import org.masticweir.standins.http.Pause;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -23,27 +23,33 @@
     private final HttpServerExchange exchange;
     private final Engine engine;
     private final FrameCursor cursor;
-    private final Pause pause;
+    private final Faults faults;
     private StreamSinkChannel channel;
     private ByteBuffer pending = ByteBuffer.allocate(0);
     private boolean closed;
+    private boolean waiting;
 
     private StreamWriter(
-            HttpServerExchange exchange, Engine engine, FrameCursor cursor, Pause pause) {
+            HttpServerExchange exchange, Engine engine, FrameCursor cursor, Faults faults) {
         this.exchange = exchange;
         this.engine = engine;
         this.cursor = cursor;
-        this.pause = pause;
+        this.faults = faults;
     }
 
     /** Answers {@code exchange} with the frames of {@code cursor}; called in its handler. */
-    static void start(HttpServerExchange exchange, Engine engine, FrameCursor cursor, Pause pause) {
-        StreamWriter writer = new StreamWriter(exchange, engine, cursor, pause);
+    static void start(
+            HttpServerExchange exchange, Engine engine, FrameCursor cursor, Faults faults) {
+        StreamWriter writer = new StreamWriter(exchange, engine, cursor, faults);
         exchange.dispatch(SameThreadExecutor.INSTANCE, writer::open);
     }
 
     private void open() {
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/x-ndjson");
+        if (faults.unframed()) {
+            // The server library then ends the answer with the connection.
+            exchange.setPersistent(false);
+        }
         channel = exchange.getResponseChannel();
         channel.getWriteSetter().set(c -> write());
         engine.attach(cursor.sequence(), this, cursor.attempt());
@@ -71,7 +77,11 @@
     }
 
     private void writeWhatFits() throws IOException {
-        while (!pause.active()) {
+        while (!faults.pause().active()) {
+            if (faults.silence().active()) {
+                goOnAfterSilence();
+                break;
+            }
             if (!sent()) {
                 channel.resumeWrites();
                 return;
@@ -89,6 +99,20 @@
         channel.suspendWrites();
     }
 
+    private void goOnAfterSilence() {
+        if (waiting) {
+            return;
+        }
+        waiting = true;
+        Runnable retry =
+                () -> {
+                    waiting = false;
+                    write();
+                };
+        long ms = faults.silence().remainingMs() + 1;
+        exchange.getIoThread().executeAfter(retry, ms, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns whether the last frame has left for the socket. */
     private boolean sent() throws IOException {
         while (pending.hasRemaining()) {
--- a/masticweir-standins/src/test/java/org/masticweir/standins/engine/EngineStandInTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/engine/EngineStandInTest.java
@@ -1,13 +1,16 @@
 package org.masticweir.standins.engine;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Streams;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.Iterator;
 import java.util.List;
@@ -267,6 +270,66 @@
             assertEquals(expected(3, 6), tokens(frames));
         }
 
+        /** A router sees a stream go silent while its engine answers probes, and go on later. */
+        @Test
+        void silenceHoldsBackStreamsOnly() {
+            Iterator<String> lines = open("a", 1);
+            control("{\"silence_ms\":600000}");
+            CompletableFuture<HttpResponse<String>> answer =
+                    client.send(client.posting(START, attempt("b", 1, 5)));
+            TestClient.await(() -> client.get(START + "/b/1/status").body().contains("\"done\""));
+            assertEquals(200, client.get("/v1/health").statusCode());
+            assertFalse(answer.isDone());
+            control("{\"silence_ms\":0}");
+            assertEquals(expected(0, 5), tokens(frames(TestClient.join(answer).body())));
+            assertTrue(lines.hasNext());
+        }
+
+        @Test
+        void silenceEndsWithItsTime() {
+            control("{\"silence_ms\":100}");
+            long start = Clock.system().nowMs();
+            assertEquals(expected(0, 5), tokens(run(attempt("a", 1, 5))));
+            assertTrue(Clock.system().nowMs() - start >= 100);
+        }
+
+        @Test
+        void unframedStreamEndsWithItsConnection() throws Exception {
+            control("{\"unframed\":true}");
+            String body = attempt("a", 1, 5);
+            try (Socket socket = new Socket("127.0.0.1", engine.address().getPort())) {
+                String head =
+                        "POST /v1/generations HTTP/1.1\r\nHost: e1\r\nContent-Length: "
+                                + body.length()
+                                + "\r\n\r\n";
+                socket.getOutputStream().write((head + body).getBytes(US_ASCII));
+                String answer = new String(socket.getInputStream().readAllBytes(), US_ASCII);
+                int end = answer.indexOf("\r\n\r\n");
+                String fields = Ascii.toLowerCase(answer.substring(0, end));
+                assertFalse(fields.contains("content-length"), fields);
+                assertFalse(fields.contains("transfer-encoding"), fields);
+                assertEquals(expected(0, 5), tokens(frames(answer.substring(end).strip())));
+            }
+        }
+
+        /** The process ends on the whole part only; the end itself is left out here. */
+        @Test
+        void promptEndsTheProcessIfItHoldsThePart() {
+            Faults faults = Faults.none(Clock.system());
+            faults.apply(ending(List.of(2, 3), null));
+            assertTrue(faults.endsOn(List.of(1, 2, 3, 4)));
+            assertFalse(faults.endsOn(List.of(2, 1, 3)));
+            faults.apply(ending(null, 7));
+            assertTrue(faults.endsOn(List.of(1, 7)));
+            assertFalse(faults.endsOn(List.of(2, 3)));
+        }
+
+        private static ControlRequest ending(List<Integer> part, Integer token) {
+            return ControlRequest.of(
+                    new ControlRequest.Fields(
+                            null, null, null, null, null, token, part, null, null, null));
+        }
+
         @Test
         void refusalEndsWithItsTime() {
             control("{\"refuse_ms\":600000}");
