relay: connections that a router can't serve soon are closed unread

What callers saw: when the balancer handed most new connections to one router, that router read all of their requests and served none in time, while other routers were idle.

Cause: the I/O library accepts connections on a thread of its own and queues each as a task of the traffic thread, which runs all queued tasks before it continues any request. Beyond what the processor can serve, each turn of the thread opens more connections than the one before, and no answer leaves before its caller is gone. So neither the listen backlog nor the accept queue ever fills; the traffic thread's delay grows.

Ruled out: the listen backlog (1,024), which the library's accept thread empties at once; the retry budget (the requests of this test need no retry).

Nothing is closed while no other router is linked, nor in the first 3 s after the start.

The callers' port is opened without the builder of the server library, which gives no access to a connection before its request is read; options are those that the builder sets, with the buffer size that it chooses for a heap of 100 MB.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayLinks.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayLinks.java
@@ -1,5 +1,8 @@
 package org.masticweir.relay;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import org.masticweir.metrics.MetricName;
 import org.masticweir.peer.Hello;
 import org.masticweir.peer.LinkSettings;
 import org.masticweir.peer.MessageRegistry;
@@ -39,4 +42,9 @@
                 MessageRegistry.of(RelayMessages.codecs()),
                 clock);
     }
+
+    /** Returns the counter of the links to other routers that are up. */
+    static Counter upLinkCounter(MetricRegistry metrics) {
+        return metrics.counter(MetricName.of("peer_links_up"));
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
@@ -9,12 +9,14 @@
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
 import org.masticweir.metrics.MetricsText;
+import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -31,10 +33,28 @@
     private static final int MAX_HEADER_BYTES = 64 << 10;
     private static final int BACKLOG = 1_024;
 
-    private final Undertow callers;
+    private static final OptionMap SOCKET_OPTIONS =
+            OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .set(Options.BACKLOG, BACKLOG)
+                    .getMap();
+
+    private static final OptionMap SERVER_OPTIONS =
+            OptionMap.builder()
+                    .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+                    .set(UndertowOptions.DECODE_URL, false)
+                    .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+                    .set(UndertowOptions.ALWAYS_SET_DATE, false)
+                    .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                    .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
+                    .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADERS_TIMEOUT_MS)
+                    .getMap();
+
+    private final CallersListener callers;
     private final Undertow management;
 
-    private RelayPorts(Undertow callers, Undertow management) {
+    private RelayPorts(CallersListener callers, Undertow management) {
         this.callers = callers;
         this.management = management;
     }
@@ -43,27 +63,30 @@
     static RelayPorts create(
             RelaySettings settings,
             XnioWorker worker,
-            RelayHandler requests,
+            HttpHandler requests,
+            ConnectionGate gate,
             String readyPath,
             BooleanSupplier ready,
             MetricRegistry metrics) {
         checkNotNull(readyPath, "readyPath");
-        Undertow.Builder callers = server(worker);
-        listen(callers, settings.callers(), new HttpContinueReadHandler(requests));
+        CallersListener callers =
+                new CallersListener(
+                        settings.callers(),
+                        worker,
+                        gate.around(new HttpContinueReadHandler(requests)),
+                        gate,
+                        SOCKET_OPTIONS,
+                        SERVER_OPTIONS);
         Undertow.Builder management = server(worker);
         listen(management, settings.balancer(), readiness(readyPath, ready));
         listen(management, settings.metrics(), metricsPage(MetricsText.of(metrics)));
-        return new RelayPorts(callers.build(), management.build());
+        return new RelayPorts(callers, management.build());
     }
 
     private static Undertow.Builder server(XnioWorker worker) {
         return Undertow.builder()
                 .setWorker(worker)
                 .setSocketOption(Options.BACKLOG, BACKLOG)
-                .setServerOption(UndertowOptions.DECODE_URL, false)
-                .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADERS_TIMEOUT_MS);
     }
@@ -83,24 +106,32 @@
      * @throws MasticweirException if it can't be opened
      */
     void openCallers() {
-        start(callers);
+        try {
+            callers.open();
+        } catch (IOException e) {
+            throw cannotOpen(e);
+        }
     }
 
     private static void start(Undertow server) {
         try {
             server.start();
         } catch (RuntimeException e) {
-            throw MasticweirException.causedBy(
-                    ErrorCode.SETTINGS_INVALID,
-                    Verdict.NOT_RUN,
-                    "a port cannot be opened: " + e.getMessage(),
-                    e);
+            throw cannotOpen(e);
         }
     }
 
+    private static MasticweirException cannotOpen(Exception cause) {
+        return MasticweirException.causedBy(
+                ErrorCode.SETTINGS_INVALID,
+                Verdict.NOT_RUN,
+                "a port cannot be opened: " + cause.getMessage(),
+                cause);
+    }
+
     @Override
     public void close() {
-        callers.stop();
+        callers.close();
         management.stop();
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -167,6 +167,7 @@
                         settings,
                         worker,
                         new RelayHandler(context(loadSharing), admission, keepAlive),
+                        new ConnectionGate(thread, clock, metrics),
                         platform.protocol().readyPath(),
                         this::isReady,
                         metrics);
@@ -292,7 +293,7 @@
                 sharing,
                 catalogs,
                 reading,
-                metrics.counter(MetricName.of("peer_links_up")));
+                RelayLinks.upLinkCounter(metrics));
     }
 
     private LoadSharing loadSharing() {
