--- a/masticweir/src/main/java/org/masticweir/quarantine/ContentState.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/ContentState.java
@@ -121,6 +121,13 @@
                 && other.record.hasNoSuccessSince(record.lastSuccessMs().getAsLong() - PROOF_MS);
     }
 
+    /** Returns whether this is a part at the limit that was lost with more servers. */
+    boolean isLostMoreOften(ContentState wholeContent) {
+        return record.isPart()
+                && crashCount >= Quarantine.CRASH_LIMIT
+                && crashCount > wholeContent.crashCount;
+    }
+
     void beginOwnTrial() {
         ownTrialCount++;
     }
--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -186,12 +186,7 @@
      */
     private boolean isExplained(ContentState state, RequestContent content, long nowMs) {
         if (!state.record().isPart()) {
-            return otherCandidates(state, content)
-                    .anyMatch(
-                            other ->
-                                    other.record().isPart()
-                                            && other.suspicion(nowMs) >= CRASH_LIMIT
-                                            && other.crashCount() > state.crashCount());
+            return false;
         }
         boolean isTrusted = state.isTrusted(nowMs);
         return otherCandidates(state, content)
@@ -205,8 +200,12 @@
 
     /** Returns whether something that is not in this request may have caused all losses as well. */
     private boolean isAmbiguous(ContentState state, RequestContent content) {
-        return state.record().isPart()
-                && otherCandidates(state, content).anyMatch(s -> !s.isProvenLongAfter(state));
+        return otherCandidates(state, content)
+                .anyMatch(
+                        other ->
+                                state.record().isPart()
+                                        ? !other.isProvenLongAfter(state)
+                                        : other.isLostMoreOften(state));
     }
 
     private Stream<ContentState> otherCandidates(ContentState state, RequestContent content) {
@@ -483,13 +482,15 @@
             return Change.NONE;
         }
         int previous = state.suspicion(nowMs);
+        // Another router may not trust a part, and may have saved its record.
+        boolean mayBeSaved = previous > 0 || state.crashCount() >= LEAST_LOADED_MIN_CRASHES;
         evidence.setRecord(state, record);
         pendingUpdates.add(record.content());
         int current = state.suspicion(nowMs);
         if (current > previous) {
             return current >= CRASH_LIMIT ? Change.QUARANTINED : Change.SUSPECTED;
         }
-        return current == 0 && previous > 0 ? Change.CLEARED : Change.NONE;
+        return mayBeSaved && state.crashCount() == 0 ? Change.CLEARED : Change.NONE;
     }
 
     private ContentState getOrCreate(ContentId id, RequestContent content, long nowMs) {
--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantineFleet.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineFleet.java
@@ -13,6 +13,7 @@
 import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
 import org.masticweir.id.RouterId;
+import org.masticweir.quarantine.Quarantine.Change;
 import org.masticweir.quarantine.Quarantine.ContentUpdate;
 
 /**
@@ -210,8 +211,7 @@
 
         private void recordSuccess(Server server, int send) {
             if (isRunningAt(server, send)) {
-                quarantine().recordSuccess(content, runStartedMs, nowMs);
-                broadcast(router);
+                handleChanges(router, quarantine().recordSuccess(content, runStartedMs, nowMs));
             }
         }
 
@@ -245,8 +245,7 @@
                     INQUIRY_MS,
                     () -> {
                         quarantine().endInquiry(content);
-                        quarantine().recordLoss(content, loss, nowMs);
-                        handleChanges(router);
+                        handleChanges(router, quarantine().recordLoss(content, loss, nowMs));
                     });
             trySend();
         }
@@ -369,15 +368,23 @@
     }
 
     /** Sends the changes of a router to the others, saves them and ends what it rejects now. */
-    private void handleChanges(int router) {
+    private void handleChanges(int router, Map<ContentId, Change> changes) {
         broadcast(router);
         cancelRejected(router);
-        Quarantine quarantine = routers.get(router);
-        for (ContentUpdate update : quarantine.snapshot(nowMs)) {
-            CrashRecord record = update.record().shifted(nowMs);
-            if (record.countedLosses().size() >= 2) {
-                store.put(record.content(), record);
-            }
+        changes.forEach(
+                (id, change) -> {
+                    if (change != Change.NONE) {
+                        routers.get(router).record(id).ifPresent(this::save);
+                    }
+                });
+    }
+
+    /** Does what the store of the routers does with a record. */
+    private void save(CrashRecord record) {
+        if (record.countedLosses().isEmpty()) {
+            store.remove(record.content());
+        } else if (record.losses().size() >= 2) {
+            store.put(record.content(), record);
         }
     }
 
