--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -98,7 +98,12 @@
         send(body.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Sends a body of known length; the library sets the length only with its own callback. */
     private void send(byte[] body) {
+        boolean hasEncoding = exchange.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
+        if (exchange.getResponseContentLength() < 0 && !hasEncoding) {
+            exchange.setResponseContentLength(body.length);
+        }
         exchange.getResponseSender()
                 .send(
                         ByteBuffer.wrap(body),
