One guard for each request: its deadline, and a step that fails

What callers saw: neither an answer nor a refusal. Cause: a request had one timer, that of its current step. While it waited for a permit, a prompt search or an engine's report there was none, and an exception in a step on the traffic thread ended in the library's log, or in a future that drops it: nobody was left who answers, not even at the deadline.

Now each request has a guard from its start to its answer: a deadline timer that no step replaces, and each entry into the request (timers, permits, prompt search, reports, the server's connection, the caller's connection, quarantine, the router's end) runs under it. A step that throws is logged as ERROR with the request's id, and the caller gets 500 INTERNAL, or its connection is closed if its answer had begun. A server's error answer that was held back for a retry is delivered at the deadline in place of a 504.

Failed before: UnansweredRequestTest.ForgottenRequest.isAnsweredIfAStepFails (no answer within 10 s, SocketTimeoutException) and isAnsweredAtItsDeadlineThoughItsPromptIsStillLookedFor (after 323 ms, expected 200 at most). Pass now, with CallerGoneTest, RelayPathTest, RelayLeaveTest, RepeatAllowanceTest, SlowConnectTest.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -339,6 +339,11 @@
         return endNow(ErrorCode.SHUTTING_DOWN, ErrorCode.ENGINE_LOST, "this router ends");
     }
 
+    /** Returns the final step of a request of which a step failed. */
+    public Step.End endAfterFailure() {
+        return new Step.End(ErrorCode.INTERNAL, verdict(), OptionalLong.empty(), "internal error");
+    }
+
     /** Ends the request now; the error code depends on whether the request may have run. */
     private Step.End endNow(ErrorCode notRun, ErrorCode mayHaveRun, String reason) {
         Verdict known = verdict();
--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -61,6 +61,11 @@
         return sink != null;
     }
 
+    /** Returns whether the whole answer was given to the library, or the connection was closed. */
+    boolean isEnded() {
+        return isEnded || isEndQueued;
+    }
+
     Progress progress() {
         return new Progress(writtenEvents, writtenBytes, queuedBytes);
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -245,6 +245,12 @@
             start(exchange, admitted, body);
         } catch (Refusal refusal) {
             refuse(exchange, refusal);
+        } catch (RuntimeException e) {
+            LOG.error(
+                    "relay: request {} failed with an internal error",
+                    admitted.metadata().requestId(),
+                    e);
+            refuse(exchange, new Refusal(ErrorCode.INTERNAL, "internal error"));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -24,7 +24,7 @@
  * Lifecycle of one request after its body was read; owns its timer, connection and load entry.
  * Executes the steps of its {@link RequestStateMachine}; runs on the traffic thread.
  */
-final class RequestLifecycle implements InFlightRequests.Request {
+final class RequestLifecycle implements InFlightRequests.Request, SendSupervisor.Listener {
     private final RelayContext context;
     private final RequestParameters params;
     private final RelayRequest request;
@@ -37,6 +37,10 @@
     private final EventRelay events;
     private final ContentMonitor monitor;
     private final RequestTimer timer;
+    private final RequestTimer deadlineTimer;
+    private final RequestGuard guard;
+    private final WaitingSteps waits;
+    private final CutRecorder cuts;
     private final RequestPermits permits;
     private final SendSupervisor supervisor;
 
@@ -47,8 +51,6 @@
 
     private boolean isSendWritten;
 
-    private OptionalLong lastServerBytesMs = OptionalLong.empty();
-
     private boolean isEnded;
 
     /** Delivers a server's error answer, unless the request is sent to another server at once. */
@@ -60,6 +62,8 @@
         params = request.params();
         monitor = new ContentMonitor(context, request);
         timer = new RequestTimer(context.thread(), context.clock());
+        deadlineTimer = new RequestTimer(context.thread(), context.clock());
+        guard = new RequestGuard(deadlineTimer, context.clock(), this::handleFailure);
         log = new RequestLog(context, request);
         sendEnds = new SendEnds(context, log, monitor);
         permits = new RequestPermits(context, log);
@@ -74,19 +78,21 @@
                         monitor.policy(),
                         context.waitQueue(),
                         context.random());
-        writer = new CallerAnswerWriter(exchange, this::handleCut);
-        detector = CallerDisconnectDetector.start(exchange, this::handleCut);
+        waits =
+                new WaitingSteps(
+                        context, params, machine, log, permits, timer, guard, this::execute);
+        writer = new CallerAnswerWriter(exchange, this::onCut);
+        cuts = new CutRecorder(context, log, writer);
+        detector = CallerDisconnectDetector.start(exchange, this::onCut);
         supervisor =
-                new SendSupervisor(
-                        context, request, machine, log, permits, timer, new SupervisorListener());
+                new SendSupervisor(context, request, machine, log, permits, timer, guard, this);
         events = new EventRelay(context, params, machine, writer, metrics, log);
     }
 
     void start() {
+        guard.start(params.expiresMs(), this::handleDeadline);
         context.inFlightRequests().add(this);
-        if (!isEnded) {
-            execute(machine.next(now()));
-        }
+        waits.next();
     }
 
     private void execute(Step step) {
@@ -98,15 +104,8 @@
         } else if (step instanceof Step.Send next) {
             errorAnswer = Optional.empty();
             send(next);
-        } else if (step instanceof Step.QueryPromptCaches query) {
-            searchPrompt(query);
-        } else if (step instanceof Step.AcquirePermit permit) {
-            permits.requestServerPermit(
-                    permit.server(), permit.urgency(), granted -> onPermit(permit, granted));
-        } else if (step instanceof Step.AcquireRetryPermit retry) {
-            permits.requestRetryPermit(params.service(), retry.urgency(), this::onRetryPermit);
-        } else if (step instanceof Step.Wait wait) {
-            timer.set(wait.delayMs(), () -> execute(machine.next(now())));
+        } else if (!(step instanceof Step.End)) {
+            waits.execute(step);
         } else {
             Step.End end = (Step.End) step;
             boolean isDeadline = end.code() == ErrorCode.DEADLINE_EXCEEDED;
@@ -114,31 +113,6 @@
         }
     }
 
-    private void onPermit(Step.AcquirePermit permit, boolean granted) {
-        if (!isEnded) {
-            execute(machine.onPermitDecision(permit.server(), granted, now()));
-        }
-    }
-
-    private void onRetryPermit(boolean granted) {
-        if (!isEnded) {
-            execute(machine.onRetryDecision(granted, now()));
-        }
-    }
-
-    private void searchPrompt(Step.QueryPromptCaches query) {
-        PromptSearch.start(
-                query.engines(),
-                context.promptCaches(),
-                params.prompt().orElseThrow(),
-                engine -> {
-                    if (!isEnded) {
-                        log.logPromptSearch(query.engines().size(), engine);
-                        execute(machine.onPromptCacheResult(engine, now()));
-                    }
-                });
-    }
-
     private void send(Step.Send next) {
         detector.checkClosed();
         if (isEnded) {
@@ -156,10 +130,10 @@
                 ServerSend.open(
                         context,
                         next.server(),
-                        () -> callTo(next, number),
+                        () -> guard.get(() -> callTo(next, number)),
                         request.id(),
                         params.route().streams(),
-                        new Listener(next, number));
+                        new GuardedSendListener(guard, new Listener(next, number)));
         // The connection may have failed, or the request ended, before open() returned.
         if (!isEnded && number == sendNumber && silence != null) {
             send = Optional.of(newSend);
@@ -200,11 +174,22 @@
     }
 
     private void handleDeadline() {
+        if (errorAnswer.isPresent()) {
+            errorAnswer.get().run();
+            return;
+        }
         abortUnwrittenSend();
         end(machine.endAtDeadline(), CutReason.DEADLINE);
     }
 
-    private void handleServerLoss(String reason) {
+    @Override
+    public void onServerSilent(String reason) {
+        sendEnds.recordKept(silence.server(), reason, silence.sentMs());
+        context.onLoadsChanged().run();
+    }
+
+    @Override
+    public void onServerLost(String reason) {
         BackendServer server = silence.server();
         sendEnds.recordLost(server, SendEnd.SILENT, reason, silence.sentMs());
         events.handleServerLoss();
@@ -213,7 +198,8 @@
         context.onLoadsChanged().run();
     }
 
-    private void handleHedge(Step.Send step) {
+    @Override
+    public void onHedge(Step.Send step) {
         sendEnds.recordAbandoned(
                 silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
         closeSend();
@@ -232,6 +218,10 @@
 
     @Override
     public void onQuarantined() {
+        guard.run(this::endInQuarantine);
+    }
+
+    private void endInQuarantine() {
         if (!isEnded && silence != null && monitor.hasJustBegun(now())) {
             sendEnds.recordAbandoned(
                     silence.server(), SendEnd.STOPPED, "was left", silence.sentMs());
@@ -242,6 +232,10 @@
 
     @Override
     public void onRouterExit() {
+        guard.run(this::endAtShutdown);
+    }
+
+    private void endAtShutdown() {
         if (!isEnded) {
             abortUnwrittenSend();
             end(machine.endAtShutdown(), CutReason.SHUTDOWN);
@@ -273,21 +267,47 @@
         }
         log.logEnd(end, machine.sendCount());
         if (writer.isStreaming()) {
-            recordCut(cutReason, describeStage() + ", " + end.reason());
+            cuts.recordCut(cutReason, describeStage() + ", " + end.reason(), delayMs());
         }
         metrics.countFailure(end.code());
         release();
         writer.sendError(end.code(), end.retryAfterMs(), end.reason());
     }
 
-    private void recordCut(CutReason reason, String stage) {
-        log.logCut(reason, stage, writer.progress(), lastServerBytesMs, timer.delayMs());
-        context.metrics().countCut(reason);
+    /** Ends the request with an error answer after a step threw an exception. */
+    private void handleFailure(RuntimeException failure) {
+        log.logFailure(failure);
+        if (writer.isEnded()) {
+            return;
+        }
+        Step.End end = machine.endAfterFailure();
+        if (!isEnded) {
+            log.logEnd(end, machine.sendCount());
+            metrics.countFailure(end.code());
+        }
+        if (writer.isStreaming()) {
+            cuts.recordCut(CutReason.INTERNAL_ERROR, end.reason(), delayMs());
+        }
+        try {
+            release();
+        } catch (RuntimeException e) {
+            log.logFailure(e);
+        }
+        writer.sendError(end.code(), end.retryAfterMs(), end.reason());
+    }
+
+    private OptionalLong delayMs() {
+        return timer.delayMs().isPresent() ? timer.delayMs() : deadlineTimer.delayMs();
+    }
+
+    private void onCut(CutReason reason) {
+        guard.run(() -> handleCut(reason));
     }
 
     /** Handles the end of the caller's connection before the answer was complete. */
     private void handleCut(CutReason reason) {
-        recordCut(reason, isEnded ? "the last part of its answer" : describeStage());
+        String stage = isEnded ? "the last part of its answer" : describeStage();
+        cuts.recordCut(reason, stage, delayMs());
         if (isEnded) {
             return;
         }
@@ -309,6 +329,8 @@
     /** Releases all resources of the request; the last bytes of the answer may still be queued. */
     private void release() {
         isEnded = true;
+        guard.close();
+        waits.close();
         machine.close();
         context.inFlightRequests().remove(this);
         closeSend();
@@ -319,30 +341,6 @@
         return context.clock().nowMs();
     }
 
-    /** Handles the findings about the send in flight. */
-    private final class SupervisorListener implements SendSupervisor.Listener {
-        @Override
-        public void onDeadline() {
-            handleDeadline();
-        }
-
-        @Override
-        public void onServerSilent(String reason) {
-            sendEnds.recordKept(silence.server(), reason, silence.sentMs());
-            context.onLoadsChanged().run();
-        }
-
-        @Override
-        public void onServerLost(String reason) {
-            handleServerLoss(reason);
-        }
-
-        @Override
-        public void onHedge(Step.Send step) {
-            handleHedge(step);
-        }
-    }
-
     /** Handles the events of one send; ignores them once a later send has started. */
     private final class Listener implements SendListener {
         private final Step.Send step;
@@ -361,7 +359,7 @@
         @Override
         public void onHead(AnswerMetadata metadata) {
             if (!isStale()) {
-                lastServerBytesMs = OptionalLong.of(now());
+                cuts.recordServerBytes(now());
                 context.metadataRecorder()
                         .recordAnswer(step.server().incarnation(), metadata, request.id(), sentMs);
             }
@@ -373,7 +371,7 @@
                 return;
             }
             long now = now();
-            lastServerBytesMs = OptionalLong.of(now);
+            cuts.recordServerBytes(now);
             context.health().recordAnswer(step.server().incarnation(), now);
             monitor.recordEvent(now);
             if (silence.recordEvent(now)) {
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -173,6 +173,11 @@
                 end.reason());
     }
 
+    /** Logs that a step of the request threw an exception. */
+    void logFailure(RuntimeException failure) {
+        LOG.error("relay: request {} failed with an internal error", id, failure);
+    }
+
     /** Logs that the caller disconnected; {@code stage} describes the progress of the request. */
     void logCallerDisconnect(String stage) {
         LOG.info("relay: request {} was left by its caller after {} ms, {}", id, ageMs(), stage);
--- a/masticweir/src/main/java/org/masticweir/relay/RequestTimer.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestTimer.java
@@ -48,7 +48,7 @@
         }
     }
 
-    /** Returns how late the task runs that is running now, in ms; empty if none is running. */
+    /** Returns how late the task is that is running now, in ms; empty if none is running. */
     OptionalLong delayMs() {
         return delayMs;
     }
--- a/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
@@ -13,8 +13,8 @@
 import org.masticweir.relay.SilenceInquiry.State;
 
 /**
- * Supervises the send in flight of one request: notices that its server is silent or slow, and that
- * the deadline of the request has passed; runs on the traffic thread.
+ * Supervises the send in flight of one request: notices that its server is silent or slow; runs on
+ * the traffic thread.
  */
 final class SendSupervisor {
     /** Time between two probes of a silent server whose send is kept, in ms. */
@@ -27,6 +27,7 @@
     private final RequestLog log;
     private final RequestPermits permits;
     private final RequestTimer timer;
+    private final RequestGuard guard;
     private final Listener listener;
     private Optional<SilenceTimer> current = Optional.empty();
 
@@ -38,8 +39,6 @@
 
     /** Handles the findings about the send in flight. */
     interface Listener {
-        void onDeadline();
-
         /** Records that the server is silent, and that its send is kept. */
         void onServerSilent(String reason);
 
@@ -57,6 +56,7 @@
             RequestLog log,
             RequestPermits permits,
             RequestTimer timer,
+            RequestGuard guard,
             Listener listener) {
         this.context = checkNotNull(context, "context");
         this.request = checkNotNull(request, "request");
@@ -65,6 +65,7 @@
         this.log = checkNotNull(log, "log");
         this.permits = checkNotNull(permits, "permits");
         this.timer = checkNotNull(timer, "timer");
+        this.guard = checkNotNull(guard, "guard");
         this.listener = checkNotNull(listener, "listener");
     }
 
@@ -85,23 +86,21 @@
         return current.isPresent() && current.get() == silence;
     }
 
-    /** Sets the timer to the earlier of the deadline and the next check of the server. */
+    /** Sets the timer to the next check of the server. */
     private void scheduleTimer(SilenceTimer silence) {
-        long dueMs = params.expiresMs();
         if (params.route().streams()) {
-            dueMs = Math.min(dueMs, silence.nextCheckMs(now()));
+            setTimer(silence, silence.nextCheckMs(now()));
         } else if (machine.hedgeDelayMs().isPresent()) {
-            dueMs = Math.min(dueMs, silence.sentMs() + machine.hedgeDelayMs().getAsLong());
+            setTimer(silence, silence.sentMs() + machine.hedgeDelayMs().getAsLong());
         }
-        timer.set(Math.max(1, dueMs - now()), () -> handleTimer(silence));
+    }
+
+    private void setTimer(SilenceTimer silence, long dueMs) {
+        timer.set(Math.max(1, dueMs - now()), () -> guard.run(() -> handleTimer(silence)));
     }
 
     private void handleTimer(SilenceTimer silence) {
         long now = now();
-        if (now >= params.expiresMs()) {
-            listener.onDeadline();
-            return;
-        }
         if (params.route().streams() && silence.needsAction(context.health(), now)) {
             checkSilent(silence, now);
             return;
@@ -117,7 +116,11 @@
         if (silence.isKept()) {
             moveOrKeep(silence, "silent for " + silence.silenceMs(now) + " ms");
         } else {
-            inquiry(silence).start(now, () -> isCurrent(silence), f -> handleFinding(silence, f));
+            inquiry(silence)
+                    .start(
+                            now,
+                            () -> isCurrent(silence),
+                            finding -> guard.run(() -> handleFinding(silence, finding)));
         }
     }
 
@@ -164,7 +167,9 @@
         if (now >= nextProbeMs) {
             nextProbeMs = now + KEPT_PROBE_INTERVAL_MS;
             inquiry(silence)
-                    .probe(() -> isCurrent(silence) && silence.isKept(), this::handleKeptProbe);
+                    .probe(
+                            () -> isCurrent(silence) && silence.isKept(),
+                            finding -> guard.run(() -> handleKeptProbe(finding)));
         }
     }
 
@@ -179,7 +184,8 @@
             return;
         }
         isPermitPending = true;
-        Consumer<Boolean> callback = granted -> handlePermit(silence, permit, granted);
+        Consumer<Boolean> callback =
+                granted -> guard.run(() -> handlePermit(silence, permit, granted));
         if (permit instanceof Step.AcquirePermit server) {
             permits.requestServerPermit(server.server(), server.urgency(), callback);
         } else if (permit instanceof Step.AcquireRetryPermit retry) {
@@ -199,7 +205,6 @@
     }
 
     private void handleSlowAnswer(SilenceTimer silence, long now) {
-        timer.set(Math.max(1, params.expiresMs() - now), () -> handleTimer(silence));
         machine.onSlowAnswer(now).ifPresent(step -> hedge(silence, step));
     }
 
@@ -211,11 +216,13 @@
             permits.requestRetryPermit(
                     params.service(),
                     retry.urgency(),
-                    granted -> {
-                        if (isCurrent(silence)) {
-                            hedge(silence, machine.onRetryDecision(granted, now()));
-                        }
-                    });
+                    granted -> guard.run(() -> hedgeIfGranted(silence, granted)));
+        }
+    }
+
+    private void hedgeIfGranted(SilenceTimer silence, boolean granted) {
+        if (isCurrent(silence)) {
+            hedge(silence, machine.onRetryDecision(granted, now()));
         }
     }
 
