--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -238,12 +238,10 @@
      * cut for such a silence if nothing but the end of the request came after the send.
      */
     public Relocation relocation(BackendServer silentServer, long nowMs) {
-        SendRule rule = contentPolicy.ruleAfterSend(nowMs);
         if (nowMs >= request.expiresMs()
                 || !request.route().repeatability().mayRunAgain()
                 || sendCount >= request.route().attempts()
-                || rule == SendRule.REJECT
-                || rule == SendRule.WAIT) {
+                || !contentPolicy.ruleAfterSend(nowMs).allowsSend()) {
             return Relocation.impossible();
         }
         Optional<BackendServer> permittedServer =
@@ -336,6 +334,11 @@
         return endNow(ErrorCode.SHUTTING_DOWN, ErrorCode.ENGINE_LOST, "this router ends");
     }
 
+    /** Returns the final step of a request of which a step failed. */
+    public Step.End endAfterFailure() {
+        return new Step.End(ErrorCode.INTERNAL, verdict(), OptionalLong.empty(), "internal error");
+    }
+
     /** Ends the request now; the error code depends on whether the request may have run. */
     private Step.End endNow(ErrorCode notRun, ErrorCode mayHaveRun, String reason) {
         Verdict known = verdict();
--- a/masticweir/src/main/java/org/masticweir/quarantine/SendRule.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SendRule.java
@@ -16,6 +16,11 @@
     /** The request must not be sent: its content is in quarantine. */
     REJECT;
 
+    /** Returns whether the request may be sent now. */
+    public boolean allowsSend() {
+        return this == ANY_SERVER || this == LEAST_LOADED;
+    }
+
     /** Returns the stricter one of this rule and {@code other}. */
     SendRule stricterOf(SendRule other) {
         return compareTo(other) >= 0 ? this : other;
--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -61,6 +61,11 @@
         return sink != null;
     }
 
+    /** Returns whether the whole answer was given to the library, or the connection was closed. */
+    boolean isEnded() {
+        return isEnded || isEndQueued;
+    }
+
     Progress progress() {
         return new Progress(writtenEvents, writtenBytes, queuedBytes);
     }
@@ -98,9 +103,12 @@
         send(body.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Sends the body of an answer with its length; the library sets none with this callback. */
+    /** Sends a body of known length; the library sets the length only with its own callback. */
     private void send(byte[] body) {
-        exchange.setResponseContentLength(body.length);
+        boolean hasEncoding = exchange.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
+        if (exchange.getResponseContentLength() < 0 && !hasEncoding) {
+            exchange.setResponseContentLength(body.length);
+        }
         exchange.getResponseSender()
                 .send(
                         ByteBuffer.wrap(body),
