A request is refused once its body was read

What callers saw: a reset in place of a refusal. Cause: a refusal by the head of a request (no such route, no such key, too long, leaving) was sent before its body was read. The library closes a connection that is not kept without reading the rest, and breaks it in a body over the limit; with unread bytes the caller's system drops what it has received.

A caller that waits for 100 Continue is refused at once, and so is a request with two lengths. The limit of the configuration is checked here, as the library's check breaks the connection.

Ruled out: keeping such connections open until the library has drained them, as routers that leave must close theirs.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -2,11 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpContinue;
 import io.undertow.util.Headers;
-import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.apache.logging.log4j.LogManager;
@@ -64,6 +64,7 @@
             ServiceName service,
             Optional<EngineSpec> engine,
             long receivedMs,
+            long maxBodyBytes,
             long catalogVersion) {}
 
     @Override
@@ -75,13 +76,47 @@
             AdmittedRequest admitted = admit(exchange, context.view().get());
             readBody(exchange, admitted);
         } catch (Refusal refusal) {
-            refuse(exchange, refusal);
+            refuseUnread(exchange, refusal);
         } catch (RuntimeException e) {
             LOG.error("relay: request failed with an internal error", e);
             refuse(exchange, new Refusal(ErrorCode.INTERNAL, "internal error"));
         }
     }
 
+    /**
+     * Refuses a request once its body has been read. A caller that waits for leave to send its body
+     * is refused at once, and so is a request whose length is ambiguous.
+     */
+    private void refuseUnread(HttpServerExchange exchange, Refusal refusal) {
+        boolean isBodyExpected =
+                !exchange.isRequestComplete()
+                        && !HttpContinue.requiresContinueResponse(exchange)
+                        && lengthFieldCount(exchange) == 1;
+        if (!isBodyExpected) {
+            refuse(exchange, refusal);
+            return;
+        }
+        BodyReader.read(
+                exchange,
+                0,
+                new BodyReader.Listener() {
+                    @Override
+                    public void onBody(byte[] body) {
+                        refuse(exchange, refusal);
+                    }
+
+                    @Override
+                    public void onTooLong() {
+                        refuse(exchange, refusal);
+                    }
+
+                    @Override
+                    public void onFailed(IOException e) {
+                        refuse(exchange, refusal);
+                    }
+                });
+    }
+
     /**
      * Marks the connection to be closed after the answer if the router is draining. This check runs
      * at the start of the answer, because the shutdown may start after the request.
@@ -109,7 +144,6 @@
         Optional<Team> team = team(view, catalog, route, metadata);
         ServiceName service = route.service(metadata.requestId().hashCode());
         Optional<EngineSpec> engine = catalog.service(service).flatMap(ServiceSpec::engine);
-        exchange.setMaxEntitySize(catalog.limits().maxBodyBytes());
         if (exchange.getRequestContentLength() > catalog.limits().maxBodyBytes()) {
             throw new Refusal(ErrorCode.BODY_TOO_LARGE, "the body is too long");
         }
@@ -121,6 +155,7 @@
                 service,
                 engine,
                 now,
+                catalog.limits().maxBodyBytes(),
                 catalog.version());
     }
 
@@ -171,13 +206,16 @@
      * second, the server would run the rest of the body as a request that no caller sent.
      */
     private static void checkFraming(HttpServerExchange exchange) throws Refusal {
-        int lengthCount = count(exchange, Headers.CONTENT_LENGTH_STRING);
-        int encodingCount = count(exchange, Headers.TRANSFER_ENCODING_STRING);
-        if (lengthCount + encodingCount > 1) {
+        if (lengthFieldCount(exchange) > 1) {
             throw new Refusal(ErrorCode.BAD_REQUEST, "two lengths");
         }
     }
 
+    private static int lengthFieldCount(HttpServerExchange exchange) {
+        return count(exchange, Headers.CONTENT_LENGTH_STRING)
+                + count(exchange, Headers.TRANSFER_ENCODING_STRING);
+    }
+
     private static int count(HttpServerExchange exchange, String name) {
         return exchange.getRequestHeaders().contains(name)
                 ? exchange.getRequestHeaders().get(name).size()
@@ -218,24 +256,32 @@
     }
 
     private void readBody(HttpServerExchange exchange, AdmittedRequest admitted) {
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.receiveFullBytes(
-                (ex, body) ->
-                        ex.dispatch(
-                                SameThreadExecutor.INSTANCE,
-                                () -> startOrRefuse(ex, admitted, body)),
-                (ex, e) -> {
-                    LOG.info(
-                            "relay: body of request {} could not be read, {}",
-                            admitted.metadata().requestId(),
-                            e.getMessage());
-                    boolean isTooLong = e instanceof Receiver.RequestToLargeException;
-                    ex.setPersistent(false);
-                    refuse(
-                            ex,
-                            new Refusal(
-                                    isTooLong ? ErrorCode.BODY_TOO_LARGE : ErrorCode.BAD_REQUEST,
-                                    "the body could not be read"));
+        BodyReader.read(
+                exchange,
+                admitted.maxBodyBytes(),
+                new BodyReader.Listener() {
+                    @Override
+                    public void onBody(byte[] body) {
+                        startOrRefuse(exchange, admitted, body);
+                    }
+
+                    @Override
+                    public void onTooLong() {
+                        refuse(
+                                exchange,
+                                new Refusal(ErrorCode.BODY_TOO_LARGE, "the body is too long"));
+                    }
+
+                    @Override
+                    public void onFailed(IOException e) {
+                        LOG.info(
+                                "relay: body of request {} could not be read, {}",
+                                admitted.metadata().requestId(),
+                                e.getMessage());
+                        refuse(
+                                exchange,
+                                new Refusal(ErrorCode.BAD_REQUEST, "the body could not be read"));
+                    }
                 });
     }
 
