--- a/masticweir/src/test/java/org/masticweir/quarantine/SoundRequestCounts.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/SoundRequestCounts.java
@@ -25,6 +25,10 @@
         delayMs += ms;
     }
 
+    int submitted() {
+        return submitted;
+    }
+
     /** Returns the number of requests that were rejected because of a quarantine. */
     int rejected() {
         return rejected;
