quarantine: probe a server again whose process is still ending

What callers saw: with parts counted, CrashingPromptTest.AtSeveralRouters endFewServersHoweverManyCome ended 7 servers in place of at most 5 (one run of two, load 24), and 16 in one run before.

Cause: three losses in a row had the result UNKNOWN: the probes came within 3 ms of the break, and the ending process still accepted them and broke them too. Such a loss is not counted until the server's entry lapses, and the same request went on to the next server.

An inconclusive probe after a broken connection is now repeated every 25 ms for 250 ms, while the inquiry holds back requests with the content.

--- a/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
@@ -47,8 +47,18 @@
     /** Limit on the number of silent servers whose entries are watched. */
     private static final int MAX_SILENT_SERVERS = 1_024;
 
+    /**
+     * Time for which inconclusive probes after a broken connection are repeated, in ms. A process
+     * that is ending may still accept connections, and then break them.
+     */
+    private static final long REPEAT_WINDOW_MS = 250;
+
+    /** Time between two such probes, in ms. */
+    private static final long REPEAT_DELAY_MS = 25;
+
     private final SharedQuarantine quarantine;
     private final Probe probe;
+    private final Timer timer;
     private final Function<ServerIncarnation, ImmutableList<StartedRun>> startedRuns;
     private final Clock clock;
     private final Map<ServerIncarnation, Inquiry> inquiries = new HashMap<>();
@@ -59,6 +69,11 @@
         void probe(BackendServer server, Optional<Catalog> catalog, Consumer<Result> callback);
     }
 
+    /** Runs steps on the traffic thread after a delay. */
+    interface Timer {
+        void runAfter(long delayMs, Runnable step);
+    }
+
     /** An inquiry, with one loss for each content that the server had started to run. */
     private static final class Inquiry {
         private final Map<RequestContent, Loss> losses = new LinkedHashMap<>();
@@ -67,7 +82,12 @@
         private final Set<RequestContent> waitingContents = new LinkedHashSet<>();
 
         private final List<RequestContent> trials = new ArrayList<>();
+        private final long startedMs;
         private boolean isConnectionBroken;
+
+        Inquiry(long startedMs) {
+            this.startedMs = startedMs;
+        }
     }
 
     /**
@@ -88,10 +108,12 @@
             SharedQuarantine quarantine,
             Probe probe,
             Function<ServerIncarnation, ImmutableList<StartedRun>> startedRuns,
+            Timer timer,
             Clock clock) {
         this.quarantine = checkNotNull(quarantine, "quarantine");
         this.probe = checkNotNull(probe, "probe");
         this.startedRuns = checkNotNull(startedRuns, "startedRuns");
+        this.timer = checkNotNull(timer, "timer");
         this.clock = checkNotNull(clock, "clock");
     }
 
@@ -108,7 +130,7 @@
             Optional<Catalog> catalog) {
         ServerIncarnation incarnation = server.incarnation();
         boolean isRunning = inquiries.containsKey(incarnation);
-        Inquiry inquiry = inquiries.computeIfAbsent(incarnation, i -> new Inquiry());
+        Inquiry inquiry = inquiries.computeIfAbsent(incarnation, i -> new Inquiry(clock.nowMs()));
         addRun(inquiry, incarnation, run);
         startedRuns.apply(incarnation).forEach(r -> addRun(inquiry, incarnation, r));
         if (isConnectionBroken) {
@@ -118,10 +140,34 @@
             delayRequests(inquiry, run.content());
         }
         if (!isRunning) {
-            probe.probe(server, catalog, result -> handleProbeResult(incarnation, result));
+            probe(server, catalog);
         }
     }
 
+    private void probe(BackendServer server, Optional<Catalog> catalog) {
+        probe.probe(
+                server,
+                catalog,
+                result -> {
+                    if (isRepeated(inquiries.get(server.incarnation()), result)) {
+                        timer.runAfter(REPEAT_DELAY_MS, () -> probe(server, catalog));
+                    } else {
+                        handleProbeResult(server.incarnation(), result);
+                    }
+                });
+    }
+
+    /**
+     * Returns whether the server is probed again. Without this, the end of a server whose process
+     * still accepts connections while it ends would be known only when its entry lapses, and more
+     * requests would be sent until then.
+     */
+    private boolean isRepeated(Inquiry inquiry, Result result) {
+        return result == Result.UNKNOWN
+                && inquiry.isConnectionBroken
+                && clock.nowMs() - inquiry.startedMs < REPEAT_WINDOW_MS;
+    }
+
     private void addRun(Inquiry inquiry, ServerIncarnation incarnation, StartedRun run) {
         long now = clock.nowMs();
         Loss previous = inquiry.losses.get(run.content());
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -358,7 +358,9 @@
     private LossInquiry lossInquiry() {
         ServerProbe check =
                 new ServerProbe(access.caller(), platform.protocol(), limits, metadataRecorder);
-        return new LossInquiry(quarantine, check::probe, inFlight::startedRunsAt, clock);
+        LossInquiry.Timer timer =
+                (ms, step) -> thread.executeAfter(step, ms, TimeUnit.MILLISECONDS);
+        return new LossInquiry(quarantine, check::probe, inFlight::startedRunsAt, timer, clock);
     }
 
     private RelayShutdown relayShutdown() {
--- a/masticweir/src/test/java/org/masticweir/quarantine/LinkedQuarantines.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/LinkedQuarantines.java
@@ -99,6 +99,11 @@
         advance(MESSAGE_MS);
     }
 
+    /** Runs {@code step} once the clock has moved on by {@code ms}. */
+    public void runAfter(long ms, Runnable step) {
+        scheduler.at(nowMs() + ms, step);
+    }
+
     public void advance(long ms) {
         scheduler.runTo(nowMs() + ms);
     }
--- a/masticweir/src/test/java/org/masticweir/relay/LossInquiryTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/LossInquiryTest.java
@@ -36,6 +36,7 @@
                     quarantines.of(0),
                     (server, catalog, callback) -> probes.add(callback),
                     server -> ImmutableList.copyOf(otherRuns),
+                    quarantines::runAfter,
                     quarantines.clock());
     private int servers;
 
@@ -108,6 +109,34 @@
             assertEquals(SendRule.ANY_SERVER, quarantines.rule(0, content("c")));
         }
 
+        /**
+         * Guards against a crash that is not counted because the process still accepted connections
+         * while it ended.
+         */
+        @Test
+        void areTheRunsOfAServerThatBreaksTheFirstProbesToo() {
+            for (int i = 0; i < 3; i++) {
+                quarantines.advance(GAP_MS);
+                lose(server(i), content("c"), true);
+                completeProbes(Result.UNKNOWN);
+                quarantines.advance(RUN_MS);
+                completeProbes(Result.UNREACHED);
+            }
+            assertEquals(SendRule.REJECT, quarantines.rule(0, content("c")));
+        }
+
+        /** Guards against requests that wait for a server about which nothing can be learnt. */
+        @Test
+        void areUnknownAfterSomeInconclusiveProbes() {
+            lose(server(1), content("c"), true);
+            for (int i = 0; i < 10; i++) {
+                completeProbes(Result.UNKNOWN);
+                quarantines.advance(RUN_MS);
+            }
+            assertEquals(0, probes.size(), "probes under way");
+            assertEquals(SendRule.ANY_SERVER, quarantines.rule(0, content("c")));
+        }
+
         /** A silent server has ended once its entry lapses. */
         @Test
         void areTheRunsOfASilentServerWhoseEntryLapses() {
