quarantine: the refusal names the content or part that is held

What operators saw: "servers ended under this content" on a refused request, and no way to tell which part of its prompt was meant.

QuarantinedRequestTest and QuarantineSharingTest.ByOperator hold this; the methods are new.

--- a/masticweir/src/main/java/org/masticweir/forward/ContentPolicy.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ContentPolicy.java
@@ -13,6 +13,11 @@
      */
     OptionalLong remainingQuarantineMs(long nowMs);
 
+    /** Returns which content or parts of the request are in quarantine, for logs and callers. */
+    default String describeQuarantined(long nowMs) {
+        return "";
+    }
+
     /** Returns the policy of a request that may always be sent. */
     static ContentPolicy allowAll() {
         return new ContentPolicy() {
--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -356,11 +356,13 @@
     /** Returns the final step of a request whose content is in quarantine. */
     public Step.End endInQuarantine(long nowMs) {
         boolean notRun = verdict().safeToSendAgain();
+        String quarantined = contentPolicy.describeQuarantined(nowMs);
         return new Step.End(
                 notRun ? ErrorCode.QUARANTINED : ErrorCode.ENGINE_LOST,
                 verdict(),
                 notRun ? contentPolicy.remainingQuarantineMs(nowMs) : OptionalLong.empty(),
-                "servers ended under this content");
+                "servers ended under this content"
+                        + (quarantined.isEmpty() ? "" : ", " + quarantined));
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -13,6 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.ServerIncarnation;
@@ -108,6 +109,44 @@
         return quarantine.remainingQuarantineMs(content, nowMs);
     }
 
+    /**
+     * Returns which of the content and parts of a request are in quarantine, as text for logs and
+     * callers; empty if none is.
+     */
+    public synchronized String describeQuarantined(RequestContent content, long nowMs) {
+        return content.all().stream()
+                .filter(id -> remainingMs(id, nowMs) > 0)
+                .map(this::describe)
+                .collect(Collectors.joining(", "));
+    }
+
+    private long remainingMs(ContentId id, long nowMs) {
+        return quarantine.remainingQuarantineMs(RequestContent.of(id), nowMs);
+    }
+
+    /** Returns the contents and parts under which servers ended, the latest change last. */
+    public synchronized ImmutableList<QuarantinedContent> contents() {
+        long now = clock.nowMs();
+        return quarantine.snapshot(now).stream()
+                .map(ContentUpdate::record)
+                .map(r -> new QuarantinedContent(r, remainingMs(r.content(), now)))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Releases a content or part at all routers; losses that are recorded later count. Returns
+     * whether servers had ended under it.
+     */
+    public boolean release(ContentId id) {
+        boolean isKnown = record(id).filter(r -> r.crashCount() > 0).isPresent();
+        if (isKnown) {
+            apply(
+                    "released by an operator",
+                    now -> quarantine.recordSuccess(RequestContent.of(id), now, now));
+        }
+        return isKnown;
+    }
+
     /**
      * Records a send. Returns whether the send is a trial; the trial lasts until {@link #endTrial}.
      */
--- a/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentMonitor.java
@@ -54,6 +54,11 @@
                 return OptionalLong.of(
                         context.quarantine().remainingQuarantineMs(content.get(), nowMs));
             }
+
+            @Override
+            public String describeQuarantined(long nowMs) {
+                return context.quarantine().describeQuarantined(content.get(), nowMs);
+            }
         };
     }
 
--- a/masticweir/src/test/java/org/masticweir/forward/QuarantinedRequestTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/QuarantinedRequestTest.java
@@ -41,6 +41,11 @@
                     public OptionalLong remainingQuarantineMs(long nowMs) {
                         return OptionalLong.of(REMAINING_QUARANTINE_MS);
                     }
+
+                    @Override
+                    public String describeQuarantined(long nowMs) {
+                        return "part p";
+                    }
                 };
         return fixture.stateMachine(ForwardFixture.parameters(Repeatability.RESUMABLE, 5), gate);
     }
@@ -52,6 +57,7 @@
         assertEquals(ErrorCode.QUARANTINED, refused.code());
         assertEquals(Verdict.NOT_RUN, refused.verdict());
         assertEquals(OptionalLong.of(REMAINING_QUARANTINE_MS), refused.retryAfterMs());
+        assertEquals("servers ended under this content, part p", refused.reason());
     }
 
     /** A request that a server may have started must not be reported as not run. */
--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantineSharingTest.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantineSharingTest.java
@@ -1,6 +1,7 @@
 package org.masticweir.quarantine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.masticweir.quarantine.LinkedQuarantines.content;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.catalog.ServerIncarnation;
+import org.masticweir.id.ContentId;
 import org.masticweir.id.EngineId;
 
 /** What routers know of a part of prompts whose crashes other routers observed. */
@@ -161,4 +163,80 @@
             assertRejected(2);
         }
     }
+
+    /** An operator looks at the quarantine and releases a part. */
+    @Nested
+    class ByOperator {
+        private void quarantinePart() {
+            for (int i = 0; i < Quarantine.CRASH_LIMIT; i++) {
+                endServerAt(0);
+            }
+            assertRejected(1);
+        }
+
+        @Test
+        void theRefusalNamesThePart() {
+            quarantinePart();
+            assertEquals(
+                    "part bad", routers.of(1).describeQuarantined(badRequest(), routers.nowMs()));
+            assertEquals(
+                    "",
+                    routers.of(1).describeQuarantined(content("sound", "first"), routers.nowMs()));
+        }
+
+        @Test
+        void seesThePartWithItsCrashes() {
+            quarantinePart();
+            QuarantinedContent part =
+                    routers.of(2).contents().stream()
+                            .filter(c -> c.record().content().value().equals(BAD_PART))
+                            .findFirst()
+                            .orElseThrow();
+            assertTrue(part.record().isPart());
+            assertEquals(Quarantine.CRASH_LIMIT, part.record().crashCount());
+            assertTrue(part.remainingQuarantineMs() > 0);
+        }
+
+        @Test
+        void releasesAtAllRouters() {
+            quarantinePart();
+            assertTrue(routers.of(1).release(ContentId.of(BAD_PART)));
+            routers.awaitUpdates();
+            for (int i = 0; i < 3; i++) {
+                assertEquals(SendRule.ANY_SERVER, routers.rule(i, badRequest()));
+            }
+        }
+
+        /** Guards against a release that a router takes back which had not heard of it. */
+        @Test
+        void releasesAtARouterThatWasCutOff() {
+            quarantinePart();
+            routers.cutOff(2);
+            routers.of(1).release(ContentId.of(BAD_PART));
+            routers.awaitUpdates();
+            assertRejected(2);
+            routers.link(2);
+            for (int i = 0; i < 3; i++) {
+                assertEquals(SendRule.ANY_SERVER, routers.rule(i, badRequest()));
+            }
+        }
+
+        @Test
+        void isToldThatNoServerEndedUnderAnUnknownId() {
+            quarantinePart();
+            assertFalse(routers.of(0).release(ContentId.of("unknown")));
+        }
+
+        /** A released part that ends servers again is held again. */
+        @Test
+        void isNotTheLastWord() {
+            quarantinePart();
+            routers.of(0).release(ContentId.of(BAD_PART));
+            routers.awaitUpdates();
+            for (int i = 0; i < 2 * Quarantine.CRASH_LIMIT; i++) {
+                endServerAt(0);
+            }
+            assertRejected(1);
+        }
+    }
 }
