forward: the wait queue is bounded by the runs whose slots this router may get

What callers saw: a router that suddenly gets most streams refuses them with "too many wait" after a few, although the slots of the other routers' runs become free within the wait and nobody else asks for them.

Cause: the queue's bound was computed from this router's own runs, which are few when the demand has just moved to it.

Evidence: RequestStateMachineWaitTest.queueIsBoundedByTheRunsOfAllRoutersIfTheDemandIsHere, before: "expected: <Step.Wait> but was: <Step.End>" with six engines that run 72 requests of another router and 12 prefills of this one.

Change: the bound uses this router's part of all runs, where the part is its part of the prefills, which are the latest sends; a few prefills are outweighed by its part of the runs. It is never below the bound by its own runs. Where the demand is even, the bounds of all routers add up to what they did before; a second test holds that a router without demand gets the least.

Ruled out: permits (PermitDemandShiftTest); the retry budget within the share, which counts a router's own requests.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -453,7 +453,7 @@
             return end(
                     ErrorCode.OVERLOADED, "servers take no more requests now", waitMs.getAsLong());
         }
-        int running = selector.ownRequestCount(servers.get());
+        int running = selector.runsToReplace(servers.get());
         Optional<String> refusal =
                 requestWait.enterQueueOrRefuse(
                         sendCount,
--- a/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestWait.java
@@ -49,7 +49,7 @@
     /**
      * Adds an unsent engine request to the queue, or returns the reason to refuse the request.
      *
-     * @param runningRequests requests of this router that run at the servers of the service
+     * @param runningRequests running requests whose slots this router may get
      * @param availability how many servers are excluded for which reason, for the log
      */
     Optional<String> enterQueueOrRefuse(
--- a/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
@@ -89,6 +89,12 @@
      */
     static final int MAX_QUERIED_ENGINES = 24;
 
+    /**
+     * Number of prefills up to which a router's part of the runs tells more of its demand than its
+     * part of the prefills.
+     */
+    private static final int MIN_COUNTED_PREFILLS = 4;
+
     private final LoadTracker loads;
     private final ServerHealth health;
     private final ServerNotices notices;
@@ -287,9 +293,25 @@
                 + " leaving";
     }
 
-    /** Returns the number of this router's requests at {@code servers}. */
-    int ownRequestCount(ImmutableList<BackendServer> servers) {
-        return servers.stream().mapToInt(s -> loads.ownLoad(s.incarnation()).running()).sum();
+    /**
+     * Returns how many runs at {@code servers} are expected to leave their slots to this router:
+     * its own, or its part of the runs of all routers, by the prefills, which are the latest sends.
+     *
+     * <p>If the balancer directs most requests of a domain to this router, the slots that become
+     * free are those of other routers' runs.
+     */
+    int runsToReplace(ImmutableList<BackendServer> servers) {
+        ServerLoad ownLoad = ServerLoad.none();
+        ServerLoad totalLoad = ServerLoad.none();
+        for (BackendServer server : servers) {
+            ownLoad = ownLoad.plus(loads.ownLoad(server.incarnation()));
+            totalLoad = totalLoad.plus(loads.totalLoad(server.incarnation()));
+        }
+        double ownRunFraction = (double) ownLoad.running() / Math.max(1, totalLoad.running());
+        double demandFraction =
+                (ownLoad.prefills() + MIN_COUNTED_PREFILLS * ownRunFraction)
+                        / (totalLoad.prefills() + MIN_COUNTED_PREFILLS);
+        return (int) Math.max(ownLoad.running(), demandFraction * totalLoad.running());
     }
 
     /** Returns whether {@code server} has a free slot for a plain request. */
--- a/masticweir/src/main/java/org/masticweir/forward/WaitQueue.java
+++ b/masticweir/src/main/java/org/masticweir/forward/WaitQueue.java
@@ -83,7 +83,7 @@
      * Returns the maximum number of waiting requests: the number of running requests that are
      * expected to end in time.
      *
-     * @param runningRequests running requests of this router
+     * @param runningRequests running requests whose slots this router may get
      * @param maxWaitMs longest wait of a request
      * @param runMs duration of a run
      */
--- a/masticweir/src/test/java/org/masticweir/forward/RequestStateMachineWaitTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/RequestStateMachineWaitTest.java
@@ -1,13 +1,17 @@
 package org.masticweir.forward;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Repeatability;
+import org.masticweir.id.RouterId;
 
 /** Tests conditions that change while a request waits before its send. */
 class RequestStateMachineWaitTest {
@@ -73,4 +77,38 @@
         fixture.servers.remove(chosen);
         assertFalse(machine.mayStillSend(chosen, 1));
     }
+
+    /**
+     * Guards against refusals at a router that gets the requests of all: the runs that end in time
+     * are those of other routers, and their slots are used by nobody else.
+     */
+    @Test
+    void queueIsBoundedByTheRunsOfAllRoutersIfTheDemandIsHere() {
+        ServerLoad ofOthers = new ServerLoad(12, 0, 0, 0);
+        for (BackendServer engine : fixture.servers) {
+            fixture.loads.recordPeerLoad(RouterId.of("r2"), engine.incarnation(), ofOthers);
+        }
+        for (RequestStateMachine machine : submit(12)) {
+            LoadEntry.open(fixture.loads, asSend(machine.next(0)), ForwardFixture.PROMPT);
+        }
+        submit(24).forEach(m -> assertInstanceOf(Step.Wait.class, m.next(10)));
+    }
+
+    /** Guards against a queue that each of several routers fills for the slots of all. */
+    @Test
+    void queueIsBoundedByThisRoutersPartOfTheDemand() {
+        ServerLoad ofOthers = new ServerLoad(12, 2, 16_400, 0);
+        for (BackendServer engine : fixture.servers) {
+            fixture.loads.recordPeerLoad(RouterId.of("r2"), engine.incarnation(), ofOthers);
+        }
+        List<RequestStateMachine> waiting = submit(24);
+        long refused = waiting.stream().filter(m -> m.next(10) instanceof Step.End).count();
+        assertEquals(24 - WaitQueue.MIN_CAPACITY, refused);
+    }
+
+    private List<RequestStateMachine> submit(int count) {
+        return Stream.generate(() -> fixture.stateMachine(Repeatability.RESUMABLE, 5))
+                .limit(count)
+                .toList();
+    }
 }
