--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -457,7 +457,7 @@
             return end(
                     ErrorCode.OVERLOADED, "servers take no more requests now", waitMs.getAsLong());
         }
-        int running = selector.ownRequestCount(servers.listed());
+        int running = selector.runsToReplace(servers.listed());
         Optional<String> refusal =
                 requestWait.enterQueueOrRefuse(
                         sendCount,
