--- a/masticweir/src/main/java/org/masticweir/forward/RequestParameters.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestParameters.java
@@ -29,6 +29,9 @@
         OptionalLong callerLastEventId,
         long receivedMs,
         long expiresMs) {
+    /** Number of urgency levels within one route priority. */
+    private static final int URGENCY_STAGES = 3;
+
     public RequestParameters {
         checkNotNull(route, "route");
         checkNotNull(service, "service");
@@ -53,4 +56,13 @@
                 && engine.get().copies()
                 && size.prompt() > 0;
     }
+
+    /**
+     * Returns the urgency of this request among those that need a permit: ordered by route
+     * priority, then continued answers, unsent requests and retries.
+     */
+    int urgency(boolean hasEvent, boolean isSent) {
+        int stage = hasEvent ? 0 : isSent ? 2 : 1;
+        return route.priority() * URGENCY_STAGES + stage;
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -35,9 +35,6 @@
      */
     private static final double HEDGE_FRACTION = 0.7;
 
-    /** Number of urgency levels within one route priority. */
-    private static final int URGENCY_STAGES = 3;
-
     private final RequestParameters request;
     private final RequestServers servers;
     private final ServerSelector selector;
@@ -144,13 +141,13 @@
             return waitOrEnd(nowMs);
         }
         if (selector.needsPermit(server.get()) && !permittedServer.equals(server)) {
-            return new Step.AcquirePermit(server.get(), urgency());
+            return new Step.AcquirePermit(server.get(), request.urgency(hasEvent, sendCount > 0));
         }
         retryCountedMs = OptionalLong.empty();
         if (transmissions > 0 && !permits.allowsRetry(nowMs)) {
             if (!retryLimiter.tryRetry(request.service(), nowMs)) {
                 return retryLimiter.mayRequestPermit(request.service(), nowMs)
-                        ? new Step.AcquireRetryPermit(urgency())
+                        ? new Step.AcquireRetryPermit(request.urgency(hasEvent, sendCount > 0))
                         : waitForRetryBudget(nowMs);
             }
             retryCountedMs = OptionalLong.of(nowMs);
@@ -257,13 +254,15 @@
             return Relocation.impossible();
         }
         if (selector.needsPermit(server.get()) && !permittedServer.equals(server)) {
-            return Relocation.after(new Step.AcquirePermit(server.get(), urgency()));
+            return Relocation.after(
+                    new Step.AcquirePermit(server.get(), request.urgency(hasEvent, sendCount > 0)));
         }
         if (permits.allowsRetry(nowMs) || retryLimiter.mayRetry(request.service(), nowMs)) {
             return Relocation.possible();
         }
         return retryLimiter.mayRequestPermit(request.service(), nowMs)
-                ? Relocation.after(new Step.AcquireRetryPermit(urgency()))
+                ? Relocation.after(
+                        new Step.AcquireRetryPermit(request.urgency(hasEvent, sendCount > 0)))
                 : Relocation.impossible();
     }
 
@@ -398,15 +397,6 @@
         return hasEvent ? servers.usableCopyHolder(nowMs) : Optional.empty();
     }
 
-    /**
-     * Returns the urgency of this request among those that need a permit: ordered by route
-     * priority, then continued answers, unsent requests and retries.
-     */
-    private int urgency() {
-        int stage = hasEvent ? 0 : sendCount == 0 ? 1 : 2;
-        return request.route().priority() * URGENCY_STAGES + stage;
-    }
-
     /** Returns the final step of a request whose content is in quarantine. */
     public Step.End endInQuarantine(long nowMs) {
         boolean notRun = verdict().safeToSendAgain();
