relay: connections that a herd left at one router are spread again

What callers would see: after the balancer has handed most new connections to one router, their callers go on using them, so that router has most of the requests long afterwards.

Evidence: ConnectionRebalancingTest, a replay of the decision (nothing decided this before, so there is no earlier failure of it): of 40 usual connections and 320 of a herd, with a request a second on each, at most 80 are left after 8 s; none are closed at usual numbers, after a start, or while no other router is linked.

Change: ConnectionRebalancing compares the connections that have carried a request with their mean over a minute. From twice the mean and 8 on, every fourth answer closes its connection, until 1.25 times the mean and 8. A router closes none in its first 30 s.

Not measured: a herd of kept connections before real routers.

--- a/masticweir/src/main/java/org/masticweir/relay/ConnectionGate.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ConnectionGate.java
@@ -6,6 +6,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -24,10 +26,13 @@
 final class ConnectionGate {
     private static final Logger LOG = LogManager.getLogger(ConnectionGate.class);
 
+    private static final AttachmentKey<Boolean> IS_COUNTED = AttachmentKey.create(Boolean.class);
+
     private final XnioExecutor thread;
     private final Clock clock;
     private final Counter upLinks;
     private final ConnectionAdmission admission;
+    private final ConnectionRebalancing rebalancing;
     private final Counter closedCounter;
     private final Counter limitedCounter;
 
@@ -37,6 +42,7 @@
         this.clock = checkNotNull(clock, "clock");
         upLinks = RelayLinks.upLinkCounter(metrics);
         admission = new ConnectionAdmission(clock.nowMs());
+        rebalancing = new ConnectionRebalancing(clock.nowMs());
         closedCounter = metrics.counter(MetricName.of("connections_closed_unread_total"));
         limitedCounter = metrics.counter(MetricName.of("connections_limited"));
     }
@@ -61,6 +67,7 @@
     /** Returns a handler that counts the requests of {@code target} and may close connections. */
     HttpHandler around(HttpHandler target) {
         return exchange -> {
+            countConnection(exchange.getConnection());
             exchange.addExchangeCompleteListener(
                     (ex, next) -> {
                         admission.recordServed();
@@ -71,8 +78,18 @@
         };
     }
 
+    private void countConnection(ServerConnection connection) {
+        if (connection.getAttachment(IS_COUNTED) == null) {
+            connection.putAttachment(IS_COUNTED, true);
+            rebalancing.connectionUsed();
+            connection.addCloseListener(c -> rebalancing.connectionClosed());
+        }
+    }
+
     private void closeAfterAnswerIfNeeded(HttpServerExchange exchange) {
-        if (admission.closesAfterAnswer(isOtherRouterLinked())) {
+        boolean isOtherRouterLinked = isOtherRouterLinked();
+        if (admission.closesAfterAnswer(isOtherRouterLinked)
+                || rebalancing.closesAfterAnswer(isOtherRouterLinked)) {
             exchange.setPersistent(false);
         }
     }
@@ -97,6 +114,7 @@
         long nextMs = now + ConnectionAdmission.MEASUREMENT_INTERVAL_MS;
         admission.recordMeasurement(Math.max(0, now - dueMs), nextMs, now);
         countLimit();
+        rebalancing.update(now);
         measureAt(nextMs);
     }
 
