relay: long bodies in chunks are read to the limit of the router, not of the library

What callers would see: a reset in place of a refusal, and a broken connection in a body in chunks beyond 2 MB though the configuration allows 4 MB. Cause: the library's default for the listener holds for chunks, whatever a request sets.

--- a/masticweir/src/main/java/org/masticweir/relay/BodyReader.java
+++ b/masticweir/src/main/java/org/masticweir/relay/BodyReader.java
@@ -17,7 +17,7 @@
  */
 final class BodyReader {
     /** Limit on a body that is read to its end; the connection breaks in a longer one. */
-    private static final long MAX_DROPPED_BYTES = 16 << 20;
+    static final long MAX_READ_BYTES = 16 << 20;
 
     private final long maxBytes;
     private final Listener listener;
@@ -43,7 +43,7 @@
     /** Reads the body of {@code exchange}, of which {@code maxBytes} are kept. */
     static void read(HttpServerExchange exchange, long maxBytes, Listener listener) {
         BodyReader reader = new BodyReader(maxBytes, listener);
-        exchange.setMaxEntitySize(Math.max(maxBytes, MAX_DROPPED_BYTES));
+        exchange.setMaxEntitySize(Math.max(maxBytes, MAX_READ_BYTES));
         exchange.getRequestReceiver()
                 .receivePartialBytes(reader::handlePart, reader::handleFailure);
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
@@ -47,6 +47,8 @@
                     .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
                     .set(UndertowOptions.ALWAYS_SET_DATE, false)
                     .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                    // Bodies in chunks keep this limit; a request can only change that of others.
+                    .set(UndertowOptions.MAX_ENTITY_SIZE, BodyReader.MAX_READ_BYTES)
                     .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MS)
                     .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADERS_TIMEOUT_MS)
                     .getMap();
