A server that speaks while it is probed is not lost

What callers saw: a stream that had just begun was taken away from its server, at the cost of another prompt, or ended in its last send. Cause: an engine that is late with its first event is probed; when the probe fails, the send was given up, also if its first event had come in between. The finding of a probe that began before the first event is now dropped after it; another incarnation still counts.

Failed before: UnansweredRequestTest.SilentServer.keepsItsStreamIfItSpeaksWhileItIsProbed, 3 runs in place of 1, each server that was left having just begun. Passes now, with RelayPathTest, SilenceTimerTest and RequestEndPropertyTest.

--- a/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
@@ -116,11 +116,13 @@
         if (silence.isKept()) {
             moveOrKeep(silence, "silent for " + silence.silenceMs(now) + " ms");
         } else {
+            boolean isEventDue = silence.isEventDue();
             inquiry(silence)
                     .start(
                             now,
                             () -> isCurrent(silence),
-                            finding -> guard.run(() -> handleFinding(silence, finding)));
+                            finding ->
+                                    guard.run(() -> handleFinding(silence, isEventDue, finding)));
         }
     }
 
@@ -128,11 +130,18 @@
         return new SilenceInquiry(context, log, request.id(), silence);
     }
 
-    private void handleFinding(SilenceTimer silence, Finding finding) {
-        switch (finding.state()) {
-            case ALIVE -> scheduleTimer(silence);
-            case LOST -> listener.onServerLost(finding.reason());
-            default -> moveOrKeep(silence, finding.reason());
+    /**
+     * Handles the finding of an inquiry. A server that has sent its first event meanwhile is not
+     * silent, even if the probe was not answered.
+     */
+    private void handleFinding(SilenceTimer silence, boolean wasEventDue, Finding finding) {
+        boolean hasSpoken = silence.isEventDue() && !wasEventDue;
+        if (finding.state() == State.LOST) {
+            listener.onServerLost(finding.reason());
+        } else if (finding.state() == State.ALIVE || hasSpoken) {
+            scheduleTimer(silence);
+        } else {
+            moveOrKeep(silence, finding.reason());
         }
     }
 
