quarantine: the losses of one server are recorded in one call

The relay finds all requests that a server had just begun when it ended. With one call for each of them a listener could be told of a part at the limit before the other candidates of the same server were recorded, and end requests in flight for it. recordLosses records all of them and tells listeners once.

--- a/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/Quarantine.java
@@ -8,13 +8,14 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.stream.Stream;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.RouterId;
@@ -86,6 +87,7 @@
     private final RouterId self;
     private final long maxQuarantineMs;
     private final CrashEvidence evidence;
+    private final BlameRule blame;
     private final OwnTrials ownTrials = new OwnTrials();
     private final Set<ContentId> pendingUpdates = new LinkedHashSet<>();
 
@@ -94,7 +96,11 @@
         NONE,
         SUSPECTED,
         QUARANTINED,
-        CLEARED
+        CLEARED;
+
+        private Change latestOf(Change next) {
+            return next == NONE ? this : next;
+        }
     }
 
     /**
@@ -113,6 +119,7 @@
         this.self = checkNotNull(self, "self");
         this.maxQuarantineMs = maxQuarantineMs;
         evidence = new CrashEvidence(maxQuarantineMs);
+        blame = new BlameRule(evidence);
     }
 
     /**
@@ -151,13 +158,13 @@
     }
 
     private SendRule ruleOf(ContentState state, RequestContent content, long nowMs) {
-        int suspicion = suspicion(state, content, nowMs);
+        int suspicion = blame.suspicion(state, content, nowMs);
         if (suspicion == 0) {
             boolean isInquired = state.isInquired() && !isProven(state);
             return isInquired ? SendRule.WAIT : SendRule.ANY_SERVER;
         }
         boolean isHeld = suspicion >= CRASH_LIMIT && nowMs < quarantineEndMs(state);
-        if (isHeld && !isAmbiguous(state, content)) {
+        if (isHeld && !blame.isAmbiguous(state, content)) {
             return SendRule.REJECT;
         }
         if (state.isInquired() || state.isOnTrial(nowMs) || state.isStaggered(nowMs)) {
@@ -170,50 +177,6 @@
         return state.record().isPart() && state.record().lastSuccessMs().isPresent();
     }
 
-    /**
-     * Returns how many crashes are held against {@code state} in a request with {@code content}:
-     * none if something else that is not in this request explains all its losses.
-     */
-    private int suspicion(ContentState state, RequestContent content, long nowMs) {
-        int suspicion = state.suspicion(nowMs);
-        return suspicion > 0 && isExplained(state, content, nowMs) ? 0 : suspicion;
-    }
-
-    /**
-     * Returns whether something that is not in this request was lost with the same servers and is
-     * more likely to have caused the crashes. If that is wrong, the next crash under this request
-     * shows it.
-     */
-    private boolean isExplained(ContentState state, RequestContent content, long nowMs) {
-        if (!state.record().isPart()) {
-            return false;
-        }
-        boolean isTrusted = state.isTrusted(nowMs);
-        return otherCandidates(state, content)
-                .anyMatch(
-                        other ->
-                                state.isProvenLaterThan(other)
-                                        || (isTrusted
-                                                && other.suspicion(nowMs) >= CRASH_LIMIT
-                                                && !other.isProvenLongAfter(state)));
-    }
-
-    /** Returns whether something that is not in this request may have caused all losses as well. */
-    private boolean isAmbiguous(ContentState state, RequestContent content) {
-        return otherCandidates(state, content)
-                .anyMatch(
-                        other ->
-                                state.record().isPart()
-                                        ? !other.isProvenLongAfter(state)
-                                        : other.isLostMoreOften(state));
-    }
-
-    private Stream<ContentState> otherCandidates(ContentState state, RequestContent content) {
-        ImmutableSet<ContentId> own = content.all();
-        return evidence.othersWithAllLossesOf(state).stream()
-                .filter(s -> !own.contains(s.content()));
-    }
-
     /**
      * Returns when the quarantine ends. The routers that did not observe the last loss send later,
      * each at a time of its own, so that one request is tried and not one at each router.
@@ -254,7 +217,7 @@
     public long remainingQuarantineMs(RequestContent content, long nowMs) {
         return recordedIds(content).stream()
                 .map(evidence::get)
-                .filter(s -> s != null && suspicion(s, content, nowMs) >= CRASH_LIMIT)
+                .filter(s -> s != null && blame.suspicion(s, content, nowMs) >= CRASH_LIMIT)
                 .mapToLong(s -> Math.max(0, quarantineEndMs(s) - nowMs))
                 .max()
                 .orElse(0);
@@ -276,7 +239,8 @@
                         .filter(
                                 id -> {
                                     ContentState state = evidence.findUnexpired(id, nowMs);
-                                    return state != null && suspicion(state, content, nowMs) > 0;
+                                    return state != null
+                                            && blame.suspicion(state, content, nowMs) > 0;
                                 })
                         .collect(ImmutableSet.toImmutableSet());
         if (suspects.isEmpty()) {
@@ -333,6 +297,22 @@
                                 id -> recordLoss(getOrCreate(id, content, nowMs), loss, nowMs)));
     }
 
+    /**
+     * Records the end of one server that had begun to run several requests. Returns the changes
+     * after all losses are recorded.
+     */
+    public ImmutableMap<ContentId, Change> recordLosses(
+            Map<RequestContent, Loss> losses, long nowMs) {
+        Map<ContentId, Change> changes = new LinkedHashMap<>();
+        losses.forEach(
+                (content, loss) ->
+                        recordLoss(content, loss, nowMs)
+                                .forEach(
+                                        (id, change) ->
+                                                changes.merge(id, change, Change::latestOf)));
+        return ImmutableMap.copyOf(changes);
+    }
+
     private Change recordLoss(ContentState state, Loss loss, long nowMs) {
         state.setLossObservedHere(true);
         state.staggerUntil(nowMs);
--- a/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BiConsumer;
@@ -146,7 +147,15 @@
 
     /** Records the end of a server that had begun to run a request with {@code content}. */
     public void recordLoss(RequestContent content, Loss loss, String cause) {
-        apply(cause, now -> quarantine.recordLoss(content, loss, now));
+        recordLosses(ImmutableMap.of(content, loss), cause);
+    }
+
+    /**
+     * Records the end of one server with all requests that it had begun to run. Listeners are told
+     * once, after all of them, so that none sees a part without the others that were lost with it.
+     */
+    public void recordLosses(Map<RequestContent, Loss> losses, String cause) {
+        apply(cause, now -> quarantine.recordLosses(losses, now));
     }
 
     /**
--- a/masticweir/src/test/java/org/masticweir/quarantine/QuarantinePartRulesTest.java
+++ b/masticweir/src/test/java/org/masticweir/quarantine/QuarantinePartRulesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -100,6 +101,20 @@
             assertEquals(SendRule.LEAST_LOADED, quarantine.sendRule(sound, 10 * LOSS_GAP_MS));
         }
 
+        /** Guards against a change that is told before all losses of a server are recorded. */
+        @Test
+        void changesOfOneServerAreReturnedTogether() {
+            loseServers(Quarantine.CRASH_LIMIT - 1, BAD);
+            RequestContent bad = request(BAD);
+            RequestContent sound = request(FIRST);
+            Loss last = loss(Quarantine.CRASH_LIMIT, LATER_MS);
+            ImmutableMap<ContentId, Change> changes =
+                    quarantine.recordLosses(ImmutableMap.of(bad, last, sound, last), LATER_MS);
+            assertEquals(Change.QUARANTINED, changes.get(BAD));
+            assertEquals(Change.SUSPECTED, changes.get(FIRST));
+            assertEquals(Change.SUSPECTED, changes.get(sound.whole()));
+        }
+
         /** Guards against a part that is no longer found after many losses of other causes. */
         @Test
         void latestLossesAreKept() {
