operators: masticweir quarantine list and quarantine release ID

What operators saw: to have a content or part sent again, its row had to be deleted and all routers restarted.

The routers of the users' platform have no operators' port of their own; the calls are answered on the metrics address, for callers on the router's own machine only, as that address asks for no credential. Refusals and missing answers are printed with their own exit codes.

--- a/masticweir-cli/src/main/java/org/masticweir/cli/CommandLine.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/CommandLine.java
@@ -19,6 +19,9 @@
         add(parser, "drain", new DrainCommand(options));
         add(parser, "explain", new ExplainCommand(options, System.in));
         add(parser, "outcomes", new OutcomesCommand(options, System.in));
+        JCommander quarantine = add(parser, "quarantine", new QuarantineCommand(options));
+        add(quarantine, "list", new QuarantineListCommand(options));
+        add(quarantine, "release", new QuarantineReleaseCommand(options));
         JCommander config = add(parser, "config", new ConfigCommand(options));
         add(config, "show", new ConfigShowCommand(options));
         add(config, "check", new ConfigCheckCommand(options));
--- a/masticweir-cli/src/main/java/org/masticweir/cli/OperatorMessages.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/OperatorMessages.java
@@ -96,6 +96,24 @@
     /** Whether a failure domain holds the revision. */
     record DomainHolds(String domain, boolean holds) {}
 
+    /** Answer of {@code GET /v1/quarantine}. */
+    record Quarantine(List<QuarantinedContent> contents, int omitted) {
+        Quarantine {
+            contents = orEmpty(contents);
+        }
+    }
+
+    /** A content or part under which servers ended. */
+    record QuarantinedContent(
+            String id, String kind, String state, long heldMs, int ends, List<String> servers) {
+        QuarantinedContent {
+            servers = orEmpty(servers);
+        }
+    }
+
+    /** Body of {@code POST /v1/quarantine/release}. */
+    record Release(String id) {}
+
     /** Body of every error. */
     record Failure(String code, String message) {}
 }
--- a/masticweir-cli/src/test/java/org/masticweir/cli/MasticweirTest.java
+++ b/masticweir-cli/src/test/java/org/masticweir/cli/MasticweirTest.java
@@ -75,7 +75,10 @@
                     "config check",
                     "config diff",
                     "config apply",
-                    "config history"
+                    "config history",
+                    "quarantine",
+                    "quarantine list",
+                    "quarantine release"
                 })
         void everyCommandHasHelpWithExitCodes(String command) {
             assertEquals(ExitCode.OK, run((command + " --help").split(" ")));
@@ -89,6 +92,8 @@
                     "nosuch",
                     "config",
                     "config check",
+                    "quarantine",
+                    "quarantine release",
                     "config check no-such-file.ini",
                     "status --timeout-ms 0",
                     "status --router localhost:1",
@@ -139,6 +144,21 @@
             }
         }
 
+        @Test
+        void quarantineIsATable() {
+            router.answer(
+                    "GET /v1/quarantine",
+                    200,
+                    "{\"contents\":[{\"id\":\"ab12\",\"kind\":\"part\",\"state\":\"quarantined\","
+                            + "\"held_ms\":59000,\"ends\":3,\"servers\":[\"i-1\",\"i-2\"]}],"
+                            + "\"omitted\":7}");
+            assertEquals(ExitCode.OK, ask("quarantine", "list"));
+            assertTrue(
+                    out.toString().contains("ab12  part  quarantined  59000    3     i-1,i-2"),
+                    out.toString());
+            assertTrue(out.toString().contains("and 7 older ones"), out.toString());
+        }
+
         @Test
         void errorUnreachableAndSilence() {
             router.answer("GET /v1/status", 503, "{\"code\":\"INTERNAL\",\"message\":\"no\"}")
@@ -213,6 +233,20 @@
             assertTrue(err.toString().contains("is unknown"), err.toString());
         }
 
+        @Test
+        void releaseSendsTheIdAndSaysWhatFailed() {
+            router.answer("POST /v1/quarantine/release", 200, "{\"id\":\"ab12\"}");
+            assertEquals(ExitCode.OK, ask("quarantine", "release", "ab12"));
+            assertTrue(out.toString().contains("released ab12"), out.toString());
+            assertEquals("{\"id\":\"ab12\"}", router.bodies().get(0));
+            String unknown = "{\"code\":\"NOT_FOUND\",\"message\":\"no server ended under ab12\"}";
+            router.answer("POST /v1/quarantine/release", 404, unknown);
+            assertEquals(ExitCode.ROUTER_ERROR, ask("quarantine", "release", "ab12"));
+            assertTrue(err.toString().contains("no server ended under ab12"), err.toString());
+            router.fail("POST /v1/quarantine/release", FakeRouter.Fault.SILENCE);
+            assertEquals(ExitCode.UNSETTLED, ask("quarantine", "release", "ab12"));
+        }
+
         @Test
         void dryRunDiffAndDrain() {
             holds(6, "c6", DOCUMENT);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
@@ -15,6 +15,8 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
 import org.masticweir.metrics.MetricsText;
+import org.masticweir.operators.QuarantineHandler;
+import org.masticweir.quarantine.SharedQuarantine;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 
@@ -46,13 +48,15 @@
             RelayHandler requests,
             String readyPath,
             BooleanSupplier ready,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            SharedQuarantine quarantine) {
         checkNotNull(readyPath, "readyPath");
         Undertow.Builder callers = server(worker);
         listen(callers, settings.callers(), new HttpContinueReadHandler(requests));
         Undertow.Builder management = server(worker);
         listen(management, settings.balancer(), readiness(readyPath, ready));
-        listen(management, settings.metrics(), metricsPage(MetricsText.of(metrics)));
+        HttpHandler page = metricsPage(MetricsText.of(metrics));
+        listen(management, settings.metrics(), new QuarantineHandler(quarantine, page));
         return new RelayPorts(callers.build(), management.build());
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -169,7 +169,8 @@
                         new RelayHandler(context(loadSharing), admission, keepAlive),
                         platform.protocol().readyPath(),
                         this::isReady,
-                        metrics);
+                        metrics,
+                        quarantine);
         callersPort =
                 new CallersPort(
                         listener, ports, settings.callers(), this::canServeCallers, control, clock);
