--- a/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayPorts.java
@@ -16,6 +16,8 @@
 import org.masticweir.error.MasticweirException;
 import org.masticweir.error.Verdict;
 import org.masticweir.metrics.MetricsText;
+import org.masticweir.operators.QuarantineHandler;
+import org.masticweir.quarantine.SharedQuarantine;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.XnioWorker;
@@ -69,7 +71,8 @@
             ConnectionGate gate,
             String readyPath,
             BooleanSupplier ready,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            SharedQuarantine quarantine) {
         checkNotNull(readyPath, "readyPath");
         CallersListener callers =
                 new CallersListener(
@@ -81,7 +84,8 @@
                         SERVER_OPTIONS);
         Undertow.Builder management = server(worker);
         listen(management, settings.balancer(), readiness(readyPath, ready));
-        listen(management, settings.metrics(), metricsPage(MetricsText.of(metrics)));
+        HttpHandler page = metricsPage(MetricsText.of(metrics));
+        listen(management, settings.metrics(), new QuarantineHandler(quarantine, page));
         return new RelayPorts(callers, management.build());
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -170,7 +170,8 @@
                         new ConnectionGate(thread, clock, metrics),
                         platform.protocol().readyPath(),
                         this::isReady,
-                        metrics);
+                        metrics,
+                        quarantine);
         callersPort =
                 new CallersPort(
                         listener, ports, settings.callers(), this::canServeCallers, control, clock);
