relay: an entry that is gone doesn't end an answer; failures after an answer began; ends of streams under a probe

A kept silent server was given up when its entry was missing from the view, though an entry that lapsed or can't be read doesn't show that its server has ended; with no other send allowed, its answer was cut. Now only the signs of an end count. An exception in the last write of an answer left the caller waiting, as the writer counted as ended: the connection is closed unless all was written. 3. While the end of a stream without a length is confirmed by a probe, its timer of silence ran on and could send a whole answer once more: it is stopped. LossInquiry hands over the losses of one server in one call, so that no change is decided by half of them.

--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -172,6 +172,16 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    /**
+     * Closes the caller's connection unless the whole answer was written. Called after a failure
+     * that leaves nobody to write the rest, for which the caller would wait.
+     */
+    void abortIfIncomplete() {
+        if (!exchange.isResponseComplete()) {
+            abort();
+        }
+    }
+
     private void cut(CutReason reason) {
         onCut.accept(reason);
         abort();
--- a/masticweir/src/main/java/org/masticweir/relay/CutRecorder.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CutRecorder.java
@@ -9,12 +9,21 @@
     private final RelayContext context;
     private final RequestLog log;
     private final CallerAnswerWriter writer;
+    private final RequestTimer timer;
+    private final RequestTimer deadlineTimer;
     private OptionalLong lastServerBytesMs = OptionalLong.empty();
 
-    CutRecorder(RelayContext context, RequestLog log, CallerAnswerWriter writer) {
+    CutRecorder(
+            RelayContext context,
+            RequestLog log,
+            CallerAnswerWriter writer,
+            RequestTimer timer,
+            RequestTimer deadlineTimer) {
         this.context = checkNotNull(context, "context");
         this.log = checkNotNull(log, "log");
         this.writer = checkNotNull(writer, "writer");
+        this.timer = checkNotNull(timer, "timer");
+        this.deadlineTimer = checkNotNull(deadlineTimer, "deadlineTimer");
     }
 
     /** Records that a server sent something. */
@@ -26,9 +35,10 @@
      * Records that the caller's connection ends before its answer is complete.
      *
      * @param stage progress of the request, and the reason in words
-     * @param delayMs how late the task runs that ends the connection
      */
-    void recordCut(CutReason reason, String stage, OptionalLong delayMs) {
+    void recordCut(CutReason reason, String stage) {
+        OptionalLong delayMs =
+                timer.delayMs().isPresent() ? timer.delayMs() : deadlineTimer.delayMs();
         log.logCut(reason, stage, writer.progress(), lastServerBytesMs, delayMs);
         context.metrics().countCut(reason);
     }
--- a/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
+++ b/masticweir/src/main/java/org/masticweir/relay/LossInquiry.java
@@ -207,7 +207,7 @@
                                         result));
         inquiry.waitingContents.forEach(quarantine::endInquiry);
         if (hasEnded) {
-            recordLosses(inquiry.losses, incarnation + " ended under it");
+            quarantine.recordLosses(inquiry.losses, incarnation + " ended under it");
         } else if (result == Result.LIVES) {
             quarantine.recordAlive(incarnation);
         } else {
@@ -216,10 +216,6 @@
         inquiry.trials.forEach(quarantine::endTrial);
     }
 
-    private void recordLosses(Map<RequestContent, Loss> losses, String cause) {
-        losses.forEach((content, loss) -> quarantine.recordLoss(content, loss, cause));
-    }
-
     private void watchEntry(ServerIncarnation incarnation, Map<RequestContent, Loss> losses) {
         if (silentServers.size() < MAX_SILENT_SERVERS || silentServers.containsKey(incarnation)) {
             SilentServer server =
@@ -242,7 +238,7 @@
             } else if (!listedServers.contains(entry.getKey())) {
                 iterator.remove();
                 String cause = entry.getKey() + "'s entry lapsed while it ran the content";
-                recordLosses(server.losses, cause);
+                quarantine.recordLosses(server.losses, cause);
             }
         }
     }
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -82,7 +82,7 @@
                 new WaitingSteps(
                         context, params, machine, log, permits, timer, guard, this::execute);
         writer = new CallerAnswerWriter(exchange, this::onCut);
-        cuts = new CutRecorder(context, log, writer);
+        cuts = new CutRecorder(context, log, writer, timer, deadlineTimer);
         detector = CallerDisconnectDetector.start(exchange, this::onCut);
         supervisor =
                 new SendSupervisor(context, request, machine, log, permits, timer, guard, this);
@@ -157,7 +157,7 @@
             sendEnds.recordNotRun(
                     next.server(), SendEnd.NOT_REACHED, "was reached too late", silence.sentMs());
             abortUnwrittenSend();
-            closeSend();
+            closeSend(false);
             execute(machine.next(now));
             return Optional.empty();
         }
@@ -193,7 +193,7 @@
         BackendServer server = silence.server();
         sendEnds.recordLost(server, SendEnd.SILENT, reason, silence.sentMs());
         events.handleServerLoss();
-        closeSend();
+        closeSend(false);
         execute(machine.onSendLost(server, now()));
         context.onLoadsChanged().run();
     }
@@ -202,7 +202,7 @@
     public void onHedge(Step.Send step) {
         sendEnds.recordAbandoned(
                 silence.server(), SendEnd.SILENT, "sent no answer", silence.sentMs());
-        closeSend();
+        closeSend(false);
         execute(step);
     }
 
@@ -253,10 +253,6 @@
         }
     }
 
-    private void closeSend() {
-        closeSend(false);
-    }
-
     private void closeSend(boolean isRejected) {
         monitor.endSend();
         send.ifPresent(ServerSend::close);
@@ -278,7 +274,7 @@
         }
         log.logEnd(end, machine.sendCount());
         if (writer.isStreaming()) {
-            cuts.recordCut(cutReason, describeStage() + ", " + end.reason(), delayMs());
+            cuts.recordCut(cutReason, describeStage() + ", " + end.reason());
         }
         metrics.countFailure(end.code());
         release();
@@ -289,6 +285,7 @@
     private void handleFailure(RuntimeException failure) {
         log.logFailure(failure);
         if (writer.isEnded()) {
+            writer.abortIfIncomplete();
             return;
         }
         Step.End end = machine.endAfterFailure();
@@ -297,7 +294,7 @@
             metrics.countFailure(end.code());
         }
         if (writer.isStreaming()) {
-            cuts.recordCut(CutReason.INTERNAL_ERROR, end.reason(), delayMs());
+            cuts.recordCut(CutReason.INTERNAL_ERROR, end.reason());
         }
         try {
             release();
@@ -307,10 +304,6 @@
         writer.sendError(end.code(), end.retryAfterMs(), end.reason());
     }
 
-    private OptionalLong delayMs() {
-        return timer.delayMs().isPresent() ? timer.delayMs() : deadlineTimer.delayMs();
-    }
-
     private void onCut(CutReason reason) {
         guard.run(() -> handleCut(reason));
     }
@@ -318,7 +311,7 @@
     /** Handles the end of the caller's connection before the answer was complete. */
     private void handleCut(CutReason reason) {
         String stage = isEnded ? "the last part of its answer" : describeStage();
-        cuts.recordCut(reason, stage, delayMs());
+        cuts.recordCut(reason, stage);
         if (isEnded) {
             return;
         }
@@ -344,7 +337,7 @@
         waits.close();
         machine.close();
         context.inFlightRequests().remove(this);
-        closeSend();
+        closeSend(false);
         detector.stop();
     }
 
@@ -391,6 +384,13 @@
             events.forward(step.server(), head, bytes, id, now);
         }
 
+        @Override
+        public void onLastEvent() {
+            if (!isStale()) {
+                supervisor.stop();
+            }
+        }
+
         @Override
         public void onStreamEnd(HttpHead head) {
             if (isStale()) {
@@ -415,7 +415,7 @@
             SendLoad.recordReport(context, step.server(), metadata);
             monitor.recordAnswer();
             context.metrics().countSendEnd(step.server(), SendEnd.ANSWERED);
-            closeSend();
+            closeSend(false);
             Optional<Step> next =
                     head.status() >= 500 ? machine.onErrorAnswer(now()) : Optional.empty();
             if (next.isPresent()) {
@@ -476,7 +476,7 @@
             if (isStale()) {
                 return;
             }
-            closeSend();
+            closeSend(false);
             String what = "could not be reached, " + failure;
             sendEnds.recordNotRun(step.server(), SendEnd.NOT_REACHED, what, sentMs);
             execute(machine.onConnectFailed(step.server(), failure, now()));
@@ -489,7 +489,7 @@
                 return;
             }
             events.handleServerLoss();
-            closeSend();
+            closeSend(false);
             sendEnds.recordLost(step.server(), SendEnd.BROKE_OFF, "lost it, " + reason, sentMs);
             execute(machine.onSendLost(step.server(), now()));
             context.onLoadsChanged().run();
--- a/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendSupervisor.java
@@ -157,10 +157,6 @@
             listener.onServerLost(reason);
             return;
         }
-        if (context.view().get().server(silence.server().incarnation()).isEmpty()) {
-            listener.onServerLost(reason + ", its entry is gone");
-            return;
-        }
         keep(silence, reason, now);
         relocation.neededPermit().ifPresent(permit -> acquirePermit(silence, permit));
     }
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -125,6 +125,7 @@
             completeStream();
             return;
         }
+        listener.onLastEvent();
         // A probe that began before the end would not show that the server lived at the end.
         ServerProbe probe =
                 new ServerProbe(
