--- a/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerSelector.java
@@ -90,8 +90,8 @@
     static final int MAX_QUERIED_ENGINES = 24;
 
     /**
-     * Number of prefills up to which a router's part of the runs tells more of its demand than its
-     * part of the prefills.
+     * Number of prefills up to which a router's part of the runs outweighs its part of the
+     * prefills.
      */
     private static final int MIN_COUNTED_PREFILLS = 4;
 
--- a/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/SharedQuarantine.java
@@ -190,8 +190,9 @@
     }
 
     /**
-     * Records the end of one server with all requests that it had begun to run. Listeners are told
-     * once, after all of them, so that none sees a part without the others that were lost with it.
+     * Records the end of one server with all requests that it had begun to run. Listeners are
+     * notified once, after all of them, so that none sees a part without the others that were lost
+     * with it.
      */
     public void recordLosses(Map<RequestContent, Loss> losses, String cause) {
         apply(cause, now -> quarantine.recordLosses(losses, now));
--- a/masticweir/src/main/java/org/masticweir/relay/ConnectionRebalancing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ConnectionRebalancing.java
@@ -19,7 +19,7 @@
     /** Time constant of the usual number of connections, in ms: many times as long as a herd. */
     static final long MEAN_MS = 60_000;
 
-    /** Time after the start from which the mean tells what is usual, in ms. */
+    /** Time after the start from which the mean is used, in ms. */
     static final long LEARNING_MS = 30_000;
 
     /** Connections beyond the mean that are never too many; small numbers vary by chance. */
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -234,7 +234,7 @@
                 return;
             }
             if (metadata != null && metadata.isNotRun()) {
-                // The head has told all; the rest of a refusal is not passed on.
+                // The head is enough; the body of a refusal is not passed on.
                 refuse();
             } else if (isSent) {
                 discard("the connection broke");
