relay: the line of a refused unknown route or key names what it rests on

`refused GET ..., NOT_FOUND no such route` named neither the version in force, nor how old the evidence was that it is the newest, nor whether a peer had named a newer one; so a denial on old evidence, a late reader and a late control thread could not be told apart. The line now ends with the three, and denial_evidence_age_ms tells the ages by outcome. No decision is changed.

--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
@@ -45,11 +45,12 @@
     private final Consumer<RelayView> viewListener;
     private Optional<CatalogText> catalogText = Optional.empty();
     private Optional<Catalog> catalog = Optional.empty();
-    private long lastConfirmedMs = Long.MIN_VALUE / 2;
+    private long lastConfirmedMs = CatalogEvidence.NEVER_MS;
     private final AwaitedCatalog awaitedCatalog = new AwaitedCatalog();
     private final UpdateProgress updateProgress = new UpdateProgress();
     private long removalsPendingUntilMs = Long.MIN_VALUE / 2;
     private boolean wasCatalogFresh;
+    private volatile CatalogEvidence evidence = CatalogEvidence.none();
 
     /**
      * Result of applying updates from a peer.
@@ -111,6 +112,7 @@
                 text.length());
         catalog = Optional.of(parsed);
         catalogText = Optional.of(new CatalogText(parsed.version(), text));
+        updateEvidence();
         publishView();
         return true;
     }
@@ -118,6 +120,7 @@
     /** Records that a peer holds {@code version} of the catalog. */
     void recordReportedVersion(long version) {
         awaitedCatalog.recordReport(version, clock.nowMs());
+        updateEvidence();
         publishIfFreshnessChanged();
     }
 
@@ -145,6 +148,17 @@
      */
     void recordConfirmation() {
         lastConfirmedMs = clock.nowMs();
+        updateEvidence();
+    }
+
+    /** Returns what this router knows of the catalog in force; may be called from any thread. */
+    CatalogEvidence evidence() {
+        return evidence;
+    }
+
+    private void updateEvidence() {
+        evidence =
+                new CatalogEvidence(catalogVersion(), lastConfirmedMs, awaitedCatalog.version());
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -40,6 +40,7 @@
         ServerVerifier serverVerifier,
         PromptCacheClient promptCaches,
         Supplier<RelayView> view,
+        Supplier<CatalogEvidence> catalogEvidence,
         LoadTracker loads,
         ServerHealth health,
         ServerSelector selector,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -49,9 +49,17 @@
 
         private final ErrorCode code;
 
+        /** What the refusal rests on, for the log only. */
+        private final String basis;
+
         Refusal(ErrorCode code, String reason) {
+            this(code, reason, "");
+        }
+
+        Refusal(ErrorCode code, String reason, String basis) {
             super(reason, null, false, false);
             this.code = code;
+            this.basis = basis;
         }
     }
 
@@ -230,7 +238,7 @@
         }
     }
 
-    private static Optional<Team> team(
+    private Optional<Team> team(
             RelayView view, Catalog catalog, Route route, RequestMetadata metadata) throws Refusal {
         if (!catalog.hasTeams() || route.open()) {
             return Optional.empty();
@@ -249,10 +257,18 @@
      * <p>The route or key may be in a newer catalog that this router has not received yet. Callers
      * retry only after the retryable error.
      */
-    private static Refusal notFound(RelayView view, ErrorCode code, String reason) {
-        return view.isCatalogFresh()
-                ? new Refusal(code, reason)
-                : new Refusal(ErrorCode.NO_CONFIGURATION, "the configuration may be old");
+    private Refusal notFound(RelayView view, ErrorCode code, String reason) {
+        long now = context.clock().nowMs();
+        CatalogEvidence evidence = context.catalogEvidence().get();
+        boolean isDenied = view.isCatalogFresh();
+        if (evidence.isConfirmed()) {
+            context.metrics().recordDenialEvidence(isDenied, evidence.ageMs(now));
+        }
+        String basis = " (" + evidence.describe(now) + ")";
+        return isDenied
+                ? new Refusal(code, reason, basis)
+                : new Refusal(
+                        ErrorCode.NO_CONFIGURATION, "the configuration may be old", basis);
     }
 
     private void readBody(HttpServerExchange exchange, AdmittedRequest admitted) {
@@ -326,11 +342,12 @@
 
     private void refuse(HttpServerExchange exchange, Refusal refusal) {
         LOG.info(
-                "relay: refused {} {}, {} {}",
+                "relay: refused {} {}, {} {}{}",
                 exchange.getRequestMethod(),
                 exchange.getRequestURI(),
                 refusal.code,
-                refusal.getMessage());
+                refusal.getMessage(),
+                refusal.basis);
         context.metrics().countEarlyRefusal(refusal.code);
         new CallerAnswerWriter(exchange, reason -> handleCut(exchange, reason))
                 .sendError(refusal.code, retryAfterMs(refusal.code), refusal.getMessage());
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -69,6 +69,15 @@
         count("requests_refused_unread_total", "outcome", lowerCaseName(code));
     }
 
+    /**
+     * Records the age of what the denial of an unknown route or key rests on, in ms.
+     *
+     * @param isDenied whether the request was denied; it was refused for now otherwise
+     */
+    void recordDenialEvidence(boolean isDenied, long ageMs) {
+        histogram("denial_evidence_age_ms", "denied", isDenied ? "yes" : "no").update(ageMs);
+    }
+
     /**
      * Counts a send to {@code server}; {@code sendCount} is the number of sends of the request,
      * including this send.
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -410,6 +410,7 @@
                 new PromptCacheClient(
                         access.caller(), platform.protocol(), metadataRecorder, clock),
                 () -> view,
+                deployment::evidence,
                 loads,
                 health,
                 ServerSelector.create(
