--- a/masticweir/src/test/java/org/masticweir/relay/FakeStore.java
+++ b/masticweir/src/test/java/org/masticweir/relay/FakeStore.java
@@ -28,6 +28,7 @@
             new TreeMap<>(Comparator.comparing(RowKey::table).thenComparing(RowKey::key));
     private final List<FeedOutcome.Change> history = new ArrayList<>();
     private final List<Poll> polls = new ArrayList<>();
+    private final Map<Long, Long> acknowledgedMs = new TreeMap<>();
     private long revision = 10;
     private long oldest;
 
@@ -55,7 +56,20 @@
     }
 
     void catalog(String text) {
-        change(new DeploymentStateTest.TestFormat().catalogRow(), Optional.of(text));
+        DeploymentStateTest.TestFormat format = new DeploymentStateTest.TestFormat();
+        change(format.catalogRow(), Optional.of(text));
+        long acknowledged = scheduler.clock().nowMs() + latencyMs;
+        acknowledgedMs.put(format.catalog(text).version(), acknowledged);
+    }
+
+    /** Returns the newest version of the catalog that was acknowledged {@code ageMs} ago; else 0. */
+    long versionAcknowledgedBefore(long ageMs) {
+        long latest = scheduler.clock().nowMs() - ageMs;
+        return acknowledgedMs.entrySet().stream()
+                .filter(e -> e.getValue() < latest)
+                .mapToLong(Map.Entry::getKey)
+                .max()
+                .orElse(0);
     }
 
     /** Discards the history of all changes so far. */
--- a/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
@@ -130,6 +130,31 @@
         return routers.values().stream().filter(r -> r.catalogVersion() == version).count();
     }
 
+    /**
+     * Runs for {@code ms} and asserts at each moment that no router denies an unknown route while a
+     * version newer than its own was acknowledged more than {@code boundMs} ago. Routers whose
+     * control thread stands still are included: their traffic thread still answers.
+     */
+    void assertNoDenialByOlderVersion(long ms, long boundMs) {
+        long endMs = nowMs() + ms;
+        while (nowMs() < endMs) {
+            runFor(10);
+            long due = store.versionAcknowledgedBefore(boundMs);
+            for (Router router : routers.values()) {
+                if (router.catalogVersion() < due && router.deniesUnknownRoutes()) {
+                    throw new AssertionError(
+                            "%s denies by version %d at %d ms, %d was acknowledged %d ms before"
+                                    .formatted(
+                                            router.info.id(),
+                                            router.catalogVersion(),
+                                            nowMs(),
+                                            due,
+                                            boundMs));
+                }
+            }
+        }
+    }
+
     /**
      * Runs until all routers of {@code observers} have received {@code port} as the port of server
      * e1; returns the time that passed, in ms, or {@code Long.MAX_VALUE} if it would exceed {@code
@@ -255,6 +280,11 @@
             return reading.role();
         }
 
+        /** Returns whether a request for an unknown route would be denied now, rather than refused. */
+        boolean deniesUnknownRoutes() {
+            return view.isCatalogFresh();
+        }
+
         /** Returns the port of server e1 in this router's view; empty if it has no such server. */
         String seenPort() {
             return view.servers().values().stream()
