A denial rests on the age of its evidence, asked when it is made

What callers saw: 404 on a route 4.03 and 4.10 s after the version that adds it was acknowledged; 4 s are allowed. Cause: "fresh enough to deny" was a boolean of three ages that nobody added up. A reader said HEARD for seconds after the store's last answer; each router counted 6 s, for every deployment, from the arrival of that word, also from one that held an older version; the control thread wrote the result into the view, and the traffic thread denied by it at any later time. Ruled out: routers that had been told of a newer version answer 503 already, so more words would not have helped. A newer version that was reported later than that date forbids it, and so does a newest text that this router cannot read. 413 by a limit of the catalog asks the same. The first reader of a domain asks often enough for evidence within the bound; the others poll it. A message that was not asked for renews nothing: it may have waited on its link. Why it works: a denial at t has a date d >= t - bound at which the store held nothing newer, so a version that it lacks was acknowledged after t - bound.

--- a/masticweir/src/main/java/org/masticweir/feed/AnswerDelay.java
+++ b/masticweir/src/main/java/org/masticweir/feed/AnswerDelay.java
@@ -55,6 +55,11 @@
         graceMs = bounded(2 * graceMs);
     }
 
+    /** Returns how late answers have come on average, in ms; 0 before the first. */
+    long meanMs() {
+        return Math.round(meanMs);
+    }
+
     /** Returns how long an answer is awaited once there is something to say, in ms. */
     long graceMs() {
         return graceMs;
--- a/masticweir/src/main/java/org/masticweir/feed/FeedListener.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedListener.java
@@ -11,6 +11,7 @@
      *
      * @param since the revision after which these are all changes; empty if they are all rows
      * @param removalDueMs when a removal among them takes effect
+     * @param asOfMs a time at which the store held nothing newer than these rows
      */
-    void rows(FeedOutcome.Rows rows, OptionalLong since, long removalDueMs);
+    void rows(FeedOutcome.Rows rows, OptionalLong since, long removalDueMs, long asOfMs);
 }
--- a/masticweir/src/main/java/org/masticweir/feed/FeedState.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedState.java
@@ -85,9 +85,16 @@
         lastHeardMs = nowMs;
     }
 
-    /** Begins the next call. */
-    Ask next(long nowMs) {
-        long waitMs = since.isEmpty() ? 0 : isAway() ? PROBE_WAIT_MS : pace.waitMs();
+    /**
+     * Begins the next call.
+     *
+     * @param role this router's part in reading
+     */
+    Ask next(ReadingRole role, long nowMs) {
+        long waitMs =
+                since.isEmpty()
+                        ? 0
+                        : isAway() ? PROBE_WAIT_MS : role.waitMs(pace, delay.meanMs());
         long timeoutMs = waitMs + delay.graceMs();
         call = Optional.of(new Call(nowMs, waitMs, timeoutMs));
         return since.isPresent()
@@ -100,6 +107,20 @@
         return pace.waitMs() + delay.graceMs() + pace.restMs();
     }
 
+    /**
+     * Returns a time at which the store held nothing newer than {@code rows}: an answer without a
+     * change says so of the end of its wait, any other one only of the start of its call.
+     */
+    long asOfMs(FeedOutcome.Rows rows, long nowMs) {
+        if (call.isEmpty()) {
+            return nowMs;
+        }
+        Call answered = call.get();
+        boolean waitedInFull =
+                rows.changes().isEmpty() && nowMs - answered.startMs() >= answered.waitMs();
+        return answered.startMs() + (waitedInFull ? answered.waitMs() : 0);
+    }
+
     /** Learns from a call how late the store answers. */
     private void learn(FeedOutcome outcome, long nowMs) {
         if (call.isEmpty()) {
--- a/masticweir/src/main/java/org/masticweir/feed/ReadingRole.java
+++ b/masticweir/src/main/java/org/masticweir/feed/ReadingRole.java
@@ -27,6 +27,14 @@
         return rests > 0;
     }
 
+    /**
+     * Returns how long the store may wait for a first change, in ms. The stand-by hears of changes
+     * as soon as the first reader does; that nothing has changed, the first one tells soon enough.
+     */
+    long waitMs(FeedPace pace, long latencyMs) {
+        return this == STAND_BY ? pace.waitMs() : pace.waitMs(latencyMs);
+    }
+
     /** Returns the pause after an answer with changes, in ms. */
     long restMs(FeedPace pace) {
         return pace.restMs() * rests;
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -89,11 +89,12 @@
     }
 
     private void ask() {
-        if (!role.get().reads()) {
+        ReadingRole currentRole = role.get();
+        if (!currentRole.reads()) {
             following = false;
             return;
         }
-        FeedState.Ask next = state.next(clock.nowMs());
+        FeedState.Ask next = state.next(currentRole, clock.nowMs());
         if (next instanceof FeedState.Ask.Since since) {
             store.changes(table, since.revision(), since.waitMs(), since.timeoutMs())
                     .thenAccept(outcome -> handOver(outcome, OptionalLong.of(since.revision())));
@@ -110,6 +111,7 @@
     private void ended(FeedOutcome outcome, OptionalLong since) {
         long now = clock.nowMs();
         boolean wasAway = state.isAway();
+        long asOfMs = outcome instanceof FeedOutcome.Rows rows ? state.asOfMs(rows, now) : now;
         long pauseMs = state.ended(outcome, role.get(), now);
         if (outcome instanceof FeedOutcome.Failed failed && !wasAway) {
             LOG.warn("feed: table {} lost, {}", table, failed.reason());
@@ -122,7 +124,7 @@
         // Before the rows are looked at: a row that nobody can take must not end the following.
         control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
         if (outcome instanceof FeedOutcome.Rows rows) {
-            listener.rows(rows, since, state.removalDueMs(now));
+            listener.rows(rows, since, state.removalDueMs(now), asOfMs);
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
@@ -111,7 +111,9 @@
         if (text.isEmpty()) {
             return;
         }
-        if (deployment.applyCatalogText(text.get(), peer.value())) {
+        DeploymentState.CatalogUpdate update =
+                deployment.applyCatalogText(text.get(), peer.value());
+        if (update == DeploymentState.CatalogUpdate.IN_FORCE) {
             waitTimesMs.update(waitedMs);
             recordCatalog();
             onNewerVersion.accept(peer);
--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
@@ -30,27 +30,20 @@
 final class DeploymentState {
     private static final Logger LOG = LogManager.getLogger(DeploymentState.class);
 
-    /**
-     * Longest time since the last confirmation of the catalog for which it counts as fresh, in ms;
-     * a router rejects requests for unknown names only while its catalog is fresh. This time is
-     * longer than the store's long polls, and shorter than the longest time in which a change
-     * reaches a router without a connection to the store.
-     */
-    static final long CATALOG_FRESHNESS_MS = 6_000;
-
     private final DeploymentFormat format;
     private final Clock clock;
     private final UnreadableRows unreadableRows;
+    private final long changeBoundMs;
     private final ServerBook serverBook = ServerBook.create();
     private final Consumer<RelayView> viewListener;
     private Optional<CatalogText> catalogText = Optional.empty();
     private Optional<Catalog> catalog = Optional.empty();
-    private long lastConfirmedMs = CatalogEvidence.NEVER_MS;
+    private long confirmedMs = CatalogEvidence.NEVER_MS;
+    private boolean isNewestUnreadable;
     private final AwaitedCatalog awaitedCatalog = new AwaitedCatalog();
     private final UpdateProgress updateProgress = new UpdateProgress();
     private long removalsPendingUntilMs = Long.MIN_VALUE / 2;
-    private boolean wasCatalogFresh;
-    private volatile CatalogEvidence evidence = CatalogEvidence.none();
+    private volatile CatalogEvidence evidence;
 
     /**
      * Result of applying updates from a peer.
@@ -63,45 +56,70 @@
     /** The text of a catalog as stored, with its version. */
     record CatalogText(long version, String text) {}
 
+    /**
+     * Creates the state of a router that knows nothing yet.
+     *
+     * @param changeBoundMs time after which a change must be in force everywhere
+     */
     DeploymentState(
             DeploymentFormat format,
             Clock clock,
             UnreadableRows unreadableRows,
+            long changeBoundMs,
             Consumer<RelayView> viewListener) {
         this.format = checkNotNull(format, "format");
         this.clock = checkNotNull(clock, "clock");
         this.unreadableRows = checkNotNull(unreadableRows, "unreadableRows");
+        this.changeBoundMs = changeBoundMs;
         this.viewListener = checkNotNull(viewListener, "viewListener");
+        evidence = CatalogEvidence.none(changeBoundMs);
     }
 
-    /** Applies rows of the catalog's table; returns whether a newer version came into force. */
-    boolean applyCatalogRows(FeedOutcome.Rows rows) {
-        recordConfirmation();
+    /**
+     * Applies rows of the catalog's table; returns whether a newer version came into force.
+     *
+     * @param asOfMs a time at which the store held nothing newer than these rows
+     */
+    boolean applyCatalogRows(FeedOutcome.Rows rows, long asOfMs) {
         boolean newer = false;
         for (FeedOutcome.Change change : rows.changes()) {
             if (change.key().equals(format.catalogRow()) && !change.removed()) {
-                newer |= applyCatalogText(change.value().orElse(""), "store");
+                CatalogUpdate update = applyCatalogText(change.value().orElse(""), "store");
+                isNewestUnreadable = update == CatalogUpdate.UNREADABLE;
+                newer |= update == CatalogUpdate.IN_FORCE;
             }
         }
-        publishIfFreshnessChanged();
+        if (isNewestUnreadable) {
+            confirmedMs = CatalogEvidence.NEVER_MS;
+            updateEvidence();
+        } else {
+            recordConfirmation(catalogVersion(), asOfMs);
+        }
         return newer;
     }
 
+    /** Result of applying the text of a catalog. */
+    enum CatalogUpdate {
+        IN_FORCE,
+        NOT_NEWER,
+        UNREADABLE
+    }
+
     /**
-     * Applies the text of a catalog; returns whether it is newer than the version in force.
+     * Applies the text of a catalog if it is newer than the version in force.
      *
      * @param source sender of the text, for the log
      */
-    boolean applyCatalogText(String text, String source) {
+    CatalogUpdate applyCatalogText(String text, String source) {
         Catalog parsed;
         try {
             parsed = format.catalog(text);
         } catch (IllegalArgumentException e) {
             LOG.error("config: a version from {} is not understood, {}", source, e.getMessage());
-            return false;
+            return CatalogUpdate.UNREADABLE;
         }
         if (catalog.isPresent() && parsed.version() <= catalog.get().version()) {
-            return false;
+            return CatalogUpdate.NOT_NEWER;
         }
         LOG.info(
                 "config: version {} from {} is in force, after {}, awaited for {} ms, {} characters",
@@ -112,16 +130,16 @@
                 text.length());
         catalog = Optional.of(parsed);
         catalogText = Optional.of(new CatalogText(parsed.version(), text));
-        updateEvidence();
+        confirmedMs = awaitedCatalog.confirmedMs(parsed.version());
         publishView();
-        return true;
+        updateEvidence();
+        return CatalogUpdate.IN_FORCE;
     }
 
     /** Records that a peer holds {@code version} of the catalog. */
     void recordReportedVersion(long version) {
         awaitedCatalog.recordReport(version, clock.nowMs());
         updateEvidence();
-        publishIfFreshnessChanged();
     }
 
     /**
@@ -143,12 +161,16 @@
     }
 
     /**
-     * Records a confirmation that the catalog in force is the newest, from the store or from a peer
-     * in contact with the store.
+     * Records that the store held no version newer than {@code version} at {@code asOfMs}, by its
+     * own word or by that of a peer.
      */
-    void recordConfirmation() {
-        lastConfirmedMs = clock.nowMs();
-        updateEvidence();
+    void recordConfirmation(long version, long asOfMs) {
+        if (version == catalogVersion()) {
+            confirmedMs = Math.max(confirmedMs, asOfMs);
+            updateEvidence();
+        } else {
+            awaitedCatalog.recordConfirmation(version, asOfMs);
+        }
     }
 
     /** Returns what this router knows of the catalog in force; may be called from any thread. */
@@ -158,7 +180,12 @@
 
     private void updateEvidence() {
         evidence =
-                new CatalogEvidence(catalogVersion(), lastConfirmedMs, awaitedCatalog.version());
+                new CatalogEvidence(
+                        catalogVersion(),
+                        confirmedMs,
+                        awaitedCatalog.version(),
+                        awaitedCatalog.lastReportMs(),
+                        changeBoundMs);
     }
 
     /**
@@ -308,7 +335,6 @@
             LOG.info("instances: pending removals applied, {} servers left", serverCount());
             publishView();
         }
-        publishIfFreshnessChanged();
     }
 
     Optional<CatalogText> catalogText() {
@@ -395,24 +421,7 @@
         }
     }
 
-    /**
-     * Returns whether the catalog was confirmed recently and no newer version is awaited. With an
-     * outdated catalog, requests for new names would be rejected.
-     */
-    private boolean isCatalogFresh() {
-        long now = clock.nowMs();
-        return now - lastConfirmedMs <= CATALOG_FRESHNESS_MS
-                && !awaitedCatalog.isAwaited(catalogVersion(), now, CATALOG_FRESHNESS_MS);
-    }
-
-    private void publishIfFreshnessChanged() {
-        if (isCatalogFresh() != wasCatalogFresh) {
-            publishView();
-        }
-    }
-
     private void publishView() {
-        wasCatalogFresh = isCatalogFresh();
-        viewListener.accept(RelayView.of(catalog, serverBook.servers(), wasCatalogFresh));
+        viewListener.accept(RelayView.of(catalog, serverBook.servers()));
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -146,14 +146,14 @@
         String host = headers.first(Headers.HOST_STRING).orElse("");
         Route route =
                 catalog.route(host, exchange.getRequestURI())
-                        .orElseThrow(() -> notFound(view, ErrorCode.NOT_FOUND, "no such route"));
+                        .orElseThrow(() -> denial(view, ErrorCode.NOT_FOUND, "no such route"));
         RequestMetadata metadata = parseMetadata(headers);
         checkAdmission(route, metadata, now, false);
         Optional<Team> team = team(view, catalog, route, metadata);
         ServiceName service = route.service(metadata.requestId().hashCode());
         Optional<EngineSpec> engine = catalog.service(service).flatMap(ServiceSpec::engine);
         if (exchange.getRequestContentLength() > catalog.limits().maxBodyBytes()) {
-            throw new Refusal(ErrorCode.BODY_TOO_LARGE, "the body is too long");
+            throw denial(view, ErrorCode.BODY_TOO_LARGE, "the body is too long");
         }
         return new AdmittedRequest(
                 headers,
@@ -245,25 +245,24 @@
         }
         Optional<Team> team = metadata.teamKey().flatMap(catalog::teamOf);
         if (team.isEmpty()) {
-            throw notFound(view, ErrorCode.UNAUTHORIZED, "no such key");
+            throw denial(view, ErrorCode.UNAUTHORIZED, "no such key");
         }
         return team;
     }
 
     /**
-     * Returns the refusal of a request whose route or key is not in this router's catalog: a
-     * definite error if the catalog is up to date, and a retryable error otherwise.
+     * Returns the refusal of a request that this router's catalog does not allow: a definite error
+     * if the catalog is known to be the newest, and a retryable error otherwise.
      *
-     * <p>The route or key may be in a newer catalog that this router has not received yet. Callers
-     * retry only after the retryable error.
+     * <p>A newer catalog that this router has not received yet may allow the request. Callers retry
+     * only after the retryable error.
      */
-    private Refusal notFound(RelayView view, ErrorCode code, String reason) {
+    private Refusal denial(RelayView view, ErrorCode code, String reason) {
         long now = context.clock().nowMs();
         CatalogEvidence evidence = context.catalogEvidence().get();
-        boolean isDenied = view.isCatalogFresh();
-        if (evidence.isConfirmed()) {
-            context.metrics().recordDenialEvidence(isDenied, evidence.ageMs(now));
-        }
+        long version = view.catalog().map(Catalog::version).orElse(0L);
+        boolean isDenied = evidence.permitsDenial(version, now);
+        evidence.ageMs(now).ifPresent(a -> context.metrics().recordDenialEvidence(isDenied, a));
         String basis = " (" + evidence.describe(now) + ")";
         return isDenied
                 ? new Refusal(code, reason, basis)
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.forward.ServerLoad;
@@ -53,6 +54,7 @@
     private static final int MAX_SERVERS = 16_384;
     static final int MAX_CATALOG_BYTES = 4 << 20;
     private static final byte[] NO_BYTES = {};
+    private static final long NO_AGE = -1;
 
     private RelayMessages() {}
 
@@ -68,9 +70,15 @@
      *
      * @param newestUpdate revision of the newest server update
      * @param completeTo revision up to which the sender has received all server updates
+     * @param catalogAgeMs time since the store was last known to hold no newer catalog; empty if it
+     *     never was, or if the sender does not report it
      */
     record StoreStatus(
-            long catalogVersion, StoreContact contact, long newestUpdate, long completeTo)
+            long catalogVersion,
+            StoreContact contact,
+            long newestUpdate,
+            long completeTo,
+            OptionalLong catalogAgeMs)
             implements PeerMessage {}
 
     /**
@@ -166,6 +174,7 @@
                 FieldsCodec.of(
                         STORE_STATUS,
                         StoreStatus.class,
+                        5,
                         4,
                         RelayMessages::encodeStatus,
                         f ->
@@ -173,7 +182,8 @@
                                         f.int64(),
                                         StoreContact.ofOrdinal(f.int32()),
                                         f.int64(),
-                                        f.int64())),
+                                        f.int64(),
+                                        decodeAge(f))),
                 FieldsCodec.of(
                         CATALOG_REQUEST,
                         CatalogRequest.class,
@@ -245,6 +255,12 @@
     private static void encodeStatus(StoreStatus status, MessagePacker out) throws IOException {
         out.packLong(status.catalogVersion()).packInt(status.contact().ordinal());
         out.packLong(status.newestUpdate()).packLong(status.completeTo());
+        out.packLong(status.catalogAgeMs().orElse(NO_AGE));
+    }
+
+    private static OptionalLong decodeAge(Fields f) throws IOException {
+        long ageMs = f.hasMore() ? f.int64() : NO_AGE;
+        return ageMs >= 0 ? OptionalLong.of(ageMs) : OptionalLong.empty();
     }
 
     private static void encodeReply(CatalogReply reply, MessagePacker out) throws IOException {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -68,6 +68,7 @@
      */
     private static final FeedPace CATALOG_PACE = FeedPace.of(3_000, 700, 50);
 
+
     /**
      * A leaving server must receive no new requests after two seconds; within this limit, one call
      * returns a series of changes.
@@ -144,7 +145,15 @@
         catalogs = new CatalogSharing(links, deployment, control, clock, metrics);
         sharing =
                 new StoreSharing(
-                        links, routers, deployment, catalogs, reading, this::onUpdates, control);
+                        links,
+                        routers,
+                        deployment,
+                        catalogs,
+                        reading,
+                        this::onUpdates,
+                        control,
+                        clock,
+                        StoreSharing.readerPollMs(settings.changeBoundMs()));
         catalogFollower = catalogFollower();
         serverFollower = serverFollower();
         LoadSharing loadSharing = loadSharing();
@@ -250,16 +259,18 @@
                 platform.deploymentFormat(),
                 clock,
                 new UnreadableRows(metrics.counter(MetricName.of("rows_unreadable_total"))),
+                settings.changeBoundMs(),
                 this::publish);
     }
 
+
     private TableFollower catalogFollower() {
         return new TableFollower(
                 platform.deploymentFormat().catalogRow().table(),
                 store,
-                CATALOG_PACE,
-                (rows, since, dueMs) -> {
-                    if (deployment.applyCatalogRows(rows)) {
+                CATALOG_PACE.withMaxAge(StoreSharing.readerAgeMs(settings.changeBoundMs())),
+                (rows, since, dueMs, asOfMs) -> {
+                    if (deployment.applyCatalogRows(rows, asOfMs)) {
                         sharing.onCatalogChange();
                     }
                 },
@@ -273,7 +284,7 @@
                 platform.deploymentFormat().serverTable(),
                 store,
                 SERVER_PACE,
-                (rows, since, dueMs) ->
+                (rows, since, dueMs, asOfMs) ->
                         sharing.onServerUpdates(deployment.applyServerRows(rows, since, dueMs)),
                 reading::role,
                 control,
--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -30,6 +30,7 @@
  * @param tunnels address at which other routers request tunnels to servers
  * @param metrics address of the metrics page
  * @param store address of the platform's store
+ * @param changeBoundMs time after which a change of the catalog must be in force at all routers
  * @param retryRatio retries allowed for each request, over all routers
  * @param retryAllowance additional retries allowed in ten seconds, over all routers; the platform
  *     scales it with the deployment, so the value can have a fractional part
@@ -45,6 +46,7 @@
         InetSocketAddress tunnels,
         InetSocketAddress metrics,
         InetSocketAddress store,
+        long changeBoundMs,
         double retryRatio,
         double retryAllowance,
         long quarantineMs,
@@ -58,6 +60,9 @@
     private static final double MAX_RETRY_RATIO = 10;
     private static final double MAX_ALLOWANCE = 1_000_000;
     private static final int MAX_GRACE_S = 600;
+    private static final int MIN_CHANGE_BOUND_MS = 1_000;
+    private static final int MAX_CHANGE_BOUND_MS = 60_000;
+    private static final int DEFAULT_CHANGE_BOUND_MS = 2_000;
     private static final int MIN_QUARANTINE_S = 60;
     private static final int MAX_QUARANTINE_S = 604_800;
     private static final int DEFAULT_QUARANTINE_S = 3_600;
@@ -141,6 +146,7 @@
             IniSection router = section("router", "id", "domain");
             IniSection retries = section("retries", "share", "allowance");
             IniSection peers = section("peers", "address", "tunnel_address");
+            IniSection store = section("store", "address", "change_bound_ms");
             InetSocketAddress peerAddress = peers.required("address", ADDRESS);
             double graceS =
                     section("shutdown", "grace_s")
@@ -159,7 +165,12 @@
                     peerAddress,
                     tunnelAddress(peers, peerAddress),
                     section("metrics", "address").required("address", ADDRESS),
-                    section("store", "address").required("address", ADDRESS),
+                    store.required("address", ADDRESS),
+                    store.optional(
+                            "change_bound_ms",
+                            ValueRule.integer(
+                                    "change_bound_ms", MIN_CHANGE_BOUND_MS, MAX_CHANGE_BOUND_MS),
+                            DEFAULT_CHANGE_BOUND_MS),
                     retries.required("share", ValueRule.decimal(0, MAX_RETRY_RATIO)),
                     retries.required("allowance", ValueRule.decimal(0, MAX_ALLOWANCE)),
                     Math.round(quarantineS * MS_PER_SECOND),
--- a/masticweir/src/main/java/org/masticweir/relay/RelayView.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayView.java
@@ -17,14 +17,12 @@
  * thread.
  *
  * @param catalog empty before the first catalog is received
- * @param isCatalogFresh whether the catalog is fresh enough to reject requests for unknown names
  */
 record RelayView(
         Optional<Catalog> catalog,
-        ImmutableListMultimap<ServiceName, BackendServer> servers,
-        boolean isCatalogFresh) {
+        ImmutableListMultimap<ServiceName, BackendServer> servers) {
     private static final RelayView EMPTY =
-            new RelayView(Optional.empty(), ImmutableListMultimap.of(), false);
+            new RelayView(Optional.empty(), ImmutableListMultimap.of());
 
     RelayView {
         checkNotNull(catalog, "catalog");
@@ -35,10 +33,8 @@
         return EMPTY;
     }
 
-    static RelayView of(
-            Optional<Catalog> catalog, List<BackendServer> servers, boolean isCatalogFresh) {
-        return new RelayView(
-                catalog, Multimaps.index(servers, BackendServer::service), isCatalogFresh);
+    static RelayView of(Optional<Catalog> catalog, List<BackendServer> servers) {
+        return new RelayView(catalog, Multimaps.index(servers, BackendServer::service));
     }
 
     /** Returns the server in that incarnation; empty if it is gone or has restarted. */
--- a/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
@@ -3,13 +3,17 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.concurrent.ControlThread;
+import org.masticweir.feed.ReadingRole;
 import org.masticweir.feed.ReadingShare;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.id.RouterId;
@@ -19,6 +23,7 @@
 import org.masticweir.relay.RelayMessages.ServerUpdates;
 import org.masticweir.relay.RelayMessages.ServersRequest;
 import org.masticweir.relay.RelayMessages.StoreStatus;
+import org.masticweir.time.Clock;
 
 /**
  * Distributes changes of the store among routers; owned by the control thread.
@@ -41,6 +46,15 @@
     /** Timeout of a request to a peer, in ms. */
     private static final long REQUEST_TIMEOUT_MS = 800;
 
+    /** Readers of the own domain that are polled more often than the other routers. */
+    private static final int POLLED_READERS = 2;
+
+    /** Share of the bound on changes after which these readers are polled again. */
+    private static final double READER_POLL_SHARE = 0.15;
+
+    /** Longest time that a poll and its reply take in general, in ms. */
+    private static final long REPLY_MS = 100;
+
     private final PeerSender links;
     private final KnownRouters routers;
     private final DeploymentState deployment;
@@ -48,6 +62,12 @@
     private final StoreReading storeReading;
     private final LongConsumer updatesListener;
     private final ScheduledExecutorService control;
+    private final Clock clock;
+    private final long readerPollMs;
+
+    /** Routers of the own domain that have last reported to be in contact with the store. */
+    private final Set<RouterId> readers = new LinkedHashSet<>();
+
     private long round;
     private boolean isRequestInFlight;
 
@@ -56,6 +76,7 @@
      *
      * @param updatesListener receives the revision up to which all server updates have been
      *     received, as confirmed by a router in contact with the store
+     * @param readerPollMs time between two polls of the readers of the own domain
      */
     StoreSharing(
             PeerSender links,
@@ -64,7 +85,9 @@
             CatalogSharing catalogSharing,
             StoreReading storeReading,
             LongConsumer updatesListener,
-            ScheduledExecutorService control) {
+            ScheduledExecutorService control,
+            Clock clock,
+            long readerPollMs) {
         this.links = checkNotNull(links, "links");
         this.routers = checkNotNull(routers, "routers");
         this.deployment = checkNotNull(deployment, "deployment");
@@ -72,13 +95,33 @@
         this.storeReading = checkNotNull(storeReading, "storeReading");
         this.updatesListener = checkNotNull(updatesListener, "updatesListener");
         this.control = checkNotNull(control, "control");
+        this.clock = checkNotNull(clock, "clock");
+        this.readerPollMs = readerPollMs;
         catalogSharing.onNewerVersion(this::onCatalogReceived);
     }
 
+    /**
+     * Returns the time between two polls of the readers of the own domain, in ms.
+     *
+     * @param changeBoundMs time after which a change must be in force everywhere
+     */
+    static long readerPollMs(long changeBoundMs) {
+        return Math.min(STATUS_INTERVAL_MS, Math.round(changeBoundMs * READER_POLL_SHARE));
+    }
+
+    /**
+     * Returns how old the knowledge of a reader may be, in ms, so that the routers which poll it
+     * still know of the catalog within the bound.
+     */
+    static long readerAgeMs(long changeBoundMs) {
+        return changeBoundMs - readerPollMs(changeBoundMs) - REPLY_MS;
+    }
+
     /** Starts the periodic messages to peers. */
     void start() {
         scheduleEvery(STATUS_INTERVAL_MS, this::pollPeers);
         scheduleEvery(ReadingShare.WORD_MS, this::reportToOwnDomain);
+        scheduleEvery(readerPollMs, this::pollReaders);
     }
 
     private void scheduleEvery(long ms, Runnable step) {
@@ -122,7 +165,8 @@
                 deployment.catalogVersion(),
                 storeReading.contact(),
                 deployment.newestUpdate(),
-                deployment.completeTo());
+                deployment.completeTo(),
+                deployment.evidence().ageMs(clock.nowMs()));
     }
 
     /**
@@ -137,18 +181,49 @@
 
     /** Exchanges status messages with the routers that are polled in this round. */
     void pollPeers() {
-        StoreStatus status = ownStatus();
-        for (RouterId peer : routers.pollTargets(round++)) {
-            links.ask(peer, status, REQUEST_TIMEOUT_MS)
-                    .thenAccept(m -> runOnControl(() -> recordStatus(peer, (StoreStatus) m)))
-                    .exceptionally(
-                            e -> {
-                                LOG.debug("peers: no reply from {}, {}", peer, e.getMessage());
-                                return null;
-                            });
+        routers.pollTargets(round++).forEach(this::poll);
+    }
+
+    /**
+     * Polls the readers of the own domain, so that this router's knowledge of the catalog is hardly
+     * older than theirs. The first reader knows soonest by itself.
+     */
+    void pollReaders() {
+        if (storeReading.role() != ReadingRole.FIRST) {
+            readers.stream().limit(POLLED_READERS).toList().forEach(this::poll);
         }
     }
 
+    private void poll(RouterId peer) {
+        long askedMs = clock.nowMs();
+        links.ask(peer, ownStatus(), REQUEST_TIMEOUT_MS)
+                .whenComplete(
+                        (m, e) ->
+                                runOnControl(
+                                        () -> {
+                                            if (m != null) {
+                                                recordReply(peer, (StoreStatus) m, askedMs);
+                                            } else {
+                                                recordSilence(peer, e);
+                                            }
+                                        }));
+    }
+
+    /**
+     * Records the reply to a status. The reply was sent after the status, so the age in it counts
+     * from then on; a message without that mark may have waited on its link for any time.
+     */
+    private void recordReply(RouterId from, StoreStatus status, long askedMs) {
+        recordStatus(from, status);
+        status.catalogAgeMs()
+                .ifPresent(a -> deployment.recordConfirmation(status.catalogVersion(), askedMs - a));
+    }
+
+    private void recordSilence(RouterId peer, Throwable error) {
+        readers.remove(peer);
+        LOG.debug("peers: no reply from {}, {}", peer, error.getMessage());
+    }
+
     /** Handles a peer's status, and replies with this router's. */
     void handleStatus(RouterId from, StoreStatus status, Reply reply) {
         recordStatus(from, status);
@@ -156,14 +231,17 @@
     }
 
     private void recordStatus(RouterId from, StoreStatus status) {
+        boolean isStoreAnswering = status.contact() == StoreContact.HEARD;
         if (routers.isInOwnDomain(from)) {
             storeReading.recordContact(from, status.contact());
+            if (isStoreAnswering) {
+                readers.add(from);
+            } else {
+                readers.remove(from);
+            }
         }
-        boolean isStoreAnswering = status.contact() == StoreContact.HEARD;
         if (status.catalogVersion() > deployment.catalogVersion()) {
             catalogSharing.handleVersion(from, status.catalogVersion());
-        } else if (isStoreAnswering) {
-            deployment.recordConfirmation();
         }
         if (!deployment.recordPeerProgress(status.newestUpdate(), status.completeTo())) {
             requestUpdates(from);
--- a/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
@@ -23,6 +23,7 @@
                     new DeploymentStateTest.TestFormat(),
                     scheduler.clock(),
                     new UnreadableRows(new Counter()),
+                    2_000,
                     view -> {});
     private final CatalogSharing sharing =
             new CatalogSharing(
