feed: the answer to an overdue call counts

What callers saw: the same as before; it is how a change comes so late that a denial falls beyond the bound. Cause: a call for changes was given up after its wait and 0.7 s. When the store turns slow, the answer that holds the change comes shortly after that and was thrown away; the next call took the store's latency once more, at all readers together, as changes wake their calls at the same moment. AnswerDelay learnt only from answers that it allowed. Change: an overdue call is awaited for 4 s more beside the next one, two at most; its rows are handed over, and its latency is learnt. The store counts as lost in between, as before.

--- a/masticweir/src/main/java/org/masticweir/feed/FeedState.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedState.java
@@ -66,11 +66,45 @@
 
     /** What to ask the store next. */
     sealed interface Ask {
+        /** Returns the time after which the call is overdue, in ms. */
+        long timeoutMs();
+
+        /** Returns how long the store may wait for a first change, in ms. */
+        long waitMs();
+
+        /** Returns the revision after which changes are asked for; empty for the whole table. */
+        OptionalLong since();
+
+        /**
+         * Returns a time at which the store held nothing newer than {@code rows}, the answer to
+         * this call: an answer without a change says so of the end of its wait, any other one only
+         * of the start of its call.
+         */
+        default long asOfMs(FeedOutcome.Rows rows, long startMs, long nowMs) {
+            boolean waitedInFull = rows.changes().isEmpty() && nowMs - startMs >= waitMs();
+            return startMs + (waitedInFull ? waitMs() : 0);
+        }
+
         /** The whole table. */
-        record All(long timeoutMs) implements Ask {}
+        record All(long timeoutMs) implements Ask {
+            @Override
+            public long waitMs() {
+                return 0;
+            }
+
+            @Override
+            public OptionalLong since() {
+                return OptionalLong.empty();
+            }
+        }
 
         /** Its changes after a revision; the store may wait for the first one. */
-        record Since(long revision, long waitMs, long timeoutMs) implements Ask {}
+        record Since(long revision, long waitMs, long timeoutMs) implements Ask {
+            @Override
+            public OptionalLong since() {
+                return OptionalLong.of(revision);
+            }
+        }
     }
 
     /**
@@ -107,20 +141,6 @@
         return pace.waitMs() + delay.graceMs() + pace.restMs();
     }
 
-    /**
-     * Returns a time at which the store held nothing newer than {@code rows}: an answer without a
-     * change says so of the end of its wait, any other one only of the start of its call.
-     */
-    long asOfMs(FeedOutcome.Rows rows, long nowMs) {
-        if (call.isEmpty()) {
-            return nowMs;
-        }
-        Call answered = call.get();
-        boolean waitedInFull =
-                rows.changes().isEmpty() && nowMs - answered.startMs() >= answered.waitMs();
-        return answered.startMs() + (waitedInFull ? answered.waitMs() : 0);
-    }
-
     /** Learns from a call how late the store answers. */
     private void learn(FeedOutcome outcome, long nowMs) {
         if (call.isEmpty()) {
@@ -148,16 +168,8 @@
     long ended(FeedOutcome outcome, ReadingRole role, long nowMs) {
         learn(outcome, nowMs);
         if (outcome instanceof FeedOutcome.Rows rows) {
-            boolean wasAway =
-                    heard && (failures >= AWAY_FAILURES || nowMs - lastHeardMs > awayMs());
-            if (wasAway) {
-                doubtUntilMs = nowMs + DOUBT_MS;
-            }
-            failures = 0;
-            heard = true;
-            lastHeardMs = nowMs;
             boolean whole = since.isEmpty();
-            since = OptionalLong.of(rows.revision());
+            recordRows(rows, nowMs);
             if (whole) {
                 return SETTLE_MS;
             }
@@ -172,6 +184,27 @@
         return Math.min(MAX_BACKOFF_MS, bound / 2 + random.nextLong(bound / 2 + 1));
     }
 
+    /**
+     * Takes the answer to a call that was overdue, and learns from it how late the store answers.
+     *
+     * @param startMs when the call began
+     */
+    void endedLate(Ask ask, FeedOutcome.Rows rows, long startMs, long nowMs) {
+        delay.answered(Math.max(0, nowMs - startMs - ask.waitMs()));
+        recordRows(rows, nowMs);
+    }
+
+    private void recordRows(FeedOutcome.Rows rows, long nowMs) {
+        boolean wasAway = heard && (failures >= AWAY_FAILURES || nowMs - lastHeardMs > awayMs());
+        if (wasAway) {
+            doubtUntilMs = nowMs + DOUBT_MS;
+        }
+        failures = 0;
+        heard = true;
+        lastHeardMs = nowMs;
+        since = OptionalLong.of(Math.max(rows.revision(), since.orElse(rows.revision())));
+    }
+
     /** Returns when a removal that is heard now takes effect. */
     long removalDueMs(long nowMs) {
         return Math.max(nowMs, doubtUntilMs);
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -17,10 +19,16 @@
 /**
  * Follows one table for as long as the process runs, while it is this router's part to read it;
  * confined to the control thread.
+ *
+ * <p>An overdue call is not given up: its answer may hold the change that is waited for, and the
+ * next call takes the store's latency once more. The next call is made beside it.
  */
 public final class TableFollower {
     private static final Logger LOG = LogManager.getLogger(TableFollower.class);
 
+    /** How long the answer to an overdue call is still taken, in ms. */
+    private static final long LATE_ANSWER_MS = 4_000;
+
     private final String table;
     private final ChangeFeed store;
     private final FeedState state;
@@ -28,6 +36,8 @@
     private final Supplier<ReadingRole> role;
     private final ScheduledExecutorService control;
     private final Clock clock;
+    private Optional<Call> current = Optional.empty();
+    private Optional<Call> overdue = Optional.empty();
     private boolean following;
 
     /**
@@ -94,24 +104,38 @@
             following = false;
             return;
         }
-        FeedState.Ask next = state.next(currentRole, clock.nowMs());
-        if (next instanceof FeedState.Ask.Since since) {
-            store.changes(table, since.revision(), since.waitMs(), since.timeoutMs())
-                    .thenAccept(outcome -> handOver(outcome, OptionalLong.of(since.revision())));
-        } else if (next instanceof FeedState.Ask.All all) {
-            store.readAll(table, all.timeoutMs())
-                    .thenAccept(outcome -> handOver(outcome, OptionalLong.empty()));
-        }
+        Call call = new Call(state.next(currentRole, clock.nowMs()), clock.nowMs());
+        current = Optional.of(call);
+        start(call.ask).thenAccept(outcome -> handOver(call, outcome));
+        control.schedule(() -> overdue(call), call.ask.timeoutMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<FeedOutcome> start(FeedState.Ask ask) {
+        long timeoutMs = ask.timeoutMs() + LATE_ANSWER_MS;
+        return ask.since().isPresent()
+                ? store.changes(table, ask.since().getAsLong(), ask.waitMs(), timeoutMs)
+                : store.readAll(table, timeoutMs);
+    }
+
+    private void handOver(Call call, FeedOutcome outcome) {
+        ControlThread.execute(control, () -> ended(call, outcome), "feed");
     }
 
-    private void handOver(FeedOutcome outcome, OptionalLong since) {
-        ControlThread.execute(control, () -> ended(outcome, since), "feed");
+    private void ended(Call call, FeedOutcome outcome) {
+        if (current.equals(Optional.of(call))) {
+            current = Optional.empty();
+            endedInTime(call, outcome);
+        } else if (overdue.equals(Optional.of(call))) {
+            overdue = Optional.empty();
+            endedLate(call, outcome);
+        } else {
+            LOG.debug("feed: table {}: answer to a call given up before", table);
+        }
     }
 
-    private void ended(FeedOutcome outcome, OptionalLong since) {
+    private void endedInTime(Call call, FeedOutcome outcome) {
         long now = clock.nowMs();
         boolean wasAway = state.isAway();
-        long asOfMs = outcome instanceof FeedOutcome.Rows rows ? state.asOfMs(rows, now) : now;
         long pauseMs = state.ended(outcome, role.get(), now);
         if (outcome instanceof FeedOutcome.Failed failed && !wasAway) {
             LOG.warn("feed: table {} lost, {}", table, failed.reason());
@@ -123,8 +147,54 @@
         }
         // Before the rows are looked at: a row that nobody can take must not end the following.
         control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
+        handOverRows(call, outcome, now);
+    }
+
+    /** Begins the next call; the answer to this one counts if it comes before the next but one. */
+    private void overdue(Call call) {
+        if (!current.equals(Optional.of(call))) {
+            return;
+        }
+        current = Optional.empty();
+        overdue = Optional.of(call);
+        long allowedMs = call.ask.timeoutMs();
+        String reason = "no answer in " + allowedMs + " ms, it is awaited beside the next call";
+        LOG.warn("feed: table {} lost, {}", table, reason);
+        long pauseMs =
+                state.ended(new FeedOutcome.Failed(reason), role.get(), clock.nowMs());
+        control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void endedLate(Call call, FeedOutcome outcome) {
+        long now = clock.nowMs();
+        if (!(outcome instanceof FeedOutcome.Rows rows)) {
+            LOG.debug("feed: table {}: overdue call ended without rows, {}", table, outcome);
+            return;
+        }
+        state.endedLate(call.ask, rows, call.startMs, now);
+        LOG.info(
+                "feed: table {} regained, answer after {} ms, {} ms were allowed",
+                table,
+                now - call.startMs,
+                call.ask.timeoutMs());
+        handOverRows(call, outcome, now);
+    }
+
+    private void handOverRows(Call call, FeedOutcome outcome, long nowMs) {
         if (outcome instanceof FeedOutcome.Rows rows) {
-            listener.rows(rows, since, state.removalDueMs(now), asOfMs);
+            long asOfMs = call.ask.asOfMs(rows, call.startMs, nowMs);
+            listener.rows(rows, call.ask.since(), state.removalDueMs(nowMs), asOfMs);
+        }
+    }
+
+    /** A call under way; two calls are never equal. */
+    private static final class Call {
+        private final FeedState.Ask ask;
+        private final long startMs;
+
+        Call(FeedState.Ask ask, long startMs) {
+            this.ask = ask;
+            this.startMs = startMs;
         }
     }
 }
