--- a/masticweir/src/main/java/org/masticweir/feed/FeedState.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedState.java
@@ -126,9 +126,7 @@
      */
     Ask next(ReadingRole role, long nowMs) {
         long waitMs =
-                since.isEmpty()
-                        ? 0
-                        : isAway() ? PROBE_WAIT_MS : role.waitMs(pace, delay.meanMs());
+                since.isEmpty() ? 0 : isAway() ? PROBE_WAIT_MS : role.waitMs(pace, delay.meanMs());
         long timeoutMs = waitMs + delay.graceMs();
         call = Optional.of(new Call(nowMs, waitMs, timeoutMs));
         return since.isPresent()
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -160,8 +160,7 @@
         long allowedMs = call.ask.timeoutMs();
         String reason = "no answer in " + allowedMs + " ms, it is awaited beside the next call";
         LOG.warn("feed: table {} lost, {}", table, reason);
-        long pauseMs =
-                state.ended(new FeedOutcome.Failed(reason), role.get(), clock.nowMs());
+        long pauseMs = state.ended(new FeedOutcome.Failed(reason), role.get(), clock.nowMs());
         control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/AwaitedCatalog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AwaitedCatalog.java
@@ -1,8 +1,6 @@
 package org.masticweir.relay;
 
-/**
- * The newest version of the catalog that peers have reported; not thread-safe, reads no clock.
- */
+/** The newest version of the catalog that peers have reported; not thread-safe, reads no clock. */
 final class AwaitedCatalog {
     private long version;
     private long firstReportMs;
--- a/masticweir/src/main/java/org/masticweir/relay/CatalogEvidence.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogEvidence.java
@@ -32,7 +32,9 @@
         return confirmedMs != NEVER_MS;
     }
 
-    /** Returns the age of the word that the version is the newest, in ms; empty if there is none. */
+    /**
+     * Returns the age of the word that the version is the newest, in ms; empty if there is none.
+     */
     OptionalLong ageMs(long nowMs) {
         return isConfirmed()
                 ? OptionalLong.of(Math.max(0, nowMs - confirmedMs))
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -266,8 +266,7 @@
         String basis = " (" + evidence.describe(now) + ")";
         return isDenied
                 ? new Refusal(code, reason, basis)
-                : new Refusal(
-                        ErrorCode.NO_CONFIGURATION, "the configuration may be old", basis);
+                : new Refusal(ErrorCode.NO_CONFIGURATION, "the configuration may be old", basis);
     }
 
     private void readBody(HttpServerExchange exchange, AdmittedRequest admitted) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -68,7 +68,6 @@
      */
     private static final FeedPace CATALOG_PACE = FeedPace.of(3_000, 700, 50);
 
-
     /**
      * A leaving server must receive no new requests after two seconds; within this limit, one call
      * returns a series of changes.
@@ -263,7 +262,6 @@
                 this::publish);
     }
 
-
     private TableFollower catalogFollower() {
         return new TableFollower(
                 platform.deploymentFormat().catalogRow().table(),
--- a/masticweir/src/main/java/org/masticweir/relay/RelayView.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayView.java
@@ -19,8 +19,7 @@
  * @param catalog empty before the first catalog is received
  */
 record RelayView(
-        Optional<Catalog> catalog,
-        ImmutableListMultimap<ServiceName, BackendServer> servers) {
+        Optional<Catalog> catalog, ImmutableListMultimap<ServiceName, BackendServer> servers) {
     private static final RelayView EMPTY =
             new RelayView(Optional.empty(), ImmutableListMultimap.of());
 
--- a/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -216,7 +215,8 @@
     private void recordReply(RouterId from, StoreStatus status, long askedMs) {
         recordStatus(from, status);
         status.catalogAgeMs()
-                .ifPresent(a -> deployment.recordConfirmation(status.catalogVersion(), askedMs - a));
+                .ifPresent(
+                        a -> deployment.recordConfirmation(status.catalogVersion(), askedMs - a));
     }
 
     private void recordSilence(RouterId peer, Throwable error) {
--- a/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
@@ -125,7 +125,8 @@
             for (int i = 0; i < 40; i++) {
                 callIsAnswered(4);
             }
-            assertEquals(new FeedState.Ask.Since(7, 3_000, 3_700), state.next(ReadingRole.FIRST, nowMs));
+            assertEquals(
+                    new FeedState.Ask.Since(7, 3_000, 3_700), state.next(ReadingRole.FIRST, nowMs));
         }
 
         @Test
--- a/masticweir/src/test/java/org/masticweir/relay/CatalogDenialTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogDenialTest.java
@@ -125,8 +125,7 @@
                 fleet.store.latencyMs = LATENCY_MS;
                 fleet.store.catalog(text(3));
                 long ms = timeUntilAllHold(fleet, 3);
-                assertTrue(
-                        ms <= MOST_MS, ms + " ms, changed after " + phaseMs);
+                assertTrue(ms <= MOST_MS, ms + " ms, changed after " + phaseMs);
             }
         }
 
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
@@ -78,7 +78,11 @@
     private RelayView view = RelayView.empty();
     private final DeploymentState deployment =
             new DeploymentState(
-                    new TestFormat(), clock, new UnreadableRows(unreadable), BOUND_MS, v -> view = v);
+                    new TestFormat(),
+                    clock,
+                    new UnreadableRows(unreadable),
+                    BOUND_MS,
+                    v -> view = v);
 
     private static FeedOutcome.Change row(String key, long revision, Optional<String> value) {
         return new FeedOutcome.Change(RowKey.of(TABLE, key), revision, false, value);
@@ -278,11 +282,7 @@
     class RepliesToPeers {
         private final DeploymentState peer =
                 new DeploymentState(
-                        new TestFormat(),
-                        clock,
-                        new UnreadableRows(unreadable),
-                        BOUND_MS,
-                        v -> {});
+                        new TestFormat(), clock, new UnreadableRows(unreadable), BOUND_MS, v -> {});
 
         private void peerRequestsUpdates() {
             peer.applyPeerUpdates(deployment.replyTo(peer.updatesRequest()), "r1");
--- a/masticweir/src/test/java/org/masticweir/relay/FakeStore.java
+++ b/masticweir/src/test/java/org/masticweir/relay/FakeStore.java
@@ -62,7 +62,9 @@
         acknowledgedMs.put(format.catalog(text).version(), acknowledged);
     }
 
-    /** Returns the newest version of the catalog that was acknowledged {@code ageMs} ago; else 0. */
+    /**
+     * Returns the newest version of the catalog that was acknowledged {@code ageMs} ago; else 0.
+     */
     long versionAcknowledgedBefore(long ageMs) {
         long latest = scheduler.clock().nowMs() - ageMs;
         return acknowledgedMs.entrySet().stream()
--- a/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
@@ -288,7 +288,9 @@
             return reading.role();
         }
 
-        /** Returns whether a request for an unknown route would be denied now, rather than refused. */
+        /**
+         * Returns whether a request for an unknown route would be denied now, rather than refused.
+         */
         boolean deniesUnknownRoutes() {
             return deployment.evidence().permitsDenial(catalogVersion(), nowMs());
         }
