relay: an overtaken reply does not end the requests for the version awaited

What callers would see: a route of that version is answered 503 until a still newer one comes. Cause: a reply whose text was not newer than the one in force, because the store's answer had come first, was taken for the text of the version awaited that could not be put in force, and that version was requested from nobody any more. Change: only a text that cannot be read ends the requests for its version. Evidence: CatalogSharingTest.overtakenReplyDoesNotEndTheRequestsForTheVersionAwaited; before, two requests in place of three.

--- a/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
@@ -46,8 +46,8 @@
     private boolean needsFullText;
 
     /**
-     * Newest version whose text was received and could not be put in force. This version is not
-     * requested again.
+     * Newest version whose text was received and could not be read. This version is not requested
+     * again.
      */
     private long rejectedVersion;
 
@@ -118,7 +118,7 @@
             recordCatalog();
             onNewerVersion.accept(peer);
             handleVersion(peer, deployment.awaitedVersion());
-        } else {
+        } else if (update == DeploymentState.CatalogUpdate.UNREADABLE) {
             rejectedVersion = version;
         }
     }
--- a/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogSharingTest.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.masticweir.config.DocumentEdit;
 import org.masticweir.id.RouterId;
@@ -104,6 +105,22 @@
         assertEquals(2, peers.recipients.size());
     }
 
+    /**
+     * A reply that the store's answer had overtaken counted as the text of the version awaited, and
+     * that version was requested from nobody any more.
+     */
+    @Test
+    void overtakenReplyDoesNotEndTheRequestsForTheVersionAwaited() {
+        putInForce(1);
+        sharing.handleVersion(FIRST, 2);
+        sharing.handleVersion(FIRST, 5);
+        reply(0, edit(1, 3));
+        putInForce(4);
+        reply(1, edit(3, 4));
+        sharing.handleVersion(SECOND, 5);
+        assertEquals(List.of(FIRST, FIRST, SECOND), peers.recipients);
+    }
+
     @Test
     void requestsAgainWhileANewerVersionIsAwaited() {
         putInForce(1);
