--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -17,9 +17,7 @@
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.error.MasticweirException;
-import org.masticweir.feed.FeedPace;
 import org.masticweir.feed.ReadingShare;
-import org.masticweir.feed.TableFollower;
 import org.masticweir.forward.LoadTracker;
 import org.masticweir.forward.ServerHealth;
 import org.masticweir.forward.ServerNotices;
@@ -62,18 +60,6 @@
 
     private static final int BUFFER_BYTES = 16 * 1024;
 
-    /**
-     * A catalog change must be in force within two seconds, so the call waits for changes at the
-     * store.
-     */
-    private static final FeedPace CATALOG_PACE = FeedPace.of(3_000, 700, 50);
-
-    /**
-     * A leaving server must receive no new requests after two seconds; within this limit, one call
-     * returns a series of changes.
-     */
-    private static final FeedPace SERVER_PACE = FeedPace.of(3_000, 700, 700);
-
     private static final long TICK_MS = 100;
 
     private final RelaySettings settings;
@@ -99,8 +85,7 @@
     private final StoreReading reading;
     private final CatalogSharing catalogs;
     private final StoreSharing sharing;
-    private final TableFollower catalogFollower;
-    private final TableFollower serverFollower;
+    private final StoreFollowers followers;
     private final QuarantineStore quarantineStore;
     private final SharedQuarantine quarantine;
     private final ServerLimits serverLimits = ServerLimits.create();
@@ -142,19 +127,8 @@
         reading = new StoreReading(ReadingShare.of(settings.router()), clock);
         KnownRouters routers = new KnownRouters(self);
         catalogs = new CatalogSharing(links, deployment, control, clock, metrics);
-        sharing =
-                new StoreSharing(
-                        links,
-                        routers,
-                        deployment,
-                        catalogs,
-                        reading,
-                        this::onUpdates,
-                        control,
-                        clock,
-                        StoreSharing.readerPollMs(settings.changeBoundMs()));
-        catalogFollower = catalogFollower();
-        serverFollower = serverFollower();
+        sharing = storeSharing(routers);
+        followers = storeFollowers();
         LoadSharing loadSharing = loadSharing();
         quarantineStore = new QuarantineStore(store, control, clock, settings.quarantineMs());
         quarantine = sharedQuarantine();
@@ -226,7 +200,7 @@
         peers.start();
         access.start();
         links.start();
-        control.execute(() -> reading.setFollowers(catalogFollower, serverFollower));
+        control.execute(followers::start);
         directory.join(peers::addRouter);
         quarantineStore.load(quarantine::restore);
         control.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -262,29 +236,27 @@
                 this::publish);
     }
 
-    private TableFollower catalogFollower() {
-        return new TableFollower(
-                platform.deploymentFormat().catalogRow().table(),
-                store,
-                CATALOG_PACE.withMaxAge(StoreSharing.readerAgeMs(settings.changeBoundMs())),
-                (rows, since, dueMs, asOfMs) -> {
-                    if (deployment.applyCatalogRows(rows, asOfMs)) {
-                        sharing.onCatalogChange();
-                    }
-                },
-                reading::role,
+    private StoreSharing storeSharing(KnownRouters routers) {
+        return new StoreSharing(
+                links,
+                routers,
+                deployment,
+                catalogs,
+                reading,
+                this::onUpdates,
                 control,
-                clock);
+                clock,
+                StoreSharing.readerPollMs(settings.changeBoundMs()));
     }
 
-    private TableFollower serverFollower() {
-        return new TableFollower(
-                platform.deploymentFormat().serverTable(),
+    private StoreFollowers storeFollowers() {
+        return new StoreFollowers(
+                platform.deploymentFormat(),
                 store,
-                SERVER_PACE,
-                (rows, since, dueMs, asOfMs) ->
-                        sharing.onServerUpdates(deployment.applyServerRows(rows, since, dueMs)),
-                reading::role,
+                deployment,
+                sharing,
+                reading,
+                settings.changeBoundMs(),
                 control,
                 clock);
     }
@@ -385,7 +357,7 @@
     }
 
     private void onUpdates(long revision) {
-        reading.recordReceived(serverFollower, revision);
+        followers.recordServersReceived(revision);
     }
 
     private void publish(RelayView next) {
--- a/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
@@ -12,11 +12,8 @@
 import java.util.function.Consumer;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
-import org.masticweir.feed.FeedListener;
-import org.masticweir.feed.FeedPace;
 import org.masticweir.feed.ReadingRole;
 import org.masticweir.feed.ReadingShare;
-import org.masticweir.feed.TableFollower;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
 import org.masticweir.membership.Rendezvous;
@@ -38,8 +35,6 @@
 final class SimulatedFleet {
     private static final long LINK_MS = 1;
     private static final long TICK_MS = 100;
-    private static final long WAIT_MS = 3_000;
-    private static final long GRACE_MS = 700;
 
     /** Time after which a change must be in force everywhere. */
     static final long CHANGE_BOUND_MS = 4_000;
@@ -185,8 +180,7 @@
         private final StoreReading reading;
         private final CatalogSharing catalogs;
         private final StoreSharing sharing;
-        private final TableFollower servers;
-        private final TableFollower catalog;
+        private final StoreFollowers followers;
         private final SimulatedUplink uplink = new SimulatedUplink(scheduler, bytesPerMs);
 
         Router(RouterInfo at) {
@@ -214,43 +208,24 @@
                             scheduler,
                             scheduler.clock(),
                             StoreSharing.readerPollMs(CHANGE_BOUND_MS));
-            FeedPace pace = FeedPace.of(WAIT_MS, GRACE_MS, 700);
-            servers =
-                    follower(
-                            DeploymentStateTest.TABLE,
-                            pace,
-                            (rows, since, dueMs, asOfMs) ->
-                                    sharing.onServerUpdates(
-                                            deployment.applyServerRows(rows, since, dueMs)));
-            catalog =
-                    follower(
-                            new DeploymentStateTest.TestFormat().catalogRow().table(),
-                            FeedPace.of(WAIT_MS, GRACE_MS, 50)
-                                    .withMaxAge(StoreSharing.readerAgeMs(CHANGE_BOUND_MS)),
-                            (rows, since, dueMs, asOfMs) -> {
-                                if (deployment.applyCatalogRows(rows, asOfMs)) {
-                                    sharing.onCatalogChange();
-                                }
-                            });
-        }
-
-        private TableFollower follower(String table, FeedPace pace, FeedListener listener) {
-            return new TableFollower(
-                    table,
-                    store.clientFor(this),
-                    pace,
-                    listener,
-                    reading::role,
-                    scheduler,
-                    scheduler.clock());
+            followers =
+                    new StoreFollowers(
+                            new DeploymentStateTest.TestFormat(),
+                            store.clientFor(this),
+                            deployment,
+                            sharing,
+                            reading,
+                            CHANGE_BOUND_MS,
+                            scheduler,
+                            scheduler.clock());
         }
 
         private void onUpdates(long revision) {
-            reading.recordReceived(servers, revision);
+            followers.recordServersReceived(revision);
         }
 
         void start() {
-            scheduler.execute(() -> reading.setFollowers(catalog, servers));
+            scheduler.execute(followers::start);
             scheduleEvery(TICK_MS, this::tick);
             scheduleEvery(StoreSharing.STATUS_INTERVAL_MS, sharing::pollPeers);
             scheduleEvery(ReadingShare.WORD_MS, sharing::reportToOwnDomain);
