An answer without an end fails at a bound, in its head, its framing or its body

What callers would see: a server in trouble sends bytes that are no answer and do not end; the router's one thread stays in the parser of that answer for as long as they come, the head is kept whole, and nobody is served until the process is out of memory. Cause: the client library bounds neither a head (status line, field, number of fields, interim heads) nor the sizes of chunks nor trailers, and reads on while bytes are there. Bodies were bounded one by one (8 MB each, 1 MB an event), not together. Change: AnswerFraming counts what comes on a connection against what of it was body, 64 KB and 256 lines of a head, and fails the read beyond; installed on every connection that is dialled (FramedDialer), lifted where a tunnel passes bytes on. AnswerBuffer takes what an answer has beyond 64 KB from a pool that all answers share. An event has 64 KB at most, in place of 1 MB. HttpStream lets other connections take their turn after 16 reads. A refusal ends with its head. Nothing is retried that was not before: the send is lost as on a broken connection. AnswerBufferTest: 200 answers without an end hold 64 KB each and the pool.

--- a/masticweir/src/main/java/org/masticweir/http/Dialer.java
+++ b/masticweir/src/main/java/org/masticweir/http/Dialer.java
@@ -2,14 +2,11 @@
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URI;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
+import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
 
 /** Opens connections to HTTP servers; thread-safe. */
@@ -27,15 +24,17 @@
 
     /** Returns the dialer that opens TCP connections from this host. */
     static Dialer tcp() {
-        OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-        return (address, thread, buffers, callback) ->
-                UndertowClient.getInstance()
-                        .connect(
-                                callback,
-                                URI.create("http://" + hostAndPort(address)),
-                                thread,
-                                buffers,
-                                options);
+        return FramedDialer.INSTANCE;
+    }
+
+    /**
+     * Takes the raw connection out of the client, for bytes that are passed on as they are.
+     *
+     * @throws IOException if the client has closed the connection
+     */
+    static StreamConnection takeRaw(ClientConnection connection) throws IOException {
+        AnswerFraming.of(connection).lift();
+        return connection.performUpgrade();
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpCaller.java
@@ -24,11 +24,15 @@
 public final class HttpCaller implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 * 1024;
 
+    /** Memory that the long answers to all calls share. */
+    private static final long ANSWER_POOL_BYTES = 16 << 20;
+
     private final XnioWorker worker;
     private final HttpCallerLimits limits;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final ConnectionPool pool;
     private final Dialer dialer;
+    private final AnswerPool answers = AnswerPool.of(ANSWER_POOL_BYTES);
 
     private HttpCaller(XnioWorker worker, HttpCallerLimits limits, Dialer dialer) {
         this.worker = checkNotNull(worker, "worker");
@@ -57,7 +61,8 @@
                     new HttpOutcome.NeverSent("too many connections to " + call.address(), true));
         }
         XnioIoThread thread = idle.map(ClientConnection::getIoThread).orElse(worker.getIoThread());
-        PendingCall pending = new PendingCall(call, pool, dialer, limits.maxAnswerBytes());
+        AnswerBuffer answer = new AnswerBuffer(limits.maxAnswerBytes(), answers);
+        PendingCall pending = new PendingCall(call, pool, dialer, answer);
         try {
             thread.execute(() -> pending.start(thread, buffers, idle, timeoutMs));
         } catch (RejectedExecutionException e) {
--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -29,6 +29,9 @@
  * the listener hears nothing more.
  */
 public final class HttpStream implements AutoCloseable {
+    /** Reads after which other connections of the thread take their turn. */
+    private static final int READS_PER_TURN = 16;
+
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final InetSocketAddress address;
@@ -39,6 +42,7 @@
     private Optional<TurnTimer> connectTimer = Optional.empty();
     private Optional<ClientConnection> connection = Optional.empty();
     private Optional<StreamSourceChannel> answer = Optional.empty();
+    private AnswerFraming framing;
     private boolean sent;
     private boolean over;
 
@@ -149,6 +153,8 @@
         }
         connected.getCloseSetter().set(c -> closed());
         sent = true;
+        framing = AnswerFraming.of(connected);
+        framing.exchangeStarted();
         HttpCall sending = wanted.get();
         connected.sendRequest(request(sending), callback(ex -> onSent(ex, sending.body())));
     }
@@ -197,6 +203,7 @@
         if (over) {
             return;
         }
+        framing.headParsed();
         ClientResponse response = exchange.getResponse();
         HttpHeaders headers = HttpHeaders.copyOf(response.getResponseHeaders());
         listener.head(new HttpHead(response.getResponseCode(), headers));
@@ -213,7 +220,11 @@
     private void read(StreamSourceChannel source) {
         try (PooledByteBuffer pooled = buffers.allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (!over) {
+            for (int i = 0; !over; i++) {
+                if (i == READS_PER_TURN) {
+                    source.wakeupReads();
+                    return;
+                }
                 buffer.clear();
                 int count = source.read(buffer);
                 if (count == 0) {
@@ -224,6 +235,7 @@
                     listener.end();
                     return;
                 }
+                framing.bodyRead(count);
                 buffer.flip();
                 listener.bytes(buffer);
             }
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -11,7 +11,6 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -28,21 +27,21 @@
     private final HttpCall call;
     private final ConnectionPool pool;
     private final Dialer dialer;
-    private final int maxAnswerBytes;
     private final CompletableFuture<HttpOutcome> outcome = new CompletableFuture<>();
-    private final ByteArrayOutputStream answerBody = new ByteArrayOutputStream();
+    private final AnswerBuffer answerBody;
 
     private ClientConnection connection;
+    private AnswerFraming framing;
     private TurnTimer timer;
     private boolean handedOver;
     private boolean wholeRequestWritten;
     private boolean ended;
 
-    PendingCall(HttpCall call, ConnectionPool pool, Dialer dialer, int maxAnswerBytes) {
+    PendingCall(HttpCall call, ConnectionPool pool, Dialer dialer, AnswerBuffer answerBody) {
         this.call = call;
         this.pool = pool;
         this.dialer = dialer;
-        this.maxAnswerBytes = maxAnswerBytes;
+        this.answerBody = answerBody;
     }
 
     CompletableFuture<HttpOutcome> outcome() {
@@ -90,6 +89,8 @@
         // From here on the client may write at any time. A reset, a close or silence no longer
         // tells whether the peer took the request, so every failure counts as perhaps sent.
         handedOver = true;
+        framing = AnswerFraming.of(target);
+        framing.exchangeStarted();
         target.sendRequest(request(), callback(this::exchangeStarted, this::exchangeFailed));
     }
 
@@ -131,6 +132,7 @@
     }
 
     private void answerStarted(ClientExchange exchange) {
+        framing.headParsed();
         ClientResponse response = exchange.getResponse();
         StreamSourceChannel source = exchange.getResponseChannel();
         source.getReadSetter().set(c -> read(source, response));
@@ -152,23 +154,14 @@
                     answered(response);
                     return;
                 }
-                append(buffer.flip());
+                framing.bodyRead(n);
+                answerBody.append(buffer.flip());
             }
         } catch (IOException e) {
             exchangeFailed(e);
         }
     }
 
-    private void append(ByteBuffer chunk) {
-        if (answerBody.size() + chunk.remaining() > maxAnswerBytes) {
-            fail("answer longer than " + maxAnswerBytes + " bytes");
-            return;
-        }
-        byte[] bytes = new byte[chunk.remaining()];
-        chunk.get(bytes);
-        answerBody.writeBytes(bytes);
-    }
-
     private void answered(ClientResponse response) {
         if (ended) {
             return;
@@ -181,7 +174,9 @@
         } else {
             Dialer.discard(connection);
         }
-        outcome.complete(new HttpOutcome.Answered(answer(response)));
+        HttpAnswer answer = answer(response);
+        answerBody.close();
+        outcome.complete(new HttpOutcome.Answered(answer));
     }
 
     private HttpAnswer answer(ClientResponse response) {
@@ -205,6 +200,7 @@
         // First, as closing the connection below reports its own failure here.
         ended = true;
         timer.cancel();
+        answerBody.close();
         if (connection != null) {
             // A late answer on this connection would be taken for the next call's.
             Dialer.discard(connection);
--- a/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableMap;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Locale;
@@ -11,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.http.AnswerBuffer;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.http.HttpAnswer;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpCaller;
@@ -32,8 +33,12 @@
     /** Limit on the size of an answer. */
     private static final int MAX_ANSWER_BYTES = 1 << 20;
 
+    /** Memory that the long answers to repeated calls share. */
+    private static final long ANSWER_POOL_BYTES = 4 << 20;
+
     private final HttpCaller httpCaller;
     private final ServerDialer dialer;
+    private final AnswerPool answers = AnswerPool.of(ANSWER_POOL_BYTES);
 
     public ServerCaller(HttpCaller httpCaller, ServerDialer dialer) {
         this.httpCaller = checkNotNull(httpCaller, "httpCaller");
@@ -120,7 +125,7 @@
         private final BackendServer server;
         private final HttpCall call;
         private final CompletableFuture<HttpOutcome> result = new CompletableFuture<>();
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final AnswerBuffer body = new AnswerBuffer(MAX_ANSWER_BYTES, answers);
         private ConnectAttempt attempt;
         private Optional<HttpStream> stream = Optional.empty();
         private HttpHead head;
@@ -150,6 +155,7 @@
             if (!result.isDone()) {
                 attempt.close();
                 stream.ifPresent(HttpStream::close);
+                body.close();
                 result.complete(new HttpOutcome.MayHaveBeenSent("no answer in time"));
             }
         }
@@ -161,12 +167,7 @@
 
         @Override
         public void bytes(ByteBuffer part) throws IOException {
-            if (body.size() + part.remaining() > MAX_ANSWER_BYTES) {
-                throw new IOException("answer longer than " + MAX_ANSWER_BYTES + " bytes");
-            }
-            byte[] bytes = new byte[part.remaining()];
-            part.get(bytes);
-            body.writeBytes(bytes);
+            body.append(part);
         }
 
         @Override
@@ -175,16 +176,15 @@
             head.headers()
                     .fields()
                     .forEach(f -> headers.put(f.name().toLowerCase(Locale.ROOT), f.value()));
-            result.complete(
-                    new HttpOutcome.Answered(
-                            new HttpAnswer(
-                                    head.status(),
-                                    headers.buildKeepingLast(),
-                                    body.toByteArray())));
+            HttpAnswer answer =
+                    new HttpAnswer(head.status(), headers.buildKeepingLast(), body.toByteArray());
+            body.close();
+            result.complete(new HttpOutcome.Answered(answer));
         }
 
         @Override
         public void lost(boolean sent) {
+            body.close();
             result.complete(
                     sent
                             ? new HttpOutcome.MayHaveBeenSent("the connection broke")
--- a/masticweir/src/main/java/org/masticweir/path/Tunnel.java
+++ b/masticweir/src/main/java/org/masticweir/path/Tunnel.java
@@ -178,7 +178,7 @@
             pendingConnects.remove(this);
             owner.dialer().recordDirectResult(target, true);
             try {
-                onOpen.accept(connection.performUpgrade());
+                onOpen.accept(Dialer.takeRaw(connection));
             } catch (IOException e) {
                 TunnelServer.LOG.debug("tunnel: closed at once, {}", e.getMessage());
                 Dialer.discard(connection);
--- a/masticweir/src/main/java/org/masticweir/relay/EventSplitter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EventSplitter.java
@@ -15,7 +15,7 @@
  */
 final class EventSplitter {
     /** Maximum size of a buffered event; prevents a faulty server from exhausting the memory. */
-    static final int MAX_EVENT_BYTES = 1 << 20;
+    static final int MAX_EVENT_BYTES = 64 << 10;
 
     private static final int INITIAL_BUFFER_BYTES = 512;
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayContext.java
@@ -10,6 +10,7 @@
 import org.masticweir.forward.SilenceTimeouts;
 import org.masticweir.forward.StreamDurationEstimator;
 import org.masticweir.forward.WaitQueue;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.path.ServerCaller;
 import org.masticweir.path.ServerDialer;
 import org.masticweir.permits.SharedLimits;
@@ -24,6 +25,7 @@
  * @param serverDialer opens the connections of sends to servers
  * @param serverCaller calls servers for their state
  * @param sharedRetryPermits permits for retries that exceed this router's own retry budget
+ * @param answerPool memory that the long answers to all sends share
  * @param limits rate limits that servers announce, and permits for requests within these limits
  * @param rooms room at brittle servers
  * @param metadataRecorder recorder of the announcements in servers' answers
@@ -41,6 +43,7 @@
         PromptCacheClient promptCaches,
         Supplier<RelayView> view,
         Supplier<CatalogEvidence> catalogEvidence,
+        AnswerPool answerPool,
         LoadTracker loads,
         ServerHealth health,
         ServerSelector selector,
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -26,6 +26,7 @@
 import org.masticweir.forward.SilenceTimeouts;
 import org.masticweir.forward.StreamDurationEstimator;
 import org.masticweir.forward.WaitQueue;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.http.Dialer;
 import org.masticweir.http.HttpCaller;
 import org.masticweir.http.HttpCallerLimits;
@@ -60,6 +61,9 @@
 
     private static final int BUFFER_BYTES = 16 * 1024;
 
+    /** Memory that the long answers to all sends share. */
+    private static final long ANSWER_POOL_BYTES = 16 << 20;
+
     private static final long TICK_MS = 100;
 
     private final RelaySettings settings;
@@ -392,6 +396,7 @@
                         access.caller(), platform.protocol(), metadataRecorder, clock),
                 () -> view,
                 deployment::evidence,
+                AnswerPool.of(ANSWER_POOL_BYTES),
                 loads,
                 health,
                 ServerSelector.create(
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -10,6 +9,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.http.AnswerBuffer;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpStream;
@@ -40,7 +40,7 @@
     private final ConnectAttempt attempt;
     private final SendListener listener;
     private final EventSplitter splitter = new EventSplitter();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final AnswerBuffer body;
     private Optional<HttpStream> httpStream = Optional.empty();
     private HttpHead head;
     private AnswerMetadata metadata;
@@ -59,6 +59,7 @@
         this.isStreaming = isStreaming;
         this.attempt = checkNotNull(attempt, "attempt");
         this.listener = checkNotNull(listener, "listener");
+        body = new AnswerBuffer(MAX_ANSWER_BYTES, context.answerPool());
     }
 
     /**
@@ -100,6 +101,7 @@
     @Override
     public void close() {
         isEnded = true;
+        body.close();
         attempt.close();
         httpStream.ifPresent(HttpStream::close);
     }
@@ -203,12 +205,13 @@
                         });
                 return;
             }
-            if (body.size() + part.remaining() > MAX_ANSWER_BYTES) {
-                throw new IOException("answer longer than " + MAX_ANSWER_BYTES + " bytes");
+            if (metadata.isNotRun()) {
+                // The head is enough; the body of a refusal is not passed on.
+                httpStream.ifPresent(HttpStream::close);
+                refuse();
+                return;
             }
-            byte[] bytes = new byte[part.remaining()];
-            part.get(bytes);
-            body.writeBytes(bytes);
+            body.append(part);
         }
 
         @Override
@@ -220,7 +223,9 @@
                 refuse();
             } else if (!isEventStream()) {
                 isEnded = true;
-                listener.onAnswer(head, metadata, body.toByteArray());
+                byte[] whole = body.toByteArray();
+                body.close();
+                listener.onAnswer(head, metadata, whole);
             } else if (splitter.isAtEventEnd()) {
                 endStream();
             } else {
@@ -246,6 +251,7 @@
 
         private void refuse() {
             isEnded = true;
+            body.close();
             listener.onRefusal(head, metadata);
         }
     }
