relay: a chunked body is denied as too long by a confirmed catalog only

What callers would see: 413 for a body that a newer version's limit allows, after that version was acknowledged. The limit of a body without a length was asked long after its head, by the catalog of the head, without a look at the age. It now asks as the other denials do.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -146,14 +146,19 @@
         String host = headers.first(Headers.HOST_STRING).orElse("");
         Route route =
                 catalog.route(host, exchange.getRequestURI())
-                        .orElseThrow(() -> denial(view, ErrorCode.NOT_FOUND, "no such route"));
+                        .orElseThrow(
+                                () ->
+                                        denial(
+                                                catalog.version(),
+                                                ErrorCode.NOT_FOUND,
+                                                "no such route"));
         RequestMetadata metadata = parseMetadata(headers);
         checkAdmission(route, metadata, now, false);
-        Optional<Team> team = team(view, catalog, route, metadata);
+        Optional<Team> team = team(catalog, route, metadata);
         ServiceName service = route.service(metadata.requestId().hashCode());
         Optional<EngineSpec> engine = catalog.service(service).flatMap(ServiceSpec::engine);
         if (exchange.getRequestContentLength() > catalog.limits().maxBodyBytes()) {
-            throw denial(view, ErrorCode.BODY_TOO_LARGE, "the body is too long");
+            throw bodyTooLong(catalog.version());
         }
         return new AdmittedRequest(
                 headers,
@@ -238,14 +243,14 @@
         }
     }
 
-    private Optional<Team> team(
-            RelayView view, Catalog catalog, Route route, RequestMetadata metadata) throws Refusal {
+    private Optional<Team> team(Catalog catalog, Route route, RequestMetadata metadata)
+            throws Refusal {
         if (!catalog.hasTeams() || route.open()) {
             return Optional.empty();
         }
         Optional<Team> team = metadata.teamKey().flatMap(catalog::teamOf);
         if (team.isEmpty()) {
-            throw denial(view, ErrorCode.UNAUTHORIZED, "no such key");
+            throw denial(catalog.version(), ErrorCode.UNAUTHORIZED, "no such key");
         }
         return team;
     }
@@ -257,11 +262,10 @@
      * <p>A newer catalog that this router has not received yet may allow the request. Callers retry
      * only after the retryable error.
      */
-    private Refusal denial(RelayView view, ErrorCode code, String reason) {
+    private Refusal denial(long catalogVersion, ErrorCode code, String reason) {
         long now = context.clock().nowMs();
         CatalogEvidence evidence = context.catalogEvidence().get();
-        long version = view.catalog().map(Catalog::version).orElse(0L);
-        boolean isDenied = evidence.permitsDenial(version, now);
+        boolean isDenied = evidence.permitsDenial(catalogVersion, now);
         evidence.ageMs(now).ifPresent(a -> context.metrics().recordDenialEvidence(isDenied, a));
         String basis = " (" + evidence.describe(now) + ")";
         return isDenied
@@ -269,6 +273,10 @@
                 : new Refusal(ErrorCode.NO_CONFIGURATION, "the configuration may be old", basis);
     }
 
+    private Refusal bodyTooLong(long catalogVersion) {
+        return denial(catalogVersion, ErrorCode.BODY_TOO_LARGE, "the body is too long");
+    }
+
     private void readBody(HttpServerExchange exchange, AdmittedRequest admitted) {
         BodyReader.read(
                 exchange,
@@ -281,9 +289,7 @@
 
                     @Override
                     public void onTooLong() {
-                        refuse(
-                                exchange,
-                                new Refusal(ErrorCode.BODY_TOO_LARGE, "the body is too long"));
+                        refuse(exchange, bodyTooLong(admitted.catalogVersion()));
                     }
 
                     @Override
