settings: the bound on changes may have a fraction or be absent; a word on another version confirms nothing

A deployment that gives no bound, or a fraction, must not keep the routers from starting, as an allowance with a fraction once did.

--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -60,7 +60,7 @@
     private static final double MAX_RETRY_RATIO = 10;
     private static final double MAX_ALLOWANCE = 1_000_000;
     private static final int MAX_GRACE_S = 600;
-    private static final int MIN_CHANGE_BOUND_MS = 1_000;
+    private static final int MIN_CHANGE_BOUND_MS = 200;
     private static final int MAX_CHANGE_BOUND_MS = 60_000;
     private static final int DEFAULT_CHANGE_BOUND_MS = 2_000;
     private static final int MIN_QUARANTINE_S = 60;
@@ -151,6 +151,11 @@
             double graceS =
                     section("shutdown", "grace_s")
                             .required("grace_s", ValueRule.decimal(0, MAX_GRACE_S));
+            double changeBoundMs =
+                    store.optional(
+                            "change_bound_ms",
+                            ValueRule.decimal(MIN_CHANGE_BOUND_MS, MAX_CHANGE_BOUND_MS),
+                            (double) DEFAULT_CHANGE_BOUND_MS);
             double quarantineS =
                     section("quarantine", "hold_s")
                             .optional(
@@ -166,11 +171,7 @@
                     tunnelAddress(peers, peerAddress),
                     section("metrics", "address").required("address", ADDRESS),
                     store.required("address", ADDRESS),
-                    store.optional(
-                            "change_bound_ms",
-                            ValueRule.integer(
-                                    "change_bound_ms", MIN_CHANGE_BOUND_MS, MAX_CHANGE_BOUND_MS),
-                            DEFAULT_CHANGE_BOUND_MS),
+                    Math.round(changeBoundMs),
                     retries.required("share", ValueRule.decimal(0, MAX_RETRY_RATIO)),
                     retries.required("allowance", ValueRule.decimal(0, MAX_ALLOWANCE)),
                     Math.round(quarantineS * MS_PER_SECOND),
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
@@ -204,6 +204,15 @@
             assertFalse(mayDeny());
         }
 
+        @Test
+        void isNotThatOfAnotherVersion() {
+            deployment.applyCatalogText("2", "store");
+            deployment.recordConfirmation(1, clock.nowMs());
+            assertFalse(mayDeny());
+            deployment.recordConfirmation(3, clock.nowMs());
+            assertFalse(mayDeny());
+        }
+
         @Test
         void ofANewerVersionPermitsNoDenialByTheOneBefore() {
             deployment.applyCatalogText("2", "store");
--- a/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
@@ -13,11 +13,17 @@
 /** Valid settings of a router, and the error messages for invalid ones. */
 class RelaySettingsTest {
     private static RelaySettings parse(String share, String allowance, String graceS) {
+        return parse(share, allowance, graceS, "");
+    }
+
+    private static RelaySettings parse(
+            String share, String allowance, String graceS, String storeLine) {
         return RelaySettings.parse(
                 "router.ini",
                 "[router]\nid = r1\ndomain = d1\n[callers]\naddress = 127.0.0.1:1\n"
                         + "[balancer]\naddress = 127.0.0.1:2\n[peers]\naddress = 127.0.0.1:3\n"
                         + "[metrics]\naddress = 127.0.0.1:4\n[store]\naddress = 127.0.0.1:5\n"
+                        + storeLine
                         + "[retries]\nshare = "
                         + share
                         + "\nallowance = "
@@ -51,6 +57,21 @@
             assertEquals(expectedMs, parse("0.8", "150", text).graceMs());
         }
 
+        @ParameterizedTest
+        @CsvSource({"'', 2000", "change_bound_ms = 4000, 4000", "change_bound_ms = 2500.5, 2501"})
+        void changeBoundMayHaveAFractionOrBeAbsent(String line, long expectedMs) {
+            assertEquals(expectedMs, parse("0.8", "150", "8", line + "\n").changeBoundMs());
+        }
+
+        @ParameterizedTest
+        @CsvSource({"-1", "60001", "soon"})
+        void invalidChangeBoundIsReportedWithTheValidRange(String text) {
+            assertProblem(
+                    "[store] change_bound_ms",
+                    "from 200.0 to 60000.0",
+                    () -> parse("0.8", "150", "8", "change_bound_ms = " + text + "\n"));
+        }
+
         @ParameterizedTest
         @CsvSource({"-1", "-0.5", "1000000.5", "Infinity", "NaN", "many", "''"})
         void invalidAllowanceIsReportedWithTheValidRange(String text) {
