path: a call whose repetition comes after its timeout ends

What callers would see: a check of a server never ends, so what waits for it does not go on until a deadline of its own. Cause: a late thread came to repeat the call when no time was left and the direct call had not ended yet. The step threw, and as the call counted as repeated, its end was passed on to nobody. Change: with no time left the direct call's end is awaited. Evidence: ServerCallerTest.callOfALateThreadEnds.

--- a/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
@@ -96,11 +96,11 @@
             if (isRepeated || result.isDone()) {
                 return;
             }
-            isRepeated = true;
             if (leftMs <= 0) {
-                result.complete(directOutcome.orElseThrow());
+                directOutcome.ifPresent(result::complete);
                 return;
             }
+            isRepeated = true;
             new TunnelledCall(server, call).start(leftMs).thenAccept(this::onRepeatedOutcome);
         }
 
