--- a/masticweir/src/main/java/org/masticweir/http/AnswerPool.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerPool.java
@@ -24,7 +24,7 @@
     }
 
     /** Takes {@code bytes} if there are as many; returns whether it did. */
-    boolean take(long bytes) {
+    public boolean take(long bytes) {
         long left = freeBytes.addAndGet(-bytes);
         if (left < 0) {
             freeBytes.addAndGet(bytes);
@@ -33,7 +33,8 @@
         return true;
     }
 
-    void putBack(long bytes) {
+    /** Gives back what was taken. */
+    public void putBack(long bytes) {
         freeBytes.addAndGet(bytes);
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -39,7 +39,7 @@
     private final boolean isStreaming;
     private final ConnectAttempt attempt;
     private final SendListener listener;
-    private final EventSplitter splitter = new EventSplitter();
+    private final EventSplitter splitter;
     private final AnswerBuffer body;
     private Optional<HttpStream> httpStream = Optional.empty();
     private HttpHead head;
@@ -60,6 +60,7 @@
         this.attempt = checkNotNull(attempt, "attempt");
         this.listener = checkNotNull(listener, "listener");
         body = new AnswerBuffer(MAX_ANSWER_BYTES, context.answerPool());
+        splitter = new EventSplitter(context.answerPool());
     }
 
     /**
@@ -102,6 +103,7 @@
     public void close() {
         isEnded = true;
         body.close();
+        splitter.close();
         attempt.close();
         httpStream.ifPresent(HttpStream::close);
     }
--- a/masticweir/src/test/java/org/masticweir/relay/EventSplitterTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/EventSplitterTest.java
@@ -15,17 +15,21 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.masticweir.http.AnswerPool;
 
 /** Tests that the splitter passes on only complete events. */
 class EventSplitterTest {
     private static final String THREE_EVENTS =
             "id: 7\ndata: a\n\nx-version: 2\nid: 8\r\ndata: b\r\n\r\ndata: no id\n\n";
 
+    private static final int POOL_BYTES = 4 << 20;
+
+    private final AnswerPool pool = AnswerPool.of(POOL_BYTES);
     private final List<String> events = new ArrayList<>();
     private final List<OptionalLong> ids = new ArrayList<>();
 
     private EventSplitter split(String text, int step) throws IOException {
-        EventSplitter splitter = new EventSplitter();
+        EventSplitter splitter = new EventSplitter(pool);
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         for (int i = 0; i < bytes.length; i += step) {
             ByteBuffer part = ByteBuffer.wrap(bytes, i, Math.min(step, bytes.length - i));
@@ -68,4 +72,24 @@
                 IOException.class,
                 () -> split("x".repeat(EventSplitter.MAX_EVENT_BYTES + 1), 4096));
     }
+
+    /** Guards against many events without an end that exhaust the memory together. */
+    @Test
+    void longEventsShareAPool() throws IOException {
+        List<EventSplitter> endless = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            EventSplitter splitter = new EventSplitter(pool);
+            endless.add(splitter);
+            ByteBuffer part = ByteBuffer.wrap(new byte[EventSplitter.MAX_EVENT_BYTES]);
+            if (pool.freeBytes() < EventSplitter.MAX_EVENT_BYTES) {
+                assertThrows(IOException.class, () -> splitter.feed(part, (event, id) -> {}));
+            } else {
+                splitter.feed(part, (event, id) -> {});
+            }
+        }
+        split(THREE_EVENTS, 1);
+        assertEquals(3, events.size());
+        endless.forEach(EventSplitter::close);
+        assertEquals(POOL_BYTES, pool.freeBytes());
+    }
 }
