relay: a catalog from a peer comes with the age of the word that it is the newest

What callers would see: for up to a poll after each change, 503 in place of 401 or 404 at routers that get it from a peer. RelayPathTest.Knowledge.reachesARouterThatTheStoreTurnsAwayThroughItsPeer showed it on (401 expected, 503). The reply that brings the text now carries the age, counted from the request for it.

--- a/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogSharing.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -36,6 +37,7 @@
     private static final long WINDOW_MS = 60_000;
 
     private final DeploymentState deployment;
+    private final Clock clock;
     private final HedgedPeerRequest requests;
     private final CatalogReplies catalogReplies = new CatalogReplies();
     private final Counter repliesSent;
@@ -60,6 +62,7 @@
             Clock clock,
             MetricRegistry metrics) {
         this.deployment = checkNotNull(deployment, "deployment");
+        this.clock = checkNotNull(clock, "clock");
         requests = new HedgedPeerRequest(links, control, clock);
         repliesSent = metrics.counter(MetricName.of("catalog_offers_total"));
         bytesSent = metrics.counter(MetricName.of("catalog_offered_bytes_total"));
@@ -91,15 +94,16 @@
         if (version > Math.max(deployment.catalogVersion(), rejectedVersion)) {
             long heldVersion = needsFullText ? NO_VERSION : deployment.catalogVersion();
             String base = currentText();
+            long askedMs = clock.nowMs();
             requests.request(
                     peer,
                     new CatalogRequest(heldVersion, true),
-                    reply -> handleReply(peer, version, base, reply));
+                    reply -> handleReply(peer, version, base, askedMs, reply));
         }
     }
 
     private void handleReply(
-            RouterId peer, long version, String base, Optional<PeerMessage> reply) {
+            RouterId peer, long version, String base, long askedMs, Optional<PeerMessage> reply) {
         if (reply.isEmpty()) {
             unansweredRequests.inc();
             LOG.info("config: {} did not give its newer version", peer);
@@ -115,6 +119,8 @@
                 deployment.applyCatalogText(text.get(), peer.value());
         if (update == DeploymentState.CatalogUpdate.IN_FORCE) {
             waitTimesMs.update(waitedMs);
+            long newVersion = deployment.catalogVersion();
+            catalog.ageMs().ifPresent(a -> deployment.recordConfirmation(newVersion, askedMs - a));
             recordCatalog();
             onNewerVersion.accept(peer);
             handleVersion(peer, deployment.awaitedVersion());
@@ -169,7 +175,8 @@
      * Replies to a peer with the catalog in force if that is newer than the version in the request.
      */
     void handleRequest(CatalogRequest request, Reply reply) {
-        CatalogReply catalog = catalogReplies.replyTo(request);
+        OptionalLong ageMs = deployment.evidence().ageMs(clock.nowMs());
+        CatalogReply catalog = catalogReplies.replyTo(request).withAge(ageMs);
         repliesSent.inc();
         bytesSent.inc(catalog.length());
         reply.send(catalog);
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -92,18 +92,26 @@
     /**
      * Reply with the catalog, if it is newer: its full text, or an edit of the text that the
      * requesting router holds. An edit of the empty text applies to any text.
+     *
+     * @param ageMs time since the store was last known to hold no newer catalog; empty if it never
+     *     was, or if the sender does not report it
      */
-    record CatalogReply(String text, Optional<PackedEdit> edit) implements PeerMessage {
+    record CatalogReply(String text, Optional<PackedEdit> edit, OptionalLong ageMs)
+            implements PeerMessage {
         static CatalogReply empty() {
             return fullText("");
         }
 
         static CatalogReply fullText(String text) {
-            return new CatalogReply(text, Optional.empty());
+            return new CatalogReply(text, Optional.empty(), OptionalLong.empty());
         }
 
         static CatalogReply edit(PackedEdit edit) {
-            return new CatalogReply("", Optional.of(edit));
+            return new CatalogReply("", Optional.of(edit), OptionalLong.empty());
+        }
+
+        CatalogReply withAge(OptionalLong ms) {
+            return new CatalogReply(text, edit, ms);
         }
 
         /** Returns the length on a link without headers, in bytes. */
@@ -194,10 +202,12 @@
                 FieldsCodec.of(
                         CATALOG_REPLY,
                         CatalogReply.class,
-                        2,
+                        3,
                         1,
                         RelayMessages::encodeReply,
-                        f -> new CatalogReply(f.text(MAX_CATALOG_BYTES), decodeEdit(f))),
+                        f ->
+                                new CatalogReply(
+                                        f.text(MAX_CATALOG_BYTES), decodeEdit(f), decodeAge(f))),
                 FieldsCodec.of(
                         SERVER_UPDATES,
                         ServerUpdates.class,
@@ -266,6 +276,7 @@
     private static void encodeReply(CatalogReply reply, MessagePacker out) throws IOException {
         byte[] edit = reply.edit().map(PackedEdit::bytes).orElse(NO_BYTES);
         out.packString(reply.text()).packBinaryHeader(edit.length).writePayload(edit);
+        out.packLong(reply.ageMs().orElse(NO_AGE));
     }
 
     private static Optional<PackedEdit> decodeEdit(Fields f) throws IOException {
