--- a/masticweir/src/main/java/org/masticweir/feed/FeedPace.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedPace.java
@@ -34,8 +34,8 @@
 
     /**
      * Returns how long the store may wait for a first change if it answers {@code latencyMs} late.
-     * An answer with a change tells only of the moment at which its call began, and is followed by
-     * a whole call; so its age comes to two waits and two answers.
+     * An answer with a change is valid only as of the start of its call, and is followed by a whole
+     * call; so its age comes to two waits and two answers.
      */
     long waitMs(long latencyMs) {
         long bounded = (maxAgeMs - restMs) / 2 - latencyMs;
--- a/masticweir/src/main/java/org/masticweir/feed/ReadingRole.java
+++ b/masticweir/src/main/java/org/masticweir/feed/ReadingRole.java
@@ -28,8 +28,9 @@
     }
 
     /**
-     * Returns how long the store may wait for a first change, in ms. The stand-by hears of changes
-     * as soon as the first reader does; that nothing has changed, the first one tells soon enough.
+     * Returns how long the store may wait for a first change, in ms. The stand-by waits in full: it
+     * receives changes as soon as the first reader does, and the first reader confirms often enough
+     * that nothing has changed.
      */
     long waitMs(FeedPace pace, long latencyMs) {
         return this == STAND_BY ? pace.waitMs() : pace.waitMs(latencyMs);
--- a/masticweir/src/main/java/org/masticweir/relay/CatalogEvidence.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CatalogEvidence.java
@@ -9,7 +9,7 @@
  * <p>Prevents a request from being denied by an older version: a route or key that this router does
  * not know may have been added since the store was last read. The age is asked for when the request
  * is denied, and counts from a moment at which the store held no newer version, not from the
- * arrival of that word.
+ * arrival of the confirmation.
  *
  * @param version the version that this router holds; 0 if none
  * @param confirmedMs a time at which that version was the newest in the store; {@link #NEVER_MS} if
@@ -32,9 +32,7 @@
         return confirmedMs != NEVER_MS;
     }
 
-    /**
-     * Returns the age of the word that the version is the newest, in ms; empty if there is none.
-     */
+    /** Returns the age of the confirmation that the version is the newest, in ms; empty if none. */
     OptionalLong ageMs(long nowMs) {
         return isConfirmed()
                 ? OptionalLong.of(Math.max(0, nowMs - confirmedMs))
--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
@@ -162,7 +162,7 @@
 
     /**
      * Records that the store held no version newer than {@code version} at {@code asOfMs}, by its
-     * own word or by that of a peer.
+     * own answer or by the report of a peer.
      */
     void recordConfirmation(long version, long asOfMs) {
         if (version == catalogVersion()) {
--- a/masticweir/src/test/java/org/masticweir/relay/CatalogDenialTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/CatalogDenialTest.java
@@ -40,7 +40,7 @@
         }
     }
 
-    /** The router denied for six seconds after the last word of a reader. */
+    /** The router denied for six seconds after the last status of a reader. */
     @Nested
     class RouterWithoutNews {
         @ParameterizedTest
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
@@ -180,7 +180,10 @@
         }
     }
 
-    /** A router denied a route or key by a word on the catalog that was older than the bound. */
+    /**
+     * A router denied a route or key by a confirmation of the catalog that was older than the
+     * bound.
+     */
     @Nested
     class OldEvidence {
         @Test
@@ -195,7 +198,7 @@
         }
 
         @Test
-        void isNotRenewedByAnOlderWordThatArrivesLater() {
+        void isNotRenewedByAnOlderConfirmationThatArrivesLater() {
             deployment.applyCatalogText("1", "store");
             deployment.recordConfirmation(1, clock.nowMs() - BOUND_MS);
             assertTrue(mayDeny());
