EngineStandInTest: the silence is timed from before the order for it

The silence begins when the order is taken, so the check was wrong by the time of its answer. It counts from before the order now, and asks for 400 ms in place of 100, so that this time hides no shorter silence.

--- a/masticweir-standins/src/test/java/org/masticweir/standins/engine/EngineStandInTest.java
+++ b/masticweir-standins/src/test/java/org/masticweir/standins/engine/EngineStandInTest.java
@@ -287,10 +287,11 @@
 
         @Test
         void silenceEndsWithItsTime() {
-            control("{\"silence_ms\":100}");
+            // The silence begins before the answer to the order for it.
             long start = Clock.system().nowMs();
+            control("{\"silence_ms\":400}");
             assertEquals(expected(0, 5), tokens(run(attempt("a", 1, 5))));
-            assertTrue(Clock.system().nowMs() - start >= 100);
+            assertTrue(Clock.system().nowMs() - start >= 400);
         }
 
         @Test
