http: describe the delegate of an I/O thread in the usual terms

Cause: the comment on FramedDialer.Openings used a phrase that the field does not use and did not say why the delegate exists. Change: the comment only; no statement is changed. Checked: formatter, linter and compiler pass on the module; no test was run for it.

--- a/masticweir/src/main/java/org/masticweir/http/FramedDialer.java
+++ b/masticweir/src/main/java/org/masticweir/http/FramedDialer.java
@@ -48,9 +48,10 @@
     }
 
     /**
-     * The connections that one I/O thread opens. The client gives no access to a connection before
-     * it reads from it; but it opens connections with the thread that it is given, and calls back
-     * within the opening. This thread is never started: all work is done by the one it stands for.
+     * Delegate of an I/O thread that installs the limit on each connection it opens. The client
+     * library has no hook between opening a connection and reading from it, but it opens
+     * connections through the thread that it is given, and reports them on the same call stack. The
+     * delegate itself is never started.
      */
     private static final class Openings extends XnioIoThread {
         private final XnioIoThread thread;
