A stream no longer waits for a probe whose answer does not end

Cause: a server that breaks a stream is probed, and other requests with the same content wait for the result. The probe counted only a whole answer; one that was cut at a limit, or stalled, was "unknown": it was called twice with 300 ms each, and again within 250 ms. The wait of a request that was sent ends after half the time goal (500 ms in the test), so that the stream ended with 502 while another engine was free. Ruled out: a count of ends of servers (nothing was counted; the message of the refusal names a trial, but the request waited for a probe). Change: HttpOutcome says whether the peer was answering when this process ended the exchange; such a probe is UNREADABLE, is not repeated and withdraws no loss. Both calls of a probe share one timeout.

--- a/masticweir/src/main/java/org/masticweir/http/AnswerBuffer.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerBuffer.java
@@ -36,12 +36,13 @@
     public void append(ByteBuffer part) throws IOException {
         int size = bytes.size() + part.remaining();
         if (size > maxBytes) {
-            throw new IOException("answer longer than " + maxBytes + " bytes");
+            throw new AnswerLimitException("answer longer than " + maxBytes + " bytes");
         }
         long required = Math.max(0, size - SHORT_ANSWER_BYTES) - pooledBytes;
         if (required > 0) {
             if (!pool.take(required)) {
-                throw new IOException("no memory for answers of more than " + size + " bytes");
+                throw new AnswerLimitException(
+                        "no memory for answers of more than " + size + " bytes");
             }
             pooledBytes += required;
         }
--- a/masticweir/src/main/java/org/masticweir/http/AnswerFraming.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerFraming.java
@@ -39,6 +39,7 @@
     private boolean isAtLineStart = true;
     private boolean isHeadAwaited = true;
     private boolean isLifted;
+    private boolean isExceeded;
 
     /** Installs a limit on a connection that no exchange has used. */
     static AnswerFraming install(StreamConnection connection) {
@@ -81,6 +82,16 @@
         bodyBytes += count;
     }
 
+    /** Returns whether bytes of the exchange's answer came. */
+    boolean hasReceivedBytes() {
+        return receivedBytes > 0;
+    }
+
+    /** Returns whether a read failed because of the limit. */
+    boolean isExceeded() {
+        return isExceeded;
+    }
+
     /** Ends the limit: what follows on the connection are bytes of another protocol. */
     void lift() {
         isLifted = true;
@@ -90,7 +101,7 @@
     private void received(long count) throws IOException {
         receivedBytes += Math.max(0, count);
         if (!isLifted && receivedBytes > MAX_BYTES + MAX_EXPANSION * bodyBytes) {
-            throw new IOException("more than " + MAX_BYTES + " bytes that are no body");
+            throw exceeded("more than " + MAX_BYTES + " bytes that are no body");
         }
     }
 
@@ -105,11 +116,16 @@
                 isAtLineStart = false;
             }
             if (headLines > MAX_HEAD_LINES) {
-                throw new IOException("a head of more than " + MAX_HEAD_LINES + " lines");
+                throw exceeded("a head of more than " + MAX_HEAD_LINES + " lines");
             }
         }
     }
 
+    private AnswerLimitException exceeded(String message) {
+        isExceeded = true;
+        return new AnswerLimitException(message);
+    }
+
     /** Counts what is read from the connection. */
     private final class CountingConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
         CountingConduit(StreamSourceConduit next) {
--- a/masticweir/src/main/java/org/masticweir/http/HttpOutcome.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpOutcome.java
@@ -28,10 +28,20 @@
         return this instanceof NeverSent never && never.withheld();
     }
 
-    /** Bytes of the request may have left, and no whole answer came; it may have had its effect. */
-    record MayHaveBeenSent(String reason) implements HttpOutcome {
+    /**
+     * Bytes of the request may have left, and no whole answer came; it may have had its effect.
+     *
+     * @param isAnswering whether bytes of an answer came until this process ended the exchange,
+     *     because the answer was too long or late, which shows that the peer is alive
+     */
+    record MayHaveBeenSent(String reason, boolean isAnswering) implements HttpOutcome {
         public MayHaveBeenSent {
             checkNotNull(reason, "reason");
         }
     }
+
+    /** Returns whether the peer was sending an answer when this process ended the exchange. */
+    default boolean showsAnsweringPeer() {
+        return this instanceof MayHaveBeenSent sent && sent.isAnswering();
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -45,6 +45,7 @@
     private AnswerFraming framing;
     private boolean sent;
     private boolean over;
+    private boolean isAnswerCut;
 
     /** Opens the connection of one exchange. */
     @FunctionalInterface
@@ -124,6 +125,16 @@
         return stream;
     }
 
+    /** Returns whether the exchange was lost because its answer exceeds a limit of this process. */
+    public boolean isAnswerCut() {
+        return isAnswerCut;
+    }
+
+    /** Returns whether bytes of the answer came. */
+    public boolean hasAnswerBytes() {
+        return framing != null && framing.hasReceivedBytes();
+    }
+
     @Override
     public void close() {
         over = true;
@@ -240,6 +251,7 @@
                 listener.bytes(buffer);
             }
         } catch (IOException e) {
+            isAnswerCut = e instanceof AnswerLimitException;
             lost();
         }
     }
@@ -269,6 +281,7 @@
         if (over) {
             return;
         }
+        isAnswerCut = isAnswerCut || (framing != null && framing.isExceeded());
         close();
         listener.lost(sent);
     }
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -54,7 +54,7 @@
             ByteBufferPool buffers,
             Optional<ClientConnection> idle,
             long timeoutMs) {
-        timer = TurnTimer.start(thread, timeoutMs, () -> fail("no answer in " + timeoutMs + " ms"));
+        timer = TurnTimer.start(thread, timeoutMs, () -> timeOut(timeoutMs));
         if (idle.isPresent()) {
             send(idle.get());
             return;
@@ -77,13 +77,13 @@
 
     private void connectFailed(IOException e) {
         pool.free(call.address());
-        fail("no connection: " + e.getMessage());
+        fail("no connection: " + e.getMessage(), false);
     }
 
     private void send(ClientConnection target) {
         connection = target;
         if (!target.isOpen()) {
-            fail("connection closed before use");
+            fail("connection closed before use", false);
             return;
         }
         // From here on the client may write at any time. A reset, a close or silence no longer
@@ -189,11 +189,17 @@
         return new HttpAnswer(status, headers.buildKeepingLast(), answerBody.toByteArray());
     }
 
+    private void timeOut(long timeoutMs) {
+        boolean isAnswering = framing != null && framing.hasReceivedBytes();
+        fail("no whole answer in " + timeoutMs + " ms", isAnswering);
+    }
+
     private void exchangeFailed(IOException e) {
-        fail(String.valueOf(e.getMessage()));
+        boolean isAnswering = e instanceof AnswerLimitException || framing.isExceeded();
+        fail(String.valueOf(e.getMessage()), isAnswering);
     }
 
-    private void fail(String reason) {
+    private void fail(String reason, boolean isAnswering) {
         if (ended) {
             return;
         }
@@ -207,7 +213,7 @@
         }
         outcome.complete(
                 handedOver
-                        ? new HttpOutcome.MayHaveBeenSent(reason)
+                        ? new HttpOutcome.MayHaveBeenSent(reason, isAnswering)
                         : new HttpOutcome.NeverSent(reason, false));
     }
 
--- a/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
@@ -82,7 +82,9 @@
 
         private void onDirectOutcome(HttpOutcome outcome) {
             directOutcome = Optional.of(outcome);
-            if (outcome instanceof HttpOutcome.Answered || outcome.isWithheld()) {
+            if (outcome instanceof HttpOutcome.Answered
+                    || outcome.isWithheld()
+                    || outcome.showsAnsweringPeer()) {
                 result.complete(outcome);
             } else if (repeatedOutcome.isPresent()) {
                 completeUnanswered();
@@ -106,7 +108,7 @@
 
         private void onRepeatedOutcome(HttpOutcome outcome) {
             repeatedOutcome = Optional.of(outcome);
-            if (outcome instanceof HttpOutcome.Answered) {
+            if (outcome instanceof HttpOutcome.Answered || outcome.showsAnsweringPeer()) {
                 result.complete(outcome);
             } else if (directOutcome.isPresent()) {
                 completeUnanswered();
@@ -156,7 +158,9 @@
                 attempt.close();
                 stream.ifPresent(HttpStream::close);
                 body.close();
-                result.complete(new HttpOutcome.MayHaveBeenSent("no answer in time"));
+                boolean isAnswering = stream.filter(HttpStream::hasAnswerBytes).isPresent();
+                result.complete(
+                        new HttpOutcome.MayHaveBeenSent("no whole answer in time", isAnswering));
             }
         }
 
@@ -185,9 +189,10 @@
         @Override
         public void lost(boolean sent) {
             body.close();
+            boolean isAnswering = stream.filter(HttpStream::isAnswerCut).isPresent();
             result.complete(
                     sent
-                            ? new HttpOutcome.MayHaveBeenSent("the connection broke")
+                            ? new HttpOutcome.MayHaveBeenSent("the exchange broke", isAnswering)
                             : new HttpOutcome.NeverSent(
                                     "not reached",
                                     attempt.failure() != ConnectFailure.SERVER_UNREACHABLE));
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -344,7 +344,8 @@
 
     private LossInquiry lossInquiry() {
         ServerProbe check =
-                new ServerProbe(access.caller(), platform.protocol(), limits, metadataRecorder);
+                new ServerProbe(
+                        access.caller(), platform.protocol(), limits, metadataRecorder, clock);
         LossInquiry.Timer timer =
                 (ms, step) -> thread.executeAfter(step, ms, TimeUnit.MILLISECONDS);
         return new LossInquiry(quarantine, check::probe, inFlight::startedRunsAt, timer, clock);
--- a/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
@@ -17,6 +17,7 @@
 import org.masticweir.http.HttpOutcome;
 import org.masticweir.path.ServerCaller;
 import org.masticweir.permits.SharedLimits;
+import org.masticweir.time.Clock;
 
 /**
  * Determines whether a server ended or only a connection to it broke; owned by the traffic thread.
@@ -26,7 +27,10 @@
  * same incarnation share their calls.
  */
 final class ServerProbe {
-    /** Timeout of a probe, in ms: one round trip and the response time of a busy server. */
+    /**
+     * Timeout of a probe with all its calls, in ms: one round trip and the response time of a busy
+     * server. Requests wait for the result.
+     */
     private static final long TIMEOUT_MS = 300;
 
     /**
@@ -39,6 +43,7 @@
     private final PlatformProtocol protocol;
     private final SharedLimits limits;
     private final AnswerMetadataRecorder metadataRecorder;
+    private final Clock clock;
     private final Map<ServerIncarnation, List<Consumer<Result>>> pendingCallbacks = new HashMap<>();
 
     /** Result of a probe. */
@@ -49,6 +54,8 @@
         UNREACHED,
         /** The probe was not conclusive. */
         UNKNOWN,
+        /** The server answers, but its answer exceeds a limit or does not end. */
+        UNREADABLE,
         /** The server pauses, or has nothing that can be called. */
         NOT_PROBED
     }
@@ -57,11 +64,13 @@
             ServerCaller serverCaller,
             PlatformProtocol protocol,
             SharedLimits limits,
-            AnswerMetadataRecorder metadataRecorder) {
+            AnswerMetadataRecorder metadataRecorder,
+            Clock clock) {
         this.serverCaller = checkNotNull(serverCaller, "serverCaller");
         this.protocol = checkNotNull(protocol, "protocol");
         this.limits = checkNotNull(limits, "limits");
         this.metadataRecorder = checkNotNull(metadataRecorder, "metadataRecorder");
+        this.clock = checkNotNull(clock, "clock");
     }
 
     /** Calls {@code callback} once with the result of a probe of {@code server}. */
@@ -79,17 +88,23 @@
         }
         List<Consumer<Result>> callbacks = new ArrayList<>(List.of(callback));
         pendingCallbacks.put(server.incarnation(), callbacks);
-        call(server, call.get(), spec.get().engine().isPresent(), 1);
+        call(server, call.get(), spec.get().engine().isPresent(), 1, clock.nowMs() + TIMEOUT_MS);
     }
 
-    private void call(BackendServer server, HttpCall call, boolean isEngine, int callNumber) {
+    private void call(
+            BackendServer server,
+            HttpCall call,
+            boolean isEngine,
+            int callNumber,
+            long deadlineMs) {
         limits.recordProbe(server.incarnation());
-        CompletableFuture<HttpOutcome> answer = serverCaller.call(server, call, TIMEOUT_MS);
+        long timeoutMs = Math.max(1, deadlineMs - clock.nowMs());
+        CompletableFuture<HttpOutcome> answer = serverCaller.call(server, call, timeoutMs);
         answer.thenAccept(
                 outcome -> {
                     metadataRecorder.recordCall(server.incarnation(), outcome);
-                    if (outcome instanceof HttpOutcome.MayHaveBeenSent && callNumber < MAX_CALLS) {
-                        call(server, call, isEngine, callNumber + 1);
+                    if (isRepeated(outcome, callNumber, deadlineMs)) {
+                        call(server, call, isEngine, callNumber + 1, deadlineMs);
                     } else {
                         Result result = toResult(server, isEngine, outcome);
                         pendingCallbacks
@@ -99,6 +114,14 @@
                 });
     }
 
+    /** Returns whether the next call may tell more: only a connection broke, and time is left. */
+    private boolean isRepeated(HttpOutcome outcome, int callNumber, long deadlineMs) {
+        return outcome instanceof HttpOutcome.MayHaveBeenSent
+                && !outcome.showsAnsweringPeer()
+                && callNumber < MAX_CALLS
+                && clock.nowMs() < deadlineMs;
+    }
+
     private Optional<HttpCall> callTo(BackendServer server, ServiceSpec spec) {
         if (spec.engine().isPresent()) {
             return Optional.of(protocol.engineProbeCall(server));
@@ -118,6 +141,9 @@
                                     .isPresent();
             return isOtherServer || isOtherIncarnation ? Result.ENDED : Result.LIVES;
         }
+        if (outcome.showsAnsweringPeer()) {
+            return Result.UNREADABLE;
+        }
         boolean isNotReached = outcome instanceof HttpOutcome.NeverSent && !outcome.isWithheld();
         return isNotReached ? Result.UNREACHED : Result.UNKNOWN;
     }
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -136,7 +136,8 @@
                         context.serverCaller(),
                         context.protocol(),
                         context.limits(),
-                        context.metadataRecorder());
+                        context.metadataRecorder(),
+                        context.clock());
         probe.probe(server, context.view().get().catalog(), this::endStream);
     }
 
--- a/masticweir/src/test/java/org/masticweir/http/HttpCallerTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpCallerTest.java
@@ -1,6 +1,7 @@
 package org.masticweir.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -95,6 +96,7 @@
     void tooLongAnswerIsPerhapsSentAndFreesItsPlace() {
         for (int i = 0; i < 10; i++) {
             assertInstanceOf(HttpOutcome.MayHaveBeenSent.class, echoed(MAX_BYTES + 1));
+            assertTrue(echoed(MAX_BYTES + 1).showsAnsweringPeer());
         }
         assertInstanceOf(HttpOutcome.Answered.class, echoed(1));
     }
@@ -109,6 +111,7 @@
         assertInstanceOf(HttpOutcome.NeverSent.class, echoed(1));
         assertTrue(echoed(1).isWithheld());
         calls.forEach(c -> assertInstanceOf(HttpOutcome.MayHaveBeenSent.class, c.join()));
+        calls.forEach(c -> assertFalse(c.join().showsAnsweringPeer()));
         assertInstanceOf(HttpOutcome.Answered.class, echoed(1));
     }
 
