Ended servers no longer pass for lost paths of a router

Ruled out: a wrong count of ends (the inquiries were inconclusive), a lost link (it was up). Change: ServerPaths remembers for 5 s which servers others do not reach either; their failures do not count against the paths, and they are the last choice for checks. A carrier tries up to three servers, and answers as soon as both results are known. If other routers confirm the failure, it is the server's, also while the own paths are lost. TunnelTest.ofAnEndedServerWhileAnotherOneHasEnded fails before.

--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -248,7 +248,7 @@
         }
         close();
         boolean isAlone = askedPeers.isEmpty() && owner.peers().isEmpty();
-        if (owner.paths().areAllLost()) {
+        if (owner.paths().areAllLost() && !isConfirmed()) {
             failure = ConnectFailure.NO_PATHS;
         } else if (isConfirmed() || isAlone) {
             failure = ConnectFailure.SERVER_UNREACHABLE;
--- a/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
@@ -1,6 +1,7 @@
 package org.masticweir.path;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.util.Comparator.comparing;
 
 import com.google.common.collect.ImmutableList;
 import io.undertow.client.ClientCallback;
@@ -152,14 +153,14 @@
         if (isEstablished) {
             paths.recordDirectSuccess(server.incarnation());
         } else {
-            paths.recordDirectFailure(server.incarnation());
+            paths.recordDirectFailure(server.incarnation(), now());
         }
         onPathRecorded(server);
     }
 
     /** Records that other routers do not reach {@code server} either. */
     void recordUnreachable(BackendServer server) {
-        paths.recordUnreachable(server.incarnation());
+        paths.recordUnreachable(server.incarnation(), now());
         onPathRecorded(server);
     }
 
@@ -186,6 +187,8 @@
     private void check() {
         List<BackendServer> candidates = new ArrayList<>(listedServers.get());
         Collections.shuffle(candidates, new Random(random.nextLong()));
+        // The failure of a server that others don't reach either tells nothing about the paths.
+        candidates.sort(comparing(s -> paths.isUnreachable(s.incarnation(), now())));
         if (paths.areAllLost()) {
             startChecks(candidates, s -> true, 1);
         } else {
--- a/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
@@ -26,6 +26,12 @@
     /** Failed servers from which on other servers should be tried to tell both cases apart. */
     static final int DOUBTFUL_FROM_SERVERS = 2;
 
+    /**
+     * How long the failure of a server that other routers do not reach either is attributed to the
+     * server, in ms: the entry of a lost server expires within this time.
+     */
+    static final long UNREACHABLE_MS = 5_000;
+
     /** How long a broken path is not used after its first failure, in ms. */
     static final long FIRST_BROKEN_MS = 500;
 
@@ -34,6 +40,7 @@
 
     private final Map<ServerIncarnation, BrokenPath> brokenPaths = new HashMap<>();
     private final Set<ServerIncarnation> failedServers = new HashSet<>();
+    private final Map<ServerIncarnation, Long> unreachableUntilMs = new HashMap<>();
     private int listedCount = LOST_FROM_SERVERS;
 
     /** A path that failed while another router reached the server. */
@@ -57,7 +64,8 @@
     /** Returns whether this router has probably lost its paths to all servers. */
     public boolean areAllLost() {
         return !failedServers.isEmpty()
-                && failedServers.size() >= Math.min(LOST_FROM_SERVERS, listedCount);
+                && failedServers.size()
+                        >= Math.min(LOST_FROM_SERVERS, listedCount - unreachableUntilMs.size());
     }
 
     /** Returns whether more servers should be tried to find out whether all paths are lost. */
@@ -70,6 +78,11 @@
         return failedServers.contains(server);
     }
 
+    /** Returns whether a recent failure of {@code server} was confirmed by other routers. */
+    boolean isUnreachable(ServerIncarnation server, long nowMs) {
+        return unreachableUntilMs.getOrDefault(server, Long.MIN_VALUE) > nowMs;
+    }
+
     /** Returns the number of servers whose direct path is not used now. */
     int brokenPathCount(long nowMs) {
         return (int) brokenPaths.values().stream().filter(p -> nowMs < p.brokenUntilMs).count();
@@ -85,16 +98,25 @@
             brokenPaths.clear();
         }
         brokenPaths.remove(server);
+        unreachableUntilMs.remove(server);
         failedServers.clear();
     }
 
-    /** Records that a direct connection was refused or was not accepted in time. */
-    void recordDirectFailure(ServerIncarnation server) {
-        failedServers.add(checkNotNull(server, "server"));
+    /**
+     * Records that a direct connection was refused or was not accepted in time. It does not count
+     * against the paths if the server is known to be unreachable.
+     */
+    void recordDirectFailure(ServerIncarnation server, long nowMs) {
+        checkNotNull(server, "server");
+        unreachableUntilMs.values().removeIf(until -> until <= nowMs);
+        if (!unreachableUntilMs.containsKey(server)) {
+            failedServers.add(server);
+        }
     }
 
     /** Records that another router reached a server to which the direct connection failed. */
     void recordPeerSuccess(ServerIncarnation server, long nowMs) {
+        unreachableUntilMs.remove(server);
         if (!failedServers.contains(server)) {
             return;
         }
@@ -110,15 +132,17 @@
      * Records that a router with paths to other servers does not reach {@code server} either. The
      * failure is then the server's, and does not count against the paths.
      */
-    void recordUnreachable(ServerIncarnation server) {
+    void recordUnreachable(ServerIncarnation server, long nowMs) {
         brokenPaths.remove(server);
         failedServers.remove(server);
+        unreachableUntilMs.put(server, nowMs + UNREACHABLE_MS);
     }
 
     /** Removes servers that are no longer listed. */
     public void retainServers(Set<ServerIncarnation> listed) {
         brokenPaths.keySet().retainAll(listed);
         failedServers.retainAll(listed);
+        unreachableUntilMs.keySet().retainAll(listed);
         listedCount = listed.size();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/path/Tunnel.java
+++ b/masticweir/src/main/java/org/masticweir/path/Tunnel.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 import static java.nio.charset.StandardCharsets.US_ASCII;
 
+import com.google.common.collect.ImmutableList;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import java.io.IOException;
@@ -47,7 +48,7 @@
      */
     private static final long OPEN_TIMEOUT_MS = 60;
 
-    /** Time after which another server is tried besides one that does not accept, in ms. */
+    /** Time after which other servers are tried besides one that does not accept, in ms. */
     private static final long CONTROL_DELAY_MS = 20;
 
     private final TunnelServer owner;
@@ -56,9 +57,11 @@
     private final TurnTimer timer;
     private final Set<ServerConnect> pendingConnects = new HashSet<>();
     private Optional<StreamConnection> server = Optional.empty();
-    private TunnelStatus failureStatus = TunnelStatus.NO_PATH;
+    private Optional<BackendServer> requested = Optional.empty();
     private boolean isServerRefused;
     private boolean isControlStarted;
+    private boolean isControlReached;
+    private int pendingControls;
     private boolean isOpen;
     private boolean isClosed;
 
@@ -114,45 +117,55 @@
     }
 
     private void connect(BackendServer target) {
-        owner.thread()
-                .executeAfter(() -> checkPaths(target), CONTROL_DELAY_MS, TimeUnit.MILLISECONDS);
+        requested = Optional.of(target);
+        owner.thread().executeAfter(this::checkPaths, CONTROL_DELAY_MS, TimeUnit.MILLISECONDS);
         open(
                 target,
                 this::onConnected,
                 () -> {
                     isServerRefused = true;
-                    checkPaths(target);
+                    checkPaths();
+                    refuseIfDecided();
                 });
     }
 
     /**
-     * Connects to another server to tell a failed server from a lost path. A router that has just
+     * Connects to other servers to tell a failed server from a lost path. A router that has just
      * lost its paths would otherwise report each server as failed.
      */
-    private void checkPaths(BackendServer target) {
+    private void checkPaths() {
         if (isClosed || isOpen || isControlStarted) {
             return;
         }
         isControlStarted = true;
-        Optional<BackendServer> control = owner.controlFor(target);
-        if (control.isEmpty()) {
-            onControlResult(true);
-            return;
+        ImmutableList<BackendServer> controls = owner.controlsFor(requested.orElseThrow());
+        isControlReached = controls.isEmpty();
+        pendingControls = controls.size();
+        controls.forEach(c -> open(c, this::onControlReached, this::onControlFailed));
+    }
+
+    private void onControlReached(StreamConnection connection) {
+        IoUtils.safeClose(connection);
+        isControlReached = true;
+        refuseIfDecided();
+    }
+
+    private void onControlFailed() {
+        pendingControls--;
+        refuseIfDecided();
+    }
+
+    private void refuseIfDecided() {
+        if (isServerRefused && (isControlReached || pendingControls == 0)) {
+            refuseUnreached();
         }
-        open(
-                control.get(),
-                connection -> {
-                    IoUtils.safeClose(connection);
-                    onControlResult(true);
-                },
-                () -> onControlResult(false));
     }
 
-    private void onControlResult(boolean isReached) {
-        failureStatus = isReached ? TunnelStatus.UNREACHABLE : TunnelStatus.NO_PATH;
-        if (isServerRefused) {
-            refuse(failureStatus);
+    private void refuseUnreached() {
+        if (isControlReached && !isClosed && !isOpen) {
+            requested.ifPresent(s -> owner.dialer().recordUnreachable(s));
         }
+        refuse(isControlReached ? TunnelStatus.UNREACHABLE : TunnelStatus.NO_PATH);
     }
 
     private void open(BackendServer target, Consumer<StreamConnection> onOpen, Runnable onFailure) {
@@ -196,7 +209,7 @@
 
     private void onTimeout() {
         pendingConnects.forEach(c -> owner.dialer().recordDirectResult(c.target, false));
-        refuse(failureStatus);
+        refuseUnreached();
     }
 
     private static Optional<InetSocketAddress> parseAddress(String text) {
--- a/masticweir/src/main/java/org/masticweir/path/TunnelServer.java
+++ b/masticweir/src/main/java/org/masticweir/path/TunnelServer.java
@@ -1,7 +1,9 @@
 package org.masticweir.path;
 
 import static com.google.common.base.Preconditions.checkNotNull;
+import static com.google.common.collect.ImmutableList.toImmutableList;
 import static java.nio.charset.StandardCharsets.US_ASCII;
+import static java.util.Comparator.comparing;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
@@ -10,13 +12,17 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
@@ -57,6 +63,10 @@
     private final String key;
     private final Supplier<ImmutableList<BackendServer>> listedServers;
     private final BooleanSupplier isOpen;
+
+    /** Limit on the servers that are tried besides one that does not accept. */
+    private static final int MAX_CONTROLS = 3;
+
     private final DomainId ownDomain;
     private final ServerDialer dialer;
     private final RandomGenerator random;
@@ -149,24 +159,25 @@
     }
 
     /**
-     * Returns a server that shows whether this router reaches any server, while {@code server} is
-     * not reached. The servers of a domain fail together, so it is one of another domain if
-     * possible, and one of the own domain if this domain may be cut off from the others.
+     * Returns servers that show whether this router reaches any server, while {@code server} is not
+     * reached. The servers of a domain fail together, so they are of other domains if possible, and
+     * one is of the own domain, as this domain may be cut off from the others. A server may have
+     * ended without the knowledge of this router, so there are several.
      */
-    Optional<BackendServer> controlFor(BackendServer server) {
-        List<BackendServer> others =
-                listedServers.get().stream()
-                        .filter(s -> !s.address().equals(server.address()))
-                        .toList();
+    ImmutableList<BackendServer> controlsFor(BackendServer server) {
+        List<BackendServer> others = new ArrayList<>(listedServers.get());
+        others.removeIf(s -> s.address().equals(server.address()));
+        Collections.shuffle(others, new Random(random.nextLong()));
+        others.sort(comparing(s -> dialer.paths().isUnreachable(s.incarnation(), dialer.now())));
         List<BackendServer> elsewhere =
                 others.stream().filter(s -> !s.domain().equals(server.domain())).toList();
-        List<BackendServer> near =
-                elsewhere.stream().filter(s -> s.domain().equals(ownDomain)).toList();
-        List<BackendServer> candidates =
-                !near.isEmpty() ? near : elsewhere.isEmpty() ? others : elsewhere;
-        return candidates.isEmpty()
-                ? Optional.empty()
-                : Optional.of(candidates.get(random.nextInt(candidates.size())));
+        Stream<BackendServer> near =
+                elsewhere.stream().filter(s -> s.domain().equals(ownDomain)).limit(1);
+        return Stream.of(near, elsewhere.stream(), others.stream())
+                .flatMap(s -> s)
+                .distinct()
+                .limit(MAX_CONTROLS)
+                .collect(toImmutableList());
     }
 
     private static byte[] bytes(String text) {
--- a/masticweir/src/test/java/org/masticweir/path/ServerPathsTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/ServerPathsTest.java
@@ -26,7 +26,7 @@
     }
 
     private void failAt(int count) {
-        servers.subList(0, count).forEach(paths::recordDirectFailure);
+        servers.subList(0, count).forEach(s -> paths.recordDirectFailure(s, 0));
     }
 
     private Set<ServerIncarnation> first(int count) {
@@ -40,13 +40,13 @@
 
         @Test
         void isUsedAfterFailureThatNobodyContradicts() {
-            paths.recordDirectFailure(server);
+            paths.recordDirectFailure(server, 0);
             assertFalse(paths.mustUsePeer(server, 0));
         }
 
         @Test
         void isNotUsedIfAnotherRouterReachesTheServer() {
-            paths.recordDirectFailure(server);
+            paths.recordDirectFailure(server, 0);
             paths.recordPeerSuccess(server, 0);
             assertTrue(paths.mustUsePeer(server, ServerPaths.FIRST_BROKEN_MS - 1));
             assertFalse(paths.mustUsePeer(servers.get(1), 0));
@@ -56,7 +56,7 @@
         void isTriedAgainWithinASecondHoweverOftenItFailed() {
             long now = 0;
             for (int i = 0; i < 5; i++) {
-                paths.recordDirectFailure(server);
+                paths.recordDirectFailure(server, 0);
                 paths.recordPeerSuccess(server, now);
                 now += 1_000;
                 assertFalse(paths.mustUsePeer(server, now));
@@ -65,7 +65,7 @@
 
         @Test
         void isUsedAtOnceAfterASuccess() {
-            paths.recordDirectFailure(server);
+            paths.recordDirectFailure(server, 0);
             paths.recordPeerSuccess(server, 0);
             paths.recordDirectSuccess(server);
             assertFalse(paths.mustUsePeer(server, 1));
@@ -95,7 +95,7 @@
         @Test
         void areNotLostByOneServerThatFailsOften() {
             for (int i = 0; i < 10; i++) {
-                paths.recordDirectFailure(servers.get(0));
+                paths.recordDirectFailure(servers.get(0), 0);
             }
             assertFalse(paths.areAllLost());
             assertFalse(paths.areDoubtful());
@@ -120,13 +120,43 @@
         @Test
         void areNotLostIfOtherRoutersDoNotReachTheServersEither() {
             failAt(4);
-            paths.recordUnreachable(servers.get(0));
-            paths.recordUnreachable(servers.get(1));
-            paths.recordUnreachable(servers.get(2));
+            paths.recordUnreachable(servers.get(0), 0);
+            paths.recordUnreachable(servers.get(1), 0);
+            paths.recordUnreachable(servers.get(2), 0);
             assertFalse(paths.areAllLost());
             assertFalse(paths.areDoubtful());
         }
 
+        /** Failure: servers that ended are tried again, and pass for lost paths. */
+        @Test
+        void areNotLostByMoreFailuresOfServersThatEnded() {
+            for (ServerIncarnation server : servers.subList(0, 5)) {
+                paths.recordUnreachable(server, 0);
+            }
+            servers.subList(0, 5).forEach(s -> paths.recordDirectFailure(s, 1));
+            assertFalse(paths.areAllLost());
+            assertFalse(paths.areDoubtful());
+            assertTrue(paths.isUnreachable(servers.get(0), 1));
+        }
+
+        /** Failure: while a few servers have ended, the loss of all paths is not noticed. */
+        @Test
+        void areLostOnceAllServersFailThatHaveNotEnded() {
+            paths.retainServers(first(4));
+            paths.recordUnreachable(servers.get(0), 0);
+            servers.subList(0, 3).forEach(s -> paths.recordDirectFailure(s, 1));
+            assertFalse(paths.areAllLost());
+            paths.recordDirectFailure(servers.get(3), 1);
+            assertTrue(paths.areAllLost());
+        }
+
+        @Test
+        void areLostByFailuresLongAfterServersWereUnreachable() {
+            first(4).forEach(s -> paths.recordUnreachable(s, 0));
+            first(4).forEach(s -> paths.recordDirectFailure(s, ServerPaths.UNREACHABLE_MS));
+            assertTrue(paths.areAllLost());
+        }
+
         @Test
         void areLostWithFewServersOnceAllFailed() {
             paths.retainServers(first(2));
--- a/masticweir/src/test/java/org/masticweir/path/TunnelTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/TunnelTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -55,6 +56,7 @@
     private InetSocketAddress port;
     private TunnelServer tunnels;
     private ServerSocket second;
+    private ServerSocket third;
     private volatile boolean isOpen = true;
     private volatile Optional<IOException> cut = Optional.empty();
     private volatile boolean isHanging;
@@ -65,8 +67,10 @@
         server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         port = freeAddress();
         second = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        third = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
         ImmutableList<BackendServer> listed =
-                ImmutableList.of(backend("e1", server), backend("e2", second));
+                ImmutableList.of(
+                        backend("e1", server), backend("e2", second), backend("e3", third));
         ServerDialer dialer =
                 new ServerDialer(
                         this::dial,
@@ -97,6 +101,7 @@
         tunnels.close();
         server.close();
         second.close();
+        third.close();
         worker.shutdownNow();
     }
 
@@ -214,6 +219,18 @@
             assertRefused("502 Bad Gateway", KEY, address);
         }
 
+        /** Failure: a router takes its paths for lost because other servers have ended as well. */
+        @Test
+        void ofAnEndedServerWhileAnotherOneHasEnded() throws Exception {
+            InetSocketAddress address = serverAddress();
+            server.close();
+            second.close();
+            for (int i = 0; i < 10; i++) {
+                assertRefused("502 Bad Gateway", KEY, address);
+            }
+            assertFalse(paths.areAllLost());
+        }
+
         /** Failure: a router that has just lost its paths calls a sound server unreachable. */
         @Test
         void ofARouterThatReachesNoServerItself() throws Exception {
@@ -345,7 +362,7 @@
     class Evidence {
         @Test
         void ofASuccessClearsFailures() throws Exception {
-            paths.recordDirectFailure(ServerIncarnation.of(EngineId.of("e1"), 0));
+            paths.recordDirectFailure(ServerIncarnation.of(EngineId.of("e1"), 0), 0);
             try (Socket client = open()) {
                 assertTrue(client.isConnected());
                 assertEquals(false, paths.areAllLost());
