One late reply of the only carrier no longer leaves a router without it

With no other peer the probes of the next servers that ended were withheld (NOT_REACHED, UNKNOWN), and counted for nothing: 5 ended in place of 3. Change: a peer that did not reply is the last choice, not no choice. One that says that it has no path or no room stays excluded for a second.

--- a/masticweir/src/main/java/org/masticweir/path/TunnelPeers.java
+++ b/masticweir/src/main/java/org/masticweir/path/TunnelPeers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.RouterId;
@@ -35,6 +36,7 @@
         private TunnelOffer offer;
         private int tunnelCount;
         private long failedUntilMs = Long.MIN_VALUE;
+        private boolean isSilent;
     }
 
     TunnelPeers(DomainId ownDomain, RandomGenerator random) {
@@ -47,6 +49,7 @@
         Peer peer = peers.computeIfAbsent(router, r -> new Peer());
         peer.offer = checkNotNull(offer, "offer");
         peer.failedUntilMs = Long.MIN_VALUE;
+        peer.isSilent = false;
     }
 
     /** Removes a router whose link is down. */
@@ -67,13 +70,21 @@
         return Optional.ofNullable(peers.get(router)).map(p -> p.offer);
     }
 
-    /** Returns the router that should carry the next tunnel; empty if there is none. */
+    /**
+     * Returns the router that should carry the next tunnel; empty if there is none. A router that
+     * did not reply is the last choice: one late reply must not cost the only carrier.
+     */
     Optional<RouterId> select(Set<RouterId> excluded, long nowMs) {
+        return select(excluded, p -> isUsable(p, nowMs))
+                .or(() -> select(excluded, p -> p.offer.isOpen() && p.isSilent));
+    }
+
+    private Optional<RouterId> select(Set<RouterId> excluded, Predicate<Peer> condition) {
         List<RouterId> near = new ArrayList<>();
         List<RouterId> far = new ArrayList<>();
         for (Map.Entry<RouterId, Peer> entry : peers.entrySet()) {
             Peer peer = entry.getValue();
-            if (isUsable(peer, nowMs) && !excluded.contains(entry.getKey())) {
+            if (condition.test(peer) && !excluded.contains(entry.getKey())) {
                 boolean isNear =
                         peer.offer.domain().equals(ownDomain)
                                 && peer.tunnelCount < MAX_TUNNELS_PER_PEER;
@@ -109,11 +120,16 @@
         }
     }
 
-    /** Records that a router did not open a tunnel for a reason of its own. */
-    void recordFailure(RouterId router, long nowMs) {
+    /**
+     * Records that a router did not open a tunnel for a reason of its own.
+     *
+     * @param isSilent whether it did not reply at all
+     */
+    void recordFailure(RouterId router, boolean isSilent, long nowMs) {
         Peer peer = peers.get(router);
         if (peer != null) {
             peer.failedUntilMs = nowMs + FAILED_MS;
+            peer.isSilent = isSilent;
         }
     }
 
--- a/masticweir/src/test/java/org/masticweir/path/TunnelPeersTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/TunnelPeersTest.java
@@ -62,11 +62,22 @@
         @Test
         void isARouterThatFailedUntilAMomentLater() {
             offer("near", "own", true);
-            peers.recordFailure(id("near"), 0);
+            peers.recordFailure(id("near"), false, 0);
             assertEquals(Optional.empty(), select());
             assertEquals(Optional.of(id("near")), peers.select(Set.of(), TunnelPeers.FAILED_MS));
         }
 
+        /** Failure: one late reply of the only peer leaves a router without a way for a second. */
+        @Test
+        void isNotTheOnlyRouterThatDidNotReply() {
+            offer("near", "own", true);
+            peers.recordFailure(id("near"), true, 0);
+            assertEquals(Optional.of(id("near")), select());
+            offer("far", "other", true);
+            assertEquals(Optional.of(id("far")), select());
+            assertEquals(Optional.of(id("near")), peers.select(Set.of(id("far")), 0));
+        }
+
         @Test
         void isARouterWhoseLinkIsDown() {
             offer("near", "own", true);
@@ -117,7 +128,7 @@
         @Test
         void usesANewOfferOfTheSameRouter() {
             offer("near", "own", true);
-            peers.recordFailure(id("near"), 0);
+            peers.recordFailure(id("near"), false, 0);
             offer("near", "own", true);
             assertEquals(Optional.of(id("near")), select());
         }
