A carrier that failed once is the last choice, whatever it answered

Peers that have really lost their paths withdraw their offers, and are not asked. Traced: r1 starts before the link to its only peer is up, takes i-plain for failed and prefers the second server, whose refusal it passes on, as it should. The feed no longer logs an error when its router closes during a call.

--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -107,7 +107,7 @@
         Call call = new Call(state.next(currentRole, clock.nowMs()), clock.nowMs());
         current = Optional.of(call);
         start(call.ask).thenAccept(outcome -> handOver(call, outcome));
-        control.schedule(() -> overdue(call), call.ask.timeoutMs(), TimeUnit.MILLISECONDS);
+        ControlThread.executeAfter(control, () -> overdue(call), call.ask.timeoutMs(), "feed");
     }
 
     private CompletableFuture<FeedOutcome> start(FeedState.Ask ask) {
--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -186,7 +186,7 @@
         ServerDialer.LOG.info(
                 "path: {} opens no tunnel to {}, {}", peer, server.incarnation(), status);
         if (status.isFailureOfPeer()) {
-            owner.peers().recordFailure(peer, status == TunnelStatus.NO_REPLY, owner.now());
+            owner.peers().recordFailure(peer, owner.now());
         }
         if (status == TunnelStatus.UNREACHABLE) {
             unreachableCount++;
--- a/masticweir/src/main/java/org/masticweir/path/TunnelPeers.java
+++ b/masticweir/src/main/java/org/masticweir/path/TunnelPeers.java
@@ -24,7 +24,7 @@
     /** Tunnels of this router at one peer from which on other peers are preferred. */
     static final int MAX_TUNNELS_PER_PEER = 48;
 
-    /** How long a peer is not chosen after it failed to open a tunnel, in ms. */
+    /** How long other peers are preferred after one failed to open a tunnel, in ms. */
     static final long FAILED_MS = 1_000;
 
     private final DomainId ownDomain;
@@ -36,7 +36,6 @@
         private TunnelOffer offer;
         private int tunnelCount;
         private long failedUntilMs = Long.MIN_VALUE;
-        private boolean isSilent;
     }
 
     TunnelPeers(DomainId ownDomain, RandomGenerator random) {
@@ -49,7 +48,6 @@
         Peer peer = peers.computeIfAbsent(router, r -> new Peer());
         peer.offer = checkNotNull(offer, "offer");
         peer.failedUntilMs = Long.MIN_VALUE;
-        peer.isSilent = false;
     }
 
     /** Removes a router whose link is down. */
@@ -72,11 +70,11 @@
 
     /**
      * Returns the router that should carry the next tunnel; empty if there is none. A router that
-     * did not reply is the last choice: one late reply must not cost the only carrier.
+     * has just failed is the last choice: one late reply must not cost the only carrier.
      */
     Optional<RouterId> select(Set<RouterId> excluded, long nowMs) {
         return select(excluded, p -> isUsable(p, nowMs))
-                .or(() -> select(excluded, p -> p.offer.isOpen() && p.isSilent));
+                .or(() -> select(excluded, p -> p.offer.isOpen()));
     }
 
     private Optional<RouterId> select(Set<RouterId> excluded, Predicate<Peer> condition) {
@@ -120,16 +118,11 @@
         }
     }
 
-    /**
-     * Records that a router did not open a tunnel for a reason of its own.
-     *
-     * @param isSilent whether it did not reply at all
-     */
-    void recordFailure(RouterId router, boolean isSilent, long nowMs) {
+    /** Records that a router did not open a tunnel for a reason of its own. */
+    void recordFailure(RouterId router, long nowMs) {
         Peer peer = peers.get(router);
         if (peer != null) {
             peer.failedUntilMs = nowMs + FAILED_MS;
-            peer.isSilent = isSilent;
         }
     }
 
