A router without links no longer tells of servers that it alone can't reach

Cause: a router that is linked to no other one took its own failed connection for the server's failure, and reported it as soon as a link came up (`health: r1 reports that i-plain failed`, seen while tracing UnframedAnswerTest: r1 starts with its paths cut). Others then prefer other servers for 5 s. Change: ConnectFailure.UNCONFIRMED. The router itself acts as before (excludes the server, counts a broken connection as an end), and reports nothing. Measured: ServerHealthTest.isOnlyReportedIfOthersConfirmIt; CrashingRequestTest, CrashingPromptTest and PartitionedRouterTest pass.

--- a/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServerHealth.java
@@ -110,7 +110,7 @@
     public void recordConnectFailure(BackendServer server, ConnectFailure failure, long nowMs) {
         if (failure == ConnectFailure.SERVER_UNREACHABLE) {
             recordFailure(server, nowMs);
-        } else if (failure == ConnectFailure.NOT_REACHED) {
+        } else if (failure == ConnectFailure.NOT_REACHED || failure == ConnectFailure.UNCONFIRMED) {
             recordLoss(server, nowMs);
         } else {
             excludeServer(serverState(server.incarnation()), nowMs);
--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -248,11 +248,14 @@
         }
         close();
         boolean isAlone = askedPeers.isEmpty() && owner.peers().isEmpty();
-        if (owner.paths().areAllLost() && !isConfirmed()) {
-            failure = ConnectFailure.NO_PATHS;
-        } else if (isConfirmed() || isAlone) {
+        if (isConfirmed()) {
             failure = ConnectFailure.SERVER_UNREACHABLE;
             owner.recordUnreachable(server);
+        } else if (owner.paths().areAllLost()) {
+            failure = ConnectFailure.NO_PATHS;
+        } else if (isAlone) {
+            failure = ConnectFailure.UNCONFIRMED;
+            owner.recordUnreachable(server);
         }
         callback.failed(new IOException("no connection to " + server.address()));
     }
--- a/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerCaller.java
@@ -194,8 +194,7 @@
                     sent
                             ? new HttpOutcome.MayHaveBeenSent("the exchange broke", isAnswering)
                             : new HttpOutcome.NeverSent(
-                                    "not reached",
-                                    attempt.failure() != ConnectFailure.SERVER_UNREACHABLE));
+                                    "not reached", !attempt.failure().isLikelyOfServer()));
         }
     }
 }
--- a/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/ServerHealthTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.catalog.ServerIncarnation;
+import org.masticweir.path.ConnectFailure;
 
 /** Tests which servers are excluded, and for how long. */
 class ServerHealthTest {
@@ -120,6 +121,18 @@
     /** One server fails alone. */
     @Nested
     class SingleFailure {
+        /** Failure: a router without links tells of sound servers that it does not reach. */
+        @Test
+        void isOnlyReportedIfOthersConfirmIt() {
+            health.recordConnectFailure(fixture.byId("a-1"), ConnectFailure.UNCONFIRMED, 0);
+            health.recordConnectFailure(fixture.byId("a-2"), ConnectFailure.NOT_REACHED, 0);
+            health.recordConnectFailure(fixture.byId("a-3"), ConnectFailure.NO_PATHS, 0);
+            assertTrue(health.isDown(fixture.byId("a-1"), 1));
+            assertEquals(0, health.drainFailureReports().size());
+            health.recordConnectFailure(fixture.byId("a-1"), ConnectFailure.SERVER_UNREACHABLE, 0);
+            assertEquals(1, health.drainFailureReports().size());
+        }
+
         @Test
         void doesNotMakeDomainSuspect() {
             health.recordFailure(fixture.byId("a-1"), 1_000);
