A failure that nobody could confirm is not remembered as the server's

Found in the review of the diff: a router without links recorded its own failure as confirmed by others for 5 s, anew with each attempt, so that with few servers it would never have taken its paths for lost, and would have stayed ready while it reaches no server. Change: recordUnconfirmed removes the failure and keeps no memory. Test: ServerPathsTest.areLostThoughNoOtherRouterCouldTell.

--- a/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
+++ b/masticweir/src/main/java/org/masticweir/path/ConnectAttempt.java
@@ -255,7 +255,7 @@
             failure = ConnectFailure.NO_PATHS;
         } else if (isAlone) {
             failure = ConnectFailure.UNCONFIRMED;
-            owner.recordUnreachable(server);
+            owner.recordUnconfirmed(server);
         }
         callback.failed(new IOException("no connection to " + server.address()));
     }
--- a/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
@@ -164,6 +164,14 @@
         onPathRecorded(server);
     }
 
+    /**
+     * Records that this router does not reach {@code server}, and that there is no other router.
+     */
+    void recordUnconfirmed(BackendServer server) {
+        paths.recordUnconfirmed(server.incarnation());
+        onPathRecorded(server);
+    }
+
     /** Reports a change of the paths, and starts checks while they are lost or doubtful. */
     private void onPathRecorded(BackendServer server) {
         boolean areAllLost = paths.areAllLost();
--- a/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
@@ -138,6 +138,15 @@
         unreachableUntilMs.put(server, nowMs + UNREACHABLE_MS);
     }
 
+    /**
+     * Records that {@code server} is not reached, and that no other router could tell whose failure
+     * it is. It does not count against the paths, but the next failure does.
+     */
+    void recordUnconfirmed(ServerIncarnation server) {
+        brokenPaths.remove(server);
+        failedServers.remove(server);
+    }
+
     /** Removes servers that are no longer listed. */
     public void retainServers(Set<ServerIncarnation> listed) {
         brokenPaths.keySet().retainAll(listed);
--- a/masticweir/src/test/java/org/masticweir/path/ServerPathsTest.java
+++ b/masticweir/src/test/java/org/masticweir/path/ServerPathsTest.java
@@ -150,6 +150,14 @@
             assertTrue(paths.areAllLost());
         }
 
+        /** Failure: a cut-off router without links never finds that its paths are lost. */
+        @Test
+        void areLostThoughNoOtherRouterCouldTell() {
+            first(4).forEach(s -> paths.recordUnconfirmed(s));
+            failAt(4);
+            assertTrue(paths.areAllLost());
+        }
+
         @Test
         void areLostByFailuresLongAfterServersWereUnreachable() {
             first(4).forEach(s -> paths.recordUnreachable(s, 0));
