--- a/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerDialer.java
@@ -195,7 +195,7 @@
     private void check() {
         List<BackendServer> candidates = new ArrayList<>(listedServers.get());
         Collections.shuffle(candidates, new Random(random.nextLong()));
-        // The failure of a server that others don't reach either tells nothing about the paths.
+        // A server that others don't reach either is no evidence about this router's paths.
         candidates.sort(comparing(s -> paths.isUnreachable(s.incarnation(), now())));
         if (paths.areAllLost()) {
             startChecks(candidates, s -> true, 1);
--- a/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
+++ b/masticweir/src/main/java/org/masticweir/path/ServerPaths.java
@@ -139,8 +139,8 @@
     }
 
     /**
-     * Records that {@code server} is not reached, and that no other router could tell whose failure
-     * it is. It does not count against the paths, but the next failure does.
+     * Records that {@code server} is not reached, and that there was no other router to confirm the
+     * failure. It does not count against the paths, but the next failure does.
      */
     void recordUnconfirmed(ServerIncarnation server) {
         brokenPaths.remove(server);
--- a/masticweir/src/main/java/org/masticweir/path/Tunnel.java
+++ b/masticweir/src/main/java/org/masticweir/path/Tunnel.java
@@ -130,8 +130,8 @@
     }
 
     /**
-     * Connects to other servers to tell a failed server from a lost path. A router that has just
-     * lost its paths would otherwise report each server as failed.
+     * Connects to other servers to distinguish a failed server from a lost path. A router that has
+     * just lost its paths would otherwise report each server as failed.
      */
     private void checkPaths() {
         if (isClosed || isOpen || isControlStarted) {
--- a/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
@@ -114,7 +114,7 @@
                 });
     }
 
-    /** Returns whether the next call may tell more: only a connection broke, and time is left. */
+    /** Returns whether to call again: only a connection broke, and time is left. */
     private boolean isRepeated(HttpOutcome outcome, int callNumber, long deadlineMs) {
         return outcome instanceof HttpOutcome.MayHaveBeenSent
                 && !outcome.showsAnsweringPeer()
