testing: the server of endless answers is shared by the tests of both interfaces

Cause: the own interface's engines had no test with answers that do not end, as the stand-in lived in the platform's tests.

Change: EndlessServer and its kinds of answers move to masticweir-testing; one kind is new, empty lines. No check changed.

--- a/platform/src/test/java/org/masticweir/platform/EndlessServer.java
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
@@ -1,4 +1,4 @@
-package org.masticweir.platform;
+package org.masticweir.testing;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Set;
@@ -21,8 +22,8 @@
  * until the caller closes. It gives up after {@link #LIMIT_BYTES}, so that a caller that takes them
  * all fails a test and does not stop it.
  */
-final class EndlessServer implements AutoCloseable {
-    static final long LIMIT_BYTES = 96 << 20;
+public final class EndlessServer implements AutoCloseable {
+    public static final long LIMIT_BYTES = 96 << 20;
 
     private static final int BLOCK_BYTES = 16 << 10;
     private static final Pattern LENGTH =
@@ -30,6 +31,9 @@
     private static final Pattern ATTEMPT =
             Pattern.compile("(?i)^x-attempt-id: *(\\S+)", Pattern.MULTILINE);
     private static final String HEAD_END = "\r\n\r\n";
+    private static final String FIELDS = "X-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n" + FIELDS;
+    private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
     private final String id;
     private final String start;
@@ -40,8 +44,36 @@
     private final AtomicLong mostBytes = new AtomicLong();
     private volatile Probes probes = Probes.ENDLESS;
 
+    /** Where the answer does not end. */
+    public enum Endless {
+        GARBAGE("", "\u0000"),
+        STATUS_LINE("HTTP/1.1 200 ", "x"),
+        FIELD_NAME("HTTP/1.1 200 OK\r\n", "x"),
+        FIELD_VALUE("HTTP/1.1 200 OK\r\nX-Any: ", "x"),
+        HEAD_FIELDS("HTTP/1.1 200 OK\r\n", "X-Any: x\r\n"),
+        INTERIM_HEADS("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        CHUNK_SIZE(CHUNKED, "0"),
+        CHUNK_EXTENSION(CHUNKED + "4;", "x"),
+        TRAILER(CHUNKED + "4\r\nbody\r\n0\r\n", "X-Any: x\r\n"),
+        CHUNKS(CHUNKED, "4\r\nbody\r\n"),
+        BODY(HEAD + "\r\n", "body"),
+        LINES(HEAD + "\r\n", "a line\n"),
+        EMPTY_LINES(HEAD + "\r\n", "\n"),
+        BODY_OF_A_REFUSAL(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + FIELDS + "\r\n",
+                "body");
+
+        private final String start;
+        private final String rest;
+
+        Endless(String start, String rest) {
+            this.start = start;
+            this.rest = rest;
+        }
+    }
+
     /** How the server answers probes, which carry no id of a send. */
-    enum Probes {
+    public enum Probes {
         ENDLESS,
         /** The answer stops after its first bytes. */
         STALL,
@@ -49,35 +81,26 @@
         SILENT
     }
 
-    /**
-     * Starts the server.
-     *
-     * @param start what each answer begins with
-     * @param rest what follows, again and again
-     */
-    EndlessServer(String id, String start, String rest) throws IOException {
+    /** Starts the server. */
+    public EndlessServer(String id, Endless kind) throws IOException {
         this.id = id;
-        this.start = start;
+        start = kind.start;
+        String rest = kind.rest;
         block = rest.repeat(Math.max(1, BLOCK_BYTES / rest.length())).getBytes(ISO_8859_1);
         listener = new ServerSocket(0, 400, InetAddress.getLoopbackAddress());
         threads.execute(this::accept);
     }
 
-    void answerProbes(Probes kind) {
+    public void answerProbes(Probes kind) {
         probes = kind;
     }
 
-    /** Returns the entry that the server writes into the store. */
-    String entry(String service, String zone) {
-        return String.format(
-                "{\"version\":\"v1\",\"seq\":1,\"warmupLeftMs\":0,\"service\":\"%s\","
-                        + "\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"slots\":400,"
-                        + "\"state\":\"ready\"}",
-                service, listener.getLocalPort(), zone);
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
     }
 
     /** Returns the most bytes that a caller let come on one connection. */
-    long mostBytes() {
+    public long mostBytes() {
         return mostBytes.get();
     }
 
