testing: the server of endless answers sends from a small buffer

EndlessAnswerTest.endsAsAFailureForEachOfMany got 504 for 502 or 503 from one request of 200, once in four runs at once beside the tests of a module.

Cause: 200 threads of the test's own server write into buffers that the system enlarges to 4 MB and more each. They run in the router's process and take its one thread's time: in the log requests wait up to 5.9 s for their first send, and the sends under way end after 2.3 s, where a calm run takes 0.4 s.

Ruled out: a request that waits for an endless answer; each send ended at its bound, none at its deadline for want of one.

Change: the server's connections have a send buffer of 64 KB. The check, its bounds and the answers are the same.

--- a/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
@@ -26,6 +26,10 @@
     public static final long LIMIT_BYTES = 96 << 20;
 
     private static final int BLOCK_BYTES = 16 << 10;
+
+    /** Small, so that many connections don't use the processors that their reader needs. */
+    private static final int SEND_BUFFER_BYTES = 64 << 10;
+
     private static final Pattern LENGTH =
             Pattern.compile("(?i)content-length: *(\\d+)", Pattern.MULTILINE);
     private static final Pattern ATTEMPT =
@@ -118,6 +122,7 @@
             try {
                 Socket connection = listener.accept();
                 connections.add(connection);
+                connection.setSendBufferSize(SEND_BUFFER_BYTES);
                 threads.execute(() -> serve(connection));
             } catch (IOException e) {
                 // The test has ended.
