http: the buffer of an incomplete event is a class of its own

Cause: the readers of events and of an engine's lines each had a growing buffer; only the one of events had memory limits for all together.

--- a/masticweir/src/main/java/org/masticweir/http/AnswerLimitException.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerLimitException.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 
 /** Reports an answer that exceeds a limit of this process; the peer has not closed. */
-final class AnswerLimitException extends IOException {
+public final class AnswerLimitException extends IOException {
     private static final long serialVersionUID = 1L;
 
-    AnswerLimitException(String message) {
+    public AnswerLimitException(String message) {
         super(message);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/EventSplitter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EventSplitter.java
@@ -1,13 +1,12 @@
 package org.masticweir.relay;
 
-import static com.google.common.base.Preconditions.checkNotNull;
-
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.OptionalLong;
 import org.masticweir.http.AnswerPool;
+import org.masticweir.http.PartialMessage;
 
 /**
  * Splits a stream of server-sent events into single events and parses their ids; not thread-safe.
@@ -20,16 +19,9 @@
     /** Maximum size of a buffered event; prevents a faulty server from exhausting the memory. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
-    /** Size up to which an event takes nothing from the pool. */
-    private static final int SHORT_EVENT_BYTES = 64 << 10;
-
-    private static final int INITIAL_BUFFER_BYTES = 512;
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
-    private final AnswerPool pool;
-    private byte[] eventBytes = new byte[INITIAL_BUFFER_BYTES];
-    private long pooledBytes;
-    private int eventLength;
+    private final PartialMessage partialEvent;
     private int lineStart;
     private OptionalLong eventId = OptionalLong.empty();
 
@@ -39,7 +31,7 @@
      * @param pool memory that long events share
      */
     EventSplitter(AnswerPool pool) {
-        this.pool = checkNotNull(pool, "pool");
+        partialEvent = new PartialMessage(MAX_EVENT_BYTES, pool);
     }
 
     /** Receives complete events. */
@@ -58,7 +50,7 @@
     void feed(ByteBuffer in, Sink sink) throws IOException {
         while (in.hasRemaining()) {
             byte b = in.get();
-            append(b);
+            partialEvent.append(b);
             if (b == '\n') {
                 endLine(sink);
             }
@@ -67,67 +59,41 @@
 
     /** Returns whether the buffer is empty, that is, the last event is complete. */
     boolean isAtEventEnd() {
-        return eventLength == 0;
-    }
-
-    private void append(byte b) throws IOException {
-        if (eventLength == MAX_EVENT_BYTES) {
-            throw new IOException("event longer than " + MAX_EVENT_BYTES + " bytes");
-        }
-        if (eventLength == eventBytes.length) {
-            grow();
-        }
-        eventBytes[eventLength] = b;
-        eventLength++;
-    }
-
-    private void grow() throws IOException {
-        int length = eventLength * 2;
-        long required = length <= SHORT_EVENT_BYTES ? 0 : length - pooledBytes;
-        if (!pool.take(required)) {
-            throw new IOException("no memory for an event of more than " + eventLength + " bytes");
-        }
-        pooledBytes += required;
-        eventBytes = Arrays.copyOf(eventBytes, length);
+        return partialEvent.length() == 0;
     }
 
     /** Gives the memory of a long event back to the pool. */
     @Override
     public void close() {
-        if (pooledBytes > 0) {
-            pool.putBack(pooledBytes);
-            pooledBytes = 0;
-            eventBytes = new byte[INITIAL_BUFFER_BYTES];
-        }
+        partialEvent.close();
     }
 
     private void endLine(Sink sink) throws IOException {
-        int end = eventLength - 1;
-        if (end > lineStart && eventBytes[end - 1] == '\r') {
+        byte[] bytes = partialEvent.array();
+        int end = partialEvent.length() - 1;
+        if (end > lineStart && bytes[end - 1] == '\r') {
             end--;
         }
         if (end > lineStart) {
-            readId(end);
-            lineStart = eventLength;
+            readId(bytes, end);
+            lineStart = partialEvent.length();
             return;
         }
-        ByteBuffer completeEvent = ByteBuffer.wrap(Arrays.copyOf(eventBytes, eventLength));
+        ByteBuffer completeEvent = ByteBuffer.wrap(Arrays.copyOf(bytes, partialEvent.length()));
         OptionalLong completeEventId = eventId;
-        eventLength = 0;
         lineStart = 0;
         eventId = OptionalLong.empty();
-        close();
+        partialEvent.clear();
         sink.onEvent(completeEvent, completeEventId);
     }
 
-    private void readId(int end) {
+    private void readId(byte[] bytes, int end) {
         int start = lineStart + ID.length;
-        boolean isIdLine =
-                end > start && Arrays.equals(eventBytes, lineStart, start, ID, 0, ID.length);
+        boolean isIdLine = end > start && Arrays.equals(bytes, lineStart, start, ID, 0, ID.length);
         if (!isIdLine) {
             return;
         }
-        String text = new String(eventBytes, start, end - start, StandardCharsets.US_ASCII).trim();
+        String text = new String(bytes, start, end - start, StandardCharsets.US_ASCII).trim();
         try {
             eventId = OptionalLong.of(Long.parseLong(text));
         } catch (NumberFormatException e) {
