engine: an error answer that does not end is cut at its limit

Cause: of an error answer 16 KB were kept and all that followed was read and dropped, for as long as the engine sent it. The stream stayed open and kept its thread busy.

Change: beyond 16 KB the stream is lost, as an answer that cannot be read was before: the engine may have run it.

--- a/masticweir/src/main/java/org/masticweir/engine/EngineStream.java
+++ b/masticweir/src/main/java/org/masticweir/engine/EngineStream.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.masticweir.generation.Frame;
+import org.masticweir.http.AnswerLimitException;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpStream;
@@ -93,10 +94,13 @@
                 reader.read(part, EngineStream.this::onFrame);
                 return;
             }
-            while (part.hasRemaining() && errorBody.size() < MAX_ERROR_BYTES) {
+            if (part.remaining() > MAX_ERROR_BYTES - errorBody.size()) {
+                throw new AnswerLimitException(
+                        "error answer longer than " + MAX_ERROR_BYTES + " bytes");
+            }
+            while (part.hasRemaining()) {
                 errorBody.write(part.get());
             }
-            part.position(part.limit());
         }
 
         @Override
