engine: long lines of all streams share a pool

Cause: a line of an engine's stream may have 1 MB, and each stream kept as much on its own. Lines without an end on many streams together exhaust the memory of a router; found by reading.

Change: FrameReader keeps a line in a PartialMessage; what lines have beyond 64 KB comes from 16 MB for all streams. EngineStream gives it back at its end.

Result: FrameReaderTest.longLinesShareAPool; without the pool each of its readers keeps its line.

--- a/masticweir/src/main/java/org/masticweir/engine/EngineClient.java
+++ b/masticweir/src/main/java/org/masticweir/engine/EngineClient.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableMap;
 import io.undertow.connector.ByteBufferPool;
 import java.net.InetSocketAddress;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.http.HttpCall;
 import org.masticweir.id.AttemptId;
 import org.masticweir.id.GenerationId;
@@ -16,6 +17,10 @@
  * <p>Every stream lives on the I/O thread it was opened for, and its listener is called there.
  */
 public final class EngineClient {
+    /** Memory for the long lines of all streams, in bytes. */
+    private static final long LINE_POOL_BYTES = 16 << 20;
+
+    private final AnswerPool lines = AnswerPool.of(LINE_POOL_BYTES);
     private final ByteBufferPool buffers;
     private final long connectTimeoutMs;
 
@@ -41,7 +46,7 @@
                         "/v1/generations",
                         ImmutableMap.of("Content-Type", "application/json"),
                         AttemptBody.of(attempt));
-        return EngineStream.open(thread, buffers, call, connectTimeoutMs, listener);
+        return EngineStream.open(thread, buffers, call, connectTimeoutMs, lines, listener);
     }
 
     /** Reads the stream of a generation that the engine may still hold, from {@code from} on. */
@@ -54,7 +59,7 @@
         String path =
                 pathOf(attempt.generation()) + "?from=" + from + "&attempt=" + attempt.number();
         HttpCall call = HttpCall.get(address, path);
-        return EngineStream.open(thread, buffers, call, connectTimeoutMs, listener);
+        return EngineStream.open(thread, buffers, call, connectTimeoutMs, lines, listener);
     }
 
     /** Returns the path of a generation on an engine. */
--- a/masticweir/src/main/java/org/masticweir/engine/EngineStream.java
+++ b/masticweir/src/main/java/org/masticweir/engine/EngineStream.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import org.masticweir.generation.Frame;
 import org.masticweir.http.AnswerLimitException;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpStream;
@@ -28,7 +29,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final StreamListener listener;
-    private final FrameReader reader = new FrameReader();
+    private final FrameReader reader;
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private final HttpStream http;
 
@@ -40,26 +41,39 @@
             ByteBufferPool buffers,
             HttpCall call,
             long connectTimeoutMs,
+            AnswerPool lines,
             StreamListener listener) {
         this.listener = checkNotNull(listener, "listener");
+        reader = new FrameReader(lines);
         http = HttpStream.open(thread, buffers, call, connectTimeoutMs, new Bytes());
     }
 
+    /**
+     * Opens a stream.
+     *
+     * @param lines memory that long lines of all streams share
+     */
     static EngineStream open(
             XnioIoThread thread,
             ByteBufferPool buffers,
             HttpCall call,
             long connectTimeoutMs,
+            AnswerPool lines,
             StreamListener listener) {
-        return new EngineStream(thread, buffers, call, connectTimeoutMs, listener);
+        return new EngineStream(thread, buffers, call, connectTimeoutMs, lines, listener);
     }
 
     @Override
     public void close() {
-        over = true;
+        markOver();
         http.close();
     }
 
+    private void markOver() {
+        over = true;
+        reader.close();
+    }
+
     private void onFrame(Frame frame) {
         if (over) {
             return;
@@ -108,7 +122,7 @@
             if (over) {
                 return;
             }
-            over = true;
+            markOver();
             if (status == StatusCodes.OK) {
                 // The body ended without an end frame: the engine's side gave up on the stream.
                 listener.lost(true);
@@ -120,7 +134,7 @@
         @Override
         public void lost(boolean sent) {
             if (!over) {
-                over = true;
+                markOver();
                 listener.lost(sent);
             }
         }
--- a/masticweir/src/main/java/org/masticweir/engine/FrameReader.java
+++ b/masticweir/src/main/java/org/masticweir/engine/FrameReader.java
@@ -8,10 +8,11 @@
 import com.google.common.primitives.ImmutableIntArray;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.masticweir.generation.Frame;
+import org.masticweir.http.AnswerPool;
+import org.masticweir.http.PartialMessage;
 import org.masticweir.id.AttemptId;
 import org.masticweir.id.GenerationId;
 import org.masticweir.id.RequestId;
@@ -19,19 +20,26 @@
 /**
  * Cuts an engine's byte stream into lines and reads each as a frame; not thread-safe.
  *
- * <p>Lines are bounded, so that a broken engine cannot make a router keep more than {@link
- * #MAX_LINE_BYTES}.
+ * <p>Lines are limited to {@link #MAX_LINE_BYTES}, and long lines of all readers share a pool, so
+ * that faulty engines don't exhaust the memory.
  */
-final class FrameReader {
+final class FrameReader implements AutoCloseable {
     static final int MAX_LINE_BYTES = 1 << 20;
 
-    private static final int FIRST_LINE_BYTES = 512;
     private static final JsonFactory JSON = new JsonFactory();
 
-    private byte[] line = new byte[FIRST_LINE_BYTES];
-    private int length;
+    private final PartialMessage line;
     private Optional<AttemptId> lastAttempt = Optional.empty();
 
+    /**
+     * Creates a reader.
+     *
+     * @param pool memory that long lines share
+     */
+    FrameReader(AnswerPool pool) {
+        line = new PartialMessage(MAX_LINE_BYTES, pool);
+    }
+
     /**
      * Takes the bytes of {@code in} and gives every frame that is complete to {@code out}.
      *
@@ -59,35 +67,31 @@
         while (end < in.limit() && in.get(end) != '\n') {
             end++;
         }
-        append(in, end - start);
+        line.append(in, end - start);
         if (in.hasRemaining()) {
             in.get();
             endLine(run);
         }
     }
 
-    private void append(ByteBuffer in, int bytes) throws IOException {
-        if (bytes > MAX_LINE_BYTES - length) {
-            throw new IOException("engine line longer than " + MAX_LINE_BYTES + " bytes");
-        }
-        if (length + bytes > line.length) {
-            line = Arrays.copyOf(line, Math.max(length + bytes, line.length * 2));
-        }
-        in.get(line, length, bytes);
-        length += bytes;
+    /** Gives the memory of a long line back to the pool. */
+    @Override
+    public void close() {
+        line.close();
     }
 
     private void endLine(TokenRun run) throws IOException {
-        int bytes = length;
-        length = 0;
-        if (bytes > 0) {
-            run.add(parse(bytes));
+        if (line.length() == 0) {
+            return;
         }
+        Frame frame = parse();
+        line.clear();
+        run.add(frame);
     }
 
-    private Frame parse(int bytes) throws IOException {
+    private Frame parse() throws IOException {
         Fields fields = new Fields();
-        try (JsonParser parser = JSON.createParser(line, 0, bytes)) {
+        try (JsonParser parser = JSON.createParser(line.array(), 0, line.length())) {
             parser.nextToken();
             while (parser.nextToken() == JsonToken.FIELD_NAME) {
                 String name = parser.currentName();
--- a/masticweir/src/test/java/org/masticweir/engine/FrameReaderTest.java
+++ b/masticweir/src/test/java/org/masticweir/engine/FrameReaderTest.java
@@ -13,13 +13,17 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.generation.Frame;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.id.AttemptId;
 import org.masticweir.id.GenerationId;
 import org.masticweir.id.RequestId;
 
 /** Tests {@link FrameReader}. */
 final class FrameReaderTest {
-    private final FrameReader reader = new FrameReader();
+    private static final int POOL_BYTES = 4 << 20;
+
+    private final AnswerPool pool = AnswerPool.of(POOL_BYTES);
+    private final FrameReader reader = new FrameReader(pool);
     private final List<Frame> frames = new ArrayList<>();
 
     private static String tokens(int attempt, int index, String tokens) {
@@ -103,6 +107,21 @@
             read(Strings.repeat(" ", FrameReader.MAX_LINE_BYTES));
             assertThrows(IOException.class, () -> read(" "));
         }
+
+        /** Failure: many lines without an end exhaust the memory together. */
+        @Test
+        void longLinesShareAPool() throws IOException {
+            List<FrameReader> readers = new ArrayList<>();
+            ByteBuffer line = ByteBuffer.allocate(FrameReader.MAX_LINE_BYTES);
+            for (int i = 0; i < POOL_BYTES / FrameReader.MAX_LINE_BYTES; i++) {
+                readers.add(new FrameReader(pool));
+                readers.get(i).read(line.duplicate(), frames::add);
+            }
+            assertThrows(IOException.class, () -> reader.read(line.duplicate(), frames::add));
+            readers.forEach(FrameReader::close);
+            reader.close();
+            assertEquals(POOL_BYTES, pool.freeBytes());
+        }
     }
 
     @Test
