engine: empty lines without end are no stream

Cause: empty lines of an engine's stream counted as nothing, neither as a frame nor as a length, so a stream of them was read for as long as the engine sent them, and its connection and thread were busy.

Change: more than 1,024 empty lines between two frames lose the stream.

FrameReaderTest: two more tests.

--- a/masticweir/src/main/java/org/masticweir/engine/FrameReader.java
+++ b/masticweir/src/main/java/org/masticweir/engine/FrameReader.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.masticweir.generation.Frame;
+import org.masticweir.http.AnswerLimitException;
 import org.masticweir.http.AnswerPool;
 import org.masticweir.http.PartialMessage;
 import org.masticweir.id.AttemptId;
@@ -21,14 +22,17 @@
  * Cuts an engine's byte stream into lines and reads each as a frame; not thread-safe.
  *
  * <p>Lines are limited to {@link #MAX_LINE_BYTES}, and long lines of all readers share a pool, so
- * that faulty engines don't exhaust the memory.
+ * that faulty engines don't exhaust the memory. The empty lines between two frames are limited too,
+ * so that a stream doesn't stay open without a frame for as long as they come.
  */
 final class FrameReader implements AutoCloseable {
     static final int MAX_LINE_BYTES = 1 << 20;
+    static final int MAX_EMPTY_LINES = 1_024;
 
     private static final JsonFactory JSON = new JsonFactory();
 
     private final PartialMessage line;
+    private int emptyLines;
     private Optional<AttemptId> lastAttempt = Optional.empty();
 
     /**
@@ -82,13 +86,22 @@
 
     private void endLine(TokenRun run) throws IOException {
         if (line.length() == 0) {
+            countEmptyLine();
             return;
         }
+        emptyLines = 0;
         Frame frame = parse();
         line.clear();
         run.add(frame);
     }
 
+    private void countEmptyLine() throws IOException {
+        emptyLines++;
+        if (emptyLines > MAX_EMPTY_LINES) {
+            throw new AnswerLimitException("more than " + MAX_EMPTY_LINES + " empty lines");
+        }
+    }
+
     private Frame parse() throws IOException {
         Fields fields = new Fields();
         try (JsonParser parser = JSON.createParser(line.array(), 0, line.length())) {
--- a/masticweir/src/test/java/org/masticweir/engine/FrameReaderTest.java
+++ b/masticweir/src/test/java/org/masticweir/engine/FrameReaderTest.java
@@ -108,6 +108,20 @@
             assertThrows(IOException.class, () -> read(" "));
         }
 
+        @Test
+        void emptyLinesOverTheBoundAreRefused() throws IOException {
+            read(Strings.repeat("\n", FrameReader.MAX_EMPTY_LINES));
+            assertThrows(IOException.class, () -> read("\n"));
+        }
+
+        @Test
+        void emptyLinesAreCountedAnewAfterEachFrame() throws IOException {
+            for (int i = 0; i < 3; i++) {
+                read(Strings.repeat("\n", FrameReader.MAX_EMPTY_LINES) + tokens(1, i, "9"));
+            }
+            assertEquals(3, frames.size());
+        }
+
         /** Failure: many lines without an end exhaust the memory together. */
         @Test
         void longLinesShareAPool() throws IOException {
