http: a closed buffer of an answer keeps no memory

Cause: AnswerBuffer.close gave its share back to the pool and reset its stream, which keeps the array. While the exchange was still referenced, by a timer for instance, up to 8 MB were held that the pool counted as free.

Change: close drops the array.

Before: AnswerBufferTest.closedBufferKeepsNoMemory fails, 30 closed buffers of a pool of 4 MB keep more than the pool. After: it passes.

--- a/masticweir/src/main/java/org/masticweir/http/AnswerBuffer.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerBuffer.java
@@ -14,7 +14,7 @@
 
     private final int maxBytes;
     private final AnswerPool pool;
-    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    private ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private long pooledBytes;
 
     /**
@@ -61,6 +61,7 @@
     public void close() {
         pool.putBack(pooledBytes);
         pooledBytes = 0;
-        bytes.reset();
+        // A reset would keep the array for as long as the exchange is referenced.
+        bytes = new ByteArrayOutputStream();
     }
 }
--- a/masticweir/src/test/java/org/masticweir/http/AnswerBufferTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/AnswerBufferTest.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -69,4 +72,24 @@
         endless.forEach(AnswerBuffer::close);
         assertEquals(POOL_BYTES, pool.freeBytes());
     }
+
+    /**
+     * Failure: a closed buffer whose exchange is still referenced keeps memory that is not counted.
+     */
+    @Test
+    void closedBufferKeepsNoMemory() {
+        List<AnswerBuffer> closed = new ArrayList<>();
+        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        memory.gc();
+        long before = memory.getHeapMemoryUsage().getUsed();
+        for (int i = 0; i < 30; i++) {
+            AnswerBuffer buffer = new AnswerBuffer(MAX_BYTES, pool);
+            closed.add(buffer);
+            fill(buffer);
+            buffer.close();
+        }
+        memory.gc();
+        long kept = memory.getHeapMemoryUsage().getUsed() - before;
+        assertTrue(kept <= POOL_BYTES, kept + " bytes of " + closed.size() + " buffers kept");
+    }
 }
