testing: the server of endless answers gets the vendor's fields from the test

Cause: WireNamesTest failed, as the shared server had field names of the platform, which belong into platform/ alone.

--- a/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -32,14 +33,11 @@
 
     private static final Pattern LENGTH =
             Pattern.compile("(?i)content-length: *(\\d+)", Pattern.MULTILINE);
-    private static final Pattern ATTEMPT =
-            Pattern.compile("(?i)^x-attempt-id: *(\\S+)", Pattern.MULTILINE);
     private static final String HEAD_END = "\r\n\r\n";
-    private static final String FIELDS = "X-Attempt-Id: {attempt}\r\nX-Server-Seal: {seal}\r\n";
-    private static final String HEAD = "HTTP/1.1 200 OK\r\n" + FIELDS;
+    private static final String HEAD = "HTTP/1.1 200 OK\r\n{fields}";
     private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
-    private final String id;
+    private final Fields fields;
     private final String start;
     private final byte[] block;
     private final ServerSocket listener;
@@ -63,9 +61,7 @@
         BODY(HEAD + "\r\n", "body"),
         LINES(HEAD + "\r\n", "a line\n"),
         EMPTY_LINES(HEAD + "\r\n", "\n"),
-        BODY_OF_A_REFUSAL(
-                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + FIELDS + "\r\n",
-                "body");
+        BODY_OF_A_REFUSAL("HTTP/1.1 503 Service Unavailable\r\n{refusal}{fields}\r\n", "body");
 
         private final String start;
         private final String rest;
@@ -85,9 +81,31 @@
         SILENT
     }
 
-    /** Starts the server. */
-    public EndlessServer(String id, Endless kind) throws IOException {
-        this.id = id;
+    /**
+     * Head fields of a vendor's protocol.
+     *
+     * @param attempt name of the field of a request that has the id of its attempt
+     * @param answer fields of each answer; {@code {attempt}} is replaced by the id
+     * @param refusal fields of a refusal besides
+     */
+    public record Fields(String attempt, String answer, String refusal) {
+        static final Fields NONE = new Fields("", "", "");
+
+        private Optional<String> attemptOf(String head) {
+            Matcher matcher =
+                    Pattern.compile("(?im)^" + Pattern.quote(attempt) + ": *(\\S+)").matcher(head);
+            return matcher.find() ? Optional.of(matcher.group(1)) : Optional.empty();
+        }
+    }
+
+    /** Starts a server whose answers have no fields of a vendor. */
+    public EndlessServer(Endless kind) throws IOException {
+        this(kind, Fields.NONE);
+    }
+
+    /** Starts a server whose answers have {@code fields}. */
+    public EndlessServer(Endless kind, Fields fields) throws IOException {
+        this.fields = fields;
         start = kind.start;
         String rest = kind.rest;
         block = rest.repeat(Math.max(1, BLOCK_BYTES / rest.length())).getBytes(ISO_8859_1);
@@ -138,17 +156,17 @@
             if (head.isEmpty()) {
                 return;
             }
-            Matcher attempt = ATTEMPT.matcher(head);
-            boolean isProbe = !attempt.find();
-            String attemptId = isProbe ? "" : attempt.group(1);
+            Optional<String> attempt = fields.attemptOf(head);
+            boolean isProbe = attempt.isEmpty();
             if (isProbe && probes == Probes.SILENT) {
                 awaitClose(connection);
                 return;
             }
             OutputStream out = connection.getOutputStream();
             out.write(
-                    start.replace("{attempt}", attemptId)
-                            .replace("{seal}", "seal-" + id)
+                    start.replace("{refusal}", fields.refusal())
+                            .replace("{fields}", fields.answer())
+                            .replace("{attempt}", attempt.orElse(""))
                             .getBytes(ISO_8859_1));
             if (isProbe && probes == Probes.STALL) {
                 awaitClose(connection);
--- a/masticweir/src/test/java/org/masticweir/engine/EndlessEngineTest.java
+++ b/masticweir/src/test/java/org/masticweir/engine/EndlessEngineTest.java
@@ -91,7 +91,7 @@
     }
 
     private void assertEachIsLost(Endless kind, int count) throws Exception {
-        try (EndlessServer server = new EndlessServer("e1", kind)) {
+        try (EndlessServer server = new EndlessServer(kind)) {
             List<CompletableFuture<End>> ends = new ArrayList<>();
             for (int i = 0; i < count; i++) {
                 ends.add(read(server));
