http: lines of a body no longer pass for lines of its head

What callers would see: 502 for a sound answer, and a sound server counted as failing, if the first read of the answer has over 256 lines of its body.

Cause: the limit on the lines of a head counted all lines of each read until the library had parsed the head, also the lines of the body that came with it.

Change: the count ends with the empty line that ends the head, and goes on after the head of an interim answer.

--- a/masticweir/src/main/java/org/masticweir/http/AnswerFraming.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerFraming.java
@@ -24,6 +24,9 @@
     /** Bytes of an exchange that may be no body; a body read ahead with the head counts too. */
     static final int MAX_BYTES = 64 << 10;
 
+    /** Place in the first line of a head at which the status begins, counted from 1. */
+    private static final int STATUS_OFFSET = "HTTP/1.1 2".length();
+
     /** Lines of one head. */
     static final int MAX_HEAD_LINES = 256;
 
@@ -36,7 +39,8 @@
     private long receivedBytes;
     private long bodyBytes;
     private int headLines;
-    private boolean isAtLineStart = true;
+    private int lineBytes;
+    private boolean isInterim;
     private boolean isHeadAwaited = true;
     private boolean isLifted;
     private boolean isExceeded;
@@ -68,7 +72,8 @@
         receivedBytes = 0;
         bodyBytes = 0;
         headLines = 0;
-        isAtLineStart = true;
+        lineBytes = 0;
+        isInterim = false;
         isHeadAwaited = true;
     }
 
@@ -110,17 +115,26 @@
         for (int i = start; isHeadAwaited && i < buffer.position(); i++) {
             byte b = buffer.get(i);
             if (b == '\n') {
-                headLines = isAtLineStart ? 0 : headLines + 1;
-                isAtLineStart = true;
+                endLine();
             } else if (b != '\r') {
-                isAtLineStart = false;
-            }
-            if (headLines > MAX_HEAD_LINES) {
-                throw exceeded("a head of more than " + MAX_HEAD_LINES + " lines");
+                lineBytes++;
+                isInterim = headLines == 0 && lineBytes == STATUS_OFFSET ? b == '1' : isInterim;
             }
         }
     }
 
+    private void endLine() throws IOException {
+        boolean isHeadEnd = lineBytes == 0 && headLines > 0;
+        headLines = lineBytes == 0 ? 0 : headLines + 1;
+        lineBytes = 0;
+        if (isHeadEnd && !isInterim) {
+            isHeadAwaited = false;
+        }
+        if (headLines > MAX_HEAD_LINES) {
+            throw exceeded("a head of more than " + MAX_HEAD_LINES + " lines");
+        }
+    }
+
     private AnswerLimitException exceeded(String message) {
         isExceeded = true;
         return new AnswerLimitException(message);
--- a/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
@@ -146,6 +146,40 @@
         }
     }
 
+    /** A sound answer fails, as the lines of its body pass for lines of its head. */
+    @Nested
+    class AnswerOfManyLines {
+        private static final int LINES = AnswerFraming.MAX_HEAD_LINES + 100;
+
+        private final String body = "a\n".repeat(LINES);
+        private final String answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: " + 2 * LINES + "\r\n\r\n" + body;
+
+        @Test
+        void isWhole() throws Exception {
+            assertEquals("whole: " + body, exchangeAtOnce(Ending.CLOSE, answer));
+        }
+
+        @Test
+        void isWholeAfterAnInterimHead() throws Exception {
+            String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            assertEquals("whole: " + body, exchangeAtOnce(Ending.CLOSE, interim + answer));
+        }
+
+        @Test
+        void isLostIfTheLinesAreOfItsHead() throws Exception {
+            String head = "HTTP/1.1 200 OK\r\n" + "X: a\r\n".repeat(LINES) + "\r\n";
+            assertEquals("lost: ", exchangeAtOnce(Ending.CLOSE, head));
+        }
+
+        @Test
+        void isLostIfTheLinesAreOfTheHeadAfterAnInterimOne() throws Exception {
+            String interim = "HTTP/1.1 100 Continue\r\n\r\n";
+            String head = "HTTP/1.1 200 OK\r\n" + "X: a\r\n".repeat(LINES) + "\r\n";
+            assertEquals("lost: ", exchangeAtOnce(Ending.CLOSE, interim + head));
+        }
+    }
+
     /** What is sent is asked for when the server takes the connection. */
     @Nested
     class Call {
