--- a/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,8 +13,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -27,6 +30,7 @@
     public static final long LIMIT_BYTES = 96 << 20;
 
     private static final int BLOCK_BYTES = 16 << 10;
+    private static final long BYTE_PAUSE_MS = 20;
 
     /** Small, so that many connections don't use the processors that their reader needs. */
     private static final int SEND_BUFFER_BYTES = 64 << 10;
@@ -44,7 +48,9 @@
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final AtomicLong mostBytes = new AtomicLong();
+    private final CountDownLatch closed = new CountDownLatch(1);
     private volatile Probes probes = Probes.ENDLESS;
+    private volatile boolean isSlow;
 
     /** Where the answer does not end. */
     public enum Endless {
@@ -61,7 +67,9 @@
         BODY(HEAD + "\r\n", "body"),
         LINES(HEAD + "\r\n", "a line\n"),
         EMPTY_LINES(HEAD + "\r\n", "\n"),
-        BODY_OF_A_REFUSAL("HTTP/1.1 503 Service Unavailable\r\n{refusal}{fields}\r\n", "body");
+        BODY_OF_A_REFUSAL("HTTP/1.1 503 Service Unavailable\r\n{refusal}{fields}\r\n", "body"),
+        /** A whole answer, and what follows on the connection does not end. */
+        AFTER_AN_ANSWER(HEAD + "Content-Length: 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\n");
 
         private final String start;
         private final String rest;
@@ -117,6 +125,11 @@
         probes = kind;
     }
 
+    /** From now on each byte follows the one before by some milliseconds, from the first on. */
+    public void sendSlowly() {
+        isSlow = true;
+    }
+
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
@@ -128,6 +141,7 @@
 
     @Override
     public void close() throws IOException {
+        closed.countDown();
         listener.close();
         for (Socket connection : connections) {
             connection.close();
@@ -163,11 +177,11 @@
                 return;
             }
             OutputStream out = connection.getOutputStream();
-            out.write(
-                    start.replace("{refusal}", fields.refusal())
-                            .replace("{fields}", fields.answer())
-                            .replace("{attempt}", attempt.orElse(""))
-                            .getBytes(ISO_8859_1));
+            byte[] first = firstBytes(attempt.orElse(""));
+            if (isSlow) {
+                sendSlowly(out, first);
+            }
+            out.write(first);
             if (isProbe && probes == Probes.STALL) {
                 awaitClose(connection);
                 return;
@@ -185,6 +199,25 @@
         }
     }
 
+    private byte[] firstBytes(String attempt) {
+        return start.replace("{refusal}", fields.refusal())
+                .replace("{fields}", fields.answer())
+                .replace("{attempt}", attempt)
+                .getBytes(ISO_8859_1);
+    }
+
+    /** Sends {@code first} and the rest byte by byte until the caller or the test closes. */
+    private void sendSlowly(OutputStream out, byte[] first) throws IOException {
+        try {
+            for (int i = 0; !closed.await(BYTE_PAUSE_MS, TimeUnit.MILLISECONDS); i++) {
+                out.write(i < first.length ? first[i] : block[(i - first.length) % block.length]);
+                out.flush();
+            }
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException("the test has ended");
+        }
+    }
+
     private static void awaitClose(Socket connection) throws IOException {
         connection.getInputStream().readAllBytes();
     }
