http: a kept connection that can't carry the next call is replaced

What failed: a call ended unsent, "connection closed before use", which counts like a refused connection of the peer, because a kept connection was closed between its choice and its use; seen where bytes came after an answer.

Cause: whether a kept connection is open was asked when it was chosen, on the caller's thread, and not when the call was sent on the I/O thread. Bytes that had come after an answer were not looked for at all, and were read as the answer of the next call.

Change: AnswerFraming.isReusable reads one byte without blocking, before a connection is kept and before it is used again; one that has a byte or an end is closed, and the call opens another.

--- a/masticweir/src/main/java/org/masticweir/http/AnswerFraming.java
+++ b/masticweir/src/main/java/org/masticweir/http/AnswerFraming.java
@@ -6,6 +6,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
@@ -33,9 +36,11 @@
     /** Bytes on the connection for each byte of a body; a chunk of one byte takes six. */
     private static final int MAX_EXPANSION = 16;
 
+    private static final Logger LOG = LogManager.getLogger(AnswerFraming.class);
     private static final AttachmentKey<AnswerFraming> KEY =
             AttachmentKey.create(AnswerFraming.class);
 
+    private Optional<ConduitStreamSourceChannel> source = Optional.empty();
     private long receivedBytes;
     private long bodyBytes;
     private int headLines;
@@ -50,6 +55,7 @@
         AnswerFraming framing = new AnswerFraming();
         ConduitStreamSourceChannel source = connection.getSourceChannel();
         source.setConduit(framing.new CountingConduit(source.getConduit()));
+        framing.source = Optional.of(source);
         return framing;
     }
 
@@ -67,6 +73,24 @@
         return installed == null ? new AnswerFraming() : installed;
     }
 
+    /**
+     * Returns whether the connection can carry an exchange: the peer has not closed it, and no byte
+     * is there that no exchange asked for. Call between two exchanges.
+     *
+     * <p>Bytes that follow an answer would pass for the answer of the next exchange.
+     */
+    boolean isReusable() {
+        if (source.isEmpty()) {
+            return true;
+        }
+        try {
+            return source.get().read(ByteBuffer.allocate(1)) == 0;
+        } catch (IOException e) {
+            LOG.debug("http: a kept connection is not used again", e);
+            return false;
+        }
+    }
+
     /** Begins the count of an exchange. */
     void exchangeStarted() {
         receivedBytes = 0;
--- a/masticweir/src/main/java/org/masticweir/http/PendingCall.java
+++ b/masticweir/src/main/java/org/masticweir/http/PendingCall.java
@@ -55,14 +55,27 @@
             Optional<ClientConnection> idle,
             long timeoutMs) {
         timer = TurnTimer.start(thread, timeoutMs, () -> timeOut(timeoutMs));
-        if (idle.isPresent()) {
+        if (idle.isPresent() && AnswerFraming.of(idle.get()).isReusable()) {
             send(idle.get());
             return;
         }
+        if (idle.isPresent() && !replace(idle.get())) {
+            return;
+        }
         dialer.dial(
                 call.address(), thread, buffers, callback(this::connected, this::connectFailed));
     }
 
+    /** Closes {@code unusable} and returns whether another connection may be opened. */
+    private boolean replace(ClientConnection unusable) {
+        Dialer.discard(unusable);
+        if (!pool.reserve(call.address())) {
+            fail("too many connections to " + call.address(), false);
+            return false;
+        }
+        return true;
+    }
+
     private void connected(ClientConnection fresh) {
         InetSocketAddress address = call.address();
         fresh.addCloseListener(c -> pool.free(address));
@@ -169,7 +182,8 @@
         ended = true;
         timer.cancel();
         String wish = response.getResponseHeaders().getFirst(Headers.CONNECTION);
-        if (wholeRequestWritten && !"close".equalsIgnoreCase(wish)) {
+        boolean mayBeKept = wholeRequestWritten && !"close".equalsIgnoreCase(wish);
+        if (mayBeKept && framing.isReusable()) {
             pool.keep(call.address(), connection);
         } else {
             Dialer.discard(connection);
