--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -38,7 +38,7 @@
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final HttpServer server;
     private State state = new State(new TreeMap<>(), new ArrayList<>(), 10);
-    private int era;
+    private volatile int era;
     private boolean isAway;
 
     /** A row's place. */
