--- a/masticweir/src/main/java/org/masticweir/catalog/BackendServer.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/BackendServer.java
@@ -30,6 +30,11 @@
         checkArgument(slots >= 1, "slots %s", slots);
     }
 
+    /** Returns this server as one that takes no new work. */
+    public BackendServer asLeaving() {
+        return new BackendServer(incarnation, service, address, domain, slots, true);
+    }
+
     /** Returns the id, which a later life may have too. */
     public EngineId id() {
         return incarnation.id();
--- a/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.masticweir.id.EngineId;
+import org.masticweir.store.Revision;
 
 /**
  * The newest word on each backend server, from the store and from peers; not thread-safe.
@@ -20,6 +21,9 @@
  * revision of the store holds, and a removal counts against all that was written before it. Older
  * words change nothing, in whatever order they arrive, so a server that has left is never taken for
  * one that serves, and a life that is over never comes back.
+ *
+ * <p>When the store returns from an older copy, its entries have revisions of a new era, also those
+ * that were written before the leave or the removal of a server. Such an entry undoes neither.
  */
 public final class ServerBook {
     /** Removed servers remembered, against older words on them; the longest removed go first. */
@@ -32,28 +36,36 @@
                 protected boolean removeEldestEntry(Map.Entry<EngineId, Removed> eldest) {
                     boolean full = size() > MAX_REMOVED;
                     if (full) {
-                        forgottenTo = Math.max(forgottenTo, eldest.getValue().revision());
+                        forgottenTo = Revision.max(forgottenTo, eldest.getValue().revision());
                     }
                     return full;
                 }
             };
 
-    /** Up to which revision removals may have been missed or are not remembered; -1 if none. */
-    private long forgottenTo = -1;
+    /** Up to which revision removals may have been missed or are not remembered. */
+    private Revision forgottenTo = Revision.NONE;
 
     /** The newest word on one server; it has none if the word is its removal. */
-    public record Word(EngineId id, long revision, Optional<BackendServer> server) {}
+    public record Word(EngineId id, Revision revision, Optional<BackendServer> server) {}
 
     private static final class Entry {
         private BackendServer server;
-        private long revision;
+        private Revision revision;
         private Optional<Removal> removal = Optional.empty();
 
-        Entry(BackendServer server, long revision) {
+        Entry(BackendServer server, Revision revision) {
             this.server = server;
             this.revision = revision;
         }
 
+        boolean isSameLife(BackendServer other) {
+            return server.incarnation().equals(other.incarnation());
+        }
+
+        Removed removed(Revision removalRevision) {
+            return new Removed(server.incarnation(), removalRevision, revision);
+        }
+
         Word word() {
             EngineId id = server.id();
             return removal.map(r -> new Word(id, r.revision(), Optional.empty()))
@@ -62,15 +74,34 @@
     }
 
     /** A removal that takes effect later. */
-    private record Removal(long revision, long dueMs) {}
+    private record Removal(Revision revision, long dueMs) {}
 
-    /** What is remembered of a server that is gone: its last life, and as of when. */
-    private record Removed(ServerIncarnation life, long revision) {
-        boolean rulesOut(ServerIncarnation other, long otherRevision) {
-            return otherRevision <= revision || other.isBefore(life);
+    /**
+     * What is remembered of a server that is gone.
+     *
+     * @param life its last life
+     * @param revision revision of its removal
+     * @param entryRevision revision of its last entry
+     */
+    private record Removed(ServerIncarnation life, Revision revision, Revision entryRevision) {
+        boolean rulesOut(ServerIncarnation other, Revision otherRevision, EntryOrigin origin) {
+            return !otherRevision.isAfter(revision)
+                    || other.isBefore(life)
+                    || (other.equals(life) && isCopy(otherRevision, origin, entryRevision));
         }
     }
 
+    /**
+     * Returns whether an entry is taken for one that the store kept from an earlier era. Its number
+     * is then not greater than that of the newest entry known from that era. An entry that the
+     * server wrote since the store's return has such a number only if the newest known one is lost.
+     */
+    private static boolean isCopy(Revision revision, EntryOrigin origin, Revision known) {
+        return origin == EntryOrigin.MAYBE_COPIED
+                && revision.era() > known.era()
+                && revision.number() <= known.number();
+    }
+
     private ServerBook() {}
 
     public static ServerBook create() {
@@ -78,11 +109,11 @@
     }
 
     /** Takes a server's entry; returns whether what is believed has changed. */
-    public boolean put(BackendServer server, long revision) {
+    public boolean put(BackendServer server, Revision revision, EntryOrigin origin) {
         checkNotNull(server, "server");
         ServerIncarnation life = server.incarnation();
         Removed gone = removed.get(life.id());
-        if (gone != null && gone.rulesOut(life, revision)) {
+        if (gone != null && gone.rulesOut(life, revision, origin)) {
             return false;
         }
         Entry entry = present.get(life.id());
@@ -92,17 +123,34 @@
             return true;
         }
         boolean later = entry.server.incarnation().isBefore(life);
-        boolean newer = revision > entry.revision && !life.isBefore(entry.server.incarnation());
+        boolean newer =
+                revision.isAfter(entry.revision) && !life.isBefore(entry.server.incarnation());
         boolean removedSince =
-                entry.removal.isPresent() && entry.removal.get().revision() > revision;
-        if (removedSince || !(later || newer)) {
+                entry.removal.isPresent() && entry.removal.get().revision().isAfter(revision);
+        if (removedSince || !(later || newer || leavesByTheSameEntry(entry, server, revision))) {
             return false;
         }
+        boolean isCopy = entry.isSameLife(server) && isCopy(revision, origin, entry.revision);
+        if (isCopy && entry.removal.isPresent()) {
+            return false;
+        }
+        BackendServer known = entry.server;
+        entry.server = isCopy && known.leaving() ? server.asLeaving() : server;
+        entry.revision = Revision.max(revision, entry.revision);
         entry.removal = Optional.empty();
-        entry.revision = Math.max(revision, entry.revision);
-        boolean changed = !entry.server.equals(server);
-        entry.server = server;
-        return changed;
+        return !known.equals(entry.server);
+    }
+
+    /**
+     * Returns whether another router, which knows of the server's leave from an earlier era, has
+     * the same entry.
+     */
+    private static boolean leavesByTheSameEntry(
+            Entry entry, BackendServer server, Revision revision) {
+        return revision.equals(entry.revision)
+                && entry.isSameLife(server)
+                && server.leaving()
+                && !entry.server.leaving();
     }
 
     /**
@@ -114,9 +162,9 @@
      *
      * @return whether what is believed has changed
      */
-    public boolean remove(EngineId id, long revision, long nowMs, long dueMs) {
+    public boolean remove(EngineId id, Revision revision, long nowMs, long dueMs) {
         Entry entry = present.get(id);
-        if (entry == null || revision <= entry.revision) {
+        if (entry == null || !revision.isAfter(entry.revision)) {
             return false;
         }
         if (dueMs > nowMs) {
@@ -124,13 +172,13 @@
             return false;
         }
         present.remove(id);
-        removed.put(id, new Removed(entry.server.incarnation(), revision));
+        removed.put(id, entry.removed(revision));
         return true;
     }
 
     /** Removes all servers that a whole reading of the store at {@code revision} lacks. */
-    public boolean retain(Iterable<EngineId> listed, long revision, long nowMs, long dueMs) {
-        forgottenTo = Math.max(forgottenTo, revision);
+    public boolean retain(Iterable<EngineId> listed, Revision revision, long nowMs, long dueMs) {
+        forgottenTo = Revision.max(forgottenTo, revision);
         List<EngineId> gone = new ArrayList<>(present.keySet());
         listed.forEach(gone::remove);
         boolean changed = false;
@@ -150,9 +198,7 @@
             Optional<Removal> due = entry.removal.filter(r -> r.dueMs() <= nowMs);
             if (due.isPresent()) {
                 entries.remove();
-                removed.put(
-                        next.getKey(),
-                        new Removed(entry.server.incarnation(), due.get().revision()));
+                removed.put(next.getKey(), entry.removed(due.get().revision()));
                 changed = true;
             }
         }
@@ -170,15 +216,15 @@
      * Returns all words after {@code revision}, removals among them that are not due yet; empty if
      * some of them are no longer remembered.
      */
-    public Optional<ImmutableList<Word>> wordsAfter(long revision) {
-        if (revision < forgottenTo) {
+    public Optional<ImmutableList<Word>> wordsAfter(Revision revision) {
+        if (forgottenTo.isAfter(revision)) {
             return Optional.empty();
         }
         ImmutableList.Builder<Word> words = ImmutableList.builder();
-        words().stream().filter(w -> w.revision() > revision).forEach(words::add);
+        words().stream().filter(w -> w.revision().isAfter(revision)).forEach(words::add);
         removed.forEach(
                 (id, gone) -> {
-                    if (gone.revision() > revision) {
+                    if (gone.revision().isAfter(revision)) {
                         words.add(new Word(id, gone.revision(), Optional.empty()));
                     }
                 });
@@ -199,8 +245,10 @@
         return Hashing.murmur3_128()
                 .newHasher()
                 .putUnencodedChars(word.id().value())
-                .putLong(word.revision())
+                .putLong(word.revision().era())
+                .putLong(word.revision().number())
                 .putBoolean(word.server().isPresent())
+                .putBoolean(word.server().filter(BackendServer::leaving).isPresent())
                 .hash()
                 .asLong();
     }
@@ -213,13 +261,13 @@
                 : Optional.ofNullable(removed.get(id)).map(Removed::life);
     }
 
-    /** Returns the newest revision heard of {@code id}; -1 if none. */
-    public long revisionOf(EngineId id) {
+    /** Returns the newest revision heard of {@code id}; {@link Revision#NONE} if none. */
+    public Revision revisionOf(EngineId id) {
         Entry entry = present.get(id);
         if (entry != null) {
             return entry.revision;
         }
         Removed gone = removed.get(id);
-        return gone == null ? -1 : gone.revision();
+        return gone == null ? Revision.NONE : gone.revision();
     }
 }
--- a/masticweir/src/main/java/org/masticweir/feed/FeedListener.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedListener.java
@@ -1,7 +1,8 @@
 package org.masticweir.feed;
 
-import java.util.OptionalLong;
+import java.util.Optional;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 
 /** Hears of one table; called on the control thread. */
 @FunctionalInterface
@@ -13,5 +14,5 @@
      * @param removalDueMs when a removal among them takes effect
      * @param asOfMs a time at which the store held nothing newer than these rows
      */
-    void rows(FeedOutcome.Rows rows, OptionalLong since, long removalDueMs, long asOfMs);
+    void rows(FeedOutcome.Rows rows, Optional<Revision> since, long removalDueMs, long asOfMs);
 }
--- a/masticweir/src/main/java/org/masticweir/feed/FeedState.java
+++ b/masticweir/src/main/java/org/masticweir/feed/FeedState.java
@@ -6,14 +6,15 @@
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 
 /**
  * Decides how one table is followed; not thread-safe, reads no clock.
  *
  * <p>Failures that it answers: a store that is down, refuses this router, answers late or not at
- * all, or has dropped its history. None of them ends the following; each call has a time limit of
- * its own, and the pause between failed calls grows with jitter, so that a fleet which lost the
- * store together does not come back together.
+ * all, has dropped its history, or returns from an older copy. None of them ends the following;
+ * each call has a time limit of its own, and the pause between failed calls grows with jitter, so
+ * that a fleet which lost the store together does not come back together.
  */
 final class FeedState {
     /** First pause after a failed call, in ms; a lost answer then costs little. */
@@ -48,7 +49,11 @@
     private final FeedPace pace;
     private final RandomGenerator random;
     private final AnswerDelay delay;
-    private OptionalLong since = OptionalLong.empty();
+    private Optional<Revision> since = Optional.empty();
+
+    /** The newest era of the store that has been seen; 0 before the first answer. */
+    private long era;
+
     private Optional<Call> call = Optional.empty();
     private int failures;
     private long lastHeardMs;
@@ -73,7 +78,7 @@
         long waitMs();
 
         /** Returns the revision after which changes are asked for; empty for the whole table. */
-        OptionalLong since();
+        Optional<Revision> since();
 
         /**
          * Returns a time at which the store held nothing newer than {@code rows}, the answer to
@@ -93,16 +98,16 @@
             }
 
             @Override
-            public OptionalLong since() {
-                return OptionalLong.empty();
+            public Optional<Revision> since() {
+                return Optional.empty();
             }
         }
 
         /** Its changes after a revision; the store may wait for the first one. */
-        record Since(long revision, long waitMs, long timeoutMs) implements Ask {
+        record Since(Revision revision, long waitMs, long timeoutMs) implements Ask {
             @Override
-            public OptionalLong since() {
-                return OptionalLong.of(revision);
+            public Optional<Revision> since() {
+                return Optional.of(revision);
             }
         }
     }
@@ -112,8 +117,11 @@
      *
      * @param storeWasLost whether they said that the store was lost meanwhile
      */
-    void told(long revision, boolean storeWasLost, long nowMs) {
-        since = OptionalLong.of(Math.max(revision, since.orElse(revision)));
+    void told(Revision revision, boolean storeWasLost, long nowMs) {
+        enterEra(revision.era(), nowMs);
+        if (revision.era() == era) {
+            since = Optional.of(Revision.max(revision, since.orElse(revision)));
+        }
         failures = storeWasLost ? Math.max(failures, AWAY_FAILURES) : 0;
         heard = true;
         lastHeardMs = nowMs;
@@ -130,7 +138,7 @@
         long timeoutMs = waitMs + delay.graceMs();
         call = Optional.of(new Call(nowMs, waitMs, timeoutMs));
         return since.isPresent()
-                ? new Ask.Since(since.getAsLong(), waitMs, timeoutMs)
+                ? new Ask.Since(since.get(), waitMs, timeoutMs)
                 : new Ask.All(timeoutMs);
     }
 
@@ -139,6 +147,46 @@
         return pace.waitMs() + delay.graceMs() + pace.restMs();
     }
 
+    /**
+     * Returns the outcome of a call as it counts in the newest era of the store.
+     *
+     * <p>An answer of an earlier era is worthless. Changes in a later era than the one asked about
+     * lack all that was written under the numbers given out again, so the table must be read whole.
+     */
+    FeedOutcome inEra(Ask ask, FeedOutcome outcome, long nowMs) {
+        if (!(outcome instanceof FeedOutcome.Rows rows)) {
+            return outcome;
+        }
+        Revision revision = rows.revision();
+        if (revision.era() < era) {
+            return new FeedOutcome.Failed(
+                    "the answer is of era " + revision.era() + ", not " + era);
+        }
+        enterEra(revision.era(), nowMs);
+        boolean isOfAskedEra = ask.since().map(Revision::era).orElse(era) == era;
+        return isOfAskedEra ? outcome : new FeedOutcome.HistoryGone();
+    }
+
+    /**
+     * Enters a later era. Servers write their entries again after the store's return, so removals
+     * are doubted.
+     */
+    private void enterEra(long laterEra, long nowMs) {
+        if (laterEra <= era) {
+            return;
+        }
+        if (heard) {
+            doubtUntilMs = nowMs + DOUBT_MS;
+        }
+        era = laterEra;
+        since = Optional.empty();
+    }
+
+    /** Returns the newest era of the store that has been seen. */
+    long era() {
+        return era;
+    }
+
     /** Learns from a call how late the store answers. */
     private void learn(FeedOutcome outcome, long nowMs) {
         if (call.isEmpty()) {
@@ -159,7 +207,8 @@
     }
 
     /**
-     * Takes a call's outcome and returns the pause before the next call, in ms.
+     * Takes a call's outcome, as {@link #inEra} returned it, and returns the pause before the next
+     * call, in ms.
      *
      * @param role this router's part in reading
      */
@@ -174,7 +223,7 @@
             return rows.changes().isEmpty() ? 0 : role.restMs(pace);
         }
         if (outcome instanceof FeedOutcome.HistoryGone) {
-            since = OptionalLong.empty();
+            since = Optional.empty();
             return 0;
         }
         failures++;
@@ -183,7 +232,8 @@
     }
 
     /**
-     * Takes the answer to a call that was overdue, and learns from it how late the store answers.
+     * Takes the answer to a call that was overdue, as {@link #inEra} returned it, and learns from
+     * it how late the store answers.
      *
      * @param startMs when the call began
      */
@@ -200,7 +250,7 @@
         failures = 0;
         heard = true;
         lastHeardMs = nowMs;
-        since = OptionalLong.of(Math.max(rows.revision(), since.orElse(rows.revision())));
+        since = Optional.of(Revision.max(rows.revision(), since.orElse(rows.revision())));
     }
 
     /** Returns when a removal that is heard now takes effect. */
--- a/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
+++ b/masticweir/src/main/java/org/masticweir/feed/TableFollower.java
@@ -14,6 +14,7 @@
 import org.masticweir.concurrent.ControlThread;
 import org.masticweir.store.ChangeFeed;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 import org.masticweir.time.Clock;
 
 /**
@@ -74,7 +75,7 @@
      * Takes note that all of the table up to {@code revision} is known from others; while this
      * router reads itself, what it has read counts.
      */
-    public void told(long revision, boolean storeWasLost) {
+    public void told(Revision revision, boolean storeWasLost) {
         if (!following) {
             state.told(revision, storeWasLost, clock.nowMs());
         }
@@ -113,7 +114,7 @@
     private CompletableFuture<FeedOutcome> start(FeedState.Ask ask) {
         long timeoutMs = ask.timeoutMs() + LATE_ANSWER_MS;
         return ask.since().isPresent()
-                ? store.changes(table, ask.since().getAsLong(), ask.waitMs(), timeoutMs)
+                ? store.changes(table, ask.since().get(), ask.waitMs(), timeoutMs)
                 : store.readAll(table, timeoutMs);
     }
 
@@ -133,16 +134,34 @@
         }
     }
 
-    private void endedInTime(Call call, FeedOutcome outcome) {
+    /** Returns an outcome as it counts in the newest era of the store, which it may begin. */
+    private FeedOutcome inEra(Call call, FeedOutcome answered) {
+        long previous = state.era();
+        FeedOutcome outcome = state.inEra(call.ask, answered, clock.nowMs());
+        if (state.era() != previous) {
+            LOG.warn(
+                    "feed: table {}: the store is in era {} after {}, answer after {} ms to a call"
+                            + " since {}; the table is read whole",
+                    table,
+                    state.era(),
+                    previous,
+                    clock.nowMs() - call.startMs,
+                    call.ask.since().map(Revision::toString).orElse("none"));
+        }
+        return outcome;
+    }
+
+    private void endedInTime(Call call, FeedOutcome answered) {
         long now = clock.nowMs();
         boolean wasAway = state.isAway();
+        FeedOutcome outcome = inEra(call, answered);
         long pauseMs = state.ended(outcome, role.get(), now);
         if (outcome instanceof FeedOutcome.Failed failed && !wasAway) {
             LOG.warn("feed: table {} lost, {}", table, failed.reason());
         } else if (wasAway && !state.isAway()) {
             LOG.info("feed: table {} regained", table);
         }
-        if (outcome instanceof FeedOutcome.HistoryGone) {
+        if (answered instanceof FeedOutcome.HistoryGone) {
             LOG.info("feed: history of table {} is gone, it is read whole", table);
         }
         // Before the rows are looked at: a row that nobody can take must not end the following.
@@ -164,8 +183,9 @@
         control.schedule(this::ask, pauseMs, TimeUnit.MILLISECONDS);
     }
 
-    private void endedLate(Call call, FeedOutcome outcome) {
+    private void endedLate(Call call, FeedOutcome answered) {
         long now = clock.nowMs();
+        FeedOutcome outcome = inEra(call, answered);
         if (!(outcome instanceof FeedOutcome.Rows rows)) {
             LOG.debug("feed: table {}: overdue call ended without rows, {}", table, outcome);
             return;
--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
@@ -7,18 +7,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
+import org.masticweir.catalog.EntryOrigin;
 import org.masticweir.catalog.ServerBook;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.id.EngineId;
 import org.masticweir.relay.RelayMessages.ServerUpdates;
 import org.masticweir.relay.RelayMessages.ServersRequest;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 import org.masticweir.time.Clock;
 
 /**
@@ -196,15 +197,15 @@
      *     reading of the table
      */
     Optional<ServerUpdates> applyServerRows(
-            FeedOutcome.Rows rows, OptionalLong since, long removalDueMs) {
+            FeedOutcome.Rows rows, Optional<Revision> since, long removalDueMs) {
         List<ServerUpdate> updates = new ArrayList<>();
         long now = clock.nowMs();
         removalsPendingUntilMs = Math.max(removalsPendingUntilMs, removalDueMs);
         List<EngineId> listed = new ArrayList<>();
         boolean changed = false;
-        long newest = UpdateProgress.BEFORE_FIRST_UPDATE;
+        Revision newest = UpdateProgress.BEFORE_FIRST_UPDATE;
         for (FeedOutcome.Change change : rows.changes()) {
-            newest = Math.max(newest, change.revision());
+            newest = Revision.max(newest, change.revision());
             Optional<EngineId> id = idOf(change);
             if (id.isEmpty()) {
                 continue;
@@ -216,7 +217,8 @@
             Optional<BackendServer> server = parseServer(id.get(), change);
             if (server.isPresent()) {
                 listed.add(id.get());
-                putServer(server.get(), change.revision(), updates);
+                EntryOrigin origin = originOf(since, change.revision());
+                putServer(server.get(), change.revision(), origin, updates);
             } else {
                 // The row replaces the earlier entry. A running server soon writes its entry again.
                 removeServer(id.get(), change.revision(), now, updates);
@@ -226,7 +228,7 @@
             changed = serverBook.retain(listed, rows.revision(), now, removalDueMs);
             newest = rows.revision();
         }
-        long previousNewest = updateProgress.newestUpdate();
+        Revision previousNewest = updateProgress.newestUpdate();
         updateProgress.recordReading(rows.revision(), newest);
         logUpdates(updates, "store");
         if (changed || !updates.isEmpty()) {
@@ -239,17 +241,27 @@
 
     /** Applies updates from a peer. */
     UpdateResult applyPeerUpdates(ServerUpdates message, String peer) {
+        if (message.completeTo().era() < completeTo().era()) {
+            LOG.info(
+                    "instances: {} updates up to {} from {} are of an earlier era, {} is known",
+                    message.updates().size(),
+                    message.completeTo(),
+                    peer,
+                    completeTo());
+            return new UpdateResult(true, false);
+        }
         List<ServerUpdate> updates = new ArrayList<>();
         long dueMs = clock.nowMs() + message.removalDelayMs();
         removalsPendingUntilMs = Math.max(removalsPendingUntilMs, dueMs);
         List<EngineId> listed = new ArrayList<>();
-        long newest = message.afterRevision();
+        Revision newest = message.afterRevision();
         boolean changed = false;
         for (ServerUpdate update : message.updates()) {
-            newest = Math.max(newest, update.revision());
+            newest = Revision.max(newest, update.revision());
             if (update.server().isPresent()) {
                 listed.add(update.id());
-                putServer(update.server().get(), update.revision(), updates);
+                EntryOrigin origin = message.originOf(update);
+                putServer(update.server().get(), update.revision(), origin, updates);
             } else {
                 removeServer(update.id(), update.revision(), dueMs, updates);
             }
@@ -270,17 +282,17 @@
      * Records that a peer has received no update after {@code newest} up to {@code completeTo};
      * returns whether this router has all updates up to there.
      */
-    boolean recordPeerProgress(long newest, long completeTo) {
+    boolean recordPeerProgress(Revision newest, Revision completeTo) {
         return updateProgress.recordUpdates(newest, completeTo, UpdateProgress.BEFORE_FIRST_UPDATE);
     }
 
     /** Returns the revision of the newest server update. */
-    long newestUpdate() {
+    Revision newestUpdate() {
         return updateProgress.newestUpdate();
     }
 
     /** Returns the revision up to which all server updates have been received. */
-    long completeTo() {
+    Revision completeTo() {
         return updateProgress.completeTo();
     }
 
@@ -288,10 +300,10 @@
      * Returns all server updates after {@code revision}; all present servers if some of those
      * updates are no longer stored.
      */
-    ServerUpdates updatesAfter(long revision) {
+    ServerUpdates updatesAfter(Revision revision) {
         long delayMs = Math.max(0, removalsPendingUntilMs - clock.nowMs());
         Optional<ImmutableList<ServerUpdate>> storedUpdates =
-                revision == UpdateProgress.BEFORE_FIRST_UPDATE
+                revision.equals(UpdateProgress.BEFORE_FIRST_UPDATE)
                         ? Optional.empty()
                         : serverBook.wordsAfter(revision).map(DeploymentState::toUpdates);
         return storedUpdates
@@ -362,8 +374,23 @@
         return serverBook.servers().size();
     }
 
-    private void putServer(BackendServer server, long revision, List<ServerUpdate> updates) {
-        if (serverBook.put(server, revision)) {
+    /**
+     * Returns what is known of the moment at which an entry was written.
+     *
+     * @param after the revision that the entry follows as a change; empty if it is part of a whole
+     *     reading, which may show entries of the older copy that the era began with
+     */
+    static EntryOrigin originOf(Optional<Revision> after, Revision revision) {
+        boolean isChangeInEra = after.filter(r -> r.era() == revision.era()).isPresent();
+        return isChangeInEra ? EntryOrigin.WRITTEN_IN_ERA : EntryOrigin.MAYBE_COPIED;
+    }
+
+    private void putServer(
+            BackendServer server,
+            Revision revision,
+            EntryOrigin origin,
+            List<ServerUpdate> updates) {
+        if (serverBook.put(server, revision, origin)) {
             updates.add(ServerUpdate.present(server, revision));
         }
     }
@@ -372,7 +399,8 @@
      * Removes a server at {@code dueMs}; adds an update for peers only if the removal is due now.
      * Peers that request updates receive a pending removal with its remaining delay.
      */
-    private void removeServer(EngineId id, long revision, long dueMs, List<ServerUpdate> updates) {
+    private void removeServer(
+            EngineId id, Revision revision, long dueMs, List<ServerUpdate> updates) {
         if (serverBook.remove(id, revision, clock.nowMs(), dueMs)) {
             updates.add(ServerUpdate.removed(id, revision));
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.masticweir.catalog.EntryOrigin;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.feed.StoreContact;
 import org.masticweir.forward.ServerLoad;
@@ -26,6 +27,7 @@
 import org.masticweir.permits.RoomReport;
 import org.masticweir.permits.RoomRequest;
 import org.masticweir.quarantine.CrashUpdate;
+import org.masticweir.store.Revision;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -76,8 +78,8 @@
     record StoreStatus(
             long catalogVersion,
             StoreContact contact,
-            long newestUpdate,
-            long completeTo,
+            Revision newestUpdate,
+            Revision completeTo,
             OptionalLong catalogAgeMs)
             implements PeerMessage {}
 
@@ -128,14 +130,23 @@
      * @param removalDelayMs remaining delay of the pending removals among them, in ms
      */
     record ServerUpdates(
-            long afterRevision, long completeTo, long removalDelayMs, List<ServerUpdate> updates)
+            Revision afterRevision,
+            Revision completeTo,
+            long removalDelayMs,
+            List<ServerUpdate> updates)
             implements PeerMessage {
         ServerUpdates {
             updates = ImmutableList.copyOf(updates);
         }
 
         boolean isFullList() {
-            return afterRevision == UpdateProgress.BEFORE_FIRST_UPDATE;
+            return afterRevision.equals(UpdateProgress.BEFORE_FIRST_UPDATE);
+        }
+
+        /** Returns what the message shows of the moment at which {@code update} was written. */
+        EntryOrigin originOf(ServerUpdate update) {
+            return DeploymentState.originOf(
+                    Optional.of(afterRevision).filter(r -> !isFullList()), update.revision());
         }
     }
 
@@ -147,7 +158,7 @@
      * @param digest digest of the servers that the sender has received; a receiver with the same
      *     digest sends no full list
      */
-    record ServersRequest(long completeTo, long digest) implements PeerMessage {}
+    record ServersRequest(Revision completeTo, long digest) implements PeerMessage {}
 
     /** Reports the sender's current load on engines. */
     record LoadUpdate(List<EngineLoad> loads) implements PeerMessage {
@@ -182,16 +193,10 @@
                 FieldsCodec.of(
                         STORE_STATUS,
                         StoreStatus.class,
-                        5,
+                        7,
                         4,
                         RelayMessages::encodeStatus,
-                        f ->
-                                new StoreStatus(
-                                        f.int64(),
-                                        StoreContact.ofOrdinal(f.int32()),
-                                        f.int64(),
-                                        f.int64(),
-                                        decodeAge(f))),
+                        RelayMessages::decodeStatus),
                 FieldsCodec.of(
                         CATALOG_REQUEST,
                         CatalogRequest.class,
@@ -211,20 +216,24 @@
                 FieldsCodec.of(
                         SERVER_UPDATES,
                         ServerUpdates.class,
+                        6,
                         4,
                         RelayMessages::encodeServers,
-                        f ->
-                                new ServerUpdates(
-                                        f.int64(),
-                                        f.int64(),
-                                        f.int64(),
-                                        f.list(MAX_SERVERS, ServerUpdate::decode))),
+                        RelayMessages::decodeServers),
                 FieldsCodec.of(
                         SERVERS_REQUEST,
                         ServersRequest.class,
+                        3,
                         2,
-                        (m, out) -> out.packLong(m.completeTo()).packLong(m.digest()),
-                        f -> new ServersRequest(f.int64(), f.int64())));
+                        (m, out) ->
+                                out.packLong(m.completeTo().number())
+                                        .packLong(m.digest())
+                                        .packLong(m.completeTo().era()),
+                        f -> {
+                            long completeTo = f.int64();
+                            long digest = f.int64();
+                            return new ServersRequest(decodeRevision(completeTo, f), digest);
+                        }));
     }
 
     private static List<MessageCodec<?>> routerAndLoadCodecs() {
@@ -264,8 +273,28 @@
 
     private static void encodeStatus(StoreStatus status, MessagePacker out) throws IOException {
         out.packLong(status.catalogVersion()).packInt(status.contact().ordinal());
-        out.packLong(status.newestUpdate()).packLong(status.completeTo());
+        out.packLong(status.newestUpdate().number()).packLong(status.completeTo().number());
         out.packLong(status.catalogAgeMs().orElse(NO_AGE));
+        out.packLong(status.newestUpdate().era()).packLong(status.completeTo().era());
+    }
+
+    private static StoreStatus decodeStatus(Fields f) throws IOException {
+        long catalogVersion = f.int64();
+        StoreContact contact = StoreContact.ofOrdinal(f.int32());
+        long newestUpdate = f.int64();
+        long completeTo = f.int64();
+        OptionalLong catalogAgeMs = decodeAge(f);
+        return new StoreStatus(
+                catalogVersion,
+                contact,
+                decodeRevision(newestUpdate, f),
+                decodeRevision(completeTo, f),
+                catalogAgeMs);
+    }
+
+    /** Returns a revision whose era is the next field; routers without eras do not send it. */
+    private static Revision decodeRevision(long number, Fields f) throws IOException {
+        return new Revision(f.hasMore() ? f.int64() : 0, number);
     }
 
     private static OptionalLong decodeAge(Fields f) throws IOException {
@@ -294,13 +323,26 @@
     }
 
     private static void encodeServers(ServerUpdates message, MessagePacker out) throws IOException {
-        out.packLong(message.afterRevision())
-                .packLong(message.completeTo())
+        out.packLong(message.afterRevision().number())
+                .packLong(message.completeTo().number())
                 .packLong(message.removalDelayMs());
         out.packArrayHeader(message.updates().size());
         for (ServerUpdate update : message.updates()) {
             update.encode(out);
         }
+        out.packLong(message.afterRevision().era()).packLong(message.completeTo().era());
+    }
+
+    private static ServerUpdates decodeServers(Fields f) throws IOException {
+        long afterRevision = f.int64();
+        long completeTo = f.int64();
+        long removalDelayMs = f.int64();
+        List<ServerUpdate> updates = f.list(MAX_SERVERS, ServerUpdate::decode);
+        return new ServerUpdates(
+                decodeRevision(afterRevision, f),
+                decodeRevision(completeTo, f),
+                removalDelayMs,
+                updates);
     }
 
     private static void encodeLoads(LoadUpdate message, MessagePacker out) throws IOException {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -41,6 +41,7 @@
 import org.masticweir.quarantine.QuarantineStore;
 import org.masticweir.quarantine.SharedQuarantine;
 import org.masticweir.relay.RelayMessages.RouterInfo;
+import org.masticweir.store.Revision;
 import org.masticweir.time.Clock;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
@@ -361,7 +362,7 @@
                 settings.graceMs());
     }
 
-    private void onUpdates(long revision) {
+    private void onUpdates(Revision revision) {
         followers.recordServersReceived(revision);
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/ServerUpdate.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerUpdate.java
@@ -11,6 +11,7 @@
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
 import org.masticweir.peer.Fields;
+import org.masticweir.store.Revision;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -19,20 +20,25 @@
  *
  * @param server empty if its entry was removed
  */
-record ServerUpdate(EngineId id, long revision, Optional<BackendServer> server) {
-    private static final int FIELDS = 9;
+record ServerUpdate(EngineId id, Revision revision, Optional<BackendServer> server) {
+    private static final int FIELDS = 10;
+
+    /** Fields that routers without eras of the store send as well. */
+    private static final int REQUIRED_FIELDS = 9;
+
     private static final int MAX_TEXT_BYTES = 256;
 
     ServerUpdate {
         checkNotNull(id, "id");
+        checkNotNull(revision, "revision");
         checkNotNull(server, "server");
     }
 
-    static ServerUpdate present(BackendServer server, long revision) {
+    static ServerUpdate present(BackendServer server, Revision revision) {
         return new ServerUpdate(server.id(), revision, Optional.of(server));
     }
 
-    static ServerUpdate removed(EngineId id, long revision) {
+    static ServerUpdate removed(EngineId id, Revision revision) {
         return new ServerUpdate(id, revision, Optional.empty());
     }
 
@@ -50,7 +56,8 @@
     }
 
     void encode(MessagePacker out) throws IOException {
-        out.packArrayHeader(FIELDS).packString(id.value()).packLong(revision);
+        out.packArrayHeader(FIELDS).packString(id.value());
+        out.packLong(revision.number());
         out.packBoolean(server.isPresent());
         out.packString(server.map(s -> s.service().value()).orElse(""));
         out.packString(server.map(s -> IpAddress.text(s.address())).orElse(""));
@@ -60,12 +67,13 @@
         out.packLong(
                 server.map(s -> s.incarnation().startedMs())
                         .orElse(ServerIncarnation.UNKNOWN_START));
+        out.packLong(revision.era());
     }
 
     static ServerUpdate decode(MessageUnpacker in) throws IOException {
-        try (Fields f = Fields.open(in, FIELDS)) {
+        try (Fields f = Fields.open(in, REQUIRED_FIELDS)) {
             EngineId id = EngineId.of(f.text(MAX_TEXT_BYTES));
-            long revision = f.int64();
+            long revisionNumber = f.int64();
             boolean present = f.bool();
             String service = f.text(MAX_TEXT_BYTES);
             String address = f.text(MAX_TEXT_BYTES);
@@ -73,6 +81,7 @@
             int slots = f.int32();
             boolean leaving = f.bool();
             long startedMs = f.int64();
+            Revision revision = new Revision(f.hasMore() ? f.int64() : 0, revisionNumber);
             if (!present) {
                 return removed(id, revision);
             }
--- a/masticweir/src/main/java/org/masticweir/relay/StoreFollowers.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreFollowers.java
@@ -5,6 +5,7 @@
 import org.masticweir.feed.FeedPace;
 import org.masticweir.feed.TableFollower;
 import org.masticweir.store.ChangeFeed;
+import org.masticweir.store.Revision;
 import org.masticweir.time.Clock;
 
 /** Follows the store's tables of the catalog and of the servers; owned by the control thread. */
@@ -74,7 +75,7 @@
     }
 
     /** Records that the servers' table was received up to {@code revision} through a peer. */
-    void recordServersReceived(long revision) {
+    void recordServersReceived(Revision revision) {
         reading.recordReceived(servers, revision);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/StoreReading.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreReading.java
@@ -10,6 +10,7 @@
 import org.masticweir.feed.StoreContact;
 import org.masticweir.feed.TableFollower;
 import org.masticweir.id.RouterId;
+import org.masticweir.store.Revision;
 import org.masticweir.time.Clock;
 
 /** This router's role in reading the store's tables; owned by the control thread. */
@@ -62,7 +63,7 @@
      * Records that the servers' table was received up to {@code revision} through a router that
      * reads the store.
      */
-    void recordReceived(TableFollower servers, long revision) {
+    void recordReceived(TableFollower servers, Revision revision) {
         servers.told(revision, readingShare.wasLost(clock.nowMs()));
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
+++ b/masticweir/src/main/java/org/masticweir/relay/StoreSharing.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.masticweir.concurrent.ControlThread;
@@ -22,6 +22,7 @@
 import org.masticweir.relay.RelayMessages.ServerUpdates;
 import org.masticweir.relay.RelayMessages.ServersRequest;
 import org.masticweir.relay.RelayMessages.StoreStatus;
+import org.masticweir.store.Revision;
 import org.masticweir.time.Clock;
 
 /**
@@ -59,7 +60,7 @@
     private final DeploymentState deployment;
     private final CatalogSharing catalogSharing;
     private final StoreReading storeReading;
-    private final LongConsumer updatesListener;
+    private final Consumer<Revision> updatesListener;
     private final ScheduledExecutorService control;
     private final Clock clock;
     private final long readerPollMs;
@@ -83,7 +84,7 @@
             DeploymentState deployment,
             CatalogSharing catalogSharing,
             StoreReading storeReading,
-            LongConsumer updatesListener,
+            Consumer<Revision> updatesListener,
             ScheduledExecutorService control,
             Clock clock,
             long readerPollMs) {
--- a/masticweir/src/main/java/org/masticweir/relay/UnreadableRows.java
+++ b/masticweir/src/main/java/org/masticweir/relay/UnreadableRows.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.masticweir.store.Revision;
 import org.masticweir.store.RowKey;
 
 /**
@@ -33,10 +34,10 @@
     private static final int MAX_REASON_CHARS = 200;
 
     private final Counter counter;
-    private final Map<RowKey, Long> reportedRevisions =
+    private final Map<RowKey, Revision> reportedRevisions =
             new LinkedHashMap<>() {
                 @Override
-                protected boolean removeEldestEntry(Map.Entry<RowKey, Long> eldest) {
+                protected boolean removeEldestEntry(Map.Entry<RowKey, Revision> eldest) {
                     return size() > MAX_ROWS;
                 }
             };
@@ -45,9 +46,8 @@
         this.counter = checkNotNull(counter, "counter");
     }
 
-    void report(RowKey row, long revision, String reason) {
-        Long previousRevision = reportedRevisions.put(row, revision);
-        if (previousRevision != null && previousRevision == revision) {
+    void report(RowKey row, Revision revision, String reason) {
+        if (revision.equals(reportedRevisions.put(row, revision))) {
             return;
         }
         counter.inc();
--- a/masticweir/src/main/java/org/masticweir/relay/UpdateProgress.java
+++ b/masticweir/src/main/java/org/masticweir/relay/UpdateProgress.java
@@ -1,5 +1,7 @@
 package org.masticweir.relay;
 
+import org.masticweir.store.Revision;
+
 /**
  * Tracks the revision of the store up to which this router has received every server update; not
  * thread-safe.
@@ -13,18 +15,18 @@
      * Revision before all updates; a message that starts at this revision lists all present
      * servers.
      */
-    static final long BEFORE_FIRST_UPDATE = -1;
+    static final Revision BEFORE_FIRST_UPDATE = Revision.NONE;
 
-    private long completeTo = BEFORE_FIRST_UPDATE;
-    private long newestUpdate = BEFORE_FIRST_UPDATE;
+    private Revision completeTo = BEFORE_FIRST_UPDATE;
+    private Revision newestUpdate = BEFORE_FIRST_UPDATE;
 
     /**
      * Records a reading of the store at {@code revision} whose newest row was written at {@code
      * newestRevision}.
      */
-    void recordReading(long revision, long newestRevision) {
-        completeTo = Math.max(completeTo, revision);
-        newestUpdate = Math.max(newestUpdate, newestRevision);
+    void recordReading(Revision revision, Revision newestRevision) {
+        completeTo = Revision.max(completeTo, revision);
+        newestUpdate = Revision.max(newestUpdate, newestRevision);
     }
 
     /**
@@ -34,12 +36,12 @@
      * @param newestRevision revision of the newest of these updates; {@code after} if there are
      *     none
      */
-    boolean recordUpdates(long afterRevision, long upToRevision, long newestRevision) {
-        newestUpdate = Math.max(newestUpdate, newestRevision);
-        if (afterRevision > completeTo) {
+    boolean recordUpdates(Revision afterRevision, Revision upToRevision, Revision newestRevision) {
+        newestUpdate = Revision.max(newestUpdate, newestRevision);
+        if (afterRevision.isAfter(completeTo)) {
             return false;
         }
-        completeTo = Math.max(completeTo, upToRevision);
+        completeTo = Revision.max(completeTo, upToRevision);
         return true;
     }
 
@@ -47,12 +49,12 @@
      * Returns the revision up to which all updates have been received; {@link #BEFORE_FIRST_UPDATE}
      * before the first.
      */
-    long completeTo() {
+    Revision completeTo() {
         return completeTo;
     }
 
     /** Returns the revision of the newest update for which all earlier ones have been received. */
-    long newestUpdate() {
-        return Math.min(newestUpdate, completeTo);
+    Revision newestUpdate() {
+        return Revision.min(newestUpdate, completeTo);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/store/ChangeFeed.java
+++ b/masticweir/src/main/java/org/masticweir/store/ChangeFeed.java
@@ -14,8 +14,10 @@
     /**
      * Waits for rows that changed after {@code since}.
      *
-     * @param since revision of the last answer
+     * @param since revision of the last answer. The answer may be of a later era; it then holds
+     *     only the changes with a greater number, and the table must be read whole
      * @param waitMs how long the service may wait for a first change
      */
-    CompletableFuture<FeedOutcome> changes(String table, long since, long waitMs, long timeoutMs);
+    CompletableFuture<FeedOutcome> changes(
+            String table, Revision since, long waitMs, long timeoutMs);
 }
--- a/masticweir/src/main/java/org/masticweir/store/FeedOutcome.java
+++ b/masticweir/src/main/java/org/masticweir/store/FeedOutcome.java
@@ -9,9 +9,10 @@
 /** How one call to a {@link ChangeFeed} ended. */
 public sealed interface FeedOutcome {
     /** Rows that changed, as of {@code revision}; a whole reading holds all that are there. */
-    record Rows(List<Change> changes, long revision) implements FeedOutcome {
+    record Rows(List<Change> changes, Revision revision) implements FeedOutcome {
         public Rows {
             changes = ImmutableList.copyOf(changes);
+            checkNotNull(revision, "revision");
         }
     }
 
@@ -20,9 +21,10 @@
      *
      * @param value empty if the row was removed, or if what it holds is no text
      */
-    record Change(RowKey key, long revision, boolean removed, Optional<String> value) {
+    record Change(RowKey key, Revision revision, boolean removed, Optional<String> value) {
         public Change {
             checkNotNull(key, "key");
+            checkNotNull(revision, "revision");
             checkNotNull(value, "value");
         }
     }
--- a/masticweir/src/test/java/org/masticweir/catalog/ServerBookTest.java
+++ b/masticweir/src/test/java/org/masticweir/catalog/ServerBookTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
+import org.masticweir.store.Revision;
 
 /** The newest word on a server wins, whoever brings it. */
 class ServerBookTest {
@@ -17,6 +18,10 @@
 
     private final ServerBook book = ServerBook.create();
 
+    private boolean put(BackendServer server, long revision) {
+        return book.put(server, Revision.of(revision), EntryOrigin.WRITTEN_IN_ERA);
+    }
+
     private static BackendServer server(boolean leaving) {
         return server(ServerIncarnation.UNKNOWN_START, leaving);
     }
@@ -39,16 +44,16 @@
     class OlderWords {
         @Test
         void doNotBringBackAServerThatIsLeaving() {
-            book.put(server(true), 9);
-            assertFalse(book.put(server(false), 8));
+            put(server(true), 9);
+            assertFalse(put(server(false), 8));
             assertTrue(book.servers().get(0).leaving());
         }
 
         @Test
         void doNotBringBackAServerThatIsGone() {
-            book.put(server(false), 5);
-            book.remove(ID, 9, 0, 0);
-            assertFalse(book.put(server(false), 8));
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 0, 0);
+            assertFalse(put(server(false), 8));
             assertEquals(List.of(), book.servers());
         }
     }
@@ -61,25 +66,25 @@
     class LapsedEntries {
         @Test
         void areKeptForTheTimeInWhichServersComeBack() {
-            book.put(server(false), 5);
-            book.remove(ID, 9, 1_000, 3_000);
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 1_000, 3_000);
             assertFalse(book.tick(2_999));
             assertEquals(1, book.servers().size());
         }
 
         @Test
         void areGoneAfterIt() {
-            book.put(server(false), 5);
-            book.remove(ID, 9, 1_000, 3_000);
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 1_000, 3_000);
             assertTrue(book.tick(3_000));
             assertEquals(List.of(), book.servers());
         }
 
         @Test
         void stayIfTheServerIsBack() {
-            book.put(server(false), 5);
-            book.remove(ID, 9, 1_000, 3_000);
-            book.put(server(false), 12);
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 1_000, 3_000);
+            put(server(false), 12);
             assertFalse(book.tick(3_000));
             assertEquals(1, book.servers().size());
         }
@@ -97,56 +102,132 @@
 
         @Test
         void takeTurnsWithTheEntry() {
-            book.put(server(100, true), 5);
-            assertTrue(book.put(server(200, false), 6));
+            put(server(100, true), 5);
+            assertTrue(put(server(200, false), 6));
             assertEquals(200, started());
             assertFalse(book.servers().get(0).leaving());
         }
 
         @Test
         void doNotComeBackByAnOlderWord() {
-            book.put(server(200, false), 6);
-            assertFalse(book.put(server(100, true), 5));
+            put(server(200, false), 6);
+            assertFalse(put(server(100, true), 5));
             assertEquals(200, started());
         }
 
         @Test
         void doNotComeBackByANewerRevisionOfAnEarlierLife() {
-            book.put(server(200, false), 6);
-            assertFalse(book.put(server(100, false), 9));
+            put(server(200, false), 6);
+            assertFalse(put(server(100, false), 9));
             assertEquals(200, started());
         }
 
         @Test
         void areTheSameInWhateverOrderWordsArrive() {
-            book.put(server(100, false), 9);
-            assertTrue(book.put(server(200, false), 6));
+            put(server(100, false), 9);
+            assertTrue(put(server(200, false), 6));
             assertEquals(200, started());
-            assertEquals(9, book.revisionOf(ID));
+            assertEquals(Revision.of(9), book.revisionOf(ID));
         }
 
         @Test
         void areOverAfterARemovalAndOnlyALaterOneFollows() {
-            book.put(server(200, false), 6);
-            book.remove(ID, 7, 0, 0);
-            assertFalse(book.put(server(100, false), 9));
-            assertTrue(book.put(server(300, false), 10));
+            put(server(200, false), 6);
+            book.remove(ID, Revision.of(7), 0, 0);
+            assertFalse(put(server(100, false), 9));
+            assertTrue(put(server(300, false), 10));
             assertEquals(300, started());
         }
 
         @Test
         void mayBeginAndEndBetweenTwoReadings() {
-            book.put(server(100, false), 5);
-            assertTrue(book.put(server(300, false), 9));
-            assertFalse(book.put(server(200, false), 8));
+            put(server(100, false), 5);
+            assertTrue(put(server(300, false), 9));
+            assertFalse(put(server(200, false), 8));
             assertEquals(300, started());
         }
     }
 
+    /** A server that had left got requests: the store returned from a copy of before its leave. */
+    @Nested
+    class EntriesOfAnOlderCopy {
+        private boolean putCopied(BackendServer server, long number) {
+            return book.put(server, new Revision(1, number), EntryOrigin.MAYBE_COPIED);
+        }
+
+        private boolean putWritten(BackendServer server, long number) {
+            return book.put(server, new Revision(1, number), EntryOrigin.WRITTEN_IN_ERA);
+        }
+
+        @Test
+        void doNotUndoALeave() {
+            put(server(false), 5);
+            put(server(true), 9);
+            assertFalse(putCopied(server(false), 5));
+            assertTrue(book.servers().get(0).leaving());
+            assertEquals(new Revision(1, 5), book.revisionOf(ID));
+        }
+
+        @Test
+        void doNotUndoARemoval() {
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 0, 0);
+            assertFalse(putCopied(server(false), 5));
+            assertEquals(List.of(), book.servers());
+        }
+
+        @Test
+        void doNotUndoARemovalThatIsPending() {
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 1_000, 3_000);
+            assertFalse(putCopied(server(false), 5));
+            assertTrue(book.tick(3_000));
+            assertEquals(List.of(), book.servers());
+        }
+
+        @Test
+        void doNotHideWhatTheServerWritesAfterwards() {
+            put(server(false), 5);
+            put(server(true), 9);
+            putCopied(server(false), 5);
+            assertTrue(putWritten(server(false), 6));
+            assertFalse(book.servers().get(0).leaving());
+        }
+
+        @Test
+        void areToldApartFromWhatTheServerWroteSinceTheReturn() {
+            put(server(false), 5);
+            book.remove(ID, Revision.of(9), 0, 0);
+            assertTrue(putCopied(server(false), 7));
+            assertEquals(1, book.servers().size());
+        }
+
+        @Test
+        void doNotUndoTheStartOfALaterLife() {
+            put(server(200, false), 9);
+            assertFalse(putCopied(server(100, false), 5));
+            assertEquals(200, book.servers().get(0).incarnation().startedMs());
+        }
+
+        @Test
+        void countAsLeavingOnceAnotherRouterKnowsOfTheLeave() {
+            putCopied(server(false), 5);
+            assertTrue(putCopied(server(true), 5));
+            assertTrue(book.servers().get(0).leaving());
+        }
+
+        @Test
+        void ofAnEarlierEraDoNotCountAnyMore() {
+            putCopied(server(true), 5);
+            assertFalse(put(server(false), 30));
+            assertTrue(book.servers().get(0).leaving());
+        }
+    }
+
     @Test
     void aWholeReadingRemovesWhatItLacks() {
-        book.put(server(false), 5);
-        assertTrue(book.retain(List.of(), 9, 0, 0));
+        put(server(false), 5);
+        assertTrue(book.retain(List.of(), Revision.of(9), 0, 0));
         assertEquals(List.of(), book.servers());
     }
 }
--- a/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/feed/FeedStateTest.java
@@ -11,12 +11,13 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 import org.masticweir.store.RowKey;
 
 /** What a follower asks next, and when. */
 class FeedStateTest {
     private static final FeedOutcome FAILED = new FeedOutcome.Failed("status 503");
-    private static final FeedOutcome NOTHING = new FeedOutcome.Rows(List.of(), 7);
+    private static final FeedOutcome NOTHING = new FeedOutcome.Rows(List.of(), Revision.of(7));
 
     private final FeedState state =
             new FeedState(FeedPace.of(3_000, 700, 500), new SplittableRandom(5));
@@ -29,7 +30,9 @@
     @Test
     void asksForChangesAfterWhatItHas() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
-        assertEquals(new FeedState.Ask.Since(7, 3_000, 3_700), state.next(ReadingRole.FIRST, 0));
+        assertEquals(
+                new FeedState.Ask.Since(Revision.of(7), 3_000, 3_700),
+                state.next(ReadingRole.FIRST, 0));
     }
 
     @Test
@@ -42,8 +45,9 @@
     void theStandByRestsTwiceAsLong() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
         FeedOutcome.Change change =
-                new FeedOutcome.Change(RowKey.of("t", "k"), 8, false, Optional.of("v"));
-        FeedOutcome changed = new FeedOutcome.Rows(List.of(change), 8);
+                new FeedOutcome.Change(
+                        RowKey.of("t", "k"), Revision.of(8), false, Optional.of("v"));
+        FeedOutcome changed = new FeedOutcome.Rows(List.of(change), Revision.of(8));
         assertEquals(1_000, state.ended(changed, ReadingRole.STAND_BY, 10));
     }
 
@@ -51,8 +55,10 @@
     @Test
     void goesOnFromWhatItWasTold() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
-        state.told(30, false, 9_000);
-        assertEquals(new FeedState.Ask.Since(30, 3_000, 3_700), state.next(ReadingRole.FIRST, 0));
+        state.told(Revision.of(30), false, 9_000);
+        assertEquals(
+                new FeedState.Ask.Since(Revision.of(30), 3_000, 3_700),
+                state.next(ReadingRole.FIRST, 0));
         state.ended(NOTHING, ReadingRole.SUBSTITUTE, 10_000);
         assertEquals(10_000, state.removalDueMs(10_000));
     }
@@ -61,7 +67,7 @@
     @Test
     void doubtsRemovalsIfReadersHaveLostTheStore() {
         state.ended(NOTHING, ReadingRole.FIRST, 0);
-        state.told(30, true, 9_000);
+        state.told(Revision.of(30), true, 9_000);
         state.ended(NOTHING, ReadingRole.SUBSTITUTE, 10_000);
         assertTrue(state.removalDueMs(10_000) > 10_000);
     }
@@ -69,10 +75,15 @@
     @Test
     void restsAfterChangesSoThatASeriesCostsOneCall() {
         FeedOutcome.Change change =
-                new FeedOutcome.Change(RowKey.of("t", "k"), 8, false, Optional.of("v"));
+                new FeedOutcome.Change(
+                        RowKey.of("t", "k"), Revision.of(8), false, Optional.of("v"));
         state.ended(NOTHING, ReadingRole.FIRST, 0);
         assertEquals(
-                500, state.ended(new FeedOutcome.Rows(List.of(change), 8), ReadingRole.FIRST, 0));
+                500,
+                state.ended(
+                        new FeedOutcome.Rows(List.of(change), Revision.of(8)),
+                        ReadingRole.FIRST,
+                        0));
         assertEquals(0, state.ended(NOTHING, ReadingRole.FIRST, 600));
     }
 
@@ -83,6 +94,64 @@
         assertInstanceOf(FeedState.Ask.All.class, state.next(ReadingRole.FIRST, 0));
     }
 
+    /** Changes were passed over: their revisions had been given out before. */
+    @Nested
+    class NewEra {
+        private final FeedOutcome.Rows next = new FeedOutcome.Rows(List.of(), new Revision(1, 9));
+
+        private FeedOutcome answer(FeedOutcome outcome, long nowMs) {
+            FeedState.Ask ask = state.next(ReadingRole.FIRST, nowMs);
+            FeedOutcome counted = state.inEra(ask, outcome, nowMs);
+            state.ended(counted, ReadingRole.FIRST, nowMs);
+            return counted;
+        }
+
+        @Test
+        void isReadWhole() {
+            answer(NOTHING, 0);
+            assertInstanceOf(FeedOutcome.HistoryGone.class, answer(next, 1_000));
+            assertInstanceOf(FeedState.Ask.All.class, state.next(ReadingRole.FIRST, 1_000));
+            assertEquals(next, answer(next, 1_100));
+            assertEquals(
+                    new FeedState.Ask.Since(new Revision(1, 9), 3_000, 3_700),
+                    state.next(ReadingRole.FIRST, 2_000));
+        }
+
+        @Test
+        void isDoubtedForAWhile() {
+            answer(NOTHING, 0);
+            answer(next, 1_000);
+            answer(next, 1_100);
+            assertEquals(1_000 + FeedState.DOUBT_MS, state.removalDueMs(1_200));
+        }
+
+        @Test
+        void makesLateAnswersOfTheOneBeforeWorthless() {
+            answer(NOTHING, 0);
+            FeedState.Ask late = state.next(ReadingRole.FIRST, 500);
+            answer(next, 1_000);
+            answer(next, 1_100);
+            assertInstanceOf(FeedOutcome.Failed.class, state.inEra(late, NOTHING, 1_200));
+        }
+
+        @Test
+        void isHeardOfFromOthers() {
+            answer(NOTHING, 0);
+            state.told(new Revision(1, 3), false, 1_000);
+            state.told(Revision.of(30), false, 1_100);
+            assertEquals(
+                    new FeedState.Ask.Since(new Revision(1, 3), 3_000, 3_700),
+                    state.next(ReadingRole.FIRST, 1_200));
+            assertEquals(1_000 + FeedState.DOUBT_MS, state.removalDueMs(1_200));
+        }
+
+        @Test
+        void isTheOnlyOneKnownAtTheStart() {
+            assertEquals(next, answer(next, 1_000));
+            assertEquals(1_000, state.removalDueMs(1_000));
+        }
+    }
+
     /** The store answers, later than before; it counted as lost and was called by all. */
     @Nested
     class StoreThatAnswersLate {
@@ -126,7 +195,8 @@
                 callIsAnswered(4);
             }
             assertEquals(
-                    new FeedState.Ask.Since(7, 3_000, 3_700), state.next(ReadingRole.FIRST, nowMs));
+                    new FeedState.Ask.Since(Revision.of(7), 3_000, 3_700),
+                    state.next(ReadingRole.FIRST, nowMs));
         }
 
         @Test
--- a/masticweir/src/test/java/org/masticweir/feed/TableFollowerTest.java
+++ b/masticweir/src/test/java/org/masticweir/feed/TableFollowerTest.java
@@ -6,13 +6,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.masticweir.store.ChangeFeed;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 import org.masticweir.store.RowKey;
 import org.masticweir.time.ManualScheduler;
 
@@ -42,20 +42,20 @@
     /** A store whose answers the test gives; calls without one fail at their timeout. */
     private final class Store implements ChangeFeed {
         private final List<CompletableFuture<FeedOutcome>> calls = new ArrayList<>();
-        private final List<OptionalLong> since = new ArrayList<>();
+        private final List<Optional<Revision>> since = new ArrayList<>();
 
         @Override
         public CompletableFuture<FeedOutcome> readAll(String table, long timeoutMs) {
-            return call(OptionalLong.empty(), timeoutMs);
+            return call(Optional.empty(), timeoutMs);
         }
 
         @Override
         public CompletableFuture<FeedOutcome> changes(
-                String table, long revision, long waitMs, long timeoutMs) {
-            return call(OptionalLong.of(revision), timeoutMs);
+                String table, Revision revision, long waitMs, long timeoutMs) {
+            return call(Optional.of(revision), timeoutMs);
         }
 
-        private CompletableFuture<FeedOutcome> call(OptionalLong after, long timeoutMs) {
+        private CompletableFuture<FeedOutcome> call(Optional<Revision> after, long timeoutMs) {
             CompletableFuture<FeedOutcome> answer = new CompletableFuture<>();
             scheduler.at(
                     scheduler.clock().nowMs() + timeoutMs,
@@ -74,7 +74,8 @@
         scheduler.runTo(scheduler.clock().nowMs() + ms);
     }
 
-    private void answer(int call, long revision, String... values) {
+    private void answer(int call, long number, String... values) {
+        Revision revision = Revision.of(number);
         List<FeedOutcome.Change> changes = new ArrayList<>();
         for (String value : values) {
             RowKey key = RowKey.of("t", "k");
@@ -112,7 +113,7 @@
             answer(call, 8, "second");
             answer(store.lastCall(), 8);
             advanceMs(100);
-            assertEquals(OptionalLong.of(8), store.since.get(store.lastCall()));
+            assertEquals(Optional.of(Revision.of(8)), store.since.get(store.lastCall()));
         }
 
         @Test
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
@@ -9,7 +9,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -22,6 +21,7 @@
 import org.masticweir.id.EngineId;
 import org.masticweir.relay.RelayMessages.ServerUpdates;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 import org.masticweir.store.RowKey;
 import org.masticweir.time.ManualClock;
 
@@ -32,8 +32,8 @@
     static final String TABLE = "instances";
 
     /**
-     * An entry is {@code PORT}, or {@code PORT@START}; a catalog is its version, followed by lines
-     * that are ignored.
+     * An entry is {@code PORT}, or {@code PORT@START}, followed by {@code -} if the server is
+     * leaving; a catalog is its version, followed by lines that are ignored.
      */
     static final class TestFormat implements DeploymentFormat {
         @Override
@@ -58,16 +58,18 @@
 
         @Override
         public BackendServer server(EngineId id, String text) {
-            int at = text.indexOf('@');
-            String port = at < 0 ? text : text.substring(0, at);
-            long start = at < 0 ? 0 : Long.parseLong(text.substring(at + 1));
+            boolean isLeaving = text.endsWith("-");
+            String entry = isLeaving ? text.substring(0, text.length() - 1) : text;
+            int at = entry.indexOf('@');
+            String port = at < 0 ? entry : entry.substring(0, at);
+            long start = at < 0 ? 0 : Long.parseLong(entry.substring(at + 1));
             return new BackendServer(
                     ServerIncarnation.of(id, start),
                     ServiceName.of("s"),
                     new InetSocketAddress("127.0.0.1", Integer.parseInt(port)),
                     DomainId.of("a"),
                     4,
-                    false);
+                    isLeaving);
         }
     }
 
@@ -85,11 +87,12 @@
                     v -> view = v);
 
     private static FeedOutcome.Change row(String key, long revision, Optional<String> value) {
-        return new FeedOutcome.Change(RowKey.of(TABLE, key), revision, false, value);
+        return new FeedOutcome.Change(RowKey.of(TABLE, key), Revision.of(revision), false, value);
     }
 
     private static FeedOutcome.Change removed(String key, long revision) {
-        return new FeedOutcome.Change(RowKey.of(TABLE, key), revision, true, Optional.empty());
+        return new FeedOutcome.Change(
+                RowKey.of(TABLE, key), Revision.of(revision), true, Optional.empty());
     }
 
     private static FeedOutcome.Change row(String key, long revision, String value) {
@@ -103,17 +106,23 @@
 
     private Optional<ServerUpdates> applyRows(
             boolean isFullReading, long removalDueMs, FeedOutcome.Change... changes) {
-        long last = 0;
+        Revision last = Revision.NONE;
         for (FeedOutcome.Change change : changes) {
-            last = Math.max(last, change.revision());
+            last = Revision.max(last, change.revision());
         }
-        OptionalLong since = isFullReading ? OptionalLong.empty() : OptionalLong.of(last - 1);
+        Optional<Revision> since =
+                isFullReading ? Optional.empty() : Optional.of(precedingRevision(last));
         return deployment.applyServerRows(
                 new FeedOutcome.Rows(List.of(changes), last), since, removalDueMs);
     }
 
+    private static Revision precedingRevision(Revision revision) {
+        return new Revision(revision.era(), revision.number() - 1);
+    }
+
     private static ServerUpdates updateMessage(ServerUpdate update) {
-        return new ServerUpdates(update.revision() - 1, update.revision(), 0, List.of(update));
+        return new ServerUpdates(
+                precedingRevision(update.revision()), update.revision(), 0, List.of(update));
     }
 
     private boolean mayDeny() {
@@ -275,10 +284,10 @@
         void doNotReplaceTheCatalogInForce() {
             FeedOutcome.Change good =
                     new FeedOutcome.Change(
-                            new TestFormat().catalogRow(), 1, false, Optional.of("7"));
+                            new TestFormat().catalogRow(), Revision.of(1), false, Optional.of("7"));
             FeedOutcome.Change bad =
                     new FeedOutcome.Change(
-                            new TestFormat().catalogRow(), 2, false, Optional.empty());
+                            new TestFormat().catalogRow(), Revision.of(2), false, Optional.empty());
             applyCatalogRow(good);
             applyCatalogRow(bad);
             assertEquals(7, view.catalog().orElseThrow().version());
@@ -369,7 +378,8 @@
             applyRows(false, row("e1", 2, "91@900"));
             assertEquals("e1@900:91", servers());
             BackendServer old = new TestFormat().server(EngineId.of("e1"), "81@500");
-            deployment.applyPeerUpdates(updateMessage(ServerUpdate.present(old, 3)), "r2");
+            deployment.applyPeerUpdates(
+                    updateMessage(ServerUpdate.present(old, Revision.of(3))), "r2");
             assertEquals("e1@900:91", servers());
         }
 
@@ -377,7 +387,8 @@
         void areReportedByPeers() {
             applyRows(true, row("e1", 5, "81@500"));
             BackendServer later = new TestFormat().server(EngineId.of("e1"), "91@900");
-            deployment.applyPeerUpdates(updateMessage(ServerUpdate.present(later, 4)), "r2");
+            deployment.applyPeerUpdates(
+                    updateMessage(ServerUpdate.present(later, Revision.of(4))), "r2");
             assertEquals("e1@900:91", servers());
         }
     }
--- a/masticweir/src/test/java/org/masticweir/relay/FakeStore.java
+++ b/masticweir/src/test/java/org/masticweir/relay/FakeStore.java
@@ -10,12 +10,18 @@
 import java.util.function.Consumer;
 import org.masticweir.store.ChangeFeed;
 import org.masticweir.store.FeedOutcome;
+import org.masticweir.store.Revision;
 import org.masticweir.store.RowKey;
 import org.masticweir.time.ManualScheduler;
 
-/** Fake of the platform's store: rows, their history, and long polls for changes. */
+/**
+ * Fake of the platform's store: rows, their history, long polls for changes, and returns from an
+ * older copy.
+ */
 final class FakeStore {
     private static final long DEFAULT_LATENCY_MS = 4;
+    private static final DeploymentFormat FORMAT = new DeploymentStateTest.TestFormat();
+    private static final FeedOutcome REFUSED = new FeedOutcome.Failed("status 503");
 
     private final ManualScheduler scheduler;
 
@@ -29,8 +35,10 @@
     private final List<FeedOutcome.Change> history = new ArrayList<>();
     private final List<Poll> polls = new ArrayList<>();
     private final Map<Long, Long> acknowledgedMs = new TreeMap<>();
-    private long revision = 10;
+    private long era;
+    private long number = 10;
     private long oldest;
+    private boolean isAway;
 
     FakeStore(ManualScheduler scheduler) {
         this.scheduler = scheduler;
@@ -40,9 +48,49 @@
     private record Poll(
             SimulatedFleet.Router router,
             String table,
-            long since,
+            Revision since,
             CompletableFuture<FeedOutcome> answer) {}
 
+    /** Rows and history as they were when the copy was made. */
+    record Copy(
+            Map<RowKey, FeedOutcome.Change> rows, List<FeedOutcome.Change> history, long number) {}
+
+    Copy copy() {
+        return new Copy(Map.copyOf(rows), List.copyOf(history), number);
+    }
+
+    /** Refuses all calls, those that wait for changes included. */
+    void goAway() {
+        isAway = true;
+        List<Poll> pending = List.copyOf(polls);
+        polls.clear();
+        pending.forEach(p -> answerLater(p.router(), () -> p.answer().complete(REFUSED)));
+    }
+
+    /** Returns with the content of an older copy, in a new era. */
+    void returnFrom(Copy copy) {
+        isAway = false;
+        era++;
+        number = copy.number();
+        rows.clear();
+        copy.rows().forEach((key, row) -> rows.put(key, inThisEra(row)));
+        history.clear();
+        copy.history().forEach(row -> history.add(inThisEra(row)));
+        long kept = versionOf(Optional.ofNullable(rows.get(FORMAT.catalogRow())));
+        acknowledgedMs.keySet().removeIf(version -> version > kept);
+    }
+
+    private static long versionOf(Optional<FeedOutcome.Change> row) {
+        return row.flatMap(FeedOutcome.Change::value)
+                .map(text -> FORMAT.catalog(text).version())
+                .orElse(0L);
+    }
+
+    private FeedOutcome.Change inThisEra(FeedOutcome.Change row) {
+        Revision revision = new Revision(era, row.revision().number());
+        return new FeedOutcome.Change(row.key(), revision, row.removed(), row.value());
+    }
+
     void put(String server, String value) {
         change(RowKey.of(DeploymentStateTest.TABLE, server), Optional.of(value));
     }
@@ -56,10 +104,9 @@
     }
 
     void catalog(String text) {
-        DeploymentStateTest.TestFormat format = new DeploymentStateTest.TestFormat();
-        change(format.catalogRow(), Optional.of(text));
+        change(FORMAT.catalogRow(), Optional.of(text));
         long acknowledged = scheduler.clock().nowMs() + latencyMs;
-        acknowledgedMs.put(format.catalog(text).version(), acknowledged);
+        acknowledgedMs.put(FORMAT.catalog(text).version(), acknowledged);
     }
 
     /**
@@ -76,12 +123,13 @@
 
     /** Discards the history of all changes so far. */
     void discardHistory() {
-        oldest = ++revision;
+        oldest = ++number;
         history.clear();
     }
 
     private void change(RowKey key, Optional<String> value) {
-        FeedOutcome.Change change = new FeedOutcome.Change(key, ++revision, value.isEmpty(), value);
+        FeedOutcome.Change change =
+                new FeedOutcome.Change(key, new Revision(era, ++number), value.isEmpty(), value);
         history.add(change);
         if (value.isPresent()) {
             rows.put(key, change);
@@ -94,15 +142,16 @@
     }
 
     private FeedOutcome after(Poll call) {
-        if (call.since() < oldest) {
+        long since = call.since().number();
+        if (since < oldest || since > number) {
             return new FeedOutcome.HistoryGone();
         }
         return new FeedOutcome.Rows(
                 history.stream()
                         .filter(c -> c.key().table().equals(call.table()))
-                        .filter(c -> c.revision() > call.since())
+                        .filter(c -> c.revision().number() > since)
                         .toList(),
-                revision);
+                new Revision(era, number));
     }
 
     private void answerLater(SimulatedFleet.Router router, Runnable answer) {
@@ -127,7 +176,7 @@
 
             @Override
             public CompletableFuture<FeedOutcome> changes(
-                    String table, long since, long waitMs, long timeoutMs) {
+                    String table, Revision since, long waitMs, long timeoutMs) {
                 return call(
                         router, timeoutMs, answer -> poll(router, table, since, waitMs, answer));
             }
@@ -137,7 +186,7 @@
     private FeedOutcome allRows(String table) {
         return new FeedOutcome.Rows(
                 rows.values().stream().filter(c -> c.key().table().equals(table)).toList(),
-                revision);
+                new Revision(era, number));
     }
 
     private CompletableFuture<FeedOutcome> call(
@@ -149,8 +198,9 @@
         scheduler.at(
                 scheduler.clock().nowMs() + timeoutMs,
                 () -> answer.complete(new FeedOutcome.Failed("no answer in time")));
-        if (router.fault == SimulatedFleet.StoreFault.REFUSED) {
-            answerLater(router, () -> answer.complete(new FeedOutcome.Failed("status 503")));
+        boolean isRefused = isAway || router.fault == SimulatedFleet.StoreFault.REFUSED;
+        if (isRefused) {
+            answerLater(router, () -> answer.complete(REFUSED));
         } else if (router.fault == SimulatedFleet.StoreFault.NONE) {
             onAccepted.accept(answer);
         }
@@ -160,7 +210,7 @@
     private void poll(
             SimulatedFleet.Router router,
             String table,
-            long since,
+            Revision since,
             long waitMs,
             CompletableFuture<FeedOutcome> answer) {
         Poll call = new Poll(router, table, since, answer);
--- a/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
+++ b/masticweir/src/test/java/org/masticweir/relay/SimulatedFleet.java
@@ -25,6 +25,7 @@
 import org.masticweir.relay.RelayMessages.ServerUpdates;
 import org.masticweir.relay.RelayMessages.ServersRequest;
 import org.masticweir.relay.RelayMessages.StoreStatus;
+import org.masticweir.store.Revision;
 import org.masticweir.time.ManualScheduler;
 
 /**
@@ -220,7 +221,7 @@
                             scheduler.clock());
         }
 
-        private void onUpdates(long revision) {
+        private void onUpdates(Revision revision) {
             followers.recordServersReceived(revision);
         }
 
@@ -279,6 +280,12 @@
                     .orElse("");
         }
 
+        /** Returns whether this router may send new requests to {@code server}. */
+        boolean sendsTo(String server) {
+            return view.servers().values().stream()
+                    .anyMatch(s -> s.id().value().equals(server) && !s.leaving());
+        }
+
         long catalogVersion() {
             return deployment.catalogText().map(DeploymentState.CatalogText::version).orElse(0L);
         }
