http: a stream of short events leaves turns to other connections

Cause: a turn of the traffic thread ended after 256 KiB, which are 262,144 events of one byte, each written and flushed by itself; and the next turn was a task that is due at once, which the I/O library runs before it looks at its sockets.

A turn now passes on at most 256 events, the listener leaves the rest, and the next turn comes 1 ms later, after sockets and timers. Events that came together are written together.

--- a/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
+++ b/masticweir-testing/src/main/java/org/masticweir/testing/EndlessServer.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -50,7 +51,9 @@
     private final AtomicLong mostBytes = new AtomicLong();
     private final CountDownLatch closed = new CountDownLatch(1);
     private volatile Probes probes = Probes.ENDLESS;
+    private final CompletableFuture<Void> bytesSent = new CompletableFuture<>();
     private volatile boolean isSlow;
+    private volatile long limitBytes = LIMIT_BYTES;
 
     /** Where the answer does not end. */
     public enum Endless {
@@ -67,6 +70,8 @@
         BODY(HEAD + "\r\n", "body"),
         LINES(HEAD + "\r\n", "a line\n"),
         EMPTY_LINES(HEAD + "\r\n", "\n"),
+        EVENTS(HEAD + "\r\n", "data: x\n\n"),
+        EVENTS_OF_ONE_ID(HEAD + "\r\n", "id: 1\n\n"),
         BODY_OF_A_REFUSAL("HTTP/1.1 503 Service Unavailable\r\n{refusal}{fields}\r\n", "body"),
         /** A whole answer, and what follows on the connection does not end. */
         AFTER_AN_ANSWER(HEAD + "Content-Length: 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\n");
@@ -130,6 +135,16 @@
         isSlow = true;
     }
 
+    /** From now on the server sends until the caller or the test closes. */
+    public void neverGiveUp() {
+        limitBytes = Long.MAX_VALUE;
+    }
+
+    /** Waits until an answer has begun to be without an end. */
+    public void awaitBytes() {
+        bytesSent.join();
+    }
+
     public InetSocketAddress address() {
         return (InetSocketAddress) listener.getLocalSocketAddress();
     }
@@ -186,8 +201,9 @@
                 awaitClose(connection);
                 return;
             }
-            while (sent < LIMIT_BYTES) {
+            while (sent < limitBytes) {
                 out.write(block);
+                bytesSent.complete(null);
                 sent += block.length;
             }
         } catch (IOException e) {
--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.xnio.ChannelListeners;
@@ -32,6 +33,8 @@
     /** Reads after which other connections of the thread take their turn. */
     private static final int READS_PER_TURN = 16;
 
+    private static final long YIELD_MS = 1;
+
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final InetSocketAddress address;
@@ -42,6 +45,10 @@
     private Optional<TurnTimer> connectTimer = Optional.empty();
     private Optional<ClientConnection> connection = Optional.empty();
     private Optional<StreamSourceChannel> answer = Optional.empty();
+
+    /** Bytes that the listener left in its last turn, in read mode. */
+    private Optional<PooledByteBuffer> unread = Optional.empty();
+
     private AnswerFraming framing;
     private boolean sent;
     private boolean over;
@@ -140,6 +147,8 @@
         over = true;
         connectTimer.ifPresent(TurnTimer::cancel);
         connection.ifPresent(Dialer::discard);
+        unread.ifPresent(PooledByteBuffer::close);
+        unread = Optional.empty();
     }
 
     private void connect(long timeoutMs) {
@@ -229,31 +238,87 @@
     }
 
     private void read(StreamSourceChannel source) {
-        try (PooledByteBuffer pooled = buffers.allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            for (int i = 0; !over; i++) {
-                if (i == READS_PER_TURN) {
-                    source.wakeupReads();
-                    return;
-                }
-                buffer.clear();
-                int count = source.read(buffer);
-                if (count == 0) {
-                    return;
-                }
-                if (count < 0) {
-                    close();
-                    listener.end();
-                    return;
-                }
-                framing.bodyRead(count);
-                buffer.flip();
-                listener.bytes(buffer);
-            }
+        if (readTurn(source)) {
+            source.suspendReads();
+            yieldTo(
+                    () -> {
+                        if (!over) {
+                            source.resumeReads();
+                            read(source);
+                        }
+                    });
+        }
+    }
+
+    /**
+     * Runs {@code next} after the other connections of the thread had their turn.
+     *
+     * <p>The thread runs all tasks that are due before it looks at its sockets. A task that is due
+     * at once would keep it from them for as long as each turn asks for the next.
+     */
+    private void yieldTo(Runnable next) {
+        thread.executeAfter(next, YIELD_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Reads for one turn; returns whether there may be more to read at once. */
+    private boolean readTurn(StreamSourceChannel source) {
+        PooledByteBuffer pooled = unread.orElseGet(this::allocateEmpty);
+        unread = Optional.empty();
+        ByteBuffer buffer = pooled.getBuffer();
+        boolean hasMore = false;
+        try {
+            hasMore = readTurn(source, buffer);
         } catch (IOException e) {
             isAnswerCut = e instanceof AnswerLimitException;
             lost();
+        } finally {
+            if (!over && buffer.hasRemaining()) {
+                unread = Optional.of(pooled);
+            } else {
+                pooled.close();
+            }
+        }
+        return hasMore && !over;
+    }
+
+    private boolean readTurn(StreamSourceChannel source, ByteBuffer buffer) throws IOException {
+        int reads = 0;
+        while (!over) {
+            if (!buffer.hasRemaining()) {
+                if (reads == READS_PER_TURN) {
+                    return true;
+                }
+                reads++;
+                if (!readInto(source, buffer)) {
+                    return false;
+                }
+            }
+            listener.bytes(buffer);
+            if (buffer.hasRemaining()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Reads what there is of the body; returns false if there is nothing now, or no more. */
+    private boolean readInto(StreamSourceChannel source, ByteBuffer buffer) throws IOException {
+        buffer.clear();
+        int count = source.read(buffer);
+        buffer.flip();
+        if (count < 0) {
+            close();
+            listener.end();
+        } else {
+            framing.bodyRead(count);
         }
+        return count > 0;
+    }
+
+    private PooledByteBuffer allocateEmpty() {
+        PooledByteBuffer pooled = buffers.allocate();
+        pooled.getBuffer().limit(0);
+        return pooled;
     }
 
     /**
@@ -268,13 +333,15 @@
             lost();
             return;
         }
-        thread.execute(
-                () -> {
-                    if (!over) {
-                        read(answer.get());
-                    }
-                    lost();
-                });
+        thread.execute(this::readToLoss);
+    }
+
+    private void readToLoss() {
+        if (!over && readTurn(answer.get())) {
+            yieldTo(this::readToLoss);
+        } else {
+            lost();
+        }
     }
 
     private void lost() {
--- a/masticweir/src/main/java/org/masticweir/http/HttpStreamListener.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStreamListener.java
@@ -13,7 +13,8 @@
     void head(HttpHead head);
 
     /**
-     * Bytes of the answer's body came; all of them must be taken.
+     * Bytes of the answer's body came. Those that are left are passed again, before any that
+     * follow, once other connections of the thread had their turn: a listener limits its work so.
      *
      * @throws IOException if they are malformed; the stream is then lost
      */
--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -143,8 +143,8 @@
         sink.getWriteSetter().set(c -> write());
     }
 
-    /** Sends one event. */
-    void sendEvent(ByteBuffer bytes) {
+    /** Queues one event; {@link #writeEvents} must follow. */
+    void addEvent(ByteBuffer bytes) {
         if (isEnded) {
             return;
         }
@@ -154,7 +154,13 @@
             return;
         }
         queue.add(bytes);
-        write();
+    }
+
+    /** Writes the queued events, as far as the caller reads. */
+    void writeEvents() {
+        if (isStreaming()) {
+            write();
+        }
     }
 
     /** Ends an event stream as complete. */
--- a/masticweir/src/main/java/org/masticweir/relay/EventRelay.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EventRelay.java
@@ -62,7 +62,7 @@
         }
         lastEventMs = nowMs;
         id.ifPresent(machine::onEvent);
-        writer.sendEvent(bytes);
+        writer.addEvent(bytes);
     }
 
     /** Handles the end of a server's events; the caller of this method must then end the answer. */
--- a/masticweir/src/main/java/org/masticweir/relay/EventSplitter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/EventSplitter.java
@@ -19,6 +19,12 @@
     /** Maximum size of a buffered event; prevents a faulty server from exhausting the memory. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /**
+     * Events that one call passes on; prevents a faulty server that sends the shortest events from
+     * occupying the traffic thread.
+     */
+    static final int MAX_EVENTS = 256;
+
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final PartialMessage partialEvent;
@@ -46,13 +52,17 @@
         void onEvent(ByteBuffer bytes, OptionalLong id) throws IOException;
     }
 
-    /** Consumes all bytes of {@code in} and passes each completed event to {@code sink}. */
+    /**
+     * Consumes {@code in} up to the last event that one call passes on, and passes each completed
+     * event to {@code sink}.
+     */
     void feed(ByteBuffer in, Sink sink) throws IOException {
-        while (in.hasRemaining()) {
+        int events = 0;
+        while (in.hasRemaining() && events < MAX_EVENTS) {
             byte b = in.get();
             partialEvent.append(b);
-            if (b == '\n') {
-                endLine(sink);
+            if (b == '\n' && endLine(sink)) {
+                events++;
             }
         }
     }
@@ -68,7 +78,8 @@
         partialEvent.close();
     }
 
-    private void endLine(Sink sink) throws IOException {
+    /** Ends a line; returns whether it ended an event. */
+    private boolean endLine(Sink sink) throws IOException {
         byte[] bytes = partialEvent.array();
         int end = partialEvent.length() - 1;
         if (end > lineStart && bytes[end - 1] == '\r') {
@@ -77,7 +88,7 @@
         if (end > lineStart) {
             readId(bytes, end);
             lineStart = partialEvent.length();
-            return;
+            return false;
         }
         ByteBuffer completeEvent = ByteBuffer.wrap(Arrays.copyOf(bytes, partialEvent.length()));
         OptionalLong completeEventId = eventId;
@@ -85,6 +96,7 @@
         eventId = OptionalLong.empty();
         partialEvent.clear();
         sink.onEvent(completeEvent, completeEventId);
+        return true;
     }
 
     private void readId(byte[] bytes, int end) {
--- a/masticweir/src/main/java/org/masticweir/relay/GuardedSendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/GuardedSendListener.java
@@ -33,6 +33,11 @@
         guard.run(() -> listener.onEvent(head, bytes, id));
     }
 
+    @Override
+    public void onEventsEnd() {
+        guard.run(listener::onEventsEnd);
+    }
+
     @Override
     public void onLastEvent() {
         guard.run(listener::onLastEvent);
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -43,14 +43,11 @@
     private final CutRecorder cuts;
     private final RequestPermits permits;
     private final SendSupervisor supervisor;
-
     private Optional<ServerSend> send = Optional.empty();
     private Optional<SendLoad> load = Optional.empty();
     private SilenceTimer silence;
     private int sendNumber;
-
     private boolean isSendWritten;
-
     private boolean isEnded;
 
     /** Delivers a server's error answer, unless the request is sent to another server at once. */
@@ -384,6 +381,11 @@
             events.forward(step.server(), head, bytes, id, now);
         }
 
+        @Override
+        public void onEventsEnd() {
+            writer.writeEvents();
+        }
+
         @Override
         public void onLastEvent() {
             if (!isStale()) {
--- a/masticweir/src/main/java/org/masticweir/relay/SendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendListener.java
@@ -14,6 +14,9 @@
     /** A complete event of a stream arrived. */
     void onEvent(HttpHead head, ByteBuffer bytes, OptionalLong id);
 
+    /** All events that arrived together were reported, and can be written together. */
+    void onEventsEnd();
+
     /** The stream has ended after an event; whether it is complete is being determined. */
     void onLastEvent();
 
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -199,13 +199,7 @@
                 return;
             }
             if (isEventStream()) {
-                splitter.feed(
-                        part,
-                        (event, id) -> {
-                            if (!isEnded) {
-                                listener.onEvent(head, event, id);
-                            }
-                        });
+                splitEvents(part);
                 return;
             }
             if (metadata.isNotRun()) {
@@ -217,6 +211,21 @@
             body.append(part);
         }
 
+        /** Passes on the events that came together, also those before a malformed one. */
+        private void splitEvents(ByteBuffer part) throws IOException {
+            try {
+                splitter.feed(
+                        part,
+                        (event, id) -> {
+                            if (!isEnded) {
+                                listener.onEvent(head, event, id);
+                            }
+                        });
+            } finally {
+                listener.onEventsEnd();
+            }
+        }
+
         @Override
         public void end() {
             if (isEnded) {
--- a/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
@@ -351,6 +351,112 @@
         assertEquals("lost: ", exchangeAtOnce(ending, "HTTP/1.1 200 OK\r\nConnection: cl"));
     }
 
+    /** No other connection was served while an answer without an end was read. */
+    @Nested
+    class LongAnswer {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\n\r\n";
+        private static final int BODY_BYTES = 100_000;
+
+        /** Takes a few bytes in each turn. */
+        private final class Slow implements HttpStreamListener {
+            private static final int MOST_BYTES = 700;
+
+            private final Heard heard = new Heard();
+
+            @Override
+            public void head(HttpHead received) {
+                heard.head(received);
+            }
+
+            @Override
+            public void bytes(ByteBuffer part) {
+                ByteBuffer taken = part.slice().limit(Math.min(MOST_BYTES, part.remaining()));
+                part.position(part.position() + taken.remaining());
+                heard.bytes(taken);
+            }
+
+            @Override
+            public void end() {
+                heard.end();
+            }
+
+            @Override
+            public void lost(boolean sent) {
+                heard.lost(sent);
+            }
+        }
+
+        private void open(InetSocketAddress address, HttpStreamListener listener) {
+            XnioIoThread thread = worker.getIoThread();
+            DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, REQUEST_BYTES);
+            HttpCall call = HttpCall.get(address, "/");
+            thread.execute(() -> HttpStream.open(thread, buffers, call, TIMEOUT_MS, listener));
+        }
+
+        private Socket accept(HttpStreamListener listener) throws IOException {
+            open((InetSocketAddress) server.getLocalSocketAddress(), listener);
+            Socket connection = server.accept();
+            connection.getInputStream().read(new byte[REQUEST_BYTES]);
+            return connection;
+        }
+
+        private void writeUntilClosed(Socket connection) {
+            byte[] block = "body".repeat(4_096).getBytes(US_ASCII);
+            try (connection) {
+                connection.getOutputStream().write(HEAD.getBytes(US_ASCII));
+                while (true) {
+                    connection.getOutputStream().write(block);
+                }
+            } catch (IOException e) {
+                // The test has closed the connection.
+            }
+        }
+
+        @Test
+        void leavesTurnsToOtherConnections() throws Exception {
+            HttpStreamListener endless =
+                    new HttpStreamListener() {
+                        @Override
+                        public void head(HttpHead received) {}
+
+                        @Override
+                        public void bytes(ByteBuffer part) {
+                            part.position(part.limit());
+                        }
+
+                        @Override
+                        public void end() {}
+
+                        @Override
+                        public void lost(boolean sent) {}
+                    };
+            Socket connection = accept(endless);
+            Thread writer = new Thread(() -> writeUntilClosed(connection));
+            writer.start();
+            for (int i = 0; i < 10; i++) {
+                assertEquals("whole: abcd", exchange(Ending.CLOSE, HEAD + "ab", "cd"));
+            }
+            connection.close();
+            writer.join(TIMEOUT_MS);
+        }
+
+        @ParameterizedTest
+        @EnumSource(Ending.class)
+        void isHeardInFullHoweverLittleIsTakenAtOnce(Ending ending) throws Exception {
+            Slow slow = new Slow();
+            String body = "b".repeat(BODY_BYTES);
+            String length = "HTTP/1.1 200 OK\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+            try (Socket connection = accept(slow)) {
+                connection.getOutputStream().write((length + body).getBytes(US_ASCII));
+                if (ending == Ending.RESET) {
+                    assertEquals("whole: " + body, slow.heard.end.get(5, TimeUnit.SECONDS));
+                    connection.setSoLinger(true, 0);
+                }
+            }
+            assertEquals("whole: " + body, slow.heard.end.get(5, TimeUnit.SECONDS));
+        }
+    }
+
     /** A chunk's end is missing: what came must not pass for the whole answer. */
     @Test
     void chunkedAnswerWithoutItsLastChunkIsLost() throws Exception {
--- a/masticweir/src/test/java/org/masticweir/relay/EventSplitterTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/EventSplitterTest.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 import net.jqwik.api.ForAll;
@@ -73,6 +74,19 @@
                 () -> split("x".repeat(EventSplitter.MAX_EVENT_BYTES + 1), 4096));
     }
 
+    /** Guards against a faulty server that occupies the traffic thread with empty lines. */
+    @Test
+    void passesOnFewEventsAtOnce() throws IOException {
+        EventSplitter splitter = new EventSplitter(pool);
+        ByteBuffer lines = ByteBuffer.wrap(new byte[2 * EventSplitter.MAX_EVENTS]);
+        Arrays.fill(lines.array(), (byte) '\n');
+        splitter.feed(lines, (event, id) -> ids.add(id));
+        assertEquals(EventSplitter.MAX_EVENTS, ids.size());
+        splitter.feed(lines, (event, id) -> ids.add(id));
+        assertEquals(2 * EventSplitter.MAX_EVENTS, ids.size());
+        assertFalse(lines.hasRemaining());
+    }
+
     /** Guards against many events without an end that exhaust the memory together. */
     @Test
     void longEventsShareAPool() throws IOException {
