relay: what waits for a slow caller is counted by its memory

Cause: the limit of 4 MiB counted the events' bytes. An event of one byte also took a buffer, an array and a place in a queue, and the limit held for one stream, not for all.

CallerQueue joins short events in blocks, counts the blocks, and takes memory beyond 64 KiB from the pool that long answers share. What does not fit cuts the caller off as too slow, as before.

--- a/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/CallerAnswerWriter.java
@@ -9,31 +9,21 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.masticweir.error.ErrorCode;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.http.HttpHead;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
 /** Writes the answer of one request to its caller; runs on the traffic thread. */
 final class CallerAnswerWriter {
-    /**
-     * Limit on the bytes queued for a caller that does not read; larger than any answer to a
-     * request.
-     */
-    private static final int MAX_QUEUED_BYTES = 4 << 20;
-
     private static final double MS_PER_SECOND = 1_000.0;
 
     private final HttpServerExchange exchange;
     private final Consumer<CutReason> onCut;
-    private final Deque<ByteBuffer> queue = new ArrayDeque<>();
-    private int queuedBytes;
-    private long writtenBytes;
-    private int writtenEvents;
+    private final CallerQueue queue;
     private StreamSinkChannel sink;
     private boolean isEndQueued;
     private boolean isEnded;
@@ -48,11 +38,13 @@
     /**
      * Creates the writer for the answer of {@code exchange}.
      *
+     * @param pool memory that answers share while their callers do not read
      * @param onCut receives the reason if the writer ends the connection before the answer is
      *     complete; not called by {@link #abort} and {@link #sendError}
      */
-    CallerAnswerWriter(HttpServerExchange exchange, Consumer<CutReason> onCut) {
+    CallerAnswerWriter(HttpServerExchange exchange, AnswerPool pool, Consumer<CutReason> onCut) {
         this.exchange = checkNotNull(exchange, "exchange");
+        queue = new CallerQueue(pool);
         this.onCut = checkNotNull(onCut, "onCut");
     }
 
@@ -67,7 +59,7 @@
     }
 
     Progress progress() {
-        return new Progress(writtenEvents, writtenBytes, queuedBytes);
+        return new Progress(queue.writtenEvents(), queue.writtenBytes(), queue.queuedBytes());
     }
 
     /** Sends a complete answer. */
@@ -145,15 +137,9 @@
 
     /** Queues one event; {@link #writeEvents} must follow. */
     void addEvent(ByteBuffer bytes) {
-        if (isEnded) {
-            return;
-        }
-        queuedBytes += bytes.remaining();
-        if (queuedBytes > MAX_QUEUED_BYTES) {
+        if (!isEnded && !queue.add(bytes)) {
             cut(CutReason.CALLER_TOO_SLOW);
-            return;
         }
-        queue.add(bytes);
     }
 
     /** Writes the queued events, as far as the caller reads. */
@@ -175,6 +161,7 @@
      */
     void abort() {
         isEnded = true;
+        queue.close();
         IoUtils.safeClose(exchange.getConnection());
     }
 
@@ -198,17 +185,9 @@
             return;
         }
         try {
-            while (!queue.isEmpty()) {
-                ByteBuffer next = queue.peek();
-                int count = sink.write(next);
-                queuedBytes -= count;
-                writtenBytes += count;
-                if (next.hasRemaining()) {
-                    sink.resumeWrites();
-                    return;
-                }
-                queue.remove();
-                writtenEvents++;
+            if (!queue.writeTo(sink)) {
+                sink.resumeWrites();
+                return;
             }
             if (isEndQueued) {
                 isEnded = true;
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -353,7 +353,8 @@
                 refusal.getMessage(),
                 refusal.basis);
         context.metrics().countEarlyRefusal(refusal.code);
-        new CallerAnswerWriter(exchange, reason -> handleCut(exchange, reason))
+        new CallerAnswerWriter(
+                        exchange, context.answerPool(), reason -> handleCut(exchange, reason))
                 .sendError(refusal.code, retryAfterMs(refusal.code), refusal.getMessage());
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -78,7 +78,7 @@
         waits =
                 new WaitingSteps(
                         context, params, machine, log, permits, timer, guard, this::execute);
-        writer = new CallerAnswerWriter(exchange, this::onCut);
+        writer = new CallerAnswerWriter(exchange, context.answerPool(), this::onCut);
         cuts = new CutRecorder(context, log, writer, timer, deadlineTimer);
         detector = CallerDisconnectDetector.start(exchange, this::onCut);
         supervisor =
--- a/masticweir/src/test/java/org/masticweir/relay/ExchangeCompletionTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/ExchangeCompletionTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.masticweir.http.AnswerPool;
 import org.masticweir.http.HttpHead;
 import org.masticweir.http.HttpHeaders;
 
@@ -56,7 +57,8 @@
         ExchangeCompletion.addListener(
                 exchange, new KeepAliveConnections(), () -> completion.complete(null));
         HttpHead head = new HttpHead(200, HttpHeaders.copyOf(Map.of()));
-        new CallerAnswerWriter(exchange, reason -> {}).sendComplete(head, new byte[answerBytes]);
+        new CallerAnswerWriter(exchange, AnswerPool.of(0), reason -> {})
+                .sendComplete(head, new byte[answerBytes]);
         isCompleteAfterCall.complete(completion.isDone());
     }
 
