relay: a doubted removal delays no other router's

Cause: a message bore one delay, the longest pending one that its sender knew of, for all of its removals, and routers took it over from each other, sound readers too. And a reader that carried out a removal which a peer had reported as pending told nobody, as its revision was not new.

Each removal now bears its own delay, and a reader reports what it has applied also where the revision was known. Servers that a whole list lacks are doubted as before.

--- a/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
@@ -29,6 +29,8 @@
     /** Removed servers remembered, against older words on them; the longest removed go first. */
     private static final int MAX_REMOVED = 4_096;
 
+    private static final long NOT_PENDING_MS = Long.MIN_VALUE;
+
     private final Map<EngineId, Entry> present = new HashMap<>();
     private final Map<EngineId, Removed> removed =
             new LinkedHashMap<>() {
@@ -45,8 +47,13 @@
     /** Up to which revision removals may have been missed or are not remembered. */
     private Revision forgottenTo = Revision.NONE;
 
-    /** The newest word on one server; it has none if the word is its removal. */
-    public record Word(EngineId id, Revision revision, Optional<BackendServer> server) {}
+    /**
+     * The newest word on one server; it has none if the word is its removal.
+     *
+     * @param dueMs when the removal takes effect; not after now if it has, or if there is none
+     */
+    public record Word(
+            EngineId id, Revision revision, Optional<BackendServer> server, long dueMs) {}
 
     private static final class Entry {
         private BackendServer server;
@@ -68,8 +75,8 @@
 
         Word word() {
             EngineId id = server.id();
-            return removal.map(r -> new Word(id, r.revision(), Optional.empty()))
-                    .orElse(new Word(id, revision, Optional.of(server)));
+            return removal.map(r -> new Word(id, r.revision(), Optional.empty(), r.dueMs()))
+                    .orElse(new Word(id, revision, Optional.of(server), NOT_PENDING_MS));
         }
     }
 
@@ -225,7 +232,7 @@
         removed.forEach(
                 (id, gone) -> {
                     if (gone.revision().isAfter(revision)) {
-                        words.add(new Word(id, gone.revision(), Optional.empty()));
+                        words.add(new Word(id, gone.revision(), Optional.empty(), NOT_PENDING_MS));
                     }
                 });
         return Optional.of(words.build());
--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -43,7 +44,10 @@
     private boolean isNewestUnreadable;
     private final AwaitedCatalog awaitedCatalog = new AwaitedCatalog();
     private final UpdateProgress updateProgress = new UpdateProgress();
-    private long removalsPendingUntilMs = Long.MIN_VALUE / 2;
+
+    /** Until when servers that a whole list lacks are doubted to be gone. */
+    private long unlistedDoubtedUntilMs = Long.MIN_VALUE / 2;
+
     private volatile CatalogEvidence evidence;
 
     /**
@@ -200,7 +204,7 @@
             FeedOutcome.Rows rows, Optional<Revision> since, long removalDueMs) {
         List<ServerUpdate> updates = new ArrayList<>();
         long now = clock.nowMs();
-        removalsPendingUntilMs = Math.max(removalsPendingUntilMs, removalDueMs);
+        unlistedDoubtedUntilMs = Math.max(unlistedDoubtedUntilMs, removalDueMs);
         List<EngineId> listed = new ArrayList<>();
         boolean changed = false;
         Revision newest = UpdateProgress.BEFORE_FIRST_UPDATE;
@@ -217,7 +221,7 @@
             Optional<BackendServer> server = parseServer(id.get(), change);
             if (server.isPresent()) {
                 listed.add(id.get());
-                EntryOrigin origin = originOf(since, change.revision());
+                EntryOrigin origin = EntryOrigin.of(since, change.revision());
                 putServer(server.get(), change.revision(), origin, updates);
             } else {
                 // The row replaces the earlier entry. A running server soon writes its entry again.
@@ -236,7 +240,7 @@
         }
         return since.isEmpty() || updates.isEmpty()
                 ? Optional.empty()
-                : Optional.of(updatesAfter(previousNewest));
+                : Optional.of(updatesAfter(previousNewest).including(updates));
     }
 
     /** Applies updates from a peer. */
@@ -251,8 +255,8 @@
             return new UpdateResult(true, false);
         }
         List<ServerUpdate> updates = new ArrayList<>();
-        long dueMs = clock.nowMs() + message.removalDelayMs();
-        removalsPendingUntilMs = Math.max(removalsPendingUntilMs, dueMs);
+        long now = clock.nowMs();
+        unlistedDoubtedUntilMs = Math.max(unlistedDoubtedUntilMs, now + message.removalDelayMs());
         List<EngineId> listed = new ArrayList<>();
         Revision newest = message.afterRevision();
         boolean changed = false;
@@ -263,11 +267,13 @@
                 EntryOrigin origin = message.originOf(update);
                 putServer(update.server().get(), update.revision(), origin, updates);
             } else {
-                removeServer(update.id(), update.revision(), dueMs, updates);
+                long ownDueMs = now + update.removalDelayMs().orElse(message.removalDelayMs());
+                removeServer(update.id(), update.revision(), ownDueMs, updates);
             }
         }
         if (message.isFullList()) {
-            changed = serverBook.retain(listed, message.completeTo(), clock.nowMs(), dueMs);
+            long dueMs = now + message.removalDelayMs();
+            changed = serverBook.retain(listed, message.completeTo(), now, dueMs);
         }
         boolean complete =
                 updateProgress.recordUpdates(message.afterRevision(), message.completeTo(), newest);
@@ -301,22 +307,30 @@
      * updates are no longer stored.
      */
     ServerUpdates updatesAfter(Revision revision) {
-        long delayMs = Math.max(0, removalsPendingUntilMs - clock.nowMs());
-        Optional<ImmutableList<ServerUpdate>> storedUpdates =
+        Optional<ImmutableList<ServerBook.Word>> words =
                 revision.equals(UpdateProgress.BEFORE_FIRST_UPDATE)
                         ? Optional.empty()
-                        : serverBook.wordsAfter(revision).map(DeploymentState::toUpdates);
-        return storedUpdates
-                .map(u -> new ServerUpdates(revision, updateProgress.completeTo(), delayMs, u))
+                        : serverBook.wordsAfter(revision);
+        return words.map(w -> new ServerUpdates(revision, completeTo(), delayMs(w), toUpdates(w)))
                 .orElseGet(
                         () ->
                                 new ServerUpdates(
                                         UpdateProgress.BEFORE_FIRST_UPDATE,
-                                        updateProgress.completeTo(),
-                                        delayMs,
+                                        completeTo(),
+                                        Math.max(0, unlistedDoubtedUntilMs - clock.nowMs()),
                                         presentServers()));
     }
 
+    /** Returns the time until the last of the pending removals takes effect, in ms. */
+    private long delayMs(List<ServerBook.Word> words) {
+        return words.stream().mapToLong(this::delayMs).max().orElse(0);
+    }
+
+    private long delayMs(ServerBook.Word word) {
+        long now = clock.nowMs();
+        return word.dueMs() > now ? word.dueMs() - now : 0;
+    }
+
     /** Returns the updates that the sender of {@code request} has not received. */
     ServerUpdates replyTo(ServersRequest request) {
         ServerUpdates newerUpdates = updatesAfter(request.completeTo());
@@ -335,10 +349,23 @@
         return new ServersRequest(updateProgress.completeTo(), serverBook.digest());
     }
 
-    private static ImmutableList<ServerUpdate> toUpdates(List<ServerBook.Word> words) {
-        return words.stream()
-                .map(w -> new ServerUpdate(w.id(), w.revision(), w.server()))
-                .collect(ImmutableList.toImmutableList());
+    private ImmutableList<ServerUpdate> toUpdates(List<ServerBook.Word> words) {
+        return words.stream().map(this::toUpdate).collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Returns the update that reports {@code word}. Each removal has its own delay: a removal that
+     * only this router doubts must not delay those that others report.
+     */
+    private ServerUpdate toUpdate(ServerBook.Word word) {
+        return word.server()
+                .map(s -> ServerUpdate.present(s, word.revision()))
+                .orElseGet(
+                        () ->
+                                ServerUpdate.removed(
+                                        word.id(),
+                                        word.revision(),
+                                        OptionalLong.of(delayMs(word))));
     }
 
     /** Applies removals that are due. */
@@ -374,17 +401,6 @@
         return serverBook.servers().size();
     }
 
-    /**
-     * Returns what is known of the moment at which an entry was written.
-     *
-     * @param after the revision that the entry follows as a change; empty if it is part of a whole
-     *     reading, which may show entries of the older copy that the era began with
-     */
-    static EntryOrigin originOf(Optional<Revision> after, Revision revision) {
-        boolean isChangeInEra = after.filter(r -> r.era() == revision.era()).isPresent();
-        return isChangeInEra ? EntryOrigin.WRITTEN_IN_ERA : EntryOrigin.MAYBE_COPIED;
-    }
-
     private void putServer(
             BackendServer server,
             Revision revision,
@@ -402,7 +418,7 @@
     private void removeServer(
             EngineId id, Revision revision, long dueMs, List<ServerUpdate> updates) {
         if (serverBook.remove(id, revision, clock.nowMs(), dueMs)) {
-            updates.add(ServerUpdate.removed(id, revision));
+            updates.add(ServerUpdate.removed(id, revision, OptionalLong.of(0)));
         }
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMessages.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.masticweir.catalog.EntryOrigin;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.feed.StoreContact;
@@ -127,7 +129,8 @@
      *
      * @param afterRevision {@link UpdateProgress#BEFORE_FIRST_UPDATE} if the message lists all
      *     present servers
-     * @param removalDelayMs remaining delay of the pending removals among them, in ms
+     * @param removalDelayMs longest remaining delay of the pending removals among them, in ms;
+     *     removals without a delay of their own take effect after it
      */
     record ServerUpdates(
             Revision afterRevision,
@@ -145,9 +148,23 @@
 
         /** Returns what the message shows of the moment at which {@code update} was written. */
         EntryOrigin originOf(ServerUpdate update) {
-            return DeploymentState.originOf(
+            return EntryOrigin.of(
                     Optional.of(afterRevision).filter(r -> !isFullList()), update.revision());
         }
+
+        /**
+         * Returns this message with updates that the sender has just applied. Peers may have
+         * reported one of them before as a removal that they doubted; its revision is not new then,
+         * but its delay is.
+         */
+        ServerUpdates including(List<ServerUpdate> applied) {
+            Set<EngineId> included =
+                    updates.stream().map(ServerUpdate::id).collect(Collectors.toSet());
+            ImmutableList.Builder<ServerUpdate> all = ImmutableList.builder();
+            all.addAll(updates);
+            applied.stream().filter(u -> !included.contains(u.id())).forEach(all::add);
+            return new ServerUpdates(afterRevision, completeTo, removalDelayMs, all.build());
+        }
     }
 
     /**
--- a/masticweir/src/main/java/org/masticweir/relay/ServerUpdate.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerUpdate.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.catalog.ServiceName;
@@ -19,9 +20,16 @@
  * The state of one backend server as of a revision of the store; immutable.
  *
  * @param server empty if its entry was removed
+ * @param removalDelayMs time until the removal takes effect, in ms; empty if there is no removal,
+ *     or if the sender does not report the delay of each
  */
-record ServerUpdate(EngineId id, Revision revision, Optional<BackendServer> server) {
-    private static final int FIELDS = 10;
+record ServerUpdate(
+        EngineId id,
+        Revision revision,
+        Optional<BackendServer> server,
+        OptionalLong removalDelayMs) {
+    private static final int FIELDS = 11;
+    private static final long NO_DELAY = -1;
 
     /** Fields that routers without eras of the store send as well. */
     private static final int REQUIRED_FIELDS = 9;
@@ -35,11 +43,11 @@
     }
 
     static ServerUpdate present(BackendServer server, Revision revision) {
-        return new ServerUpdate(server.id(), revision, Optional.of(server));
+        return new ServerUpdate(server.id(), revision, Optional.of(server), OptionalLong.empty());
     }
 
-    static ServerUpdate removed(EngineId id, Revision revision) {
-        return new ServerUpdate(id, revision, Optional.empty());
+    static ServerUpdate removed(EngineId id, Revision revision, OptionalLong delayMs) {
+        return new ServerUpdate(id, revision, Optional.empty(), delayMs);
     }
 
     /** Returns a description for the log. */
@@ -67,7 +75,7 @@
         out.packLong(
                 server.map(s -> s.incarnation().startedMs())
                         .orElse(ServerIncarnation.UNKNOWN_START));
-        out.packLong(revision.era());
+        out.packLong(revision.era()).packLong(removalDelayMs.orElse(NO_DELAY));
     }
 
     static ServerUpdate decode(MessageUnpacker in) throws IOException {
@@ -82,8 +90,12 @@
             boolean leaving = f.bool();
             long startedMs = f.int64();
             Revision revision = new Revision(f.hasMore() ? f.int64() : 0, revisionNumber);
+            long delayMs = f.hasMore() ? f.int64() : NO_DELAY;
             if (!present) {
-                return removed(id, revision);
+                return removed(
+                        id,
+                        revision,
+                        delayMs >= 0 ? OptionalLong.of(delayMs) : OptionalLong.empty());
             }
             return present(
                     new BackendServer(
--- a/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/DeploymentStateTest.java
@@ -356,6 +356,30 @@
             assertEquals(1, peer.serverCount());
         }
 
+        /** Failure: one router's doubt kept a removed server in use at all others. */
+        @Test
+        void doNotDelayARemovalThatOthersReportAsDue() {
+            applyRows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerRequestsUpdates();
+            applyRows(false, clock.nowMs() + 2_000, removed("e1", 3));
+            applyRows(false, removed("e2", 4));
+            peerRequestsUpdates();
+            peer.tick();
+            assertEquals(1, peer.serverCount(), "only the doubted server is left");
+        }
+
+        /** Failure: the same, once the peers had the removal from the router that doubts it. */
+        @Test
+        void containARemovalThatWasReportedAsPending() {
+            applyRows(true, row("e1", 1, "81"), row("e2", 2, "82"));
+            peerRequestsUpdates();
+            applyRows(false, clock.nowMs() + 2_000, removed("e1", 3));
+            peerRequestsUpdates();
+            ServerUpdates due = applyRows(false, removed("e1", 3)).orElseThrow();
+            peer.applyPeerUpdates(due, "r1");
+            assertEquals(1, peer.serverCount());
+        }
+
         @Test
         void containRemovalsFoundByAFullReading() {
             applyRows(true, row("e1", 1, "81"), row("e2", 2, "82"));
