http: tests of answers that are cut at each byte

Another operator's clients got a 200 with a short body, framed as whole, from servers that stopped within their answer's head. Not shown here: an answer that is closed or reset after any byte of its head, and of a body with a length or chunks, is lost (HttpStreamTest, 8 cases, each cut at every byte).

--- a/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
+++ b/masticweir/src/test/java/org/masticweir/http/HttpStreamTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -457,6 +458,36 @@
         }
     }
 
+    /** Failure: an answer that ends within its head or body is taken for a whole, short one. */
+    @ParameterizedTest
+    @CsvSource({
+        "CLOSE, HTTP/1.1 200 OK, Content-Length: 4, abcd",
+        "RESET, HTTP/1.1 200 OK, Content-Length: 4, abcd",
+        "CLOSE, HTTP/1.0 200 OK, Content-Length: 4, abcd",
+        "CLOSE, HTTP/1.1 200 OK, Transfer-Encoding: chunked, '4\r\nabcd\r\n0\r\n\r\n'",
+        "RESET, HTTP/1.1 200 OK, Transfer-Encoding: chunked, '4\r\nabcd\r\n0\r\n\r\n'",
+        "CLOSE, HTTP/1.1 200, Content-Length: 4, abcd",
+    })
+    void answerThatIsCutAnywhereIsLost(Ending ending, String status, String field, String body)
+            throws Exception {
+        String answer = status + "\r\nX-Any: x\r\n" + field + "\r\n\r\n" + body;
+        for (int i = 0; i < answer.length(); i++) {
+            String end = exchangeAtOnce(ending, answer.substring(0, i));
+            assertTrue(end.startsWith("lost: "), end + " after " + i + " bytes");
+        }
+    }
+
+    /** Failure: the same, with an answer whose body ends with its connection. */
+    @ParameterizedTest
+    @EnumSource(Ending.class)
+    void answerWithoutLengthThatIsCutWithinItsHeadIsLost(Ending ending) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nX-Any: x\r\nConnection: close\r\n\r\n";
+        for (int i = 0; i < head.length(); i++) {
+            String end = exchangeAtOnce(ending, head.substring(0, i));
+            assertTrue(end.startsWith("lost: "), end + " after " + i + " bytes");
+        }
+    }
+
     /** A chunk's end is missing: what came must not pass for the whole answer. */
     @Test
     void chunkedAnswerWithoutItsLastChunkIsLost() throws Exception {
