relay: a plain answer without a length needs a server that lives

Cause: a process that ends closes its connections regularly, so the end of the connection shows that the answer is whole only if the server still lives. Only streams were checked for that.

--- a/masticweir/src/main/java/org/masticweir/relay/GuardedSendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/GuardedSendListener.java
@@ -39,8 +39,8 @@
     }
 
     @Override
-    public void onLastEvent() {
-        guard.run(listener::onLastEvent);
+    public void onBodyEnd() {
+        guard.run(listener::onBodyEnd);
     }
 
     @Override
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -387,7 +387,7 @@
         }
 
         @Override
-        public void onLastEvent() {
+        public void onBodyEnd() {
             if (!isStale()) {
                 supervisor.stop();
             }
--- a/masticweir/src/main/java/org/masticweir/relay/SendListener.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendListener.java
@@ -17,8 +17,8 @@
     /** All events that arrived together were reported, and can be written together. */
     void onEventsEnd();
 
-    /** The stream has ended after an event; whether it is complete is being determined. */
-    void onLastEvent();
+    /** The body ended with its connection; whether it is complete is being determined. */
+    void onBodyEnd();
 
     /** End: the stream is complete. */
     void onStreamEnd(HttpHead head);
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -129,7 +129,7 @@
             completeStream();
             return;
         }
-        listener.onLastEvent();
+        listener.onBodyEnd();
         // A probe that began before the end would not show that the server lived at the end.
         ServerProbe probe =
                 new ServerProbe(
@@ -142,19 +142,42 @@
     }
 
     private void endStream(ServerProbe.Result result) {
+        boolean isAlive =
+                result == ServerProbe.Result.LIVES || result == ServerProbe.Result.NOT_PROBED;
+        endUnframed(result, isAlive, this::completeStream);
+    }
+
+    /** Calls {@code completion} if the server still accepts connections; else the send is lost. */
+    private void checkServer(Runnable completion) {
+        new ServerConnectCheck(context.serverDialer(), context.thread())
+                .check(
+                        server,
+                        isAlive ->
+                                endUnframed(
+                                        isAlive ? "CONNECTED" : "NOT_CONNECTED",
+                                        isAlive,
+                                        completion));
+    }
+
+    private void endUnframed(Object finding, boolean isAlive, Runnable completion) {
         if (isEnded) {
             return;
         }
-        LOG.info("relay: request {}: stream without a length ended, {}", requestId, result);
-        boolean isAlive =
-                result == ServerProbe.Result.LIVES || result == ServerProbe.Result.NOT_PROBED;
+        LOG.info("relay: request {}: answer without a length ended, {}", requestId, finding);
         if (isAlive) {
-            completeStream();
+            completion.run();
         } else {
             discard("the answer has no length and its server no longer answers");
         }
     }
 
+    private void completeAnswer() {
+        isEnded = true;
+        byte[] whole = body.toByteArray();
+        body.close();
+        listener.onAnswer(head, metadata, whole);
+    }
+
     private void completeStream() {
         isEnded = true;
         listener.onStreamEnd(head);
@@ -233,11 +256,11 @@
             }
             if (metadata.isNotRun()) {
                 refuse();
+            } else if (!isEventStream() && (head.isBodyFramed() || !head.isSuccess())) {
+                completeAnswer();
             } else if (!isEventStream()) {
-                isEnded = true;
-                byte[] whole = body.toByteArray();
-                body.close();
-                listener.onAnswer(head, metadata, whole);
+                listener.onBodyEnd();
+                checkServer(ServerSend.this::completeAnswer);
             } else if (splitter.isAtEventEnd()) {
                 endStream();
             } else {
