relay: a stream of a pausing server is not complete unseen

Cause: a pausing server is not probed, and NOT_PROBED was taken for a sign of life. The server is now checked by a connection without a request, which a pause does not forbid; a stream whose server does not accept it goes on elsewhere.

--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -142,9 +142,11 @@
     }
 
     private void endStream(ServerProbe.Result result) {
-        boolean isAlive =
-                result == ServerProbe.Result.LIVES || result == ServerProbe.Result.NOT_PROBED;
-        endUnframed(result, isAlive, this::completeStream);
+        if (result == ServerProbe.Result.NOT_PROBED && !isEnded) {
+            checkServer(this::completeStream);
+        } else {
+            endUnframed(result, result == ServerProbe.Result.LIVES, this::completeStream);
+        }
     }
 
     /** Calls {@code completion} if the server still accepts connections; else the send is lost. */
