http: an answer that can have no body has a known end

A 204 without a length of a server that then ends became a 502 with the check of answers without a length: its body ends with its head, so there is nothing to check.

--- a/masticweir/src/main/java/org/masticweir/http/HttpHead.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpHead.java
@@ -8,6 +8,8 @@
 public record HttpHead(int status, HttpHeaders headers) {
     private static final int FIRST_SUCCESS = 200;
     private static final int LAST_SUCCESS = 299;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
     private static final String CHUNKED = "chunked";
 
     public HttpHead {
@@ -19,11 +21,13 @@
     }
 
     /**
-     * Returns whether the body has a length or chunks. The end of any other body is the end of its
-     * connection.
+     * Returns whether the body has a length or chunks, or cannot exist. The end of any other body
+     * is the end of its connection.
      */
     public boolean isBodyFramed() {
-        return headers.first("Content-Length").isPresent()
+        return status == NO_CONTENT
+                || status == NOT_MODIFIED
+                || headers.first("Content-Length").isPresent()
                 || headers.first("Transfer-Encoding")
                         .filter(v -> Ascii.equalsIgnoreCase(v.trim(), CHUNKED))
                         .isPresent();
