http: exchanges that have more to read take one turn at a time

Cause: each stream's next turn was due 1 ms after its last one. When the turns of all streams together took longer, the first was due again before the thread had looked at its sockets, which it does when no task is due.

TurnQueue runs one waiting turn, and the next 1 ms after its end, whatever the number of streams.

--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -15,7 +15,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.xnio.ChannelListeners;
@@ -33,8 +32,6 @@
     /** Reads after which other connections of the thread take their turn. */
     private static final int READS_PER_TURN = 16;
 
-    private static final long YIELD_MS = 1;
-
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final InetSocketAddress address;
@@ -240,26 +237,17 @@
     private void read(StreamSourceChannel source) {
         if (readTurn(source)) {
             source.suspendReads();
-            yieldTo(
-                    () -> {
-                        if (!over) {
-                            source.resumeReads();
-                            read(source);
-                        }
-                    });
+            TurnQueue.of(thread)
+                    .add(
+                            () -> {
+                                if (!over) {
+                                    source.resumeReads();
+                                    read(source);
+                                }
+                            });
         }
     }
 
-    /**
-     * Runs {@code next} after the other connections of the thread had their turn.
-     *
-     * <p>The thread runs all tasks that are due before it looks at its sockets. A task that is due
-     * at once would keep it from them for as long as each turn asks for the next.
-     */
-    private void yieldTo(Runnable next) {
-        thread.executeAfter(next, YIELD_MS, TimeUnit.MILLISECONDS);
-    }
-
     /** Reads for one turn; returns whether there may be more to read at once. */
     private boolean readTurn(StreamSourceChannel source) {
         PooledByteBuffer pooled = unread.orElseGet(this::allocateEmpty);
@@ -338,7 +326,7 @@
 
     private void readToLoss() {
         if (!over && readTurn(answer.get())) {
-            yieldTo(this::readToLoss);
+            TurnQueue.of(thread).add(this::readToLoss);
         } else {
             lost();
         }
