--- a/masticweir/src/main/java/org/masticweir/http/HttpStream.java
+++ b/masticweir/src/main/java/org/masticweir/http/HttpStream.java
@@ -29,8 +29,11 @@
  * the listener hears nothing more.
  */
 public final class HttpStream implements AutoCloseable {
-    /** Reads after which other connections of the thread take their turn. */
-    private static final int READS_PER_TURN = 16;
+    /** Bytes after which other connections of the thread take their turn. */
+    private static final int BYTES_PER_TURN = 256 << 10;
+
+    /** Reads after which they do, too; one read may return a single short chunk. */
+    private static final int READS_PER_TURN = 4_096;
 
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
@@ -271,15 +274,17 @@
 
     private boolean readTurn(StreamSourceChannel source, ByteBuffer buffer) throws IOException {
         int reads = 0;
+        int bytes = 0;
         while (!over) {
             if (!buffer.hasRemaining()) {
-                if (reads == READS_PER_TURN) {
+                if (reads == READS_PER_TURN || bytes >= BYTES_PER_TURN) {
                     return true;
                 }
-                reads++;
                 if (!readInto(source, buffer)) {
                     return false;
                 }
+                reads++;
+                bytes += buffer.remaining();
             }
             listener.bytes(buffer);
             if (buffer.hasRemaining()) {
