--- a/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/ServerBook.java
@@ -268,7 +268,7 @@
                 : Optional.ofNullable(removed.get(id)).map(Removed::life);
     }
 
-    /** Returns the newest revision heard of {@code id}; {@link Revision#NONE} if none. */
+    /** Returns the newest revision known of {@code id}; {@link Revision#NONE} if none. */
     public Revision revisionOf(EngineId id) {
         Entry entry = present.get(id);
         if (entry != null) {
