relay: a traffic thread that does not return is logged, and ends its process

The delay of the traffic thread is recorded by the thread itself when it runs again, so one that never does leaves no trace. Whether the thread computed, waited or had ended could only be told from outside: three thread dumps of that router, 0.7 s apart, stand in HeaderProtocol.pauseMs below BigInteger.square.

The control thread now counts the probes that the traffic thread has not run. After 1 s it logs once where that thread stands: the innermost frame and the router's own frames, and counts traffic_thread_stalls_total. After 20 probes (10 s) the router counts as stuck and the daemon ends with status 3, so that callers connect to other routers and the process starts again. Probes are counted and not time: a machine that stands still stops both threads.

That the daemon itself ends is not covered by a test with a process.

--- a/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRouter.java
@@ -162,7 +162,7 @@
         callersPort =
                 new CallersPort(
                         listener, ports, settings.callers(), this::canServeCallers, control, clock);
-        delays = new ThreadDelays(control, thread, clock, metrics);
+        delays = new ThreadDelays(control, thread, thread::getStackTrace, clock, metrics);
     }
 
     /**
@@ -465,6 +465,13 @@
         return shutdown.shutdownFuture();
     }
 
+    /**
+     * Returns a future that completes if callers are not served any more; see {@link ThreadDelays}.
+     */
+    public CompletableFuture<Void> stuckFuture() {
+        return delays.stuckFuture();
+    }
+
     /**
      * Applies changed settings: the log level and the retry budget. Addresses change only at a
      * restart of the process; requests are not affected.
