--- a/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerProbe.java
@@ -7,8 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.masticweir.catalog.BackendServer;
 import org.masticweir.catalog.Catalog;
 import org.masticweir.catalog.ServerIncarnation;
@@ -27,6 +28,8 @@
  * same incarnation share their calls.
  */
 final class ServerProbe {
+    private static final Logger LOG = LogManager.getLogger(ServerProbe.class);
+
     /**
      * Timeout of a probe with all its calls, in ms: one round trip and the response time of a busy
      * server. Requests wait for the result.
@@ -99,19 +102,35 @@
             long deadlineMs) {
         limits.recordProbe(server.incarnation());
         long timeoutMs = Math.max(1, deadlineMs - clock.nowMs());
-        CompletableFuture<HttpOutcome> answer = serverCaller.call(server, call, timeoutMs);
-        answer.thenAccept(
-                outcome -> {
-                    metadataRecorder.recordCall(server.incarnation(), outcome);
-                    if (isRepeated(outcome, callNumber, deadlineMs)) {
-                        call(server, call, isEngine, callNumber + 1, deadlineMs);
-                    } else {
-                        Result result = toResult(server, isEngine, outcome);
-                        pendingCallbacks
-                                .remove(server.incarnation())
-                                .forEach(c -> c.accept(result));
-                    }
-                });
+        serverCaller
+                .call(server, call, timeoutMs)
+                .thenAccept(o -> onOutcome(server, call, isEngine, callNumber, deadlineMs, o));
+    }
+
+    /**
+     * Calls again, or reports the result. A failure of this process is reported as inconclusive:
+     * requests wait for the result, and later probes of the incarnation share it.
+     */
+    private void onOutcome(
+            BackendServer server,
+            HttpCall call,
+            boolean isEngine,
+            int callNumber,
+            long deadlineMs,
+            HttpOutcome outcome) {
+        Result result = Result.UNKNOWN;
+        try {
+            metadataRecorder.recordCall(server.incarnation(), outcome);
+            if (isRepeated(outcome, callNumber, deadlineMs)) {
+                call(server, call, isEngine, callNumber + 1, deadlineMs);
+                return;
+            }
+            result = toResult(server, isEngine, outcome);
+        } catch (RuntimeException e) {
+            LOG.error("relay: probe of {} failed with an internal error", server.id(), e);
+        }
+        Result reported = result;
+        pendingCallbacks.remove(server.incarnation()).forEach(c -> c.accept(reported));
     }
 
     /** Returns whether to call again: only a connection broke, and time is left. */
