--- a/masticweir/src/main/java/org/masticweir/engine/EngineStream.java
+++ b/masticweir/src/main/java/org/masticweir/engine/EngineStream.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.masticweir.error.RetryAdvice;
 import org.masticweir.generation.Frame;
 import org.masticweir.http.AnswerLimitException;
 import org.masticweir.http.AnswerPool;
@@ -157,7 +158,7 @@
             // from something between that took the request as well.
             boolean refused = json.has("admitted") && !json.get("admitted").asBoolean(true);
             boolean unknown = status == StatusCodes.NOT_FOUND && !refused;
-            return new EngineRefusal(unknown, refused, json.path("retry_after_ms").asLong());
+            return new EngineRefusal(unknown, refused, RetryAdvice.ms(json));
         }
     }
 }
--- a/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
+++ b/masticweir/src/main/java/org/masticweir/serving/ServiceRunner.java
@@ -15,6 +15,7 @@
 import org.masticweir.config.WorkClass;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.error.MasticweirException;
+import org.masticweir.error.RetryAdvice;
 import org.masticweir.error.Verdict;
 import org.masticweir.generation.AnswerEnd;
 import org.masticweir.http.HttpAnswer;
@@ -185,7 +186,7 @@
     private boolean refused(HttpAnswer answer) {
         try {
             JsonNode json = MAPPER.readTree(answer.text());
-            advisedRetryMs = Math.max(advisedRetryMs, json.path("retry_after_ms").asLong());
+            advisedRetryMs = Math.max(advisedRetryMs, RetryAdvice.ms(json));
             return json.has("admitted") && !json.get("admitted").asBoolean(true);
         } catch (JsonProcessingException e) {
             return false;
--- a/masticweir/src/main/java/org/masticweir/store/PlatformJson.java
+++ b/masticweir/src/main/java/org/masticweir/store/PlatformJson.java
@@ -9,6 +9,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.List;
 import java.util.OptionalLong;
+import org.masticweir.error.RetryAdvice;
 import org.masticweir.http.IpAddress;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
@@ -83,7 +84,7 @@
 
     static OptionalLong retryAfterMs(JsonNode root) {
         JsonNode ms = root.path("retry_after_ms");
-        return ms.canConvertToLong() ? OptionalLong.of(ms.asLong()) : OptionalLong.empty();
+        return ms.canConvertToLong() ? OptionalLong.of(RetryAdvice.ms(root)) : OptionalLong.empty();
     }
 
     private static InstanceRecord instance(JsonNode node) {
