relay: a server's failure is no promise that the request has not run

The caller gets the 503, which promises that the letter was not run, asks again as it may, and it runs twice.

Cause: only X-Not-Executed states that a request has not run. The router checked it for its own next send, and not when it passed on 408, 429 or 503, by which its caller decides the same. Ruled out: a 503 of the router's own (the body is the server's) and a second send (the second run has the id of the caller's second try). The same on a related path: 421 without the field was taken for "not run" and sent to the next server.

Fix: where a status would be such a promise and the server does not state it, a request that must not run twice ends as the router's own 502, unsigned, which promises nothing. After 421 without the field the server is still left as gone; such a request ends too, others are sent on and the send counts. A refusal with the field stays one, failures that promise nothing and answers to requests that may run again are passed on unchanged. One log line and answers_withheld_total tell.

--- a/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
+++ b/masticweir/src/main/java/org/masticweir/forward/RequestStateMachine.java
@@ -42,7 +42,7 @@
     private final RetryLimiter retryLimiter;
     private final ContentPolicy contentPolicy;
     private final RequestWait requestWait;
-    private final RetryDelay retryDelay;
+    private final FinalSteps finalSteps;
 
     private final HeldPermits permits = new HeldPermits();
     private int sendCount;
@@ -75,7 +75,7 @@
         this.retryLimiter = checkNotNull(retryLimiter, "retryLimiter");
         this.contentPolicy = checkNotNull(contentPolicy, "contentPolicy");
         requestWait = new RequestWait(request, waitQueue);
-        retryDelay = new RetryDelay(request.route().goalMs(), random);
+        finalSteps = new FinalSteps(new RetryDelay(request.route().goalMs(), random));
         lastEventId = request.callerLastEventId();
     }
 
@@ -285,6 +285,18 @@
         return Optional.of(next(nowMs)).filter(Step::mayLeadToSend);
     }
 
+    /**
+     * Handles an error answer that callers would take as the promise that the request has not run,
+     * though the server does not state so. Returns the final step that replaces the answer; empty
+     * if the request may run again, so that the answer may be passed on.
+     */
+    public Optional<Step.End> onUnprovenRefusal() {
+        markMayHaveRun();
+        return request.route().repeatability().mayRunAgain()
+                ? Optional.empty()
+                : Optional.of(end(ErrorCode.ENGINE_LOST, "the server failed and may have run it"));
+    }
+
     /** Returns the delay until {@link #onSlowAnswer}; empty if the request can't be hedged. */
     public OptionalLong hedgeDelayMs() {
         boolean isIdempotent = request.route().repeatability() == Repeatability.IDEMPOTENT;
@@ -325,12 +337,14 @@
 
     /** Returns the final step of a request whose deadline has passed. */
     public Step.End endAtDeadline() {
-        return endNow(ErrorCode.OVERLOADED, ErrorCode.DEADLINE_EXCEEDED, "its time is over");
+        return finalSteps.endNow(
+                ErrorCode.OVERLOADED, ErrorCode.DEADLINE_EXCEEDED, verdict(), "its time is over");
     }
 
     /** Returns the final step of a request whose router shuts down. */
     public Step.End endAtShutdown() {
-        return endNow(ErrorCode.SHUTTING_DOWN, ErrorCode.ENGINE_LOST, "this router ends");
+        return finalSteps.endNow(
+                ErrorCode.SHUTTING_DOWN, ErrorCode.ENGINE_LOST, verdict(), "this router ends");
     }
 
     /** Returns the final step of a request of which a step failed. */
@@ -338,13 +352,6 @@
         return new Step.End(ErrorCode.INTERNAL, verdict(), OptionalLong.empty(), "internal error");
     }
 
-    /** Ends the request now; the error code depends on whether the request may have run. */
-    private Step.End endNow(ErrorCode notRun, ErrorCode mayHaveRun, String reason) {
-        Verdict known = verdict();
-        ErrorCode code = known.safeToSendAgain() ? notRun : mayHaveRun;
-        return new Step.End(code, known, retryAfterMs(0), reason);
-    }
-
     /** Returns the current verdict on whether the request ran. */
     public Verdict verdict() {
         return isInFlight ? Verdict.MAY_HAVE_RUN : verdict;
@@ -354,10 +361,18 @@
         return sendCount;
     }
 
-    /** Handles an answer from another server at the address: the selected server is gone. */
-    public Step onWrongServer(BackendServer server, long nowMs) {
-        sendCount--;
+    /**
+     * Handles an answer from another server at the address: the selected server is gone.
+     *
+     * @param isNotRun whether the other server states that it has not run the request
+     */
+    public Step onWrongServer(BackendServer server, boolean isNotRun, long nowMs) {
         health.recordServerGone(server);
+        if (!isNotRun) {
+            markMayHaveRun();
+            return next(nowMs);
+        }
+        sendCount--;
         return onRefused(nowMs);
     }
 
@@ -478,15 +493,7 @@
         return end(code, reason, 0);
     }
 
-    /** Ends the request with an error; its caller may retry after {@code minMs} at the earliest. */
     private Step.End end(ErrorCode code, String reason, long minMs) {
-        ErrorCode error = verdict.safeToSendAgain() ? ErrorCode.OVERLOADED : code;
-        boolean isUnsafe = !verdict.safeToSendAgain() && error.httpStatus() == 503;
-        return new Step.End(
-                isUnsafe ? ErrorCode.ENGINE_LOST : error, verdict, retryAfterMs(minMs), reason);
-    }
-
-    private OptionalLong retryAfterMs(long minMs) {
-        return OptionalLong.of(retryDelay.nextMs(minMs));
+        return finalSteps.end(code, verdict, reason, minMs);
     }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/AnswerMetadata.java
+++ b/masticweir/src/main/java/org/masticweir/relay/AnswerMetadata.java
@@ -37,4 +37,9 @@
         checkNotNull(rejections, "rejections");
         checkNotNull(pauseMs, "pauseMs");
     }
+
+    /** Returns whether the answer is a refusal, whose body is not passed on. */
+    public boolean isRefusal() {
+        return isNotRun || isWrongServer;
+    }
 }
--- a/masticweir/src/main/java/org/masticweir/relay/PlatformProtocol.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PlatformProtocol.java
@@ -46,6 +46,12 @@
      */
     boolean isWrongServerStatus(int status);
 
+    /**
+     * Returns whether callers take a status as the promise that the request has not run and never
+     * will.
+     */
+    boolean promisesNotRun(int status);
+
     /**
      * Parses the answer to an {@link #engineProbeCall}.
      *
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -134,6 +134,11 @@
             countEnd(lowerCaseName(code));
         }
 
+        /** Counts an error answer that is not passed on because its status would be a promise. */
+        void countWithheldAnswer(int status) {
+            count("answers_withheld_total", "class", route, "status", Integer.toString(status));
+        }
+
         void countCallerDisconnect() {
             countEnd("caller_left");
         }
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLifecycle.java
@@ -35,6 +35,7 @@
     private final CallerAnswerWriter writer;
     private final CallerDisconnectDetector detector;
     private final EventRelay events;
+    private final ErrorAnswers errorAnswers;
     private final ContentMonitor monitor;
     private final RequestTimer timer;
     private final RequestTimer deadlineTimer;
@@ -84,6 +85,7 @@
         supervisor =
                 new SendSupervisor(context, request, machine, log, permits, timer, guard, this);
         events = new EventRelay(context, params, machine, writer, metrics, log);
+        errorAnswers = new ErrorAnswers(context.protocol(), machine, log, metrics);
     }
 
     void start() {
@@ -101,12 +103,11 @@
         } else if (step instanceof Step.Send next) {
             errorAnswer = Optional.empty();
             send(next);
-        } else if (!(step instanceof Step.End)) {
-            waits.execute(step);
-        } else {
-            Step.End end = (Step.End) step;
+        } else if (step instanceof Step.End end) {
             boolean isDeadline = end.code() == ErrorCode.DEADLINE_EXCEEDED;
             end(end, isDeadline ? CutReason.DEADLINE : CutReason.NO_FURTHER_SEND);
+        } else {
+            waits.execute(step);
         }
     }
 
@@ -418,10 +419,10 @@
             monitor.recordAnswer();
             context.metrics().countSendEnd(step.server(), SendEnd.ANSWERED);
             closeSend(false);
-            Optional<Step> next =
-                    head.status() >= 500 ? machine.onErrorAnswer(now()) : Optional.empty();
+            Optional<Step> next = errorAnswers.stepAfter(head, step.server(), sentMs, now());
             if (next.isPresent()) {
-                errorAnswer = Optional.of(() -> deliver(head, bytes));
+                boolean mayFail = next.get().mayLeadToSend();
+                errorAnswer = mayFail ? Optional.of(() -> deliver(head, bytes)) : Optional.empty();
                 execute(next.get());
             } else {
                 deliver(head, bytes);
@@ -449,21 +450,18 @@
                 return;
             }
             closeSend(!metadata.isWrongServer());
-            String what = "refused with " + head.status();
+            BackendServer server = step.server();
             if (metadata.isWrongServer()) {
-                sendEnds.recordNotRun(step.server(), SendEnd.REFUSED, what, sentMs);
-                execute(machine.onWrongServer(step.server(), now()));
+                String proof = metadata.isNotRun() ? "" : " and does not state that it did not run";
+                sendEnds.recordRefusal(server, head.status(), proof, sentMs);
+                execute(machine.onWrongServer(server, metadata.isNotRun(), now()));
                 context.onLoadsChanged().run();
                 return;
             }
-            SendLoad.recordReport(context, step.server(), metadata);
-            long deprioritizedMs =
-                    context.health().recordRefusal(step.server().incarnation(), now());
-            sendEnds.recordNotRun(
-                    step.server(),
-                    SendEnd.REFUSED,
-                    what + " and is the last choice for " + deprioritizedMs + " ms,",
-                    sentMs);
+            SendLoad.recordReport(context, server, metadata);
+            long lastMs = context.health().recordRefusal(server.incarnation(), now());
+            String consequence = " and is the last choice for " + lastMs + " ms,";
+            sendEnds.recordRefusal(server, head.status(), consequence, sentMs);
             execute(machine.onRefused(now()));
         }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RequestLog.java
@@ -164,6 +164,14 @@
         LOG.info("relay: request {} goes on at {} after {} ms", id, server.id(), pauseMs);
     }
 
+    /** Logs that an error answer is not passed on because its status would be a promise. */
+    void logWithheldAnswer(BackendServer server, int status, long sentMs) {
+        logServerEvent(
+                server,
+                "failed with " + status + " and does not state that it did not run",
+                sentMs);
+    }
+
     void logAnswer(String what, int sends) {
         LOG.info(
                 "relay: request {} answered, {} after {} ms and {} sends",
--- a/masticweir/src/main/java/org/masticweir/relay/SendEnds.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendEnds.java
@@ -23,6 +23,11 @@
         context.metrics().countSendEnd(server, end);
     }
 
+    /** Records a send that the server refused; {@code detail} follows the status in the log. */
+    void recordRefusal(BackendServer server, int status, String detail, long sentMs) {
+        recordNotRun(server, SendEnd.REFUSED, "refused with " + status + detail, sentMs);
+    }
+
     /** Records a send that might have run and was abandoned by this router. */
     void recordAbandoned(BackendServer server, SendEnd end, String what, long sentMs) {
         log.logLoss(server, what, sentMs, monitor.eventCount(), monitor.content());
--- a/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerSend.java
@@ -202,7 +202,7 @@
             }
             head = received;
             metadata = context.protocol().parseAnswerMetadata(received);
-            if (metadata.isNotRun()) {
+            if (metadata.isRefusal()) {
                 if (!metadata.isWrongServer()) {
                     listener.onHead(metadata);
                 }
@@ -227,7 +227,7 @@
                 splitEvents(part);
                 return;
             }
-            if (metadata.isNotRun()) {
+            if (metadata.isRefusal()) {
                 // The head is enough; the body of a refusal is not passed on.
                 httpStream.ifPresent(HttpStream::close);
                 refuse();
@@ -256,7 +256,7 @@
             if (isEnded) {
                 return;
             }
-            if (metadata.isNotRun()) {
+            if (metadata.isRefusal()) {
                 refuse();
             } else if (!isEventStream() && (head.isBodyFramed() || !head.isSuccess())) {
                 completeAnswer();
@@ -275,7 +275,7 @@
             if (isEnded) {
                 return;
             }
-            if (metadata != null && metadata.isNotRun()) {
+            if (metadata != null && metadata.isRefusal()) {
                 // The head is enough; the body of a refusal is not passed on.
                 refuse();
             } else if (isSent) {
--- a/masticweir/src/test/java/org/masticweir/forward/RequestStateMachineTest.java
+++ b/masticweir/src/test/java/org/masticweir/forward/RequestStateMachineTest.java
@@ -224,7 +224,7 @@
         void doesNotCountSendsToWrongServers() {
             Step step = machine.next(0);
             for (int i = 0; i < 5; i++) {
-                step = machine.onWrongServer(asSend(step).server(), i);
+                step = machine.onWrongServer(asSend(step).server(), true, i);
             }
             asSend(step);
             assertEquals(1, machine.sendCount());
