catalog: a team's name never keeps a version out of force

Cause: the names of the users' platform were held in the type of this project's own document, TeamId, which takes tokens. One refused name made the reader refuse the whole version.

Fix: catalog.TeamName takes any text, and the restriction stands where the name is used: a header field carries it in UTF-8. A name that no field can carry (empty, a blank at an end, a control character, no valid Unicode) leaves the version in force; its requests are answered with 503 and not sent, so that no second field and no other name reaches a server. A version that is not understood is counted in rows_unreadable_total.

--- a/masticweir/src/main/java/org/masticweir/catalog/Team.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/Team.java
@@ -4,16 +4,15 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.util.OptionalInt;
-import org.masticweir.id.TeamId;
 
 /**
  * A team and the keys that its callers show; immutable.
  *
  * @param priority goes before that of a route
  */
-public record Team(TeamId id, ImmutableSet<String> keys, OptionalInt priority) {
+public record Team(TeamName name, ImmutableSet<String> keys, OptionalInt priority) {
     public Team {
-        checkNotNull(id, "id");
+        checkNotNull(name, "name");
         checkNotNull(keys, "keys");
         checkNotNull(priority, "priority");
     }
--- a/masticweir/src/main/java/org/masticweir/relay/ContentDigest.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ContentDigest.java
@@ -7,9 +7,9 @@
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.util.Arrays;
+import org.masticweir.catalog.TeamName;
 import org.masticweir.id.ContentId;
 import org.masticweir.id.PromptPartId;
-import org.masticweir.id.TeamId;
 
 /**
  * Computes the content ids of a request and of the shared parts of its prompt. Stateless and
@@ -33,7 +33,7 @@
 
     static ContentId of(RelayRequest request) {
         Hasher hasher = Hashing.sha256().newHasher();
-        put(hasher, request.team().map(TeamId::value).orElse(""));
+        put(hasher, request.team().map(TeamName::value).orElse(""));
         put(hasher, request.method());
         put(hasher, request.params().route().host());
         put(hasher, request.path());
--- a/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
+++ b/masticweir/src/main/java/org/masticweir/relay/DeploymentState.java
@@ -120,7 +120,7 @@
         try {
             parsed = format.catalog(text);
         } catch (IllegalArgumentException e) {
-            LOG.error("config: a version from {} is not understood, {}", source, e.getMessage());
+            unreadableRows.reportCatalog(source, e.getMessage());
             return CatalogUpdate.UNREADABLE;
         }
         if (catalog.isPresent() && parsed.version() <= catalog.get().version()) {
--- a/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayHandler.java
@@ -17,10 +17,10 @@
 import org.masticweir.catalog.ServiceName;
 import org.masticweir.catalog.ServiceSpec;
 import org.masticweir.catalog.Team;
+import org.masticweir.catalog.TeamName;
 import org.masticweir.error.ErrorCode;
 import org.masticweir.forward.RequestParameters;
 import org.masticweir.http.HttpHeaders;
-import org.masticweir.id.TeamId;
 
 /** Handles callers' requests: finds route and team, reads the body, starts the request. */
 final class RelayHandler implements HttpHandler {
@@ -68,7 +68,7 @@
             HttpHeaders headers,
             RequestMetadata metadata,
             Route route,
-            Optional<TeamId> team,
+            Optional<TeamName> team,
             ServiceName service,
             Optional<EngineSpec> engine,
             long receivedMs,
@@ -164,7 +164,7 @@
                 headers,
                 metadata,
                 route,
-                team.map(Team::id),
+                team.map(Team::name),
                 service,
                 engine,
                 now,
@@ -252,6 +252,9 @@
         if (team.isEmpty()) {
             throw denial(catalog.version(), ErrorCode.UNAUTHORIZED, "no such key");
         }
+        if (!team.get().name().fitsField()) {
+            throw new Refusal(ErrorCode.NO_ENGINE, "the team's name fits no header field");
+        }
         return team;
     }
 
--- a/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayMetrics.java
@@ -7,8 +7,8 @@
 import com.google.common.base.Ascii;
 import java.util.Optional;
 import org.masticweir.catalog.BackendServer;
+import org.masticweir.catalog.TeamName;
 import org.masticweir.error.ErrorCode;
-import org.masticweir.id.TeamId;
 import org.masticweir.metrics.BoundedLabels;
 import org.masticweir.metrics.MetricName;
 import org.masticweir.metrics.WindowedReservoir;
@@ -58,10 +58,10 @@
     }
 
     /** Returns the metrics of one request. */
-    RequestMetrics request(String route, Optional<TeamId> team) {
+    RequestMetrics request(String route, Optional<TeamName> team) {
         return new RequestMetrics(
                 classLabels.shownAs(route),
-                teamLabels.shownAs(team.map(TeamId::value).orElse(NO_TEAM)));
+                teamLabels.shownAs(team.map(TeamName::value).orElse(NO_TEAM)));
     }
 
     /** Counts a request that was refused before its route was known or before it was admitted. */
--- a/masticweir/src/main/java/org/masticweir/relay/RelayRequest.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelayRequest.java
@@ -4,11 +4,11 @@
 
 import io.undertow.server.HttpServerExchange;
 import java.util.Optional;
+import org.masticweir.catalog.TeamName;
 import org.masticweir.forward.RequestParameters;
 import org.masticweir.forward.Step;
 import org.masticweir.http.HttpCall;
 import org.masticweir.http.HttpHeaders;
-import org.masticweir.id.TeamId;
 
 /**
  * A caller's request as received by the router; immutable.
@@ -20,7 +20,7 @@
 record RelayRequest(
         RequestParameters params,
         RequestMetadata metadata,
-        Optional<TeamId> team,
+        Optional<TeamName> team,
         String method,
         String path,
         HttpHeaders headers,
@@ -40,7 +40,7 @@
             HttpServerExchange exchange,
             RequestParameters params,
             RequestMetadata metadata,
-            Optional<TeamId> team,
+            Optional<TeamName> team,
             HttpHeaders headers,
             byte[] body,
             long catalogVersion) {
--- a/masticweir/src/main/java/org/masticweir/relay/SendMetadata.java
+++ b/masticweir/src/main/java/org/masticweir/relay/SendMetadata.java
@@ -3,8 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.Optional;
+import org.masticweir.catalog.TeamName;
 import org.masticweir.forward.Step;
-import org.masticweir.id.TeamId;
 
 /**
  * Metadata that the router adds to the headers of a send; immutable.
@@ -13,7 +13,7 @@
  * @param remainingMs time that remains for the answer, in ms
  */
 public record SendMetadata(
-        String requestId, Step.Send send, Optional<TeamId> team, long remainingMs) {
+        String requestId, Step.Send send, Optional<TeamName> team, long remainingMs) {
     public SendMetadata {
         checkNotNull(requestId, "requestId");
         checkNotNull(send, "send");
--- a/masticweir/src/main/java/org/masticweir/relay/UnreadableRows.java
+++ b/masticweir/src/main/java/org/masticweir/relay/UnreadableRows.java
@@ -46,6 +46,15 @@
         this.counter = checkNotNull(counter, "counter");
     }
 
+    /** Reports a version of the catalog that cannot be parsed; the version in force stays. */
+    void reportCatalog(String source, String reason) {
+        counter.inc();
+        LOG.error(
+                "config: a version from {} is not understood, {}",
+                source,
+                Ascii.truncate(reason, MAX_REASON_CHARS, "..."));
+    }
+
     void report(RowKey row, Revision revision, String reason) {
         if (revision.equals(reportedRevisions.put(row, revision))) {
             return;
