forward: requests of a service are served whatever its name is

Its retry budget is kept under a work class of this project's own document, whose id must be a token.

Fix: each service has a budget of its own, which needs no class. The key of its shared retry allowance, which messages between routers carry, is a digest where the name is too long or no valid Unicode. An entry of another writer whose service has more than 1,024 bytes or is no valid Unicode names no server: peers could not be told of it.

--- a/masticweir/src/main/java/org/masticweir/catalog/BackendServer.java
+++ b/masticweir/src/main/java/org/masticweir/catalog/BackendServer.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.Utf8;
 import java.net.InetSocketAddress;
 import org.masticweir.id.DomainId;
 import org.masticweir.id.EngineId;
@@ -21,9 +22,16 @@
         DomainId domain,
         int slots,
         boolean leaving) {
+    /** Limit on the name of its service, in UTF-8; messages between routers carry it. */
+    public static final int MAX_SERVICE_BYTES = 1_024;
+
     public BackendServer {
         checkNotNull(incarnation, "incarnation");
         checkNotNull(service, "service");
+        checkArgument(
+                Utf8.encodedLength(service.value()) <= MAX_SERVICE_BYTES,
+                "service name of %s chars",
+                service.value().length());
         checkNotNull(address, "address");
         checkNotNull(domain, "domain");
         checkArgument(address.getPort() > 0, "address %s", address);
--- a/masticweir/src/main/java/org/masticweir/forward/ServiceRetryBudgets.java
+++ b/masticweir/src/main/java/org/masticweir/forward/ServiceRetryBudgets.java
@@ -28,6 +28,9 @@
 
     private static final TeamId ALL_TEAMS = TeamId.of("all");
 
+    /** Each service has a budget of its own, which does not tell classes apart. */
+    private static final WorkClassId ALL_CLASSES = WorkClassId.of("all");
+
     private final Map<ServiceName, RetryBudget> budgets = new HashMap<>();
     private final Map<ServiceName, Long> permitsSuspendedUntilMs = new HashMap<>();
     private double share;
@@ -73,17 +76,17 @@
 
     @Override
     public void recordRequest(ServiceName service, long nowMs) {
-        budget(service).recordFirstSend(workClassOf(service), ALL_TEAMS, nowMs);
+        budget(service).recordFirstSend(ALL_CLASSES, ALL_TEAMS, nowMs);
     }
 
     @Override
     public boolean tryRetry(ServiceName service, long nowMs) {
-        return budget(service).tryRetry(workClassOf(service), ALL_TEAMS, nowMs);
+        return budget(service).tryRetry(ALL_CLASSES, ALL_TEAMS, nowMs);
     }
 
     @Override
     public boolean mayRetry(ServiceName service, long nowMs) {
-        return budget(service).mayRetry(workClassOf(service), ALL_TEAMS, nowMs);
+        return budget(service).mayRetry(ALL_CLASSES, ALL_TEAMS, nowMs);
     }
 
     @Override
@@ -94,14 +97,10 @@
 
     @Override
     public void cancelRetry(ServiceName service, long countedMs, long nowMs) {
-        budget(service).cancelRetry(workClassOf(service), ALL_TEAMS, countedMs, nowMs);
+        budget(service).cancelRetry(ALL_CLASSES, ALL_TEAMS, countedMs, nowMs);
     }
 
     private RetryBudget budget(ServiceName service) {
         return budgets.computeIfAbsent(service, s -> RetryBudget.create(share, 0));
     }
-
-    private static WorkClassId workClassOf(ServiceName service) {
-        return WorkClassId.of(service.value());
-    }
 }
--- a/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
+++ b/masticweir/src/main/java/org/masticweir/permits/PermitKey.java
@@ -3,13 +3,17 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.hash.Hashing;
 import org.masticweir.catalog.ServerIncarnation;
 import org.masticweir.catalog.ServiceName;
+import org.masticweir.id.FieldText;
 
 /** Key of one rate that all routers share; immutable. */
 public record PermitKey(String value) {
     static final int MAX_CHARS = 300;
 
+    private static final String RETRIES = "repeats/";
+
     public PermitKey {
         checkNotNull(value, "value");
         checkArgument(!value.isEmpty() && value.length() <= MAX_CHARS, "key %s", value);
@@ -25,9 +29,15 @@
         return new PermitKey("room/" + server);
     }
 
-    /** Returns the key of the retry allowance of a service. */
+    /**
+     * Returns the key of the retry allowance of a service: its name, or a digest if a message
+     * between routers cannot carry the name.
+     */
     public static PermitKey ofRetries(ServiceName service) {
-        return new PermitKey("repeats/" + service.value());
+        String name = service.value();
+        boolean fits = RETRIES.length() + name.length() <= MAX_CHARS && FieldText.fits(name);
+        return new PermitKey(
+                RETRIES + (fits ? name : Hashing.sha256().hashUnencodedChars(name).toString()));
     }
 
     @Override
--- a/masticweir/src/main/java/org/masticweir/relay/ServerUpdate.java
+++ b/masticweir/src/main/java/org/masticweir/relay/ServerUpdate.java
@@ -83,7 +83,7 @@
             EngineId id = EngineId.of(f.text(MAX_TEXT_BYTES));
             long revisionNumber = f.int64();
             boolean present = f.bool();
-            String service = f.text(MAX_TEXT_BYTES);
+            String service = f.text(BackendServer.MAX_SERVICE_BYTES);
             String address = f.text(MAX_TEXT_BYTES);
             String domain = f.text(MAX_TEXT_BYTES);
             int slots = f.int32();
