id: servers, failure domains and routers may have any name

Cause: EngineId, DomainId and RouterId took tokens, though outsiders choose these names.

Fix: they take names of at most 200 bytes, the bound of the store's keys, that a header field can carry. Each place that relied on tokens is moved or escaped: the row by which routers find each other, the row of quarantined contents, lengths in messages between routers, the patterns of outcomes and explain. The own interface keeps its rule for its document and settings (ValueRule.id).

--- a/masticweir-cli/src/main/java/org/masticweir/cli/RequestStory.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/RequestStory.java
@@ -31,7 +31,8 @@
 
     private static final Pattern TIME =
             Pattern.compile("\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d(?:\\.\\d+)?Z");
-    private static final Pattern SERVER = Pattern.compile(" (?:goes to|resumed on) ([\\w.-]+)");
+    private static final Pattern SERVER =
+            Pattern.compile(" goes to (.+?) in | resumed on ([\\w.-]+)");
 
     /** Prefixes of lines on what a router believes of servers. */
     private static final Pattern OF_SERVERS = Pattern.compile("[ \"](?:instances|routing): ");
@@ -124,7 +125,7 @@
         for (Line line : lines) {
             Matcher m = SERVER.matcher(line.text());
             if (m.find()) {
-                servers.add(m.group(1));
+                servers.add(m.group(1) == null ? m.group(2) : m.group(1));
             }
         }
         return servers;
--- a/masticweir-cli/src/main/java/org/masticweir/cli/RequestTally.java
+++ b/masticweir-cli/src/main/java/org/masticweir/cli/RequestTally.java
@@ -22,19 +22,19 @@
 final class RequestTally implements LogLines.Taker {
     private static final String NAMED = "relay: request ([^ :]+)";
 
-    private static final Pattern STARTED = Pattern.compile("router: \\S+ in (\\S+) has started");
+    private static final Pattern STARTED = Pattern.compile("router: .+? in (.+) has started");
 
     private static final Pattern GOES =
             Pattern.compile(
                     NAMED
-                            + " goes to \\S+ in (\\S+), send .*; (\\d+) running and (\\d+) reading"
-                            + " there, copy at (\\S+),");
+                            + " goes to .+? in (.+?), send .*; (\\d+) running and (\\d+) reading"
+                            + " there, copy at (.+?),");
 
     /** A server lost, refused or kept silent on a send; reports of living ones are left out. */
     private static final Pattern TROUBLE =
             Pattern.compile(
                     NAMED
-                            + ": \\S+ in \\S+ (lost it|could not be reached|silent|refused with"
+                            + ": .+? in .+? (lost it|could not be reached|silent|refused with"
                             + " \\d+|no sign of life|does not have|has started again|sent no"
                             + " answer).* after \\d+ ms");
 
@@ -94,7 +94,7 @@
         Matcher left = LEFT.matcher(line);
         if (answered.find()) {
             boolean streamed = answered.group(2).startsWith("last event");
-            String how = streamed ? "whole" : answered.group(2).replaceAll(" of \\S+", "");
+            String how = streamed ? "whole" : answered.group(2).replaceAll(" of .*", "");
             long ms = Long.parseLong(answered.group(3));
             update(answered.group(1), f -> f.ended(streamed, "answered", how, ms));
         } else if (ends.find()) {
--- a/masticweir-cli/src/test/java/org/masticweir/cli/RequestTallyTest.java
+++ b/masticweir-cli/src/test/java/org/masticweir/cli/RequestTallyTest.java
@@ -32,6 +32,20 @@
                 + ", config 7";
     }
 
+    /** Guards against requests that are not counted because of what a zone is called. */
+    @Test
+    void namesMayHaveBlanks() {
+        ImmutableList<OutcomeRow> rows =
+                rows(
+                        "router: edge 1 in Ferrara Nord has started",
+                        goes("s1", "Ferrara Nord", 1, 2, "e 9"),
+                        "relay: request s1: e 1 in Ferrara Nord silent for 350 ms after 2887 ms",
+                        "relay: request s1 answered, last event 140 after 5000 ms and 1 sends");
+        assertEquals("whole, after a server silent", rows.get(0).cause());
+        assertEquals(0, rows.get(0).far());
+        assertEquals(2, rows.get(0).running());
+    }
+
     @Test
     void streamsAreCountedByWhatHappenedToThem() {
         ImmutableList<OutcomeRow> rows =
--- a/masticweir/src/main/java/org/masticweir/id/DomainId.java
+++ b/masticweir/src/main/java/org/masticweir/id/DomainId.java
@@ -3,7 +3,7 @@
 /** Names a failure domain. */
 public record DomainId(String value) {
     public DomainId {
-        Ids.checkToken("failure domain id", value);
+        Ids.checkName("failure domain id", value);
     }
 
     public static DomainId of(String value) {
--- a/masticweir/src/main/java/org/masticweir/id/EngineId.java
+++ b/masticweir/src/main/java/org/masticweir/id/EngineId.java
@@ -3,7 +3,7 @@
 /** Names one back end: a model engine or a plain service instance. */
 public record EngineId(String value) {
     public EngineId {
-        Ids.checkToken("engine id", value);
+        Ids.checkName("engine id", value);
     }
 
     public static EngineId of(String value) {
--- a/masticweir/src/main/java/org/masticweir/id/RouterId.java
+++ b/masticweir/src/main/java/org/masticweir/id/RouterId.java
@@ -3,7 +3,7 @@
 /** Names one router instance for the length of its life. */
 public record RouterId(String value) {
     public RouterId {
-        Ids.checkToken("router id", value);
+        Ids.checkName("router id", value);
     }
 
     public static RouterId of(String value) {
--- a/masticweir/src/main/java/org/masticweir/membership/HeartbeatCodec.java
+++ b/masticweir/src/main/java/org/masticweir/membership/HeartbeatCodec.java
@@ -27,7 +27,7 @@
     private static final int ADDRESS_FIELDS = 4;
     private static final int LOAD_FIELDS = 3;
     private static final int DOMAIN_FIELDS = 2;
-    private static final int MAX_ID_BYTES = 128;
+    private static final int MAX_ID_BYTES = 256;
     private static final int IPV6_BYTES = 16;
 
     /** States by their number on the wire; append only. */
--- a/masticweir/src/main/java/org/masticweir/peer/Hello.java
+++ b/masticweir/src/main/java/org/masticweir/peer/Hello.java
@@ -14,7 +14,7 @@
 public record Hello(RouterId router, long incarnation, DomainId domain) implements PeerMessage {
     private static final int TYPE = 1;
     private static final int FIELDS = 3;
-    private static final int MAX_ID_BYTES = 128;
+    private static final int MAX_ID_BYTES = 256;
 
     static final MessageCodec<Hello> CODEC =
             FieldsCodec.of(
--- a/masticweir/src/main/java/org/masticweir/quarantine/QuarantineStore.java
+++ b/masticweir/src/main/java/org/masticweir/quarantine/QuarantineStore.java
@@ -2,12 +2,16 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.base.Joiner;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Iterables;
+import com.google.common.escape.Escaper;
+import com.google.common.net.UrlEscapers;
+import java.net.URLDecoder;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,6 +66,9 @@
     private static final Splitter FIELD_SPLITTER = Splitter.on(FIELD_SEPARATOR);
     private static final int LOSS_FIELDS = 4;
 
+    /** Escapes both separators in ids of servers; leaves tokens as they are. */
+    private static final Escaper ID_ESCAPER = UrlEscapers.urlFormParameterEscaper();
+
     /** Follows the time in the row of a part; the row of a whole content has no mark. */
     private static final String PART_MARK = "part";
 
@@ -166,7 +173,7 @@
             Joiner.on(FIELD_SEPARATOR)
                     .appendTo(
                             text,
-                            incarnation.id(),
+                            ID_ESCAPER.escape(incarnation.id().value()),
                             incarnation.startedMs(),
                             loss.sentMs(),
                             loss.endedMs());
@@ -213,8 +220,9 @@
     private static Loss decodeLoss(String text) {
         List<String> fields = FIELD_SPLITTER.splitToList(text);
         checkArgument(fields.size() == LOSS_FIELDS, "%s is not a loss", text);
+        String id = URLDecoder.decode(fields.get(0), UTF_8);
         ServerIncarnation incarnation =
-                ServerIncarnation.of(EngineId.of(fields.get(0)), Long.parseLong(fields.get(1)));
+                ServerIncarnation.of(EngineId.of(id), Long.parseLong(fields.get(1)));
         return new Loss(incarnation, Long.parseLong(fields.get(2)), Long.parseLong(fields.get(3)));
     }
 
--- a/masticweir/src/main/java/org/masticweir/recovery/copy/ValueCodec.java
+++ b/masticweir/src/main/java/org/masticweir/recovery/copy/ValueCodec.java
@@ -29,7 +29,7 @@
  * <p>A value that may be absent is a list of none or one.
  */
 final class ValueCodec {
-    static final int MAX_ID_BYTES = 128;
+    static final int MAX_ID_BYTES = 256;
     static final int MAX_TEXT_BYTES = 1 << 20;
     static final int MAX_TOKENS = 1 << 18;
 
--- a/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
+++ b/masticweir/src/main/java/org/masticweir/relay/PeerDirectory.java
@@ -36,7 +36,7 @@
     /** Separates the address from the domain in a row. */
     private static final char SEPARATOR = ' ';
 
-    private static final Splitter PARTS = Splitter.on(SEPARATOR);
+    private static final Splitter PARTS = Splitter.on(SEPARATOR).limit(2);
 
     /** Timeout of a call to the store, in ms. */
     private static final long CALL_TIMEOUT_MS = 1_000;
--- a/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
+++ b/masticweir/src/main/java/org/masticweir/relay/RelaySettings.java
@@ -163,8 +163,8 @@
                                     ValueRule.decimal(MIN_QUARANTINE_S, MAX_QUARANTINE_S),
                                     (double) DEFAULT_QUARANTINE_S);
             return new RelaySettings(
-                    router.required("id", ValueRule.id(RouterId::of)),
-                    router.required("domain", ValueRule.id(DomainId::of)),
+                    router.required("id", ValueRule.name(RouterId::of)),
+                    router.required("domain", ValueRule.name(DomainId::of)),
                     section("callers", "address").required("address", ADDRESS),
                     section("balancer", "address").required("address", ADDRESS),
                     peerAddress,
--- a/masticweir/src/main/java/org/masticweir/settings/ValueRule.java
+++ b/masticweir/src/main/java/org/masticweir/settings/ValueRule.java
@@ -31,6 +31,7 @@
     /** Most entries of a list value. */
     static final int MAX_LIST_ENTRIES = 64;
 
+    private static final Pattern TOKEN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
     private static final Splitter COMMAS = Splitter.on(',').trimResults();
 
     private final String allowed;
@@ -43,10 +44,21 @@
         this.parser = checkNotNull(parser, "parser");
     }
 
-    /** Returns a rule for an identifier that {@code factory} checks. */
+    /** Returns a rule for an identifier that is a token and that {@code factory} accepts. */
     public static <T> ValueRule<T> id(Function<String, T> factory) {
         String allowed = "letters, digits, dots, hyphens and underscores, a letter or digit first";
-        return new ValueRule<>(allowed, factory.apply("a"), text -> accepted(factory, text));
+        return new ValueRule<>(
+                allowed,
+                factory.apply("a"),
+                text -> TOKEN.matcher(text).matches() ? accepted(factory, text) : Optional.empty());
+    }
+
+    /** Returns a rule for a name in any characters that {@code factory} accepts. */
+    public static <T> ValueRule<T> name(Function<String, T> factory) {
+        return new ValueRule<>(
+                "a name without control characters, of at most 200 bytes in UTF-8",
+                factory.apply("a"),
+                text -> accepted(factory, text));
     }
 
     /** Returns a rule for text that matches {@code pattern}, described as {@code allowed}. */
--- a/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
+++ b/masticweir/src/test/java/org/masticweir/relay/RelaySettingsTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.masticweir.error.MasticweirException;
 
 /** Valid settings of a router, and the error messages for invalid ones. */
@@ -104,6 +105,28 @@
         assertEquals("INFO", parse("0.8", "150", "8").logLevel().name());
     }
 
+    /**
+     * Guards against a router that does not start because of what its machine or zone is called.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"Ferrara Nord, 1\u00b0", "_x", "a@b/c", "\u6771\u4eac", "${zone}"})
+    void namesMayHaveAnyCharacters(String name) {
+        RelaySettings settings =
+                RelaySettings.parse(
+                        "router.ini",
+                        "[router]\nid = "
+                                + name
+                                + "\ndomain = "
+                                + name
+                                + "\n[callers]\naddress = 127.0.0.1:1\n[balancer]\n"
+                                + "address = 127.0.0.1:2\n[peers]\naddress = 127.0.0.1:3\n"
+                                + "[metrics]\naddress = 127.0.0.1:4\n[store]\n"
+                                + "address = 127.0.0.1:5\n[retries]\nshare = 0.8\n"
+                                + "allowance = 150\n[shutdown]\ngrace_s = 8\n");
+        assertEquals(name, settings.router().value());
+        assertEquals(name, settings.domain().value());
+    }
+
     /** Where other routers request tunnels. */
     @Nested
     class TunnelAddress {
